--- /dev/null
+++ b/internal/core/consensus/consensus_test.go
@@ -0,0 +1,245 @@
+package consensus
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sesamefork/sesamefork/internal/failure"
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+)
+
+// schedules returns the number of schedules of a check; SESAME_SOAK multiplies it.
+func schedules(n int) int {
+	if f, err := strconv.Atoi(os.Getenv("SESAME_SOAK")); err == nil {
+		return n * f
+	}
+	return n
+}
+
+func play(n, count int, b breakage) (first string, bad, accepted int) {
+	for seed := range int64(count) {
+		w := newWorld(seed, n, b)
+		w.run(4000, int(seed%3))
+		accepted += w.answered()
+		if v := w.violation(); v != "" {
+			bad++
+			if first == "" {
+				first = fmt.Sprintf("seed %d: %s", seed, v)
+			}
+		}
+	}
+	return first, bad, accepted
+}
+
+// TestLinearizableOnRandomSchedules plays schedules of crashes, lost disks,
+// partitions, dropped, repeated and reordered messages, membership changes and
+// snapshots: the configuration register stays linearizable, no accepted version
+// is lost, and no term has two leaders.
+func TestLinearizableOnRandomSchedules(t *testing.T) {
+	for _, n := range []int{3, 5} {
+		count := schedules(150)
+		first, bad, accepted := play(n, count, breakage{})
+		t.Logf("%d replicas: %d schedules, %d changes accepted, %d broken", n, count, accepted, bad)
+		if bad > 0 {
+			t.Errorf("%d replicas: %d of %d schedules broken; first: %s", n, bad, count, first)
+		}
+		if accepted < 2*count {
+			t.Errorf("%d replicas: only %d changes accepted in %d schedules; the check sees too little", n, accepted, count)
+		}
+	}
+}
+
+// TestChecksSeeBrokenMechanisms switches off one mechanism at a time: the same
+// schedules must then break a promise.
+func TestChecksSeeBrokenMechanisms(t *testing.T) {
+	for name, c := range map[string]struct {
+		broken breakage
+		count  int
+	}{
+		"sync":     {breakage{sync: true}, 30},
+		"identity": {breakage{identity: true}, 100},
+		"reads":    {breakage{reads: true}, 120},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, bad, _ := play(3, c.count, c.broken)
+			t.Logf("%d of %d schedules broken; first: %s", bad, c.count, first)
+			if bad == 0 {
+				t.Error("no schedule broke a promise without the mechanism")
+			}
+		})
+	}
+}
+
+// group returns n replicas without faults in the way.
+func group(n int) *world { return newWorld(1, n, breakage{}) }
+
+// settle delivers all messages in order until none is left.
+func (w *world) settle() {
+	for len(w.net) > 0 {
+		m := w.net[0]
+		w.net = w.net[1:]
+		if to := w.servers[m.To]; to != nil && to.up && w.cut[m.From] == w.cut[m.To] {
+			to.node.Step(m)
+			w.process(to, false)
+		}
+	}
+}
+
+// elect lets the replica campaign and win.
+func (w *world) elect(id string) *server {
+	s := w.servers[id]
+	s.node.campaign(PreCandidate)
+	w.process(s, false)
+	w.settle()
+	return s
+}
+
+func (w *world) tickAll(n int) {
+	for range n {
+		for _, id := range w.order {
+			w.servers[id].node.Tick()
+			w.process(w.servers[id], false)
+		}
+		w.settle()
+	}
+}
+
+// TestVoteSurvivesRestart elects a leader with one vote beside its own, restarts
+// the voter, and lets the third replica ask it for the same term's vote.
+func TestVoteSurvivesRestart(t *testing.T) {
+	leaders := func(b breakage) int {
+		w := newWorld(1, 3, b)
+		w.cut = map[string]int{"s2": 1}
+		w.servers["s0"].node.campaign(Candidate)
+		w.process(w.servers["s0"], false)
+		for len(w.net) > 0 && MessageType(w.net[0].Type) <= MsgVoteReply {
+			m := w.net[0]
+			w.net = w.net[1:]
+			if w.cut[m.To] == 0 {
+				w.servers[m.To].node.Step(m)
+				w.process(w.servers[m.To], false)
+			}
+		}
+		w.net = nil // s1 voted and has no entry of the new leader
+		w.crash(w.servers["s1"])
+		w.boot(w.servers["s1"])
+		w.servers["s1"].node.tick = 100 // past the silence after a restart
+		w.cut = map[string]int{"s0": 1}
+		w.servers["s2"].node.campaign(Candidate) // of term 1: it never heard of the leader
+		w.process(w.servers["s2"], false)
+		w.settle()
+		return len(w.faults)
+	}
+	if leaders(breakage{}) != 0 {
+		t.Error("two leaders in one term")
+	}
+	if leaders(breakage{vote: true}) == 0 {
+		t.Error("without the vote on disk the term must get two leaders")
+	}
+}
+
+func TestReturningReplicaDoesNotDisturb(t *testing.T) {
+	w := group(3)
+	s0 := w.elect("s0")
+	w.cut = map[string]int{"s2": 1}
+	w.tickAll(500)
+	term := s0.node.term
+	if got := w.servers["s2"].node.term; got != term {
+		t.Errorf("the cut-off replica's term rose to %d, want %d: pre-vote must not raise it", got, term)
+	}
+	w.cut = map[string]int{}
+	w.tickAll(30)
+	if s0.node.term != term || s0.node.role != Leader {
+		t.Errorf("term %d role %s after the return, want %d leader", s0.node.term, s0.node.role, term)
+	}
+}
+
+func TestLeaderWithoutMajorityLosesLeaseBeforeOthersElect(t *testing.T) {
+	w := group(3)
+	old := w.elect("s0")
+	w.tickAll(2)
+	if old.node.LeaseTicks() == 0 {
+		t.Fatal("a leader in touch has no lease")
+	}
+	w.cut = map[string]int{"s0": 1}
+	for range 60 {
+		w.tickAll(1)
+		for _, id := range []string{"s1", "s2"} {
+			if w.servers[id].node.role == Leader && old.node.LeaseTicks() > 0 {
+				t.Fatal("two replicas hold a lease")
+			}
+		}
+	}
+	if old.node.role == Leader {
+		t.Error("a leader without a majority did not step down")
+	}
+	if err := old.node.ReadIndex(1); !failure.Is(err, failure.NoLeader) {
+		t.Errorf("a replica without lease answered a read: %v", err)
+	}
+}
+
+func TestMembershipChangesThatAreRefused(t *testing.T) {
+	members := func(ids ...string) *pb.RaftMembers {
+		out := &pb.RaftMembers{}
+		for _, id := range ids {
+			out.Members = append(out.Members, &pb.RaftMember{Id: id, Address: "a"})
+		}
+		return out
+	}
+	for _, c := range []struct {
+		name string
+		prep func(*world)
+		next *pb.RaftMembers
+		want failure.Code
+	}{
+		{"two voters at once", nil, members("s0"), failure.UnsafeMembership},
+		{"a voter that was no learner", nil, members("s0", "s1", "s2", "new"), failure.UnsafeMembership},
+		{"no majority caught up", func(w *world) { w.cut["s1"], w.cut["s2"] = 1, 1; w.servers["s0"].node.tick += 100 }, members("s0", "s1"), failure.UnsafeMembership},
+		{"another change under way", func(w *world) {
+			w.cut["s1"], w.cut["s2"] = 1, 1
+			next := proto.Clone(w.servers["s0"].node.members).(*pb.RaftMembers)
+			next.Members = append(next.Members, &pb.RaftMember{Id: "l", Learner: true})
+			if _, _, err := w.servers["s0"].node.ProposeMembers(next); err != nil {
+				panic(err)
+			}
+		}, members("s0", "s1", "s2"), failure.MembershipPending},
+		{"one voter less", nil, members("s0", "s1"), ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := group(3)
+			s := w.elect("s0")
+			w.tickAll(3)
+			if c.prep != nil {
+				c.prep(w)
+			}
+			_, _, err := s.node.ProposeMembers(c.next)
+			if c.want == "" && err != nil || c.want != "" && !failure.Is(err, c.want) {
+				t.Errorf("error %v, want %q", err, c.want)
+			}
+		})
+	}
+}
+
+func TestSurvivableLosses(t *testing.T) {
+	ok := ReplicaStatus{CaughtUp: true}
+	lost := ReplicaStatus{}
+	learner := ReplicaStatus{CaughtUp: true, Learner: true}
+	for _, c := range []struct {
+		replicas []ReplicaStatus
+		want     int
+	}{
+		{[]ReplicaStatus{ok, ok, ok}, 1},
+		{[]ReplicaStatus{ok, ok, lost}, 0},
+		{[]ReplicaStatus{ok, ok, lost, learner}, 0},
+		{[]ReplicaStatus{ok, lost, lost}, -1},
+		{[]ReplicaStatus{ok, ok, ok, ok, ok}, 2},
+	} {
+		if got := SurvivableLosses(c.replicas); got != c.want {
+			t.Errorf("%v: %d, want %d", c.replicas, got, c.want)
+		}
+	}
+}
