Run the real processes under faults; mend four failures found there

Cause: the metrics' map held its lock while a gauge took the ledger's, and install raised a counter under the ledger's lock: an entry host stood still for ever. Ruled out: the ledger's recovery (120,000 schedules, 0 broken). Change: gauges are computed without any lock of the set. Cause: a resumed forward sent no head, so its whole answer was taken for a broken one and the end of the stream came twice (5 of 800 answers wrong). Change: every hop sends a head; a stream has ended with its last event. 3. Cause: replies to an earlier ballot were counted as those of the present one; with a dead replica a claim then never saw its majority in 3 s, and a minority's claim looked like work under way. Change: a channel a round; a claim given up is released in the background. 4. Change: grace for the owner of a claim; the host lingers, refusing, for the lists' time to live.

--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -138,7 +138,8 @@
 	}
 	log.Info("draining")
 	drain, cancel := context.WithTimeout(context.Background(), ms(s.Limits.DrainTimeoutMS))
-	cut := host.Drain(drain, second)
+	srv.SetKeepAlivesEnabled(false)
+	cut := host.Drain(drain, ms(s.Limits.DrainLingerMS), second)
 	_ = srv.Shutdown(drain)
 	cancel()
 	end()
--- a/internal/adapter/metrics/metrics.go
+++ b/internal/adapter/metrics/metrics.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"expvar"
+	"maps"
 	"sync"
 	"time"
 
@@ -62,27 +63,48 @@
 	return string(data)
 }
 
-// Set is the metrics of one process. Its names are stable.
+// Set is the metrics of one process. Its names are stable. Gauges are computed
+// without any lock of the set held, so that they may take locks under which
+// counters are raised.
 type Set struct {
-	vars *expvar.Map
-	mu   sync.Mutex
-	hist map[string]*Histogram
+	mu       sync.Mutex
+	counters map[string]*expvar.Int
+	hist     map[string]*Histogram
+	gauges   map[string]func() any
 }
 
 // New returns a set; with publish it appears at /debug/vars under "sesame".
 func New(publish bool) *Set {
-	s := &Set{vars: new(expvar.Map).Init(), hist: map[string]*Histogram{}}
+	s := &Set{counters: map[string]*expvar.Int{}, hist: map[string]*Histogram{}, gauges: map[string]func() any{}}
 	if publish {
-		expvar.Publish("sesame", s.vars)
+		expvar.Publish("sesame", s)
 	}
 	return s
 }
 
 // Add raises a counter.
-func (s *Set) Add(name string, n int64) { s.vars.Add(name, n) }
+func (s *Set) Add(name string, n int64) { s.counter(name).Add(n) }
+
+// Value returns a counter's value.
+func (s *Set) Value(name string) int64 { return s.counter(name).Value() }
+
+func (s *Set) counter(name string) *expvar.Int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, ok := s.counters[name]
+	if !ok {
+		c = new(expvar.Int)
+		s.counters[name] = c
+	}
+	return c
+}
 
 // Gauge publishes a value computed when it is read.
-func (s *Set) Gauge(name string, f func() any) { s.vars.Set(name, expvar.Func(f)) }
+func (s *Set) Gauge(name string, f func() any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gauges[name] = f
+}
 
 // Observe records a duration in the histogram with the name.
 func (s *Set) Observe(name string, d time.Duration) {
@@ -91,19 +113,29 @@
 	if !ok {
 		h = NewHistogram()
 		s.hist[name] = h
-		s.vars.Set(name, h)
 	}
 	s.mu.Unlock()
 	h.Observe(d)
 }
 
-// Value returns a counter's value.
-func (s *Set) Value(name string) int64 {
-	if v, ok := s.vars.Get(name).(*expvar.Int); ok {
-		return v.Value()
+// String implements expvar.Var.
+func (s *Set) String() string {
+	s.mu.Lock()
+	out := make(map[string]any, len(s.counters)+len(s.hist)+len(s.gauges))
+	for name, c := range s.counters {
+		out[name] = c.Value()
 	}
-	return 0
+	for name, h := range s.hist {
+		out[name] = json.RawMessage(h.String())
+	}
+	gauges := maps.Clone(s.gauges)
+	s.mu.Unlock()
+	for name, f := range gauges {
+		out[name] = f()
+	}
+	data, err := json.Marshal(out)
+	if err != nil {
+		return "{}"
+	}
+	return string(data)
 }
-
-// String returns the set as JSON.
-func (s *Set) String() string { return s.vars.String() }
--- a/internal/adapter/settings/types.go
+++ b/internal/adapter/settings/types.go
@@ -101,6 +101,10 @@
 	BodyTimeoutMS int `toml:"body_timeout_ms"`
 	// DrainTimeoutMS bounds a graceful shutdown (default 120000).
 	DrainTimeoutMS int `toml:"drain_timeout_ms"`
+	// DrainLingerMS is how long a host that shuts down goes on telling callers
+	// to use other hosts after its last request is finished (default 5000, the
+	// time to live of the lists).
+	DrainLingerMS int `toml:"drain_linger_ms"`
 	// MaxExplained is how many requests explain remembers (default 2000).
 	MaxExplained int `toml:"max_explained"`
 	// StallTimeoutMS ends an attempt whose server sends nothing (default 30000).
@@ -132,7 +136,7 @@
 func DefaultEntry() *Entry {
 	return &Entry{
 		Limits: Limits{
-			MaxBodyBytes: 8 << 20, BodyTimeoutMS: 15_000, DrainTimeoutMS: 120_000,
+			MaxBodyBytes: 8 << 20, BodyTimeoutMS: 15_000, DrainTimeoutMS: 120_000, DrainLingerMS: 5000,
 			MaxExplained: 2000, StallTimeoutMS: 30_000,
 		},
 		Timing: Timing{ProbeMS: 1000, UpdateMS: 500, SummaryMS: 2000, LeaseMS: 3000, ClockSkewMS: 5000},
@@ -305,6 +309,7 @@
 	c.between("limits.max_body_bytes", float64(e.Limits.MaxBodyBytes), 1, 1<<30)
 	c.between("limits.body_timeout_ms", float64(e.Limits.BodyTimeoutMS), 100, 600_000)
 	c.between("limits.drain_timeout_ms", float64(e.Limits.DrainTimeoutMS), 0, 3_600_000)
+	c.between("limits.drain_linger_ms", float64(e.Limits.DrainLingerMS), 0, 600_000)
 	c.between("limits.max_explained", float64(e.Limits.MaxExplained), 1, 1_000_000)
 	c.between("limits.stall_timeout_ms", float64(e.Limits.StallTimeoutMS), 100, 600_000)
 	c.between("timing.probe_ms", float64(e.Timing.ProbeMS), 50, 60_000)
--- a/internal/app/entry/execute.go
+++ b/internal/app/entry/execute.go
@@ -31,6 +31,7 @@
 	attempts  int
 	relayed   int  // tokens passed on
 	headSent  bool // the answer's head was passed on
+	ended     bool // the stream's last event was passed on
 	explain   *Explanation
 	// coldPrefillMS is the time to process the whole prompt without a cache.
 	coldPrefillMS float64
@@ -75,7 +76,7 @@
 	}
 	x := &execution{
 		r: r, view: v, permitted: permitted, sink: sink, avoid: map[string]bool{},
-		relayed: r.Resume, headSent: r.Resume > 0, began: h.o.Clock.Now(),
+		relayed: r.Resume, began: h.o.Clock.Now(),
 		coldPrefillMS: r.Tokens / assumedPrefill * 1000,
 		explain:       h.explained.start(r, h.o),
 	}
@@ -132,9 +133,12 @@
 		res := h.attempt(ctx, x, p)
 		h.release(p, res.connected)
 		x.explain.attempt(p, res, x.attempts)
+		if x.ended {
+			return nil // the last event was passed on: what follows it doesn't matter
+		}
 		d := retry.Decide(retry.Attempt{
 			Break: res.point, Idempotent: x.r.Idempotent, Number: x.attempts,
-			Relayed: x.headSent, Resumable: res.resumable,
+			Relayed: x.headSent || x.r.Resume > 0, Resumable: res.resumable,
 		}, h.more(ctx, x, res))
 		if d.Action == retry.Finish {
 			return nil
--- a/internal/app/entry/forward.go
+++ b/internal/app/entry/forward.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -94,11 +95,17 @@
 	return hd
 }
 
+// pass hands a piece of the answer on. A stream has ended with its last event,
+// whatever the link does afterwards.
 func (x *execution) pass(hd Head, data []byte) error {
 	if err := x.head(hd); err != nil {
 		return err
 	}
-	return x.sink.Data(data)
+	if err := x.sink.Data(data); err != nil {
+		return err
+	}
+	x.ended = x.r.Stream && bytes.HasPrefix(data, doneEvent)
+	return nil
 }
 
 func (h *Host) endForward(x *execution, hd Head, headed bool, body []byte, end *pb.ForwardEnd) result {
--- a/internal/app/entry/host.go
+++ b/internal/app/entry/host.go
@@ -256,15 +256,17 @@
 // Options returns the host's options.
 func (h *Host) Options() *Options { return &h.o }
 
-// Drain takes the host out of the lists and waits until no request is in
-// flight, ctx ends, or cut is closed. It returns the requests that were cut.
-func (h *Host) Drain(ctx context.Context, cut <-chan struct{}) []string {
+// Drain takes the host out of the lists and waits until the linger time is over
+// and no request is in flight, ctx ends, or cut is closed. It returns the
+// requests that were cut.
+func (h *Host) Drain(ctx context.Context, linger time.Duration, cut <-chan struct{}) []string {
 	h.SetDraining(true)
 	t := time.NewTicker(housekeeping)
 	defer t.Stop()
+	began := h.o.Clock.Now()
 	for {
 		left := h.inflightIDs()
-		if len(left) == 0 {
+		if len(left) == 0 && h.o.Clock.Now().Sub(began) >= linger {
 			return nil
 		}
 		select {
--- a/internal/app/entry/ledgerhost.go
+++ b/internal/app/entry/ledgerhost.go
@@ -153,10 +153,12 @@
 	defer cancel()
 	began := l.h.o.Clock.Now()
 	members := l.replicas(v, home, op.Key)
-	replies := make(chan *pb.LedgerMessage, 4*len(members))
 	out := op.Start(l.proposer, members)
 	pause := 5 * time.Millisecond
 	for op.Result == ledger.Pending {
+		// A channel for each round: replies to an earlier one must not be
+		// counted as those of this one.
+		replies := make(chan *pb.LedgerMessage, len(members))
 		l.sendOp(ctx, v, out, replies)
 		out = l.awaitOp(ctx, op, len(members), replies)
 		if op.Result != ledger.Pending {
@@ -188,7 +190,7 @@
 }
 
 // sendOp sends an operation's messages; each reply, or nil for none, arrives on
-// the channel.
+// the channel, which has room for all.
 func (l *ledgerHost) sendOp(ctx context.Context, v *view, out []*pb.LedgerMessage, replies chan<- *pb.LedgerMessage) {
 	for _, m := range out {
 		l.h.wg.Add(1)
@@ -199,10 +201,7 @@
 			if len(got) == 1 {
 				reply = got[0]
 			}
-			select {
-			case replies <- reply:
-			case <-ctx.Done():
-			}
+			replies <- reply
 		}()
 	}
 }
@@ -210,14 +209,12 @@
 // awaitOp feeds replies to the operation until it wants to send, is decided, or
 // can no longer reach a majority with this ballot.
 func (l *ledgerHost) awaitOp(ctx context.Context, op *ledger.Op, sent int, replies <-chan *pb.LedgerMessage) []*pb.LedgerMessage {
-	missing := 0
-	for got := 0; got < sent; got++ {
+	for range sent {
 		select {
 		case <-ctx.Done():
 			return nil
 		case m := <-replies:
 			if m == nil {
-				missing++
 				continue
 			}
 			if next := op.Handle(m); next != nil {
--- a/internal/app/entry/local.go
+++ b/internal/app/entry/local.go
@@ -113,13 +113,10 @@
 			}
 		}
 		stall.Reset(h.o.StallTimeout)
-		if err := x.head(hd); err != nil {
+		if err := x.pass(hd, event); err != nil {
 			return sinkFailed(err)
 		}
-		if err := x.sink.Data(event); err != nil {
-			return sinkFailed(err)
-		}
-		if bytes.HasPrefix(event, doneEvent) {
+		if x.ended {
 			return result{point: retry.Answered, connected: true}
 		}
 		x.token(h)
--- a/internal/app/entry/once.go
+++ b/internal/app/entry/once.go
@@ -22,30 +22,58 @@
 // server, and keeps the answer for resends.
 func (h *Host) runOnce(ctx context.Context, x *execution) *failure.Error {
 	region := home(x.view.Record, x.r.Team)
-	op := h.claimOp(x)
-	ctx2, span := h.o.Tracer.Start(ctx, "ledger.claim", trace.WithAttributes(
+	for {
+		op := h.claimOp(x)
+		if f := h.claim(ctx, x, region, op); f != nil {
+			return f
+		}
+		switch op.Result {
+		case ledger.Won:
+			x.explain.ledger("claim won")
+			return h.runClaimed(ctx, x, region, op)
+		case ledger.Taken:
+			x.explain.ledger("key belongs to attempt " + op.Value.Attempt)
+			if again, f := h.attach(ctx, x, region, op); !again {
+				return f
+			}
+		case ledger.Reused:
+			return failure.New(failure.KeyReused, failure.NotRun, "the key was used for a request with another method, path or body")
+		default:
+			x.explain.ledger("key is older than the ledger's memory")
+			return failure.New(failure.LedgerForgot, failure.Unknown,
+				"the key may be older than the ledger's present memory; state when it was issued in Sesame-Key-Issued-Ms, or use a new key if the work was surely not done")
+		}
+	}
+}
+
+// claim carries out a claim. One that finds no majority may still be held by a
+// minority of the replicas: it is given back in the background, so that a resend
+// elsewhere does not take it for work under way.
+func (h *Host) claim(ctx context.Context, x *execution, region string, op *ledger.Op) *failure.Error {
+	ctx, span := h.o.Tracer.Start(ctx, "ledger.claim", trace.WithAttributes(
 		attribute.String("sesame.request_id", x.r.ID), attribute.String("sesame.home", region)))
-	f := h.ledger.do(ctx2, x.view, region, op)
-	span.End()
-	if f != nil {
-		h.ledger.abandon(op.Attempt)
-		x.explain.ledger("claim: " + f.Detail)
-		return f
+	defer span.End()
+	f := h.ledger.do(ctx, x.view, region, op)
+	if f == nil {
+		return nil
 	}
-	switch op.Result {
-	case ledger.Won:
-		x.explain.ledger("claim won")
-		return h.runClaimed(ctx, x, region, op)
-	case ledger.Taken:
-		x.explain.ledger("key belongs to attempt " + op.Value.Attempt)
-		return h.attach(ctx, x, region, op)
-	case ledger.Reused:
-		return failure.New(failure.KeyReused, failure.NotRun, "the key was used for a request with another method, path or body")
-	default:
-		x.explain.ledger("key is older than the ledger's memory")
-		return failure.New(failure.LedgerForgot, failure.Unknown,
-			"the key may be older than the ledger's present memory; state when it was issued in Sesame-Key-Issued-Ms, or use a new key if the work was surely not done")
+	x.explain.ledger("claim: " + f.Detail)
+	h.ledger.abandon(op.Attempt)
+	h.wg.Add(1)
+	go func() {
+		defer h.wg.Done()
+		h.giveBack(x, region, op)
+	}()
+	return f
+}
+
+// giveBack releases a claim that was given up before anything was dispatched.
+func (h *Host) giveBack(x *execution, region string, claim *ledger.Op) {
+	op := &ledger.Op{
+		Kind: ledger.OpRelease, Key: claim.Key, Attempt: claim.Attempt,
+		RetentionMS: claim.RetentionMS, NowMS: h.o.Clock.Now().UnixMilli(),
 	}
+	_ = h.ledger.do(context.Background(), x.view, region, op)
 }
 
 // claimOp returns the claim of the request's key. A key without an issue time
@@ -184,21 +212,37 @@
 // attachPoll is the interval at which a resend looks for the first request's end.
 const attachPoll = 50 * time.Millisecond
 
+// ownerGrace is how long the owner of a claim may be missing from the lists
+// before it counts as gone: a host that drains leaves the lists first and then
+// finishes its work.
+const ownerGrace = 5 * time.Second
+
 // attach answers a resend: with the stored answer when there is one, else it
 // waits while the host that runs the first request is alive.
-func (h *Host) attach(ctx context.Context, x *execution, region string, op *ledger.Op) *failure.Error {
+// again is true when the first attempt turned out not to have run, so that the
+// key can be claimed.
+func (h *Host) attach(ctx context.Context, x *execution, region string, op *ledger.Op) (again bool, f *failure.Error) {
 	value := op.Value
+	seen := h.o.Clock.Now()
 	for {
-		if ledger.State(value.GetState()) == ledger.Done {
-			return h.replay(x, value.Answer)
+		switch ledger.State(value.GetState()) {
+		case ledger.Done:
+			return false, h.replay(x, value.Answer)
+		case ledger.Released:
+			return true, nil
 		}
-		if !h.ownerAlive(x.view, value.GetOwner()) {
-			return failure.New(failure.InProgress, failure.Unknown,
+		now := h.o.Clock.Now()
+		alive, restarted := h.ownerAlive(x.view, value.GetOwner())
+		if alive {
+			seen = now
+		}
+		if restarted || now.Sub(seen) > ownerGrace {
+			return false, failure.New(failure.InProgress, failure.Unknown,
 				"the entry host that ran the first request with this key is gone; whether it ran is not known")
 		}
 		select {
 		case <-ctx.Done():
-			return failure.New(failure.InProgress, failure.Unknown, "the first request with this key is still under way").
+			return false, failure.New(failure.InProgress, failure.Unknown, "the first request with this key is still under way").
 				WithRetryAfter(time.Second)
 		case <-time.After(attachPoll):
 		}
@@ -217,31 +261,26 @@
 // least: it starts as the time in ms and rises by one with each refutation.
 const restartGap = 200
 
-// ownerAlive reports whether the process that owns a claim is not known to be
-// gone. Hosts of other failure domains count as gone when their failure domain
-// does not list them.
-func (h *Host) ownerAlive(v *view, name string) bool {
+// ownerAlive reports whether the process that owns a claim is listed as alive,
+// and whether its host is known to have been restarted since.
+func (h *Host) ownerAlive(v *view, name string) (alive, restarted bool) {
 	id, text, _ := strings.Cut(name, "/")
 	incarnation, _ := strconv.ParseUint(text, 10, 64)
 	if id == h.o.ID {
-		return incarnation == h.incarnation
+		return incarnation == h.incarnation, incarnation != h.incarnation
 	}
 	h.mu.Lock()
 	m, known := h.members.Get(id)
 	h.mu.Unlock()
-	if known && m.Incarnation > incarnation+restartGap {
-		return false
-	}
-	owner, ok := v.hosts[id]
-	if !ok {
-		return false
+	if known {
+		return m.State == membership.Alive, m.Incarnation > incarnation+restartGap
 	}
-	for _, e := range h.liveHosts(v, owner.FailureDomain) {
+	for _, e := range h.liveHosts(v, v.hosts[id].FailureDomain) {
 		if e.ID == id {
-			return true
+			return true, false
 		}
 	}
-	return known && m.State == membership.Alive && m.Draining // a draining host finishes its work
+	return false, false
 }
 
 func (h *Host) replay(x *execution, a *pb.LedgerAnswer) *failure.Error {
--- /dev/null
+++ b/internal/load/send.go
@@ -0,0 +1,188 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sesamefork/sesamefork/internal/adapter/callerhttp"
+	"github.com/sesamefork/sesamefork/internal/failure"
+	"github.com/sesamefork/sesamefork/internal/standin"
+)
+
+// sent is how one send of a request ended.
+type sent struct {
+	outcome    failure.Outcome
+	code       string
+	detail     string
+	region     string
+	retryAfter time.Duration
+	hosts      []string // entry hosts to use instead
+	cut        bool     // the connection ended without an outcome
+}
+
+// send sends a request to an entry host and checks the answer in full.
+func (r *runner) send(ctx context.Context, j job, host string, issued, deadline time.Time) sent {
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(2*time.Second))
+	defer cancel()
+	req, err := r.request(ctx, j, host, issued, deadline)
+	if err != nil {
+		return sent{outcome: failure.NotRun, code: "bad-request", detail: err.Error()}
+	}
+	began := time.Now()
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return r.cut(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out := sent{region: resp.Header.Get(callerhttp.HeaderRegion), outcome: failure.Done}
+	if resp.StatusCode != http.StatusOK {
+		return r.problem(resp)
+	}
+	if j.order {
+		return r.readOrder(j, resp, out)
+	}
+	if r.o.Stream {
+		return r.readStream(j, resp, out, began)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return r.cut(err)
+	}
+	r.ttft.Observe(time.Since(began))
+	text := promptText(j.prompt)
+	if want := standin.Whole(r.o.Model, text, r.o.MaxTokens, len(text)/4); !bytes.Equal(body, want) {
+		r.broken(&r.rep.Wrong, "an answer of %d bytes, want %d", len(body), len(want))
+	}
+	return out
+}
+
+func (r *runner) cut(err error) sent {
+	r.note(func() { r.rep.Cut++ })
+	return sent{outcome: failure.Unknown, code: "connection", detail: err.Error(), cut: true}
+}
+
+func (r *runner) request(ctx context.Context, j job, host string, issued, deadline time.Time) (*http.Request, error) {
+	path, body := "/v1/services/"+r.o.Service+"/orders", any(standin.Work{Reference: j.reference})
+	if !j.order {
+		path = "/v1/chat/completions"
+		body = map[string]any{
+			"model": r.o.Model, "stream": r.o.Stream, "max_tokens": r.o.MaxTokens,
+			"messages": []map[string]string{{"role": "user", "content": j.prompt}},
+		}
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, host+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil // the run decides about resends itself
+	req.Header.Set("Authorization", "Bearer "+j.team.Key)
+	left := max(1, time.Until(deadline).Milliseconds())
+	req.Header.Set(callerhttp.HeaderDeadline, strconv.FormatInt(left, 10))
+	if j.order {
+		req.Header.Set(callerhttp.HeaderKey, j.reference)
+		req.Header.Set(callerhttp.HeaderIssued, strconv.FormatInt(issued.UnixMilli(), 10))
+	}
+	return req, nil
+}
+
+// promptText is the text that the engine sees of a prompt.
+func promptText(prompt string) string { return "user\n" + prompt + "\n" }
+
+func (r *runner) problem(resp *http.Response) sent {
+	var p failure.Problem
+	if err := json.NewDecoder(resp.Body).Decode(&p); err != nil || p.Type == "" {
+		return sent{outcome: failure.Unknown, code: strconv.Itoa(resp.StatusCode), detail: "no problem document"}
+	}
+	return sentOf(p)
+}
+
+func sentOf(p failure.Problem) sent {
+	out := sent{
+		outcome: p.Outcome, code: p.Type[strings.LastIndexByte(p.Type, ':')+1:], detail: p.Detail,
+		retryAfter: time.Duration(p.RetryAfterMS) * time.Millisecond,
+	}
+	if out.code == string(failure.Residency) {
+		out.hosts = p.EntryHosts
+	}
+	if out.outcome == "" {
+		out.outcome = failure.Unknown
+	}
+	return out
+}
+
+func (r *runner) readOrder(j job, resp *http.Response, out sent) sent {
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return r.cut(err)
+	}
+	var receipt standin.Receipt
+	if json.Unmarshal(body, &receipt) != nil || receipt.Reference != j.reference {
+		r.broken(&r.rep.Wrong, "the answer to %s is %.80q", j.reference, body)
+	}
+	return out
+}
+
+// readStream reads a stream and compares it with the undisturbed one.
+func (r *runner) readStream(j job, resp *http.Response, out sent, began time.Time) sent {
+	want := standin.StreamEvents(r.o.Model, promptText(j.prompt), r.o.MaxTokens)
+	reader := bufio.NewReader(resp.Body)
+	last := began
+	for i := 0; ; i++ {
+		event, err := readEvent(reader)
+		if err != nil && errors.Is(err, io.EOF) && event == "" {
+			if i < len(want) {
+				r.broken(&r.rep.Wrong, "a stream of %d of %d events ended as if it were whole", i, len(want))
+			}
+			return out
+		}
+		if err != nil {
+			return r.cut(err)
+		}
+		if data, ok := strings.CutPrefix(event, "event: error\ndata: "); ok {
+			var p failure.Problem
+			_ = json.Unmarshal([]byte(data), &p)
+			return sentOf(p)
+		}
+		if i >= len(want) || event != want[i] {
+			r.broken(&r.rep.Wrong, "event %d is %.60q", i, event)
+			return out
+		}
+		r.observeToken(i, &last)
+	}
+}
+
+func (r *runner) observeToken(i int, last *time.Time) {
+	now := time.Now()
+	if i == 0 {
+		r.ttft.Observe(now.Sub(*last))
+	} else {
+		r.gap.Observe(now.Sub(*last))
+	}
+	*last = now
+}
+
+func readEvent(r *bufio.Reader) (string, error) {
+	var event strings.Builder
+	for {
+		line, err := r.ReadString('\n')
+		event.WriteString(line)
+		if err != nil {
+			return event.String(), err
+		}
+		if line == "\n" {
+			return event.String(), nil
+		}
+	}
+}
--- /dev/null
+++ b/test/process/request_test.go
@@ -0,0 +1,179 @@
+package process_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sesamefork/sesamefork/internal/load"
+)
+
+// oneRegion is a region of three failure domains, like the archive.
+func oneRegion(net int) shape {
+	return shape{net: net, regions: [][]string{{"a", "b", "c"}}, engines: 2}
+}
+
+// threeRegions are three regions of one failure domain, like Railhalt.
+func threeRegions(net int) shape {
+	return shape{net: net, regions: [][]string{{"a"}, {"b"}, {"c"}}, engines: 2}
+}
+
+// underLoad runs the script while a load runs, and checks the load's report.
+func underLoad(f *fleet, o load.Options, script func()) *load.Report {
+	f.t.Helper()
+	var wg sync.WaitGroup
+	var rep *load.Report
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		rep = load.Run(context.Background(), o)
+	}()
+	script()
+	wg.Wait()
+	f.checkReport(rep)
+	return rep
+}
+
+// loadFor is about how long the load of a fault script runs.
+const (
+	loadCount = 800
+	loadRate  = 80
+)
+
+// beat is the pause between the steps of a fault script. No verdict depends on
+// it: the promises hold whatever the steps meet.
+const beat = 1500 * time.Millisecond
+
+func TestRequestsUnderFaults(t *testing.T) {
+	for i, c := range []struct {
+		name   string
+		shape  func(int) shape
+		script func(*fleet)
+	}{
+		{"undisturbed", threeRegions, func(*fleet) {}},
+		{"entry hosts killed", oneRegion, func(f *fleet) {
+			for _, id := range []string{"a1", "b2"} {
+				f.kill(id)
+				time.Sleep(beat)
+				f.restart(id)
+				time.Sleep(beat)
+			}
+		}},
+		{"entry host frozen", oneRegion, func(f *fleet) {
+			f.signal("a2", syscall.SIGSTOP)
+			time.Sleep(3 * beat)
+			f.signal("a2", syscall.SIGCONT)
+		}},
+		{"region cut off", threeRegions, func(f *fleet) {
+			time.Sleep(beat)
+			f.isolate("a", true)
+			time.Sleep(2 * beat)
+			f.isolate("a", false)
+		}},
+		{"failure domain cut off", oneRegion, func(f *fleet) {
+			time.Sleep(beat)
+			f.isolate("b", true)
+			time.Sleep(2 * beat)
+			f.isolate("b", false)
+		}},
+		{"engines break off, stall and refuse", threeRegions, func(f *fleet) {
+			for _, d := range f.domains {
+				for k := range f.s.engines {
+					f.setFaults(d, k, "die=0.1,refuse=0.1,stall=0.02,late=0.01")
+				}
+			}
+		}},
+		{"service loses answers", oneRegion, func(f *fleet) {
+			for n := range f.domains {
+				f.post(fmt.Sprintf("http://127.%d.%d.201:9000/admin/faults?set=lost=0.1,refuse=0.2", f.s.net, n+1))
+			}
+		}},
+		{"backend server killed and entry host killed", threeRegions, func(f *fleet) {
+			f.kill("a-engine1")
+			f.kill("a1")
+			time.Sleep(2 * beat)
+			f.restart("a1")
+			f.restart("a-engine1")
+		}},
+		{"entry host killed while a region is cut off", threeRegions, func(f *fleet) {
+			f.isolate("c", true)
+			time.Sleep(beat)
+			f.kill("c1")
+			time.Sleep(beat)
+			f.isolate("c", false)
+			f.restart("c1")
+		}},
+		{"two of three ledger replicas killed", threeRegions, func(f *fleet) {
+			f.kill("a1")
+			f.kill("a2")
+			time.Sleep(beat)
+			f.restart("a1")
+			f.restart("a2")
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, c.shape(50+i))
+			underLoad(f, f.loadOptions(loadCount, loadRate), func() { c.script(f) })
+			f.awaitServing()
+		})
+	}
+}
+
+func (f *fleet) post(url string) {
+	f.t.Helper()
+	resp, err := http.Post(url, "", nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+}
+
+func (f *fleet) setFaults(domain string, engine int, faults string) {
+	for n, d := range f.domains {
+		if d == domain {
+			f.post(fmt.Sprintf("http://127.%d.%d.%d:9000/admin/faults?set=%s", f.s.net, n+1, 101+engine, faults))
+		}
+	}
+}
+
+// TestGracefulShutdown ends an entry host and a backend server under load: the
+// host finishes what is in flight and exits with 0, and nothing is cut.
+func TestGracefulShutdown(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, oneRegion(48))
+	rep := underLoad(f, f.loadOptions(loadCount, loadRate), func() {
+		time.Sleep(beat)
+		if code := f.terminate("a1"); code != 0 {
+			t.Errorf("exit code %d, want 0", code)
+		}
+		if code := f.terminate("b-engine1"); code != 0 {
+			t.Errorf("backend server: exit code %d, want 0", code)
+		}
+	})
+	if rep.Unknown > 0 {
+		t.Errorf("%d requests ended without a known outcome during a graceful shutdown: %v", rep.Unknown, rep.Failures)
+	}
+}
+
+// TestIsolatedRegionServes cuts a region off from all others and from the
+// control majority: it goes on answering its own callers, orders included.
+func TestIsolatedRegionServes(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, threeRegions(49))
+	f.isolate("a", true)
+	o := f.loadOptions(200, 50)
+	o.Teams = o.Teams[:1] // calls from region1, whose home it is
+	rep := load.Run(context.Background(), o)
+	f.checkReport(rep)
+	if rep.Answered != rep.Requests || rep.Away > 0 {
+		t.Errorf("%d of %d answered, %d elsewhere", rep.Answered, rep.Requests, rep.Away)
+	}
+	f.isolate("a", false)
+	version := f.apply(1, "after the cut", f.record())
+	f.awaitVersion(version, f.hosts)
+}
