--- /dev/null
+++ b/test/process/control_test.go
@@ -0,0 +1,262 @@
+package process_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"net/http"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"encoding/json"
+
+	"github.com/sesamefork/sesamefork/internal/adapter/operatorhttp"
+	"github.com/sesamefork/sesamefork/internal/failure"
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+)
+
+// controlOnly is a fleet of which the tests use the control group.
+func controlOnly(net int) shape {
+	return shape{net: net, regions: [][]string{{"a"}, {"b"}, {"c"}}, engines: 1}
+}
+
+func (f *fleet) status() *pb.HostStatus {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var raw json.RawMessage
+	st := new(pb.HostStatus)
+	if err := f.ctl.Do(ctx, http.MethodGet, "/v1/status", nil, &raw); err != nil {
+		return st
+	}
+	_ = protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(raw, st)
+	return st
+}
+
+// leader waits for a leader and returns the name of its process.
+func (f *fleet) leader() string {
+	f.t.Helper()
+	var name string
+	f.await("a leader", func() bool {
+		name, _, _ = strings.Cut(f.status().Leader, ".")
+		return name != ""
+	})
+	return name
+}
+
+func (f *fleet) current() *operatorhttp.Config {
+	f.t.Helper()
+	var out *operatorhttp.Config
+	f.await("a linearizable read", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		c, err := f.ctl.Current(ctx)
+		out = c
+		return err == nil
+	})
+	return out
+}
+
+// noted returns the record with a note that tells versions apart.
+func (f *fleet) noted(note string) map[string]any {
+	r := f.record()
+	r["note"] = note
+	return r
+}
+
+func (f *fleet) expectNote(note string, version uint64) {
+	f.t.Helper()
+	c := f.current()
+	if c.Version != version || !strings.Contains(string(c.Record), `"note":"`+note+`"`) {
+		f.t.Errorf("version %d with %.80s, want %d with note %q", c.Version, c.Record, version, note)
+	}
+}
+
+func TestAcceptedChangeSurvivesKills(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, controlOnly(61))
+	leader := f.leader()
+	f.apply(1, "one", f.noted("one"))
+	f.kill(leader)
+	v := f.apply(2, "two", f.noted("two"))
+	f.expectNote("two", v)
+	f.restart(leader)
+	for _, c := range f.controls {
+		if name := "c-" + c.id; name != leader {
+			f.kill(name)
+		}
+	}
+	f.kill(leader)
+	for _, c := range f.controls {
+		f.restart("c-" + c.id)
+	}
+	f.expectNote("two", 3)
+	if got, err := f.tryApply(2, "two", f.noted("two")); err != nil || got != 3 {
+		t.Errorf("the change resent after restarts: version %d, %v; want its first answer 3", got, err)
+	}
+	if _, err := f.tryApply(2, "two", f.noted("other")); !failure.Is(err, failure.ChangeIDReused) {
+		t.Errorf("another change under a used change_id: %v", err)
+	}
+	f.awaitVersion(3, f.hosts)
+}
+
+func TestFrozenLeaderDoesNotAnswerStale(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, controlOnly(62))
+	old := f.leader()
+	f.signal(old, syscall.SIGSTOP)
+	v := f.apply(1, "while frozen", f.noted("new"))
+	f.signal(old, syscall.SIGCONT)
+	// Only the thawed replica is asked now.
+	for _, c := range f.controls {
+		if "c-"+c.id == old {
+			f.ctl.Servers = []string{"http://" + c.ip + ":8081"}
+		}
+	}
+	f.expectNote("new", v)
+}
+
+func TestEqualVersionsRaceOneWins(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, controlOnly(63))
+	base := uint64(1)
+	for round := range 10 {
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		var wins []uint64
+		for op := range 6 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				id := fmt.Sprintf("r%d-%d", round, op)
+				v, err := f.tryApply(base, id, f.noted(id))
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case err == nil:
+					wins = append(wins, v)
+				case !failure.Is(err, failure.VersionConflict) || failure.As(err, "").Version != base+1:
+					t.Errorf("loser got %v with version %d, want a conflict with %d", err, failure.As(err, "").Version, base+1)
+				}
+			}()
+		}
+		wg.Wait()
+		if len(wins) != 1 || wins[0] != base+1 {
+			t.Fatalf("round %d on version %d: accepted %v", round, base, wins)
+		}
+		base++
+	}
+}
+
+func TestLostDataFolderIsReplaced(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, controlOnly(64))
+	f.apply(1, "one", f.noted("one"))
+	leader := f.leader()
+	var lost host
+	for _, c := range f.controls {
+		if "c-"+c.id != leader {
+			lost = c
+		}
+	}
+	f.kill("c-" + lost.id)
+	if err := os.RemoveAll(f.path("data-" + lost.id)); err != nil {
+		t.Fatal(err)
+	}
+	f.restart("c-" + lost.id)
+	old := "c-" + lost.id + ".0"
+	f.await("the loss shows", func() bool { return f.status().SurvivableLosses == 0 })
+	f.await("replaced", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		defer cancel()
+		var out map[string]string
+		return f.ctl.Do(ctx, http.MethodPut, "/v1/replicas/"+old, operatorhttp.ReplicaBody{Address: lost.ip + ":7101"}, &out) == nil
+	})
+	st := f.status()
+	if st.SurvivableLosses != 1 || len(st.Replicas) != 3 {
+		t.Errorf("after the repair: survives %d losses with %v", st.SurvivableLosses, st.Replicas)
+	}
+	for _, r := range st.Replicas {
+		if r.Id == old {
+			t.Errorf("the lost store %s is still in the group", old)
+		}
+	}
+	// A second host fails right after the repair.
+	f.kill(f.leader())
+	v := f.apply(2, "two", f.noted("two"))
+	f.expectNote("two", v)
+	f.awaitVersion(v, f.hosts)
+}
+
+func TestThousandChangesThenRestart(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, controlOnly(65))
+	const changes = 1000
+	began := time.Now()
+	for v := uint64(1); v < changes; v++ {
+		f.apply(v, fmt.Sprintf("n%d", v), f.noted(fmt.Sprint(v)))
+	}
+	t.Logf("%d changes in %s", changes, time.Since(began))
+	var bytes int64
+	for _, c := range f.controls {
+		f.kill("c-" + c.id)
+		entries, _ := os.ReadDir(f.path("data-" + c.id))
+		for _, e := range entries {
+			if fi, err := e.Info(); err == nil {
+				bytes += fi.Size()
+			}
+		}
+	}
+	t.Logf("%d bytes on three disks", bytes)
+	if bytes > 8<<20 {
+		t.Errorf("%d bytes on three disks after %d changes", bytes, changes)
+	}
+	began = time.Now()
+	for _, c := range f.controls {
+		f.restart("c-" + c.id)
+	}
+	f.expectNote(fmt.Sprint(changes-1), changes)
+	t.Logf("answering %s after the restart of all", time.Since(began))
+	if v, err := f.tryApply(500, "n500", f.noted("500")); err != nil || v != 501 {
+		t.Errorf("change 500 resent: version %d, %v; want 501", v, err)
+	}
+	f.awaitVersion(changes, f.hosts)
+}
+
+// TestCutOffRegionCatchesUp accepts changes while a region is cut off, restarts
+// one of its entry hosts there, and heals.
+func TestCutOffRegionCatchesUp(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, controlOnly(66))
+	f.isolate("c", true)
+	v := f.apply(1, "one", f.noted("one"))
+	v = f.apply(v, "two", f.noted("two"))
+	f.awaitVersion(v, f.hosts[:6])
+	cut := f.hosts[6:]
+	f.kill(cut[0].id)
+	f.restart(cut[0].id)
+	f.awaitVersion(1, cut) // from its neighbours
+	f.isolate("c", false)
+	f.awaitVersion(v, cut)
+}
+
+// TestFullRestartOfEntryHosts restarts every entry host of a fleet at once.
+func TestFullRestartOfEntryHosts(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, controlOnly(67))
+	v := f.apply(1, "one", f.noted("one"))
+	f.awaitVersion(v, f.hosts)
+	for _, h := range f.hosts {
+		f.kill(h.id)
+	}
+	for _, h := range f.hosts {
+		f.restart(h.id)
+	}
+	f.awaitServing()
+	f.awaitVersion(v, f.hosts)
+}
