--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Targets for development. The product needs only "go build ./cmd/...".
+TOOL = go tool -modfile=tools/go.mod
+
+.PHONY: test check generate build demo soak bench
+
+build:
+	go build -o run/bin ./cmd/...
+
+# Everything that CI checks.
+check:
+	./.ci/check
+
+test: check
+
+generate:
+	$(TOOL) buf generate
+
+demo:
+	./deploy/demo.sh
+
+# The schedule checks, many times over.
+soak:
+	SESAME_SOAK=40 go test ./internal/core/consensus ./internal/core/ledger -timeout 60m -run Random -v
+
+bench:
+	go test ./internal/... -run '^$$' -bench . -benchmem
--- a/deploy/down.sh
+++ b/deploy/down.sh
@@ -4,9 +4,10 @@
 cd "$(dirname "$0")/.."
 pids="run/$1/pids"
 [ -f "$pids" ] || exit 0
-xargs -r kill <"$pids" 2>/dev/null || true
+ids=$(cut -d' ' -f1 "$pids")
+kill $ids 2>/dev/null || true
 for _ in $(seq 100); do
-  xargs -r kill -0 <"$pids" 2>/dev/null || break
+  kill -0 $ids 2>/dev/null || break
   sleep 0.1
 done
 rm -f "$pids"
--- a/deploy/up.sh
+++ b/deploy/up.sh
@@ -11,10 +11,10 @@
 : >"run/$name/pids"
 
 start() { # log name, command
-  local log="run/$name/$1.log"
+  local id=$1
   shift
-  "$@" 2>>"$log" &
-  echo $! >>"run/$name/pids"
+  "$@" 2>>"run/$name/$id.log" &
+  echo "$! $id" >>"run/$name/pids"
 }
 
 for f in deploy/"$name"/control-*.toml; do
--- a/internal/adapter/backendhttp/backendhttp.go
+++ b/internal/adapter/backendhttp/backendhttp.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/sesamefork/sesamefork/internal/adapter/operatorhttp"
+	"github.com/sesamefork/sesamefork/internal/adapter/problem"
 	"github.com/sesamefork/sesamefork/internal/app/entry"
 	"github.com/sesamefork/sesamefork/internal/core/backend"
 	"github.com/sesamefork/sesamefork/internal/failure"
@@ -143,7 +144,7 @@
 		st, f = ParseAnnouncement(mux.Vars(r)["id"], a)
 	}
 	if f != nil {
-		f.WriteHTTP(w, "")
+		problem.Write(w, f, "")
 		return
 	}
 	to := h.host.Announce(st)
@@ -158,12 +159,12 @@
 		f = decode(r, &e)
 	}
 	if f != nil {
-		f.WriteHTTP(w, "")
+		problem.Write(w, f, "")
 		return
 	}
 	gap, known := h.host.CacheEvents(mux.Vars(r)["id"], e.Sequence, e.Added, e.Evicted)
 	if !known {
-		failure.New(failure.NotFound, "", "the server has not announced itself here").WriteHTTP(w, "")
+		problem.Write(w, failure.New(failure.NotFound, "", "the server has not announced itself here"), "")
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -19,6 +19,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/sesamefork/sesamefork/internal/adapter/operatorhttp"
+	"github.com/sesamefork/sesamefork/internal/adapter/problem"
 	"github.com/sesamefork/sesamefork/internal/adapter/tracing"
 	"github.com/sesamefork/sesamefork/internal/app/entry"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
@@ -66,7 +67,7 @@
 	router.HandleFunc("/v1/explain/{id}", h.explain).Methods(http.MethodGet)
 	router.PathPrefix("/v1/services/{service}").HandlerFunc(h.service)
 	router.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		failure.New(failure.NotFound, failure.NotRun, "%s %s", r.Method, r.URL.Path).WriteHTTP(w, "")
+		problem.Write(w, failure.New(failure.NotFound, failure.NotRun, "%s %s", r.Method, r.URL.Path), "")
 	})
 	router.MethodNotAllowedHandler = router.NotFoundHandler
 }
@@ -83,7 +84,7 @@
 // goes on; SIGTERM drains and ends it.
 func (h *Handler) drain(w http.ResponseWriter, r *http.Request) {
 	if f := h.operator(r); f != nil {
-		f.WriteHTTP(w, "")
+		problem.Write(w, f, "")
 		return
 	}
 	h.host.SetDraining(r.Method == http.MethodPost)
@@ -92,7 +93,7 @@
 
 func (h *Handler) ready(w http.ResponseWriter, _ *http.Request) {
 	if f := h.host.Ready(); f != nil {
-		f.WriteHTTP(w, "")
+		problem.Write(w, f, "")
 		return
 	}
 	w.WriteHeader(http.StatusOK)
@@ -130,7 +131,7 @@
 func (h *Handler) entryHosts(w http.ResponseWriter, r *http.Request) {
 	t, f := h.team(r)
 	if f != nil {
-		f.WriteHTTP(w, "")
+		problem.Write(w, f, "")
 		return
 	}
 	out := EntryHosts{TTLMS: entryHostsTTL.Milliseconds(), Hosts: []EntryHost{}}
@@ -159,7 +160,7 @@
 func (h *Handler) models(w http.ResponseWriter, r *http.Request) {
 	t, f := h.team(r)
 	if f != nil {
-		f.WriteHTTP(w, "")
+		problem.Write(w, f, "")
 		return
 	}
 	record := h.host.Record()
@@ -175,12 +176,12 @@
 
 func (h *Handler) explain(w http.ResponseWriter, r *http.Request) {
 	if f := h.operator(r); f != nil {
-		f.WriteHTTP(w, "")
+		problem.Write(w, f, "")
 		return
 	}
 	data, ok := h.host.Explain(mux.Vars(r)["id"])
 	if !ok {
-		failure.New(failure.NotFound, "", "this entry host does not remember the request").WriteHTTP(w, "")
+		problem.Write(w, failure.New(failure.NotFound, "", "this entry host does not remember the request"), "")
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -352,20 +353,20 @@
 		id = q.ID
 	}
 	h.host.Options().Metrics.Add("refused_"+string(f.Code), 1)
-	f.WriteHTTP(w, id)
+	problem.Write(w, f, id)
 }
 
 // fail reports a failure: as a problem document, or inside a stream that has
 // begun as an error event, after which no [DONE] follows.
 func (h *Handler) fail(s *sink, q *entry.Request, f *failure.Error) {
 	if !s.headed {
-		f.WriteHTTP(s.w, q.ID)
+		problem.Write(s.w, f, q.ID)
 		return
 	}
 	if !s.stream {
 		panic(http.ErrAbortHandler) // the answer's head is out: cut the connection, so that it can't look whole
 	}
-	data, _ := json.Marshal(f.Problem(q.ID))
+	data, _ := json.Marshal(problem.Of(f, q.ID))
 	_, _ = s.w.Write([]byte("event: error\ndata: " + string(data) + "\n\n"))
 	_ = s.rc.Flush()
 }
--- a/internal/adapter/operatorhttp/operatorhttp.go
+++ b/internal/adapter/operatorhttp/operatorhttp.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/sesamefork/sesamefork/internal/adapter/problem"
 	"github.com/sesamefork/sesamefork/internal/app/control"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
@@ -57,7 +58,7 @@
 		return nil
 	})
 	h.router.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		failure.New(failure.NotFound, "", "%s %s", r.Method, r.URL.Path).WriteHTTP(w, "")
+		problem.Write(w, failure.New(failure.NotFound, "", "%s %s", r.Method, r.URL.Path), "")
 	})
 	return h
 }
@@ -74,7 +75,7 @@
 			err = f(w, r, operator)
 		}
 		if err != nil {
-			failure.As(err, failure.Unknown).WriteHTTP(w, "")
+			problem.Write(w, failure.As(err, failure.Unknown), "")
 		}
 	}).Methods(method)
 }
@@ -117,7 +118,7 @@
 
 func (h *Handler) health(w http.ResponseWriter, _ *http.Request) {
 	if f := h.replica.Halted(); f != nil {
-		f.WriteHTTP(w, "")
+		problem.Write(w, f, "")
 		return
 	}
 	w.WriteHeader(http.StatusOK)
--- /dev/null
+++ b/internal/adapter/problem/status.go
@@ -0,0 +1,61 @@
+package problem
+
+import (
+	"net/http"
+
+	"github.com/sesamefork/sesamefork/internal/failure"
+)
+
+// statusClientGone is the customary status for a caller that went away.
+const statusClientGone = 499
+
+var statuses = map[failure.Code]int{
+	failure.BadRequest:        http.StatusBadRequest,
+	failure.BodyTooLarge:      http.StatusRequestEntityTooLarge,
+	failure.SlowBody:          http.StatusRequestTimeout,
+	failure.Unauthorized:      http.StatusUnauthorized,
+	failure.Forbidden:         http.StatusForbidden,
+	failure.UnknownModel:      http.StatusNotFound,
+	failure.UnknownService:    http.StatusNotFound,
+	failure.NotFound:          http.StatusNotFound,
+	failure.Residency:         http.StatusMisdirectedRequest,
+	failure.KeyReused:         http.StatusUnprocessableEntity,
+	failure.InProgress:        http.StatusConflict,
+	failure.Overloaded:        http.StatusTooManyRequests,
+	failure.DeadlineTooShort:  http.StatusServiceUnavailable,
+	failure.NoServer:          http.StatusServiceUnavailable,
+	failure.NoQuorum:          http.StatusServiceUnavailable,
+	failure.LedgerFull:        http.StatusServiceUnavailable,
+	failure.LedgerForgot:      http.StatusConflict,
+	failure.Draining:          http.StatusServiceUnavailable,
+	failure.NotReady:          http.StatusServiceUnavailable,
+	failure.BackendLost:       http.StatusBadGateway,
+	failure.BackendRefused:    http.StatusServiceUnavailable,
+	failure.Truncated:         http.StatusBadGateway,
+	failure.PeerUnreachable:   http.StatusBadGateway,
+	failure.PeerRefused:       http.StatusForbidden,
+	failure.Circulating:       http.StatusLoopDetected,
+	failure.Canceled:          statusClientGone,
+	failure.DeadlineExceeded:  http.StatusGatewayTimeout,
+	failure.VersionConflict:   http.StatusConflict,
+	failure.InvalidRecord:     http.StatusUnprocessableEntity,
+	failure.UnsupportedSchema: http.StatusUnprocessableEntity,
+	failure.NoLeader:          http.StatusServiceUnavailable,
+	failure.MembershipPending: http.StatusConflict,
+	failure.UnsafeMembership:  http.StatusConflict,
+	failure.JournalCorrupt:    http.StatusInternalServerError,
+	failure.JournalForeign:    http.StatusInternalServerError,
+	failure.JournalFailed:     http.StatusInternalServerError,
+	failure.InvalidSettings:   http.StatusInternalServerError,
+	failure.ChangeIDReused:    http.StatusUnprocessableEntity,
+	failure.EvidenceInvalid:   http.StatusInternalServerError,
+	failure.Internal:          http.StatusInternalServerError,
+}
+
+// Status returns the HTTP status of a failure.
+func Status(f *failure.Error) int {
+	if s, ok := statuses[f.Code]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
--- a/internal/app/entry/explain.go
+++ b/internal/app/entry/explain.go
@@ -25,7 +25,7 @@
 	Ledger    []string          `json:"ledger,omitempty"`
 	WaitMS    int64             `json:"wait_ms"`
 	Outcome   failure.Outcome   `json:"outcome,omitempty"`
-	Failure   *failure.Problem  `json:"failure,omitempty"`
+	Failure   string            `json:"failure,omitempty"`
 	clock     func() time.Time
 }
 
@@ -123,7 +123,6 @@
 	x.WaitMS = waited.Milliseconds()
 	x.Outcome = failure.Done
 	if f != nil {
-		p := f.Problem(x.RequestID)
-		x.Outcome, x.Failure = f.Outcome, &p
+		x.Outcome, x.Failure = f.Outcome, f.Error()
 	}
 }
--- a/internal/core/ledger/world_test.go
+++ b/internal/core/ledger/world_test.go
@@ -33,7 +33,6 @@
 	replicas map[string]*Replica
 	net      []*pb.LedgerMessage
 	ops      map[string]*Op // by proposer
-	births   int
 
 	issued   int64
 	executed []string // attempts dispatched
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -15,6 +15,7 @@
 	"github.com/BurntSushi/toml"
 
 	"github.com/sesamefork/sesamefork/internal/adapter/operatorhttp"
+	"github.com/sesamefork/sesamefork/internal/adapter/problem"
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
@@ -80,14 +81,13 @@
 }
 
 func problemError(resp *http.Response, data []byte) error {
-	var p failure.Problem
-	if json.Unmarshal(data, &p) != nil || p.Type == "" {
-		return failure.New(failure.Internal, failure.Unknown, "%s answered %d", resp.Request.URL.Host, resp.StatusCode)
-	}
-	code := failure.Code(p.Type[strings.LastIndexByte(p.Type, ':')+1:])
-	f := failure.New(code, p.Outcome, "%s", p.Detail)
-	f.Version = p.CurrentVersion
-	return f
+	var d problem.Document
+	if json.Unmarshal(data, &d) == nil {
+		if f, ok := d.Error(); ok {
+			return f
+		}
+	}
+	return failure.New(failure.Internal, failure.Unknown, "%s answered %d", resp.Request.URL.Host, resp.StatusCode)
 }
 
 // Current returns the accepted configuration.
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -1,11 +1,10 @@
 // Package failure defines the typed failures that the system reports to
-// callers and operators, and their RFC 9457 problem documents.
+// callers and operators. It is free of any transport; package problem writes
+// failures to HTTP.
 package failure
 
 import (
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -71,52 +70,47 @@
 	Internal          Code = "internal"
 )
 
-type class struct {
-	status int
-	title  string
-}
-
-var classes = map[Code]class{
-	BadRequest:        {http.StatusBadRequest, "The request is malformed"},
-	BodyTooLarge:      {http.StatusRequestEntityTooLarge, "The request body is over the limit"},
-	SlowBody:          {http.StatusRequestTimeout, "The request body did not arrive in time"},
-	Unauthorized:      {http.StatusUnauthorized, "The key is missing or unknown"},
-	Forbidden:         {http.StatusForbidden, "The key does not allow this"},
-	UnknownModel:      {http.StatusNotFound, "The model is not configured for this team"},
-	UnknownService:    {http.StatusNotFound, "The service is not configured for this team"},
-	NotFound:          {http.StatusNotFound, "There is nothing under this path"},
-	Residency:         {http.StatusMisdirectedRequest, "The residency rules do not allow the request here"},
-	KeyReused:         {http.StatusUnprocessableEntity, "The idempotency key was used for a different request"},
-	InProgress:        {http.StatusConflict, "The first request with this key has no outcome yet"},
-	Overloaded:        {http.StatusTooManyRequests, "The request would wait too long"},
-	DeadlineTooShort:  {http.StatusServiceUnavailable, "The request cannot be answered before its deadline"},
-	NoServer:          {http.StatusServiceUnavailable, "No permitted backend server can take the request"},
-	NoQuorum:          {http.StatusServiceUnavailable, "The ledger has no quorum in reach"},
-	LedgerFull:        {http.StatusServiceUnavailable, "The ledger has no room for a new key"},
-	LedgerForgot:      {http.StatusConflict, "The ledger lost the record of keys issued before its present generation"},
-	Draining:          {http.StatusServiceUnavailable, "The entry host is shutting down"},
-	NotReady:          {http.StatusServiceUnavailable, "The entry host is not ready"},
-	BackendLost:       {http.StatusBadGateway, "The backend server was lost"},
-	BackendRefused:    {http.StatusServiceUnavailable, "The backend server refused the request"},
-	Truncated:         {http.StatusBadGateway, "The answer was cut short"},
-	PeerUnreachable:   {http.StatusBadGateway, "The other entry host cannot be reached"},
-	PeerRefused:       {http.StatusForbidden, "The other host refused the message"},
-	Circulating:       {http.StatusLoopDetected, "The request was forwarded before"},
-	Canceled:          {499, "The caller went away"},
-	DeadlineExceeded:  {http.StatusGatewayTimeout, "The deadline has passed"},
-	VersionConflict:   {http.StatusConflict, "The base version is not the current version"},
-	InvalidRecord:     {http.StatusUnprocessableEntity, "The record is invalid"},
-	UnsupportedSchema: {http.StatusUnprocessableEntity, "The schema version cannot be enforced"},
-	NoLeader:          {http.StatusServiceUnavailable, "The control group has no leader"},
-	MembershipPending: {http.StatusConflict, "Another membership change is under way"},
-	UnsafeMembership:  {http.StatusConflict, "The membership change would leave no caught-up majority"},
-	JournalCorrupt:    {http.StatusInternalServerError, "The journal is corrupt"},
-	JournalForeign:    {http.StatusInternalServerError, "The data folder belongs to another store"},
-	JournalFailed:     {http.StatusInternalServerError, "The journal could not be written"},
-	InvalidSettings:   {http.StatusInternalServerError, "The settings are invalid"},
-	ChangeIDReused:    {http.StatusUnprocessableEntity, "The change_id was used for a different change"},
-	EvidenceInvalid:   {http.StatusInternalServerError, "The configuration carries no valid commit evidence"},
-	Internal:          {http.StatusInternalServerError, "Internal error"},
+var titles = map[Code]string{
+	BadRequest:        "The request is malformed",
+	BodyTooLarge:      "The request body is over the limit",
+	SlowBody:          "The request body did not arrive in time",
+	Unauthorized:      "The key is missing or unknown",
+	Forbidden:         "The key does not allow this",
+	UnknownModel:      "The model is not configured for this team",
+	UnknownService:    "The service is not configured for this team",
+	NotFound:          "There is nothing under this path",
+	Residency:         "The residency rules do not allow the request here",
+	KeyReused:         "The idempotency key was used for a different request",
+	InProgress:        "The first request with this key has no outcome yet",
+	Overloaded:        "The request would wait too long",
+	DeadlineTooShort:  "The request cannot be answered before its deadline",
+	NoServer:          "No permitted backend server can take the request",
+	NoQuorum:          "The ledger has no quorum in reach",
+	LedgerFull:        "The ledger has no room for a new key",
+	LedgerForgot:      "The ledger lost the record of keys issued before its present generation",
+	Draining:          "The entry host is shutting down",
+	NotReady:          "The entry host is not ready",
+	BackendLost:       "The backend server was lost",
+	BackendRefused:    "The backend server refused the request",
+	Truncated:         "The answer was cut short",
+	PeerUnreachable:   "The other entry host cannot be reached",
+	PeerRefused:       "The other host refused the message",
+	Circulating:       "The request was forwarded before",
+	Canceled:          "The caller went away",
+	DeadlineExceeded:  "The deadline has passed",
+	VersionConflict:   "The base version is not the current version",
+	InvalidRecord:     "The record is invalid",
+	UnsupportedSchema: "The schema version cannot be enforced",
+	NoLeader:          "The control group has no leader",
+	MembershipPending: "Another membership change is under way",
+	UnsafeMembership:  "The membership change would leave no caught-up majority",
+	JournalCorrupt:    "The journal is corrupt",
+	JournalForeign:    "The data folder belongs to another store",
+	JournalFailed:     "The journal could not be written",
+	InvalidSettings:   "The settings are invalid",
+	ChangeIDReused:    "The change_id was used for a different change",
+	EvidenceInvalid:   "The configuration carries no valid commit evidence",
+	Internal:          "Internal error",
 }
 
 // Error is a failure with its outcome. The zero Outcome means that the failure
@@ -161,16 +155,8 @@
 	return e
 }
 
-// Status returns the HTTP status of the failure.
-func (e *Error) Status() int {
-	if c, ok := classes[e.Code]; ok {
-		return c.status
-	}
-	return http.StatusInternalServerError
-}
-
 // Title returns the one-line summary of the failure's code.
-func (e *Error) Title() string { return classes[e.Code].title }
+func (e *Error) Title() string { return titles[e.Code] }
 
 // As returns err as an *Error. Any other error becomes Internal with outcome.
 func As(err error, outcome Outcome) *Error {
@@ -189,46 +175,3 @@
 	var e *Error
 	return errors.As(err, &e) && e.Code == code
 }
-
-// Problem is the RFC 9457 document of a failure.
-type Problem struct {
-	Type           string   `json:"type"`
-	Title          string   `json:"title"`
-	Status         int      `json:"status"`
-	Detail         string   `json:"detail,omitempty"`
-	Outcome        Outcome  `json:"outcome,omitempty"`
-	RequestID      string   `json:"request_id,omitempty"`
-	RetryAfterMS   int64    `json:"retry_after_ms,omitempty"`
-	EntryHosts     []string `json:"entry_hosts,omitempty"`
-	CurrentVersion uint64   `json:"current_version,omitempty"`
-}
-
-// typePrefix precedes a code in a problem's type member.
-const typePrefix = "urn:sesamefork:problem:"
-
-// Problem returns the problem document of e.
-func (e *Error) Problem(requestID string) Problem {
-	return Problem{
-		Type: typePrefix + string(e.Code), Title: e.Title(), Status: e.Status(),
-		Detail: e.Detail, Outcome: e.Outcome, RequestID: requestID,
-		RetryAfterMS: e.RetryAfter.Milliseconds(), EntryHosts: e.EntryHosts,
-		CurrentVersion: e.Version,
-	}
-}
-
-// ContentType is the media type of problem documents.
-const ContentType = "application/problem+json"
-
-// WriteHTTP writes e as a problem document.
-func (e *Error) WriteHTTP(w http.ResponseWriter, requestID string) {
-	h := w.Header()
-	h.Set("Content-Type", ContentType)
-	if e.Outcome != "" {
-		h.Set("Sesame-Outcome", string(e.Outcome))
-	}
-	if e.RetryAfter > 0 {
-		h.Set("Retry-After", fmt.Sprint(int64((e.RetryAfter+time.Second-1)/time.Second)))
-	}
-	w.WriteHeader(e.Status())
-	_ = json.NewEncoder(w).Encode(e.Problem(requestID))
-}
--- a/internal/load/send.go
+++ b/internal/load/send.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/adapter/callerhttp"
+	"github.com/sesamefork/sesamefork/internal/adapter/problem"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	"github.com/sesamefork/sesamefork/internal/standin"
 )
@@ -101,20 +102,21 @@
 func promptText(prompt string) string { return "user\n" + prompt + "\n" }
 
 func (r *runner) problem(resp *http.Response) sent {
-	var p failure.Problem
-	if err := json.NewDecoder(resp.Body).Decode(&p); err != nil || p.Type == "" {
+	var d problem.Document
+	if err := json.NewDecoder(resp.Body).Decode(&d); err != nil {
 		return sent{outcome: failure.Unknown, code: strconv.Itoa(resp.StatusCode), detail: "no problem document"}
 	}
-	return sentOf(p)
+	return sentOf(d)
 }
 
-func sentOf(p failure.Problem) sent {
-	out := sent{
-		outcome: p.Outcome, code: p.Type[strings.LastIndexByte(p.Type, ':')+1:], detail: p.Detail,
-		retryAfter: time.Duration(p.RetryAfterMS) * time.Millisecond,
+func sentOf(d problem.Document) sent {
+	f, ok := d.Error()
+	if !ok {
+		return sent{outcome: failure.Unknown, code: d.Type, detail: d.Detail}
 	}
-	if out.code == string(failure.Residency) {
-		out.hosts = p.EntryHosts
+	out := sent{outcome: f.Outcome, code: string(f.Code), detail: f.Detail, retryAfter: f.RetryAfter}
+	if f.Code == failure.Residency {
+		out.hosts = f.EntryHosts
 	}
 	if out.outcome == "" {
 		out.outcome = failure.Unknown
@@ -151,9 +153,9 @@
 			return r.cut(err)
 		}
 		if data, ok := strings.CutPrefix(event, "event: error\ndata: "); ok {
-			var p failure.Problem
-			_ = json.Unmarshal([]byte(data), &p)
-			return sentOf(p)
+			var d problem.Document
+			_ = json.Unmarshal([]byte(data), &d)
+			return sentOf(d)
 		}
 		if i >= len(want) || event != want[i] {
 			r.broken(&r.rep.Wrong, "event %d is %.60q", i, event)
