Move placing requests into a pure core package

The entry host's glue between table, summaries, routing and queue is now internal/core/placement, so that the policy can be compared in virtual time with the code that runs in the processes.

--- a/internal/app/entry/config.go
+++ b/internal/app/entry/config.go
@@ -111,6 +111,7 @@
 	}
 	h.members.SetHosts(ids, h.o.Clock.Now())
 	h.budget.Ratio = next.Record.Policy.RetryBudget
+	h.place.SetSenders(len(next.Record.Hosts) - len(v.peers) - 1)
 	h.mu.Unlock()
 	h.previous.Store(current)
 	h.config.Store(v)
--- a/internal/app/entry/execute.go
+++ b/internal/app/entry/execute.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net/http"
 	"time"
 
@@ -11,15 +10,11 @@
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/sesamefork/sesamefork/internal/core/placement"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
-	"github.com/sesamefork/sesamefork/internal/core/routing"
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
-func halfLives(elapsed, halfLife time.Duration) float64 {
-	return math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
-}
-
 // execution is the state of one request under way on this host.
 type execution struct {
 	r         *Request
@@ -33,29 +28,8 @@
 	headSent  bool // the answer's head was passed on
 	ended     bool // the stream's last event was passed on
 	explain   *Explanation
-	// coldPrefillMS is the time to process the whole prompt without a cache.
-	coldPrefillMS float64
-	began         time.Time
-	lastToken     time.Time
-}
-
-// assumedPrefill is the prompt rate, in tokens/s, assumed of other regions.
-const assumedPrefill = 8000
-
-// senders returns how many entry hosts may send to the failure domain.
-func (x *execution) senders(domain string) float64 {
-	n := 0
-	for _, e := range x.view.Record.Hosts {
-		if e.FailureDomain != domain {
-			n++
-		}
-	}
-	return float64(max(n, 1))
-}
-
-// note records a decision for explain.
-func (x *execution) note(d routing.Decision) {
-	x.explain.decision(d)
+	began     time.Time
+	lastToken time.Time
 }
 
 // Execute carries out a request and passes its answer to sink. The failure
@@ -77,8 +51,7 @@
 	x := &execution{
 		r: r, view: v, permitted: permitted, sink: sink, avoid: map[string]bool{},
 		relayed: r.Resume, began: h.o.Clock.Now(),
-		coldPrefillMS: r.Tokens / assumedPrefill * 1000,
-		explain:       h.explained.start(r, h.o),
+		explain: h.explained.start(r, h.o),
 	}
 	if !r.Deadline.IsZero() {
 		var cancel context.CancelFunc
@@ -194,13 +167,13 @@
 // avoid keeps the next attempt away from what failed. A host of another
 // failure domain that was not reached is left out by itself; one that refused
 // takes its failure domain with it for this request.
-func (h *Host) avoid(x *execution, p *place, res result) {
-	if p.server != nil {
-		x.avoid[p.serverID] = true
+func (h *Host) avoid(x *execution, p *placement.Place, res result) {
+	if p.Server != nil {
+		x.avoid[p.ServerID] = true
 		return
 	}
 	if res.connected {
-		x.avoid[p.domain] = true
+		x.avoid[p.Domain] = true
 	}
 }
 
@@ -214,14 +187,14 @@
 }
 
 // attempt makes one attempt at the place.
-func (h *Host) attempt(ctx context.Context, x *execution, p *place) result {
+func (h *Host) attempt(ctx context.Context, x *execution, p *placement.Place) result {
 	kind, name := trace.SpanKindClient, "attempt"
-	if p.server == nil {
+	if p.Server == nil {
 		name = "forward"
 	}
 	ctx, span := h.o.Tracer.Start(ctx, name, trace.WithSpanKind(kind), trace.WithAttributes(
-		attribute.String("sesame.request_id", x.r.ID), attribute.String("sesame.to", p.serverID),
-		attribute.String("sesame.region", p.region), attribute.Int("sesame.attempt", x.attempts),
+		attribute.String("sesame.request_id", x.r.ID), attribute.String("sesame.to", p.ServerID),
+		attribute.String("sesame.region", p.Region), attribute.Int("sesame.attempt", x.attempts),
 	))
 	defer span.End()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -229,7 +202,7 @@
 	stall := time.AfterFunc(h.o.StallTimeout, func() { cancel(errStalled) })
 	defer stall.Stop()
 	var res result
-	if p.server != nil {
+	if p.Server != nil {
 		res = h.attemptLocal(ctx, stall, x, p)
 	} else {
 		res = h.attemptForward(ctx, stall, x, p)
--- a/internal/app/entry/explain.go
+++ b/internal/app/entry/explain.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/core/placement"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
 	"github.com/sesamefork/sesamefork/internal/core/routing"
 	"github.com/sesamefork/sesamefork/internal/failure"
@@ -100,10 +101,10 @@
 	x.Decisions = append(x.Decisions, ExplainDecision{Chosen: d.Server + d.Domain, Considered: d.Considered})
 }
 
-func (x *Explanation) attempt(p *place, res result, number int) {
+func (x *Explanation) attempt(p *placement.Place, res result, number int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	a := ExplainAttempt{Number: number, To: p.serverID, Region: p.region, Connect: res.connected, MS: x.clock().Sub(p.started).Milliseconds()}
+	a := ExplainAttempt{Number: number, To: p.ServerID, Region: p.Region, Connect: res.connected, MS: x.clock().Sub(p.Started).Milliseconds()}
 	a.Result = [...]string{"not sent", "refused", "sent, no answer", "answer broke off", "answered"}[res.point]
 	if res.err != nil && res.point != retry.Answered {
 		a.Result += ": " + res.err.Detail
--- a/internal/app/entry/forward.go
+++ b/internal/app/entry/forward.go
@@ -13,6 +13,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/adapter/peerlink"
 	"github.com/sesamefork/sesamefork/internal/adapter/tracing"
+	"github.com/sesamefork/sesamefork/internal/core/placement"
 	"github.com/sesamefork/sesamefork/internal/core/residency"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
 	"github.com/sesamefork/sesamefork/internal/failure"
@@ -22,19 +23,19 @@
 // attemptForward hands the request to an entry host of another failure domain.
 // The residency rules are asked once more with the configuration in force now:
 // not a byte leaves for a region that they do not permit.
-func (h *Host) attemptForward(ctx context.Context, stall *time.Timer, x *execution, p *place) result {
+func (h *Host) attemptForward(ctx context.Context, stall *time.Timer, x *execution, p *placement.Place) result {
 	v := h.config.Load()
-	if !residency.Allowed(v.Record, x.r.query(), p.region) {
+	if !residency.Allowed(v.Record, x.r.query(), p.Region) {
 		return result{
 			point: retry.BeforeSend, connected: true,
-			err: failure.New(failure.Residency, failure.NotRun, "the residency rules do not allow region %s any more", p.region),
+			err: failure.New(failure.Residency, failure.NotRun, "the residency rules do not allow region %s any more", p.Region),
 		}
 	}
 	h.o.Metrics.Add("forwarded", 1)
 	req := h.request()
 	req.Traceparent = tracing.Inject(ctx)
 	req.Body = &pb.Request_Forward{Forward: h.forwardMessage(x)}
-	stream, sent, err := h.o.Peers.Open(ctx, p.address, req, x.r.Body)
+	stream, sent, err := h.o.Peers.Open(ctx, p.Address, req, x.r.Body)
 	if err != nil {
 		point := retry.BeforeSend
 		if sent {
@@ -52,7 +53,7 @@
 
 // readForward passes on the frames of a forwarded request's answer. Only an
 // end frame that says so makes the answer complete.
-func (h *Host) readForward(ctx context.Context, x *execution, p *place, stream frameReader, stall *time.Timer) result {
+func (h *Host) readForward(ctx context.Context, x *execution, p *placement.Place, stream frameReader, stall *time.Timer) result {
 	var hd Head
 	var headed bool
 	var body []byte
@@ -65,13 +66,13 @@
 			}
 			return result{
 				point: point, resumable: x.r.Stream, connected: callerGone(ctx),
-				err: failure.New(failure.PeerUnreachable, failure.Unknown, "the link to %s broke off: %s", p.serverID, err),
+				err: failure.New(failure.PeerUnreachable, failure.Unknown, "the link to %s broke off: %s", p.ServerID, err),
 			}
 		}
 		stall.Reset(h.o.StallTimeout)
 		switch f := frame.Frame.(type) {
 		case *pb.ForwardFrame_Head:
-			hd, headed = headOf(f.Head, p.region), true
+			hd, headed = headOf(f.Head, p.Region), true
 		case *pb.ForwardFrame_Chunk:
 			if !x.r.Stream {
 				body = append(body, f.Chunk...)
--- a/internal/app/entry/gossip.go
+++ b/internal/app/entry/gossip.go
@@ -8,26 +8,13 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/sesamefork/sesamefork/internal/core/backend"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/membership"
-	"github.com/sesamefork/sesamefork/internal/core/routing"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 	"github.com/sesamefork/sesamefork/internal/port"
 )
 
-// remote is what is known of another failure domain.
-type remote struct {
-	summary  *pb.Summary
-	at       time.Time          // when the summary was made, on this host's clock
-	direct   bool               // received from that failure domain itself
-	sent     map[string]float64 // own forwards since the summary, by target
-	lastSent map[string]time.Time
-	latency  time.Duration        // one-way, moving mean
-	suspect  map[string]time.Time // hosts that could not be reached
-}
-
 // helpers is the number of hosts asked to probe for another.
 const helpers = 2
 
@@ -201,16 +188,16 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for id, at := range h.sponsored {
-		s := h.table.Get(id)
+		s := h.place.Table.Get(id)
 		if s == nil || now.Sub(at) > h.o.Lease {
 			delete(h.sponsored, id)
 			continue
 		}
 		up.Servers = append(up.Servers, aged(s.State, now.Sub(at)))
 	}
-	for _, r := range h.remotes {
-		if r.direct && now.Sub(r.at) < 2*h.o.Summary {
-			up.Summaries = append(up.Summaries, agedSummary(r.summary, now.Sub(r.at)))
+	for _, r := range h.place.Remotes() {
+		if r.Direct && now.Sub(r.At) < 2*h.o.Summary {
+			up.Summaries = append(up.Summaries, agedSummary(r.Summary, now.Sub(r.At)))
 		}
 	}
 	return up
@@ -238,10 +225,10 @@
 	h.mu.Lock()
 	now := h.o.Clock.Now()
 	for _, st := range up.Servers {
-		h.table.Merge(st, now)
+		h.place.Table.Merge(st, now)
 	}
 	for _, s := range up.Summaries {
-		h.mergeSummary(s, now, false)
+		h.place.MergeSummary(s, now, false)
 	}
 	if m, ok := h.members.Get(from); ok && m.Draining != up.Draining {
 		h.members.Acked(from, m.Incarnation, up.Draining, now)
@@ -254,9 +241,9 @@
 func (h *Host) Announce(st *pb.BackendState) (announceTo []string) {
 	now := h.o.Clock.Now()
 	h.mu.Lock()
-	old := h.table.Get(st.Id)
+	old := h.place.Table.Get(st.Id)
 	fresh := old == nil || old.State.Leaving != st.Leaving || old.State.Incarnation != st.Incarnation
-	if h.table.Merge(st, now) {
+	if h.place.Table.Merge(st, now) {
 		h.sponsored[st.Id] = now
 	}
 	h.mu.Unlock()
@@ -271,7 +258,7 @@
 func (h *Host) CacheEvents(id string, first uint64, added, evicted []uint64) (gap, known bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s := h.table.Get(id)
+	s := h.place.Table.Get(id)
 	if s == nil {
 		return false, false
 	}
@@ -314,9 +301,9 @@
 	now := h.o.Clock.Now()
 	var out []configstate.Host
 	listed := map[string]bool{}
-	r := h.remotes[domain]
-	if r != nil && now.Sub(r.at) < routingStale {
-		for _, id := range r.summary.Hosts {
+	r := h.place.Remote(domain)
+	if r != nil && now.Sub(r.At) < summaryStale {
+		for _, id := range r.Summary.Hosts {
 			listed[id] = true
 		}
 	}
@@ -342,10 +329,6 @@
 	return out
 }
 
-// routingStale is the age from which another failure domain's list of hosts is
-// not used.
-const routingStale = 20 * time.Second
-
 // EntryHosts returns the entry hosts that a caller should use, best first: the
 // own failure domain, the region, then the other regions.
 func (h *Host) EntryHosts(caller string) []configstate.Host {
@@ -452,9 +435,6 @@
 	return hosts[:min(summaryFanout, len(hosts))]
 }
 
-// latencyWeight is the weight of the newest sample in the mean latency.
-const latencyWeight = 0.2
-
 func (h *Host) sendSummary(ctx context.Context, domain string, target configstate.Host, s *pb.Summary) {
 	req := h.request()
 	req.Body = &pb.Request_SummaryUpdate{SummaryUpdate: &pb.SummaryUpdate{Summaries: []*pb.Summary{s}}}
@@ -465,58 +445,18 @@
 	oneWay := h.o.Clock.Now().Sub(start) / 2
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	r := h.remotes[domain]
-	if r == nil {
-		return
-	}
-	if r.latency == 0 {
-		r.latency = oneWay
-	}
-	r.latency += time.Duration(latencyWeight * float64(oneWay-r.latency))
+	h.place.ObserveLatency(domain, oneWay)
 }
 
 // summarise adds up this failure domain's servers for each model and service.
 func (h *Host) summarise(v *view) *pb.Summary {
-	now := h.o.Clock.Now()
-	s := &pb.Summary{FailureDomain: h.o.FailureDomain, Region: h.o.Region, Sequence: uint64(now.UnixMilli())}
+	var hosts []string
 	for _, e := range h.liveHosts(v, h.o.FailureDomain) {
-		s.Hosts = append(s.Hosts, e.ID)
+		hosts = append(hosts, e.ID)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	sums := map[string]*pb.ModelSummary{}
-	for _, srv := range h.table.All() {
-		if h.table.Usable(srv, now) != backend.SkipNone {
-			continue
-		}
-		for _, m := range srv.State.Models {
-			addServer(sums, summaryName(srv.State.Kind, m), srv, h.table, now)
-		}
-	}
-	for _, m := range sums {
-		s.Models = append(s.Models, m)
-	}
-	sort.Slice(s.Models, func(i, j int) bool { return s.Models[i].Name < s.Models[j].Name })
-	return s
-}
-
-// summaryName tells models and services of the same name apart.
-func summaryName(kind, name string) string { return kind + "/" + name }
-
-func addServer(sums map[string]*pb.ModelSummary, name string, srv *backend.Server, t *backend.Table, now time.Time) {
-	m := sums[name]
-	if m == nil {
-		m = &pb.ModelSummary{Name: name, WaitMs: ^uint32(0)}
-		sums[name] = m
-	}
-	slots := float64(srv.State.Slots) * t.Ramp(srv, now)
-	out := t.Outstanding(srv)
-	m.Servers++
-	m.Slots += uint32(slots + 0.5)
-	m.Running += uint32(out)
-	m.ServiceMs = uint32(srv.ServiceMS())
-	wait := routing.Estimate(routing.Query{}, routing.Server{Slots: slots, Outstanding: float64(out), ServiceMS: srv.ServiceMS()}, 1)
-	m.WaitMs = min(m.WaitMs, uint32(min(wait, 1e9)))
+	return h.place.Summarise(hosts, h.o.Clock.Now())
 }
 
 // takeSummaries merges summaries of other failure domains.
@@ -524,29 +464,12 @@
 	h.mu.Lock()
 	now := h.o.Clock.Now()
 	for _, s := range up.Summaries {
-		h.mergeSummary(s, now, true)
+		h.place.MergeSummary(s, now, true)
 	}
 	h.mu.Unlock()
 	h.poke(h.wake)
 }
 
-func (h *Host) mergeSummary(s *pb.Summary, now time.Time, direct bool) {
-	if s.FailureDomain == h.o.FailureDomain {
-		return
-	}
-	r := h.remotes[s.FailureDomain]
-	if r == nil {
-		r = &remote{suspect: map[string]time.Time{}, sent: map[string]float64{}, lastSent: map[string]time.Time{}}
-		h.remotes[s.FailureDomain] = r
-	}
-	if r.summary != nil && s.Sequence <= r.summary.Sequence {
-		return
-	}
-	r.summary, r.direct = s, direct
-	r.at = now.Add(-time.Duration(s.AgeMs) * time.Millisecond)
-	clear(r.sent)
-}
-
 // HandleRequest answers the other hosts' requests; see peerlink.Handler.
 func (h *Host) HandleRequest(ctx context.Context, req *pb.Request) *pb.Response {
 	h.heardStamp(req.From, "", req.Stamp, req.MaxSchema)
--- a/internal/app/entry/host.go
+++ b/internal/app/entry/host.go
@@ -23,6 +23,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/backend"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/membership"
+	"github.com/sesamefork/sesamefork/internal/core/placement"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
@@ -86,14 +87,11 @@
 	inflight    sync.Map // request ID -> start time
 
 	mu        sync.Mutex
-	table     *backend.Table
+	place     *placement.State
 	members   *membership.List
 	sponsored map[string]time.Time // backend servers that announce here
-	remotes   map[string]*remote   // by failure domain
-	queue     *admission.Queue
 	waiting   map[*admission.Waiter]*ticket
 	budget    *retry.Budget
-	share     awayShare
 	versions  map[string]hostVersion // configuration in force on neighbours
 	wake      chan struct{}
 	sendNow   chan struct{}
@@ -120,15 +118,16 @@
 		o:           o,
 		incarnation: uint64(now.UnixMilli()),
 		explained:   newExplainer(o.MaxExplained),
-		table:       backend.NewTable(backend.Limits{Lease: o.Lease, SlowStart: slowStart, Lag: assumedLag}),
-		sponsored:   map[string]time.Time{},
-		remotes:     map[string]*remote{},
-		queue:       admission.NewQueue(maxWaiting),
-		waiting:     map[*admission.Waiter]*ticket{},
-		budget:      retry.NewBudget(0.1, now),
-		versions:    map[string]hostVersion{},
-		wake:        make(chan struct{}, 1),
-		sendNow:     make(chan struct{}, 1),
+		place: placement.New(placement.Options{
+			Region: o.Region, FailureDomain: o.FailureDomain, MaxWaiting: maxWaiting, Random: rand.Float64,
+			Limits: backend.Limits{Lease: o.Lease, SlowStart: slowStart, Lag: assumedLag},
+		}),
+		sponsored: map[string]time.Time{},
+		waiting:   map[*admission.Waiter]*ticket{},
+		budget:    retry.NewBudget(0.1, now),
+		versions:  map[string]hostVersion{},
+		wake:      make(chan struct{}, 1),
+		sendNow:   make(chan struct{}, 1),
 	}
 	h.members = membership.New(membership.Options{
 		ID: o.ID, SuspectTimeout: suspectFactor * o.Probe, Seed: rand.Int64(),
@@ -196,15 +195,7 @@
 	now := h.o.Clock.Now()
 	h.mu.Lock()
 	h.members.Tick(now)
-	h.table.Expire(now)
-	expired := h.queue.Expired(now)
-	for _, w := range expired {
-		if t := h.waiting[w]; t != nil {
-			delete(h.waiting, w)
-			t.fail(failure.New(failure.DeadlineExceeded, failure.NotRun, "no place came free before the deadline").
-				WithRetryAfter(time.Second))
-		}
-	}
+	h.place.Table.Expire(now)
 	h.mu.Unlock()
 	h.memberEvents()
 	h.dispatch()
@@ -308,7 +299,7 @@
 	m.Gauge("waiting", func() any {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		return h.queue.Len()
+		return h.place.Waiting()
 	})
 	m.Gauge("ledger_keys", func() any { return h.ledger.keys() })
 	m.Gauge("ledger_partitions", func() any {
@@ -328,7 +319,7 @@
 	m.Gauge("away_share", func() any {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		return h.share.value(h.o.Clock.Now())
+		return h.place.AwayShare(h.o.Clock.Now())
 	})
 }
 
@@ -343,8 +334,8 @@
 	defer h.mu.Unlock()
 	now := h.o.Clock.Now()
 	out := map[string]BackendView{}
-	for _, s := range h.table.All() {
-		out[s.State.Id] = BackendView{h.table.Outstanding(s), string(h.table.Usable(s, now))}
+	for _, s := range h.place.Table.All() {
+		out[s.State.Id] = BackendView{h.place.Table.Outstanding(s), string(h.place.Table.Usable(s, now))}
 	}
 	return out
 }
--- a/internal/app/entry/local.go
+++ b/internal/app/entry/local.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/adapter/tracing"
+	"github.com/sesamefork/sesamefork/internal/core/placement"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	"github.com/sesamefork/sesamefork/internal/port"
@@ -29,7 +30,7 @@
 var doneEvent = []byte("data: [DONE]")
 
 // attemptLocal makes an attempt at a backend server.
-func (h *Host) attemptLocal(ctx context.Context, stall *time.Timer, x *execution, p *place) result {
+func (h *Host) attemptLocal(ctx context.Context, stall *time.Timer, x *execution, p *placement.Place) result {
 	header := passable(x.r.Header)
 	if tp := tracing.Inject(ctx); tp != "" {
 		header.Set("Traceparent", tp)
@@ -37,7 +38,7 @@
 	header.Set("Sesame-Request-Id", x.r.ID)
 	header.Set("Sesame-Priority", strconv.Itoa(x.r.Priority))
 	answer, sent, err := h.o.Backends.Do(ctx, port.BackendCall{
-		Address: p.address, Method: x.r.Method, URI: x.r.URI, Header: header, Body: x.r.Body,
+		Address: p.Address, Method: x.r.Method, URI: x.r.URI, Header: header, Body: x.r.Body,
 		ResumeTokens: x.relayed, AttemptID: x.r.ID + "." + strconv.Itoa(x.attempts),
 	})
 	if err != nil {
@@ -51,7 +52,7 @@
 	if f := refusal(x, answer); f != nil {
 		return result{point: retry.Refused, err: f, connected: true}
 	}
-	hd := Head{Status: answer.Status, Header: passable(answer.Header), Region: h.o.Region, Server: p.serverID}
+	hd := Head{Status: answer.Status, Header: passable(answer.Header), Region: h.o.Region, Server: p.ServerID}
 	stall.Reset(h.o.StallTimeout)
 	if isStream(answer.Header) && answer.Status == http.StatusOK {
 		return h.relay(ctx, x, answer.Body, hd, stall)
