--- a/internal/app/entry/execute.go
+++ b/internal/app/entry/execute.go
@@ -88,7 +88,6 @@
 	point     retry.Break
 	err       *failure.Error
 	connected bool // the other end worked as it should
-	resumable bool
 }
 
 // run makes attempts until one is answered or none is left.
@@ -111,7 +110,7 @@
 		}
 		d := retry.Decide(retry.Attempt{
 			Break: res.point, Idempotent: x.r.Idempotent, Number: x.attempts,
-			Relayed: x.headSent || x.r.Resume > 0, Resumable: res.resumable,
+			Relayed: x.headSent || x.r.Resume > 0, Resumable: x.r.Stream,
 		}, h.more(ctx, x, res))
 		if d.Action == retry.Finish {
 			return nil
--- a/internal/app/entry/forward.go
+++ b/internal/app/entry/forward.go
@@ -65,7 +65,7 @@
 				point = retry.MidAnswer
 			}
 			return result{
-				point: point, resumable: x.r.Stream, connected: callerGone(ctx),
+				point: point, connected: callerGone(ctx),
 				err: failure.New(failure.PeerUnreachable, failure.Unknown, "the link to %s broke off: %s", p.ServerID, err),
 			}
 		}
@@ -127,7 +127,7 @@
 	case f.Outcome == failure.NotRun:
 		point = retry.Refused
 	}
-	return result{point: point, err: f, connected: true, resumable: x.r.Stream}
+	return result{point: point, err: f, connected: true}
 }
 
 func (h *Host) forwardMessage(x *execution) *pb.Forward {
@@ -196,9 +196,18 @@
 	_ = s.Send(&pb.ForwardFrame{Frame: &pb.ForwardFrame_End{End: end}})
 }
 
+// checkPath refuses a request that was forwarded before: the path of a forward
+// names the host where the request entered, and no other.
+func (h *Host) checkPath(path []string) *failure.Error {
+	if len(path) == 1 && path[0] != h.o.ID {
+		return nil
+	}
+	return failure.New(failure.Circulating, failure.NotRun, "the request was forwarded along %v before", path)
+}
+
 func (h *Host) receive(ctx context.Context, f *pb.Forward, s peerlink.Stream) *failure.Error {
-	if len(f.Path) != 1 || slices.Contains(f.Path, h.o.ID) {
-		return failure.New(failure.Circulating, failure.NotRun, "the request was forwarded along %v before", f.Path)
+	if f := h.checkPath(f.Path); f != nil {
+		return f
 	}
 	v := h.config.Load()
 	if v == nil {
--- a/internal/app/entry/gossip.go
+++ b/internal/app/entry/gossip.go
@@ -145,6 +145,7 @@
 func (h *Host) memberEvents() {
 	h.mu.Lock()
 	events := h.members.Events()
+	h.place.Table.SetSharers(1 + len(h.members.Live()))
 	h.mu.Unlock()
 	v := h.config.Load()
 	for _, e := range events {
--- a/internal/app/entry/local.go
+++ b/internal/app/entry/local.go
@@ -109,7 +109,7 @@
 		event, err := readEvent(reader)
 		if err != nil {
 			return result{
-				point: retry.MidAnswer, resumable: true, connected: callerGone(ctx),
+				point: retry.MidAnswer, connected: callerGone(ctx),
 				err: failure.New(failure.BackendLost, failure.Unknown, "the stream broke off after %d tokens: %s", x.relayed, err),
 			}
 		}
--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -40,28 +40,27 @@
 	failures   int
 	closedAt   time.Time // breaker: next attempt allowed from here on
 	probing    bool
-	history    []sample
+	history    history
 	cache      *cache
 	serviceSum float64 // moving mean of the time an attempt holds a slot, in ms
 }
 
-// sample is the own attempts under way from a time on.
-type sample struct {
-	at       time.Time
-	inflight int
-}
-
 // Table holds the servers of one failure domain. It is not safe for concurrent use.
 type Table struct {
 	limits  Limits
 	servers map[string]*Server
+	sharers float64 // hosts that send to these servers, this one included
+	lag     lagEstimate
 }
 
 // NewTable returns an empty table.
 func NewTable(l Limits) *Table {
-	return &Table{limits: l, servers: map[string]*Server{}}
+	return &Table{limits: l, servers: map[string]*Server{}, sharers: 1, lag: newLagEstimate(l.Lag)}
 }
 
+// SetSharers fixes how many hosts send to these servers, this one included.
+func (t *Table) SetSharers(n int) { t.sharers = float64(max(n, 1)) }
+
 // Merge takes an announcement, received directly or from its sponsor. The same
 // server heard through two hosts is one server: only a higher incarnation, or a
 // later announcement of the same, replaces what is held.
@@ -81,6 +80,7 @@
 		s.FirstSeen = now // returns after a lapse: its cache may be cold
 	}
 	s.State, s.HeardAt = st, heard
+	t.lag.observe(s, t.sharers)
 	s.cache.advertise(st.Prefixes)
 	return true
 }
@@ -159,35 +159,6 @@
 	return floor + (1-floor)*float64(age)/float64(t.limits.SlowStart)
 }
 
-// historyLength bounds the samples kept for each server.
-const historyLength = 64
-
-func (s *Server) record(now time.Time) {
-	s.history = append(s.history, sample{now, s.Inflight})
-	if len(s.history) > historyLength {
-		s.history = slices.Delete(s.history, 0, historyLength/2)
-	}
-}
-
-// inflightAt returns the own attempts that were under way at a past time.
-func (s *Server) inflightAt(at time.Time) int {
-	for i := len(s.history) - 1; i >= 0; i-- {
-		if !s.history[i].at.After(at) {
-			return s.history[i].inflight
-		}
-	}
-	return 0
-}
-
-// Outstanding estimates the requests at the server now: the lagged report plus
-// what this host sent, less what it saw finish, since the report was taken.
-func (t *Table) Outstanding(s *Server) int {
-	reported := int(s.State.Running + s.State.Queued)
-	taken := s.HeardAt.Add(-t.limits.Lag)
-	estimate := reported + s.Inflight - s.inflightAt(taken)
-	return max(estimate, s.Inflight, 0)
-}
-
 // Started records an own attempt.
 func (t *Table) Started(s *Server, prefixes []uint64, now time.Time) {
 	if s.failures > 0 {
@@ -195,7 +166,7 @@
 	}
 	s.Inflight++
 	s.cache.sent(prefixes)
-	s.record(now)
+	s.history.record(now, s.Inflight)
 }
 
 // serviceWeight is the weight of the newest sample in the mean service time.
@@ -205,7 +176,7 @@
 // server could not be reached or broke the connection.
 func (t *Table) Finished(s *Server, connected bool, held time.Duration, now time.Time) {
 	s.Inflight = max(s.Inflight-1, 0)
-	s.record(now)
+	s.history.record(now, s.Inflight)
 	s.probing = false
 	if !connected {
 		pause := min(breakerFirst<<min(s.failures, 5), breakerMax)
--- a/internal/core/configstate/record.go
+++ b/internal/core/configstate/record.go
@@ -246,9 +246,13 @@
 	setDefault(&p.RetryBudget, 0.1)
 	setDefault(&p.MaxAttempts, 3)
 	setDefault(&p.DefaultDeadlineMS, 60_000)
-	setDefault(&p.MaxQueuePerSlot, 4)
+	setDefault(&p.MaxQueuePerSlot, DefaultQueuePerSlot)
 }
 
+// DefaultQueuePerSlot keeps a short queue at the backend servers, so that a free
+// slot finds work, and the rest in the entry hosts' fair queues.
+const DefaultQueuePerSlot = 0.25
+
 // RegionNames returns the names of the regions, sorted.
 func (r *Record) RegionNames() []string {
 	names := make([]string, 0, len(r.Regions))
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -169,6 +169,9 @@
 		return nil, nil, d, failure.New(failure.NoServer, failure.NotRun, "no backend server in reach serves %q", j.Target).
 			WithRetryAfter(noServerRetry)
 	}
+	if tooLate(j, d, now) {
+		return nil, nil, d, lateError(j, d, now)
+	}
 	if d.Kind != routing.Nowhere && s.queue.Len() == 0 {
 		s.queue.Passed(j.name(), now)
 		return s.take(j, d, now), nil, d, nil
@@ -223,11 +226,37 @@
 			out = append(out, Grant{Waiter: w, Job: j, Err: err})
 			continue
 		}
+		if tooLate(j, d, now) {
+			out = append(out, Grant{Waiter: w, Job: j, Err: lateError(j, d, now)})
+			continue
+		}
 		out = append(out, Grant{Waiter: w, Job: j, Place: s.take(j, d, now)})
 	}
 	return out
 }
 
+// tooLate reports whether the first token is expected after the deadline. Work
+// that would be late is not started: it would only take capacity from the rest.
+func tooLate(j *Job, d routing.Decision, now time.Time) bool {
+	if d.Kind == routing.Nowhere || j.Deadline.IsZero() {
+		return false
+	}
+	return now.Add(time.Duration(d.EstimateMS * float64(time.Millisecond))).After(j.Deadline)
+}
+
+func lateError(j *Job, d routing.Decision, now time.Time) error {
+	missing := now.Add(time.Duration(d.EstimateMS * float64(time.Millisecond))).Sub(j.Deadline)
+	return failure.New(failure.DeadlineTooShort, failure.NotRun,
+		"the first token is expected %s after the deadline", missing.Round(time.Millisecond)).
+		WithRetryAfter(min(max(missing, minLateRetry), maxLateRetry))
+}
+
+// Bounds of the time to come back for work that would have been late.
+const (
+	minLateRetry = 500 * time.Millisecond
+	maxLateRetry = 30 * time.Second
+)
+
 // expiredRetry is when to come back after a wait that reached the deadline.
 const expiredRetry = time.Second
 
@@ -241,14 +270,18 @@
 }
 
 func (s *State) localServers(j *Job, now time.Time) []routing.Server {
-	var out []routing.Server
+	var usable []*backend.Server
 	for _, srv := range s.Table.All() {
-		if !srv.Serves(j.Kind, j.Target) || j.Avoid[srv.State.Id] || s.Table.Usable(srv, now) != backend.SkipNone {
-			continue
+		if srv.Serves(j.Kind, j.Target) && !j.Avoid[srv.State.Id] && s.Table.Usable(srv, now) == backend.SkipNone {
+			usable = append(usable, srv)
 		}
+	}
+	loads := s.Table.Loads(usable, now)
+	out := make([]routing.Server, 0, len(usable))
+	for i, srv := range usable {
 		out = append(out, routing.Server{
 			ID: srv.State.Id, Slots: float64(srv.State.Slots) * s.Table.Ramp(srv, now),
-			Outstanding: float64(s.Table.Outstanding(srv)), ServiceMS: srv.ServiceMS(),
+			Outstanding: loads[i], ServiceMS: srv.ServiceMS(),
 			PrefillRate: float64(srv.State.PrefillRate), Cached: srv.Cached(j.Prefixes),
 		})
 	}
--- /dev/null
+++ b/internal/core/retry/retry_test.go
@@ -0,0 +1,65 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sesamefork/sesamefork/internal/failure"
+)
+
+// TestDecisions is the contract: each point at which an attempt can break, for
+// idempotent and other requests, with and without another attempt allowed.
+func TestDecisions(t *testing.T) {
+	const done, notRun, unknown = failure.Done, failure.NotRun, failure.Unknown
+	for _, c := range []struct {
+		name string
+		a    Attempt
+		more bool
+		want Decision
+	}{
+		{"answered", Attempt{Break: Answered, Idempotent: true}, true, Decision{Finish, done, StoreDone}},
+		{"answered, not repeatable", Attempt{Break: Answered}, true, Decision{Finish, done, StoreDone}},
+		{"before send", Attempt{Break: BeforeSend, Idempotent: true}, true, Decision{Again, notRun, Release}},
+		{"before send, last", Attempt{Break: BeforeSend, Idempotent: true}, false, Decision{GiveUp, notRun, Release}},
+		{"before send, not repeatable", Attempt{Break: BeforeSend}, true, Decision{Again, notRun, Release}},
+		{"before send, not repeatable, last", Attempt{Break: BeforeSend}, false, Decision{GiveUp, notRun, Release}},
+		{"refused", Attempt{Break: Refused, Idempotent: true}, true, Decision{Again, notRun, Release}},
+		{"refused, not repeatable", Attempt{Break: Refused}, true, Decision{Again, notRun, Release}},
+		{"refused, not repeatable, last", Attempt{Break: Refused}, false, Decision{GiveUp, notRun, Release}},
+		{"sent, no answer", Attempt{Break: Sent, Idempotent: true}, true, Decision{Again, unknown, Keep}},
+		{"sent, no answer, last", Attempt{Break: Sent, Idempotent: true}, false, Decision{GiveUp, unknown, Keep}},
+		{"sent, no answer, not repeatable", Attempt{Break: Sent}, true, Decision{GiveUp, unknown, Keep}},
+		{"mid answer, nothing passed on", Attempt{Break: MidAnswer, Idempotent: true}, true, Decision{Again, unknown, Keep}},
+		{"mid answer, not repeatable", Attempt{Break: MidAnswer}, true, Decision{GiveUp, unknown, Keep}},
+		{"mid stream", Attempt{Break: MidAnswer, Idempotent: true, Relayed: true, Resumable: true}, true, Decision{Resume, unknown, Keep}},
+		{"mid stream, last", Attempt{Break: MidAnswer, Idempotent: true, Relayed: true, Resumable: true}, false, Decision{GiveUp, unknown, Keep}},
+		{"mid stream, not resumable", Attempt{Break: MidAnswer, Idempotent: true, Relayed: true}, true, Decision{GiveUp, unknown, Keep}},
+		{"refused while resuming", Attempt{Break: Refused, Idempotent: true, Relayed: true, Resumable: true}, true, Decision{Resume, unknown, Keep}},
+		{"refused while resuming, last", Attempt{Break: Refused, Idempotent: true, Relayed: true}, false, Decision{GiveUp, unknown, Keep}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := Decide(c.a, c.more); got != c.want {
+				t.Errorf("%+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestBudgetBoundsRetries lets every request fail: retries stay at the ratio.
+func TestBudgetBoundsRetries(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := NewBudget(0.1, now)
+	retries := 0
+	const requests = 10_000
+	for range requests {
+		now = now.Add(time.Millisecond)
+		b.Request(now)
+		if b.Retry() {
+			retries++
+		}
+	}
+	// The ratio, the floor of one a second for 10 s, and what was there first.
+	if limit := requests/10 + 10 + 6; retries > limit {
+		t.Errorf("%d retries of %d requests, want at most %d", retries, requests, limit)
+	}
+}
