--- a/internal/adapter/settings/load.go
+++ b/internal/adapter/settings/load.go
@@ -48,7 +48,7 @@
 		}
 		return failure.New(failure.InvalidSettings, "", "%s: %s", name, err)
 	}
-	var lines []string
+	var found []Fault
 	known := knownKeys(s)
 	for _, key := range md.Undecoded() {
 		k := key.String()
@@ -56,21 +56,23 @@
 		if near := Nearest(k, known); near != "" {
 			reason += fmt.Sprintf("; did you mean %q?", near)
 		}
-		lines = append(lines, format(name, data, Fault{k, reason}))
+		found = append(found, Fault{k, reason})
 	}
-	for _, f := range s.Faults() {
-		lines = append(lines, format(name, data, f))
-	}
-	if len(lines) == 0 {
+	found = append(found, s.Faults()...)
+	if len(found) == 0 {
 		return nil
 	}
-	sort.Strings(lines)
+	sort.SliceStable(found, func(i, j int) bool { return lineOf(data, found[i].Key) < lineOf(data, found[j].Key) })
+	lines := make([]string, 0, len(found))
+	for _, f := range found {
+		lines = append(lines, format(name, data, f))
+	}
 	return failure.New(failure.InvalidSettings, "", "%s", strings.Join(lines, "\n"))
 }
 
 func format(name string, data []byte, f Fault) string {
 	if line := lineOf(data, f.Key); line > 0 {
-		return fmt.Sprintf("%s:%04d: %s: %s", name, line, f.Key, f.Reason)
+		return fmt.Sprintf("%s:%d: %s: %s", name, line, f.Key, f.Reason)
 	}
 	return fmt.Sprintf("%s: %s: %s", name, f.Key, f.Reason)
 }
--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -122,14 +122,18 @@
 }
 
 // newTestHost returns a ready host with two servers, whose ledger votes.
-func newTestHost(t *testing.T, b port.Backends, peers port.Peers) *Host {
+func newTestHost(t *testing.T, b port.Backends, peers port.Peers, edit ...func(*Options)) *Host {
 	t.Helper()
-	h := New(Options{
+	o := Options{
 		ID: "h", Region: "r", FailureDomain: "f", VerifyKey: signer.Public().(ed25519.PublicKey),
 		Probe: time.Second, Update: time.Second, Summary: time.Second, Lease: time.Hour, StallTimeout: time.Minute,
 		MaxBody: 1 << 20, MaxExplained: 100, Peers: peers, Backends: b, Clock: port.SystemClock{},
 		Log: logr.Discard(), Metrics: metrics.New(false), Tracer: noop.NewTracerProvider().Tracer(""),
-	})
+	}
+	for _, e := range edit {
+		e(&o)
+	}
+	h := New(o)
 	if err := h.install(blob(1, testRecord())); err != nil {
 		t.Fatal(err)
 	}
@@ -284,6 +288,16 @@
 	}
 }
 
+// TestOwnKeyIsNeverForgotten sends an order without a key to a host whose
+// ledger's memory begins in the future.
+func TestOwnKeyIsNeverForgotten(t *testing.T) {
+	b := &fakeBackends{script: []attemptResult{{body: whole}}}
+	h := newTestHost(t, b, noPeers{}, func(o *Options) { o.Skew = time.Minute })
+	r := order("")
+	r.IssuedMS = 0
+	check(t, h.Execute(context.Background(), r, &memorySink{}), failure.Done)
+}
+
 // recordingPeers records what would leave this host.
 type recordingPeers struct {
 	noPeers
--- a/internal/app/entry/once.go
+++ b/internal/app/entry/once.go
@@ -83,7 +83,9 @@
 	retention := x.view.Record.Ledger.RetentionMS
 	key, issued := x.r.Key, x.r.IssuedMS
 	if key == "" {
-		key, issued = "request/"+x.r.ID, now
+		// A key that this host makes was never seen before, whenever the
+		// ledger's present memory begins.
+		key, issued = "request/"+x.r.ID, now+retention
 	}
 	if issued == 0 {
 		issued = now - retention
