Share load figures between entry hosts; calls share a stream; one round trip less for orders

Cause 1 (orders p50 16.4 ms for 5 ms of work): recording the answer began with the ballot of the claim, was refused, and slept. Change: an accept promises its proposer's next ballot, so the answer is recorded in one round trip. Cause 2 (short requests waited though servers were idle): with calls of 88 ms a report of 1.3 s ago kept servers 'full' until the next one. Change: hosts tell each other their attempts under way; a stale report gives way to these. Cause 3 (7.4 ms of processor time for an order): a stream for each call.

--- a/cmd/sesame-control/main.go
+++ b/cmd/sesame-control/main.go
@@ -131,6 +131,8 @@
 	if peerTLS != nil {
 		link.TLS = peerTLS.Config
 	}
+	m := metrics.New(true)
+	link.Count = m.LinkBytes
 	client := peerlink.NewClient(link)
 	defer client.Close()
 	r, err := control.NewReplica(control.Options{
@@ -144,7 +146,6 @@
 	if err != nil {
 		return err
 	}
-	m := metrics.New(true)
 	m.Gauge("version", func() any { return r.Accepted().Stamp.Version })
 	m.Gauge("halted", func() any { return r.Halted() != nil })
 	peers, err := peerlink.NewServer(s.Listen.Peer, link, r, log)
--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -74,7 +74,7 @@
 	return o, nil
 }
 
-func newHost(s *settings.Entry, client *peerlink.Client, backends *enginehttp.Client, t *tracing.Tracer, log logr.Logger) *entry.Host {
+func newHost(s *settings.Entry, client *peerlink.Client, backends *enginehttp.Client, t *tracing.Tracer, m *metrics.Set, log logr.Logger) *entry.Host {
 	o := entry.Options{
 		ID: s.Host.ID, Region: s.Host.Region, FailureDomain: s.Host.FailureDomain,
 		Peer: s.Listen.Peer, Seeds: s.Link.Seeds, Control: s.Link.Control, VerifyKey: s.Link.PublicKey(),
@@ -82,7 +82,7 @@
 		Lease: ms(s.Timing.LeaseMS), Skew: ms(s.Timing.ClockSkewMS), StallTimeout: ms(s.Limits.StallTimeoutMS),
 		MaxBody: s.Limits.MaxBodyBytes, MaxExplained: s.Limits.MaxExplained,
 		Peers: client, Drop: client.Drop, Backends: backends, Clock: port.SystemClock{},
-		Log: log, Metrics: metrics.New(true), Tracer: t,
+		Log: log, Metrics: m, Tracer: t,
 	}
 	if s.Directory.URL != "" {
 		o.Directory = &directory.HTTP{URL: s.Directory.URL, Client: &http.Client{Timeout: time.Second}}
@@ -105,11 +105,13 @@
 		return nil, err
 	}
 	defer tracer.Shutdown(context.Background())
+	m := metrics.New(true)
+	link.Count = m.LinkBytes
 	client := peerlink.NewClient(link)
 	defer client.Close()
 	backends := enginehttp.New()
 	defer backends.Close()
-	host := newHost(s, client, backends, tracer, log)
+	host := newHost(s, client, backends, tracer, m, log)
 	peers, err := peerlink.NewServer(s.Listen.Peer, link, host, log)
 	if err != nil {
 		return nil, err
--- a/internal/adapter/metrics/metrics.go
+++ b/internal/adapter/metrics/metrics.go
@@ -85,6 +85,16 @@
 // Add raises a counter.
 func (s *Set) Add(name string, n int64) { s.counter(name).Add(n) }
 
+// LinkBytes counts the bytes on the links to other hosts.
+func (s *Set) LinkBytes(sent, received int) {
+	if sent > 0 {
+		s.Add("link_bytes_sent", int64(sent))
+	}
+	if received > 0 {
+		s.Add("link_bytes_received", int64(received))
+	}
+}
+
 // Value returns a counter's value.
 func (s *Set) Value(name string) int64 { return s.counter(name).Value() }
 
--- a/internal/adapter/peerlink/client.go
+++ b/internal/adapter/peerlink/client.go
@@ -23,6 +23,33 @@
 	Local       net.IP             // address to dial from; nil for any
 	DialTimeout time.Duration      // default 1 s
 	KeepAlive   time.Duration      // interval of the keep-alive; default 2 s
+	// Count is told of the bytes sent and received; nil for nobody.
+	Count func(sent, received int)
+}
+
+// counted wraps a connection so that Count is told of its bytes.
+func (o *Options) counted(conn net.Conn) net.Conn {
+	if o.Count == nil {
+		return conn
+	}
+	return &countedConn{conn, o.Count}
+}
+
+type countedConn struct {
+	net.Conn
+	count func(sent, received int)
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.count(0, n)
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.count(n, 0)
+	return n, err
 }
 
 func (o *Options) setDefaults() {
@@ -59,7 +86,7 @@
 // slot serialises dialling of one address.
 type slot struct {
 	mu      sync.Mutex
-	session *yamux.Session
+	session *session
 	failed  error
 	retryAt time.Time
 }
@@ -106,7 +133,7 @@
 	}
 }
 
-func (c *Client) session(ctx context.Context, addr string) (*yamux.Session, error) {
+func (c *Client) session(ctx context.Context, addr string) (*session, error) {
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
@@ -136,7 +163,7 @@
 	return session, nil
 }
 
-func (c *Client) dial(ctx context.Context, addr string) (*yamux.Session, error) {
+func (c *Client) dial(ctx context.Context, addr string) (*session, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.o.DialTimeout)
 	defer cancel()
 	d := net.Dialer{}
@@ -147,6 +174,7 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.PeerUnreachable, failure.NotRun)
 	}
+	conn = c.o.counted(conn)
 	if c.o.TLS != nil {
 		t := tls.Client(conn, c.o.TLS())
 		if err := t.HandshakeContext(ctx); err != nil {
@@ -159,29 +187,25 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	session, err := yamux.Client(conn, c.o.yamuxConfig())
+	mux, err := yamux.Client(conn, c.o.yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, failure.Wrap(err, failure.PeerUnreachable, failure.NotRun)
 	}
-	return session, nil
+	return newSession(mux), nil
 }
 
-// Call implements port.Peers.
+// Call implements port.Peers. Calls to one host share a stream: each has a
+// number, and answers come in any order. A call that is given up leaves its
+// number behind, so that a late answer reaches nobody.
 func (c *Client) Call(ctx context.Context, addr string, req *pb.Request) (*pb.Response, error) {
-	stream, _, err := c.open(ctx, addr, req)
+	session, err := c.session(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
-	defer stop()
-	defer func() { _ = stream.Close() }()
-	if deadline, ok := ctx.Deadline(); ok {
-		_ = stream.SetReadDeadline(deadline)
-	}
-	resp := new(pb.Response)
-	if err := ReadMessage(stream, resp); err != nil {
-		return nil, failure.Wrap(err, failure.PeerUnreachable, failure.Unknown)
+	resp, err := session.call(ctx, req)
+	if err != nil {
+		return nil, err
 	}
 	if r := resp.Refusal; r != nil {
 		return resp, failure.New(failure.Code(r.Code), failure.NotRun, "%s", r.Detail)
--- a/internal/adapter/peerlink/server.go
+++ b/internal/adapter/peerlink/server.go
@@ -140,6 +140,7 @@
 }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
+	conn = s.o.counted(conn)
 	if s.o.TLS != nil {
 		t := tls.Server(conn, s.o.TLS())
 		if err := t.HandshakeContext(ctx); err != nil {
@@ -174,20 +175,54 @@
 // requestTimeout bounds the arrival of a request's first frame.
 const requestTimeout = 10 * time.Second
 
+// answer serves one stream: a forward, or calls one after the other.
 func (s *Server) answer(ctx context.Context, stream *yamux.Stream) {
 	_ = stream.SetReadDeadline(time.Now().Add(requestTimeout))
 	req := new(pb.Request)
 	if err := ReadMessage(stream, req); err != nil {
-		f := failure.As(err, failure.NotRun)
-		_ = WriteMessage(stream, &pb.Response{Refusal: &pb.Refusal{Code: string(f.Code), Detail: f.Detail}})
+		s.refuse(stream, err)
 		return
 	}
+	_ = stream.SetReadDeadline(time.Time{})
 	if req.GetForward() != nil {
-		_ = stream.SetReadDeadline(time.Time{})
 		s.handler.HandleForward(ctx, req, Stream{stream})
 		return
 	}
-	resp := s.handler.HandleRequest(ctx, req)
+	s.serveCalls(ctx, stream, req)
+}
+
+// serveCalls answers calls as they are done. A stream of calls lives as long as
+// its session.
+func (s *Server) serveCalls(ctx context.Context, stream *yamux.Stream, req *pb.Request) {
+	var writing sync.Mutex
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for {
+		calls.Add(1)
+		go func(req *pb.Request) {
+			defer calls.Done()
+			resp := s.handler.HandleRequest(ctx, req)
+			resp.Call = req.Call
+			writing.Lock()
+			defer writing.Unlock()
+			_ = stream.SetWriteDeadline(time.Now().Add(requestTimeout))
+			_ = WriteMessage(stream, resp)
+		}(req)
+		req = new(pb.Request)
+		if err := ReadMessage(stream, req); err != nil {
+			s.refuse(stream, err)
+			return
+		}
+	}
+}
+
+// refuse tells the other end what was wrong with its frame, when it can still
+// be told.
+func (s *Server) refuse(stream *yamux.Stream, err error) {
+	f := failure.As(err, failure.NotRun)
+	if f.Code == failure.Internal {
+		return // the stream ended
+	}
 	_ = stream.SetWriteDeadline(time.Now().Add(requestTimeout))
-	_ = WriteMessage(stream, resp)
+	_ = WriteMessage(stream, &pb.Response{Refusal: &pb.Refusal{Code: string(f.Code), Detail: f.Detail}})
 }
--- /dev/null
+++ b/internal/adapter/peerlink/session.go
@@ -0,0 +1,106 @@
+package peerlink
+
+import (
+	"context"
+	"sync"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/sesamefork/sesamefork/internal/failure"
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+)
+
+// session is a yamux session with the stream that its calls share. A stream for
+// each call cost five small frames more.
+type session struct {
+	*yamux.Session
+
+	mu      sync.Mutex
+	stream  *yamux.Stream // opened with the first call
+	next    uint64
+	pending map[uint64]chan *pb.Response
+	broken  error
+}
+
+func newSession(mux *yamux.Session) *session {
+	return &session{Session: mux, pending: map[uint64]chan *pb.Response{}}
+}
+
+// call sends a request on the shared stream and waits for its answer.
+func (s *session) call(ctx context.Context, req *pb.Request) (*pb.Response, error) {
+	answer, number, err := s.send(req)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case resp, ok := <-answer:
+		if !ok {
+			return nil, failure.New(failure.PeerUnreachable, failure.Unknown, "the link broke before the answer")
+		}
+		return resp, nil
+	case <-ctx.Done():
+		s.mu.Lock()
+		delete(s.pending, number)
+		s.mu.Unlock()
+		return nil, failure.Wrap(ctx.Err(), failure.PeerUnreachable, failure.Unknown)
+	}
+}
+
+// send registers the call and writes its request.
+func (s *session) send(req *pb.Request) (answer chan *pb.Response, number uint64, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.broken != nil {
+		return nil, 0, failure.Wrap(s.broken, failure.PeerUnreachable, failure.NotRun)
+	}
+	if s.stream == nil {
+		if s.stream, err = s.OpenStream(); err != nil {
+			s.breakLocked(err)
+			return nil, 0, failure.Wrap(err, failure.PeerUnreachable, failure.NotRun)
+		}
+		go s.receive(s.stream)
+	}
+	s.next++
+	number = s.next
+	answer = make(chan *pb.Response, 1)
+	s.pending[number] = answer
+	req.Call = number
+	if err := WriteMessage(s.stream, req); err != nil {
+		s.breakLocked(err)
+		return nil, 0, failure.Wrap(err, failure.PeerUnreachable, failure.Unknown)
+	}
+	return answer, number, nil
+}
+
+// receive hands answers to the calls that wait for them, until the stream ends.
+func (s *session) receive(stream *yamux.Stream) {
+	for {
+		resp := new(pb.Response)
+		if err := ReadMessage(stream, resp); err != nil {
+			s.mu.Lock()
+			s.breakLocked(err)
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Lock()
+		answer := s.pending[resp.Call]
+		delete(s.pending, resp.Call)
+		s.mu.Unlock()
+		if answer != nil {
+			answer <- resp
+		}
+	}
+}
+
+// breakLocked ends the session: every call that waits fails.
+func (s *session) breakLocked(err error) {
+	if s.broken != nil {
+		return
+	}
+	s.broken = err
+	for number, answer := range s.pending {
+		delete(s.pending, number)
+		close(answer)
+	}
+	go func() { _ = s.Close() }()
+}
--- a/internal/app/entry/gossip.go
+++ b/internal/app/entry/gossip.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/sesamefork/sesamefork/internal/core/backend"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/membership"
 	"github.com/sesamefork/sesamefork/internal/failure"
@@ -166,7 +167,7 @@
 		return
 	}
 	up := h.domainUpdate()
-	if len(up.Servers) == 0 && len(up.Summaries) == 0 && !up.Draining {
+	if len(up.Servers) == 0 && len(up.Summaries) == 0 && !up.Draining && up.EngineLoad+up.ServiceLoad < minLoad {
 		return
 	}
 	h.mu.Lock()
@@ -184,11 +185,16 @@
 	}
 }
 
+// minLoad is the load below which it is not worth a message.
+const minLoad = 0.01
+
 func (h *Host) domainUpdate() *pb.DomainUpdate {
 	now := h.o.Clock.Now()
 	up := &pb.DomainUpdate{Draining: h.draining.Load()}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	up.EngineLoad = float32(h.place.Table.OwnLoad(backend.KindEngine, now))
+	up.ServiceLoad = float32(h.place.Table.OwnLoad(backend.KindService, now))
 	for id, at := range h.sponsored {
 		s := h.place.Table.Get(id)
 		if s == nil || now.Sub(at) > h.o.Lease {
@@ -229,6 +235,8 @@
 	for _, st := range up.Servers {
 		h.place.Table.Merge(st, now)
 	}
+	h.place.Table.SetOtherLoad(from, backend.KindEngine, float64(up.EngineLoad), now)
+	h.place.Table.SetOtherLoad(from, backend.KindService, float64(up.ServiceLoad), now)
 	for _, s := range up.Summaries {
 		h.place.MergeSummary(s, now, false)
 	}
--- a/internal/app/entry/ledgerhost.go
+++ b/internal/app/entry/ledgerhost.go
@@ -149,18 +149,22 @@
 // do carries out an operation. It returns nil when a majority decided it;
 // op.Result tells how.
 func (l *ledgerHost) do(ctx context.Context, v *view, home string, op *ledger.Op) *failure.Error {
+	return l.drive(ctx, v, op, op.Start(l.proposer, l.replicas(v, home, op.Key)))
+}
+
+// drive sends an operation's first messages and goes on until it is decided.
+func (l *ledgerHost) drive(ctx context.Context, v *view, op *ledger.Op, out []*pb.LedgerMessage) *failure.Error {
 	ctx, cancel := context.WithTimeout(ctx, ledgerOp)
 	defer cancel()
 	began := l.h.o.Clock.Now()
-	members := l.replicas(v, home, op.Key)
-	out := op.Start(l.proposer, members)
 	pause := 5 * time.Millisecond
 	for op.Result == ledger.Pending {
 		// A channel for each round: replies to an earlier one must not be
 		// counted as those of this one.
-		replies := make(chan *pb.LedgerMessage, len(members))
+		replies := make(chan *pb.LedgerMessage, len(out))
+		sent := len(out)
 		l.sendOp(ctx, v, out, replies)
-		out = l.awaitOp(ctx, op, len(members), replies)
+		out = l.awaitOp(ctx, op, sent, replies)
 		if op.Result != ledger.Pending {
 			break
 		}
--- a/internal/app/entry/once.go
+++ b/internal/app/entry/once.go
@@ -30,7 +30,7 @@
 		switch op.Result {
 		case ledger.Won:
 			x.explain.ledger("claim won")
-			return h.runClaimed(ctx, x, region, op)
+			return h.runClaimed(ctx, x, op)
 		case ledger.Taken:
 			x.explain.ledger("key belongs to attempt " + op.Value.Attempt)
 			if again, f := h.attach(ctx, x, region, op); !again {
@@ -127,7 +127,7 @@
 
 // runClaimed runs the request and records how it ended before the caller
 // learns of it. The caller's leaving does not end the work.
-func (h *Host) runClaimed(ctx context.Context, x *execution, region string, claim *ledger.Op) *failure.Error {
+func (h *Host) runClaimed(ctx context.Context, x *execution, claim *ledger.Op) *failure.Error {
 	out := x.sink
 	held := &capture{}
 	x.sink = held
@@ -135,15 +135,15 @@
 	defer cancel()
 	f := h.run(work, x)
 	if f == nil {
-		h.settle(x, region, claim, ledger.OpFinish, h.answerOf(x, held))
+		h.settle(x, claim, ledger.OpFinish, h.answerOf(x, held))
 		return deliver(out, held.head, held.body)
 	}
 	if f.Outcome == failure.NotRun {
-		h.settle(x, region, claim, ledger.OpRelease, nil)
+		h.settle(x, claim, ledger.OpRelease, nil)
 		return f
 	}
 	f.Outcome = failure.Unknown
-	h.settle(x, region, claim, ledger.OpFinish, &pb.LedgerAnswer{})
+	h.settle(x, claim, ledger.OpFinish, &pb.LedgerAnswer{})
 	return f
 }
 
@@ -189,14 +189,14 @@
 
 // settle records the end of a claimed attempt: its answer (status 0 for an
 // unknown outcome), or that it did not run.
-func (h *Host) settle(x *execution, region string, claim *ledger.Op, kind ledger.OpKind, a *pb.LedgerAnswer) {
+func (h *Host) settle(x *execution, claim *ledger.Op, kind ledger.OpKind, a *pb.LedgerAnswer) {
 	op := &ledger.Op{
 		Kind: kind, Key: claim.Key, Attempt: claim.Attempt, Answer: a,
 		RetentionMS: claim.RetentionMS, NowMS: h.o.Clock.Now().UnixMilli(),
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), ledgerOp)
 	defer cancel()
-	f := h.ledger.do(ctx, x.view, region, op)
+	f := h.ledger.drive(ctx, x.view, op, op.Follow(claim))
 	switch {
 	case f != nil:
 		h.o.Metrics.Add("ledger_unsettled", 1)
--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -51,11 +51,17 @@
 	servers map[string]*Server
 	sharers float64 // hosts that send to these servers, this one included
 	lag     lagEstimate
+	own     map[string]*meanLoad            // by kind of server
+	others  map[string]map[string]otherLoad // by kind, by host
 }
 
 // NewTable returns an empty table.
 func NewTable(l Limits) *Table {
-	return &Table{limits: l, servers: map[string]*Server{}, sharers: 1, lag: newLagEstimate(l.Lag)}
+	return &Table{
+		limits: l, servers: map[string]*Server{}, sharers: 1, lag: newLagEstimate(l.Lag),
+		own:    map[string]*meanLoad{KindEngine: {}, KindService: {}},
+		others: map[string]map[string]otherLoad{KindEngine: {}, KindService: {}},
+	}
 }
 
 // SetSharers fixes how many hosts send to these servers, this one included.
@@ -65,6 +71,9 @@
 // server heard through two hosts is one server: only a higher incarnation, or a
 // later announcement of the same, replaces what is held.
 func (t *Table) Merge(st *pb.BackendState, now time.Time) bool {
+	if t.own[st.Kind] == nil {
+		return false
+	}
 	s := t.servers[st.Id]
 	if s != nil && !supersedes(st, s.State) {
 		return false
@@ -167,6 +176,7 @@
 	s.Inflight++
 	s.cache.sent(prefixes)
 	s.history.record(now, s.Inflight)
+	t.own[s.State.Kind].change(1, now)
 }
 
 // serviceWeight is the weight of the newest sample in the mean service time.
@@ -176,6 +186,7 @@
 // server could not be reached or broke the connection.
 func (t *Table) Finished(s *Server, connected bool, held time.Duration, now time.Time) {
 	s.Inflight = max(s.Inflight-1, 0)
+	t.own[s.State.Kind].change(-1, now)
 	s.history.record(now, s.Inflight)
 	s.probing = false
 	if !connected {
--- a/internal/core/backend/load.go
+++ b/internal/core/backend/load.go
@@ -7,35 +7,89 @@
 
 // Load figures are stale: a report is as old as its announcement plus the
 // server's own lag, and the other hosts of the failure domain send meanwhile.
-// What a stale report says of one server fades with the time in which requests
-// come and go; what all reports say together fades more slowly. So the estimate
-// moves from the report to the mean over the servers as the report ages, and in
-// both cases counts exactly what this host itself sent and saw finish. (On the
-// harm of old load figures: Mitzenmacher, "How Useful Is Old Information?", IEEE
-// TPDS 11(1), 2000.)
-
-// Loads estimates the requests at each of the servers now.
+// What a report says fades with the time in which requests come and go. So the
+// estimate moves, as the report ages, from the report to what the hosts
+// themselves have under way: this host's own attempts at the server, which it
+// knows exactly, and the server's part of what the others told of theirs. (On
+// the harm of old load figures: Mitzenmacher, "How Useful Is Old Information?",
+// IEEE TPDS 11(1), 2000.)
+
+// Loads estimates the requests at each of the servers, all of one kind, now.
 func (t *Table) Loads(servers []*Server, now time.Time) []float64 {
 	out := make([]float64, len(servers))
-	var slots, reported, own float64
-	for i, s := range servers {
-		out[i] = t.corrected(s)
-		slots += float64(s.State.Slots)
-		reported += out[i]
-		own += float64(s.Inflight)
-	}
-	if slots == 0 {
+	if len(servers) == 0 {
 		return out
 	}
+	slots := 0.0
+	for _, s := range servers {
+		slots += float64(s.State.Slots)
+	}
+	others := t.othersLoad(servers[0].State.Kind, now)
 	for i, s := range servers {
-		share := float64(s.State.Slots) / slots
-		mean := reported*share + float64(s.Inflight) - own*share
+		known := float64(s.Inflight) + others*float64(s.State.Slots)/slots
 		w := t.trust(s, now)
-		out[i] = math.Max(w*out[i]+(1-w)*mean, float64(s.Inflight))
+		out[i] = math.Max(w*t.corrected(s)+(1-w)*known, float64(s.Inflight))
 	}
 	return out
 }
 
+// meanLoad is a moving mean of the own attempts under way.
+type meanLoad struct {
+	inflight int
+	mean     float64
+	at       time.Time
+}
+
+// meanHalfLife is how fast the mean forgets.
+const meanHalfLife = time.Second
+
+func (m *meanLoad) settle(now time.Time) {
+	if !m.at.IsZero() {
+		kept := math.Exp2(-now.Sub(m.at).Seconds() / meanHalfLife.Seconds())
+		m.mean = float64(m.inflight) + kept*(m.mean-float64(m.inflight))
+	}
+	m.at = now
+}
+
+func (m *meanLoad) change(n int, now time.Time) {
+	m.settle(now)
+	m.inflight += n
+}
+
+// OwnLoad returns the moving mean of the own attempts at servers of the kind,
+// which the other hosts are told.
+func (t *Table) OwnLoad(kind string, now time.Time) float64 {
+	m := t.own[kind]
+	m.settle(now)
+	return m.mean
+}
+
+// otherLoad is what another host told of its attempts under way.
+type otherLoad struct {
+	value float64
+	at    time.Time
+}
+
+// otherLifetime is how long another host's figure counts.
+const otherLifetime = 5 * time.Second
+
+// SetOtherLoad takes what another host of the failure domain told.
+func (t *Table) SetOtherLoad(host, kind string, value float64, now time.Time) {
+	t.others[kind][host] = otherLoad{value, now}
+}
+
+func (t *Table) othersLoad(kind string, now time.Time) float64 {
+	sum := 0.0
+	for host, l := range t.others[kind] {
+		if now.Sub(l.at) > otherLifetime {
+			delete(t.others[kind], host)
+			continue
+		}
+		sum += l.value
+	}
+	return sum
+}
+
 // Outstanding estimates the requests at one server now, from its report alone.
 func (t *Table) Outstanding(s *Server) int {
 	return int(math.Round(math.Max(t.corrected(s), float64(s.Inflight))))
--- a/internal/core/ledger/doc.go
+++ b/internal/core/ledger/doc.go
@@ -11,6 +11,9 @@
 //	free -> claimed(attempt) -> done(answer)
 //	                         -> released (proved not run), which counts as free
 //
+// An accept also promises its proposer's next ballot, so that the answer of a
+// claim that was won is recorded in one round trip.
+//
 // Invariants:
 //   - An attempt is dispatched only by the proposer whose claim a majority
 //     accepted, and once. A later proposer finds the claim, or fences it off with
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -108,7 +108,7 @@
 // and recovers, p claims with h1 and h2, then q's other promise comes from h0.
 func stalePromise(b breakage) *world {
 	w := newWorld(1, 3, b)
-	w.claim("q")
+	w.claimFrom("q", 5)
 	w.deliverAll(between("q", "h1"))
 	w.net = nil // q's messages to h0 and h2 are lost; its promise by h1 arrived
 	w.restartAndRecover("h1", between("h0", "h1", "h2"))
--- a/internal/core/ledger/op.go
+++ b/internal/core/ledger/op.go
@@ -69,6 +69,34 @@
 	return o.Retry()
 }
 
+// Follow begins the operation right after a claim that was won by the same
+// proposer. The claim's accepts promised the next ballot as well, so its votes
+// stand for this operation's promises and the first phase is left out.
+func (o *Op) Follow(claim *Op) []*pb.LedgerMessage {
+	o.proposer, o.members, o.highest = claim.proposer, claim.members, claim.highest+1
+	o.ballot = nextBallot(claim.ballot)
+	o.Value, o.generation = claim.Value, claim.generation
+	o.next = o.nextValue(claim.Value, 0)
+	if o.Result != Pending {
+		return nil
+	}
+	return o.sendAccepts()
+}
+
+// nextBallot is the ballot that an accept promises beside its own.
+func nextBallot(b *pb.Ballot) *pb.Ballot {
+	return &pb.Ballot{Round: b.Round + 1, Proposer: b.Proposer}
+}
+
+func (o *Op) sendAccepts() []*pb.LedgerMessage {
+	o.phase = Accept
+	o.votes = map[string]*pb.LedgerMessage{}
+	o.refused = map[string]Reason{}
+	return o.broadcast(&pb.LedgerMessage{
+		Kind: uint32(Accept), Value: o.next, Generation: o.generation, Accepted: nextBallot(o.ballot),
+	})
+}
+
 // Retry begins again with a higher ballot.
 func (o *Op) Retry() []*pb.LedgerMessage {
 	o.highest++
@@ -89,7 +117,7 @@
 	for _, id := range o.members {
 		out = append(out, &pb.LedgerMessage{
 			Kind: m.Kind, Slot: SlotOf(o.Key), From: o.proposer, To: id, Key: o.Key,
-			Ballot: o.ballot, Value: m.Value, Generation: m.Generation,
+			Ballot: o.ballot, Value: m.Value, Generation: m.Generation, Accepted: m.Accepted,
 		})
 	}
 	return out
@@ -143,10 +171,7 @@
 		return nil
 	}
 	o.next = next
-	o.phase = Accept
-	o.votes = map[string]*pb.LedgerMessage{}
-	o.refused = map[string]Reason{}
-	return o.broadcast(&pb.LedgerMessage{Kind: uint32(Accept), Value: next, Generation: o.generation})
+	return o.sendAccepts()
 }
 
 // nextValue applies the operation to the current value. It sets Result when
--- a/internal/core/ledger/replica.go
+++ b/internal/core/ledger/replica.go
@@ -213,6 +213,9 @@
 		return
 	}
 	e.promised, e.accepted, e.value, e.touched = m.Ballot, m.Ballot, m.Value, now
+	if less(e.promised, m.Accepted) {
+		e.promised = m.Accepted // the proposer's next ballot, promised in the same step
+	}
 	reply.Ok = true
 }
 
--- a/internal/core/ledger/world_test.go
+++ b/internal/core/ledger/world_test.go
@@ -140,9 +140,12 @@
 }
 
 // claim starts an attempt at the key by a new proposer.
-func (w *world) claim(proposer string) *Op {
+func (w *world) claim(proposer string) *Op { return w.claimFrom(proposer, 0) }
+
+// claimFrom starts an attempt with a ballot above the round.
+func (w *world) claimFrom(proposer string, round uint64) *Op {
 	op := &Op{
-		Kind: OpClaim, Key: testKey, Attempt: "a-" + proposer, Owner: proposer, Digest: []byte("d"),
+		highest: round, Kind: OpClaim, Key: testKey, Attempt: "a-" + proposer, Owner: proposer, Digest: []byte("d"),
 		IssuedMS: w.issued, RetentionMS: 1_000_000, NowMS: w.now,
 	}
 	w.ops[proposer] = op
@@ -177,6 +180,11 @@
 		next.Kind = OpFinish
 	}
 	if w.rnd.Float64() < 0.5 {
+		if w.rnd.Float64() < 0.7 && !w.broken.majority {
+			w.ops[proposer] = next
+			w.net = append(w.net, next.Follow(op)...)
+			return
+		}
 		w.ops[proposer+"'"] = next
 		w.net = append(w.net, next.Start(proposer+"'", w.ids)...)
 	}
--- a/test/policy/sim_test.go
+++ b/test/policy/sim_test.go
@@ -23,6 +23,7 @@
 const (
 	reportEvery  = 1.0 // s
 	summaryEvery = 2.0
+	loadsEvery   = 0.5
 	networkDelay = 0.080 // one way between regions
 	hostsPerSite = 3
 	ttftDeadline = 10.0
@@ -204,6 +205,7 @@
 	}
 	s.after(0, s.report)
 	s.after(0.1, s.summaries)
+	s.after(0.05, s.loads)
 }
 
 func regionName(r int) string { return fmt.Sprintf("r%d", r) }
@@ -479,6 +481,21 @@
 	s.after(reportEvery, s.report)
 }
 
+// loads tells the hosts of a region each other's attempts under way.
+func (s *sim) loads() {
+	if s.now > s.scene.seconds+60 {
+		return
+	}
+	for _, a := range s.hosts {
+		for _, b := range s.hosts {
+			if a != b && a.region == b.region {
+				b.state.Table.SetOtherLoad(a.id, backend.KindEngine, a.state.Table.OwnLoad(backend.KindEngine, s.clock()), s.clock())
+			}
+		}
+	}
+	s.after(loadsEvery, s.loads)
+}
+
 func (srv *simServer) hottest() []uint64 {
 	var out []uint64
 	for p, u := range srv.held {
--- /dev/null
+++ b/test/process/capacity_test.go
@@ -0,0 +1,164 @@
+package process_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sesamefork/sesamefork/internal/load"
+)
+
+// usage is what a process used.
+type usage struct {
+	cpu      time.Duration
+	sent     float64
+	received float64
+	rss      float64
+}
+
+const clockTicks = 100 // per second, of /proc/<pid>/stat
+
+func (f *fleet) usage(name, vars string) usage {
+	pid := f.proc(name).Process.Pid
+	stat, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+2:]))
+	user, _ := strconv.ParseFloat(fields[11], 64)
+	system, _ := strconv.ParseFloat(fields[12], 64)
+	statm, _ := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	pages, _ := strconv.ParseFloat(strings.Fields(string(statm))[1], 64)
+	u := usage{cpu: time.Duration((user + system) / clockTicks * float64(time.Second)), rss: pages * float64(os.Getpagesize())}
+	req, _ := http.NewRequest(http.MethodGet, vars, nil)
+	req.Header.Set("Authorization", "Bearer "+opKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return u
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var v struct {
+		Sesame map[string]any `json:"sesame"`
+	}
+	_ = json.NewDecoder(resp.Body).Decode(&v)
+	u.sent, _ = v.Sesame["link_bytes_sent"].(float64)
+	u.received, _ = v.Sesame["link_bytes_received"].(float64)
+	return u
+}
+
+// measured is how long a node is watched.
+const measured = 20 * time.Second
+
+// BenchmarkIdleNode measures what control costs real processes without any
+// request: by entry hosts and backend servers of the failure domain, and by
+// other failure domains. The last case is a failure domain of the target size
+// among 26, with 2,000 teams. Bytes are those handed to TCP.
+func BenchmarkIdleNode(b *testing.B) {
+	for i, c := range []struct{ hosts, engines, domains, teams int }{
+		{3, 7, 3, 2}, {8, 7, 3, 2}, {14, 7, 3, 2}, {8, 31, 3, 2}, {8, 7, 13, 2}, {14, 31, 26, 2000},
+	} {
+		b.Run(fmt.Sprintf("hosts=%d/servers=%d/domains=%d/teams=%d", c.hosts, c.engines+1, c.domains, c.teams), func(b *testing.B) {
+			for b.Loop() {
+				measureIdle(b, 100+i, c.hosts, c.engines, c.domains, c.teams)
+			}
+		})
+	}
+}
+
+func capacityShape(net, hosts, engines, domains, teams int) shape {
+	s := shape{net: net, slowControl: true, hostsIn: func(d int) int {
+		if d == 0 {
+			return hosts
+		}
+		return 1
+	}, enginesIn: func(d int) int {
+		if d == 0 {
+			return engines
+		}
+		return 0
+	}}
+	for d := range domains {
+		if d%4 == 0 {
+			s.regions = append(s.regions, nil)
+		}
+		last := len(s.regions) - 1
+		s.regions[last] = append(s.regions[last], fmt.Sprintf("d%02dx", d))
+	}
+	var list []map[string]any
+	for i := range teams {
+		list = append(list, map[string]any{"name": fmt.Sprintf("team-%04d", i), "home": "region1", "key_hashes": []string{hash(fmt.Sprint("team", i))}})
+	}
+	s.record = map[string]any{"teams": list}
+	return s
+}
+
+func measureIdle(b *testing.B, net, hosts, engines, domains, teams int) {
+	f := newFleet(b, capacityShape(net, hosts, engines, domains, teams))
+	time.Sleep(5 * time.Second)
+	type node struct{ role, name, vars string }
+	nodes := []node{
+		{"summariser", f.hosts[0].id, "http://" + f.hosts[0].ip + ":9090/debug/vars"},
+		{"host", f.hosts[hosts-1].id, "http://" + f.hosts[hosts-1].ip + ":9090/debug/vars"},
+	}
+	leader := f.leader()
+	for _, c := range f.controls {
+		role := "follower"
+		if "c-"+c.id == leader {
+			role = "leader"
+		}
+		nodes = append(nodes, node{role, "c-" + c.id, "http://" + c.ip + ":8081/debug/vars"})
+	}
+	before := map[string]usage{}
+	for _, n := range nodes {
+		before[n.name] = f.usage(n.name, n.vars)
+	}
+	time.Sleep(measured)
+	for _, n := range nodes {
+		a, z := before[n.name], f.usage(n.name, n.vars)
+		s := measured.Seconds()
+		b.ReportMetric((z.sent-a.sent)/s, n.role+"-sent-B/s")
+		b.ReportMetric((z.received-a.received)/s, n.role+"-recv-B/s")
+		b.ReportMetric(100*(z.cpu-a.cpu).Seconds()/s, n.role+"-cpu-%")
+		b.ReportMetric(z.rss/1e6, n.role+"-MB")
+	}
+	f.stop()
+}
+
+// BenchmarkLoad measures requests through real processes: processor time of the
+// entry hosts for each request, by the kind of request.
+func BenchmarkLoad(b *testing.B) {
+	for i, c := range []struct {
+		name      string
+		chatShare float64
+	}{{"chats", 1}, {"orders", 0}} {
+		b.Run(c.name, func(b *testing.B) {
+			for b.Loop() {
+				s := oneRegion(110 + i)
+				s.slowControl, s.engines = true, 3
+				f := newFleet(b, s)
+				time.Sleep(6 * time.Second)
+				var before time.Duration
+				for _, h := range f.hosts {
+					before += f.usage(h.id, "http://"+h.ip+":9090/debug/vars").cpu
+				}
+				o := f.loadOptions(6000, 400)
+				o.ChatShare = c.chatShare
+				rep := load.Run(context.Background(), o)
+				f.checkReport(rep)
+				var after time.Duration
+				for _, h := range f.hosts {
+					after += f.usage(h.id, "http://"+h.ip+":9090/debug/vars").cpu
+				}
+				b.ReportMetric(float64((after-before).Microseconds())/6000, "cpu-µs/request")
+				b.ReportMetric(rep.TTFT.P50, "ttft-p50-ms")
+				b.ReportMetric(rep.TTFT.P99, "ttft-p99-ms")
+				b.ReportMetric(rep.Orders.P50, "order-p50-ms")
+				b.ReportMetric(rep.Orders.P99, "order-p99-ms")
+				f.stop()
+			}
+		})
+	}
+}
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -62,6 +63,39 @@
 	regions [][]string // failure domains of each region
 	engines int        // engines in each failure domain
 	record  map[string]any
+
+	hostsIn     func(domain int) int // entry hosts of a failure domain; nil for 3 each
+	enginesIn   func(domain int) int // engines of a failure domain; nil for engines each
+	slowControl bool                 // the default intervals, and no relays
+}
+
+func (s shape) hostCount(domain int) int {
+	if s.hostsIn != nil {
+		return s.hostsIn(domain)
+	}
+	return 3
+}
+
+func (s shape) engineCount(domain int) int {
+	if s.enginesIn != nil {
+		return s.enginesIn(domain)
+	}
+	return s.engines
+}
+
+// peerPort and controlPort are the ports by which hosts know each other.
+func (s shape) peerPort() string {
+	if s.slowControl {
+		return ":7000"
+	}
+	return ":7001"
+}
+
+func (s shape) controlPort() string {
+	if s.slowControl {
+		return ":7100"
+	}
+	return ":7101"
 }
 
 // host is one entry host of the fleet.
@@ -73,7 +107,7 @@
 
 // fleet is a running fleet.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	s        shape
 	dir      string
 	hosts    []host
@@ -88,7 +122,7 @@
 }
 
 // newFleet starts a fleet and waits until every host is ready.
-func newFleet(t *testing.T, s shape) *fleet {
+func newFleet(t testing.TB, s shape) *fleet {
 	t.Helper()
 	f := &fleet{t: t, s: s, dir: t.TempDir(), procs: map[string]*exec.Cmd{}, args: map[string][]string{}}
 	t.Cleanup(f.stop)
@@ -125,26 +159,38 @@
 		for _, d := range domains {
 			n++
 			f.domains = append(f.domains, d)
-			for k := 1; k <= 3; k++ {
+			for k := 1; k <= f.s.hostCount(n-1); k++ {
 				f.hosts = append(f.hosts, host{fmt.Sprintf("%s%d", d, k), fmt.Sprintf("region%d", i+1), d, fmt.Sprintf("127.%d.%d.%d", f.s.net, n, k)})
 			}
 		}
 	}
 	for i := range 3 {
-		h := f.hosts[(i*3)%len(f.hosts)]
-		if len(f.domains) < 3 {
-			h = f.hosts[i]
+		h := f.hosts[i]
+		if len(f.domains) >= 3 {
+			h = f.firstOf(f.domains[i])
 		}
 		f.controls = append(f.controls, h)
 	}
 }
 
+func (f *fleet) firstOf(domain string) host {
+	for _, h := range f.hosts {
+		if h.domain == domain {
+			return h
+		}
+	}
+	return host{}
+}
+
 // startRelays puts a relay before every host's peer address.
 func (f *fleet) startRelays() {
 	f.relays = newRelays()
 	for _, h := range f.hosts {
 		f.relays.domain[h.ip] = h.domain
 	}
+	if f.s.slowControl {
+		return
+	}
 	for _, h := range f.hosts {
 		f.relays.add(f.t, h.ip+":7001", h.ip+":7000")
 	}
@@ -162,8 +208,8 @@
 	var control []string
 	members := ""
 	for _, c := range f.controls {
-		control = append(control, c.ip+":7101")
-		members += fmt.Sprintf("\n[[group.members]]\nid = %q\npeer = %q\n", "c-"+c.id, c.ip+":7101")
+		control = append(control, c.ip+f.s.controlPort())
+		members += fmt.Sprintf("\n[[group.members]]\nid = %q\npeer = %q\n", "c-"+c.id, c.ip+f.s.controlPort())
 	}
 	link := fmt.Sprintf("[link]\nkey = \"host-key\"\ncontrol = %s\nverify_key = %q\n", quoted(control), verifyKey)
 	for _, c := range f.controls {
@@ -190,7 +236,7 @@
 		var seeds []string
 		for _, o := range f.hosts {
 			if o.domain == h.domain && o.id != h.id {
-				seeds = append(seeds, o.ip+":7001")
+				seeds = append(seeds, o.ip+f.s.peerPort())
 			}
 		}
 		f.write(h.id+".toml", fmt.Sprintf(`schema_version = 1
@@ -202,7 +248,19 @@
 caller = %q
 peer = %q
 debug = %q
-[timing]
+%s
+%s
+seeds = %s
+`, h.id, h.region, h.domain, h.ip+":8080", h.ip+":7000", h.ip+":9090", f.intervals(), link, quoted(seeds)))
+	}
+}
+
+// intervals returns settings that make faults show quickly.
+func (f *fleet) intervals() string {
+	if f.s.slowControl {
+		return ""
+	}
+	return `[timing]
 probe_ms = 300
 update_ms = 200
 summary_ms = 500
@@ -211,11 +269,7 @@
 [limits]
 stall_timeout_ms = 1500
 drain_timeout_ms = 20000
-drain_linger_ms = 1500
-%s
-seeds = %s
-`, h.id, h.region, h.domain, h.ip+":8080", h.ip+":7000", h.ip+":9090", link, quoted(seeds)))
-	}
+drain_linger_ms = 1500`
 }
 
 func (f *fleet) write(name, text string) {
@@ -233,7 +287,7 @@
 	}
 	for _, h := range f.hosts {
 		hosts = append(hosts, map[string]any{
-			"id": h.id, "region": h.region, "failure_domain": h.domain, "peer": h.ip + ":7001", "caller": h.url(),
+			"id": h.id, "region": h.region, "failure_domain": h.domain, "peer": h.ip + f.s.peerPort(), "caller": h.url(),
 		})
 	}
 	out := map[string]any{
@@ -288,12 +342,19 @@
 				entries = append(entries, h.url())
 			}
 		}
-		common := []string{"-entries", strings.Join(entries, ","), "-key", backendKey, "-interval", "300ms", "-lag", "300ms"}
-		for k := range f.s.engines {
+		interval := "300ms"
+		if f.s.slowControl {
+			interval = "1s"
+		}
+		common := []string{"-entries", strings.Join(entries, ","), "-key", backendKey, "-interval", interval, "-lag", "300ms"}
+		for k := range f.s.engineCount(n) {
 			id := fmt.Sprintf("%s-engine%d", d, k+1)
 			addr := fmt.Sprintf("127.%d.%d.%d:9000", f.s.net, n+1, 101+k)
 			f.start(id, "sesame-standin", append([]string{"-id", id, "-listen", addr, "-models", "chat", "-decode", "4ms", "-slots", "8"}, common...)...)
 		}
+		if f.s.engineCount(n) == 0 {
+			continue
+		}
 		id := d + "-shop"
 		addr := fmt.Sprintf("127.%d.%d.201:9000", f.s.net, n+1)
 		f.services = append(f.services, addr)
@@ -443,13 +504,17 @@
 	f.await(h.id+" serving", func() bool {
 		v := f.vars(h)
 		servers, _ := v["backend_servers"].(map[string]any)
+		want := 0
+		if n := f.s.engineCount(slices.Index(f.domains, h.domain)); n > 0 {
+			want = n + 1
+		}
 		parts, _ := v["ledger_partitions"].(map[string]any)
 		resp, err := http.Get(h.url() + "/readyz")
 		if err != nil {
 			return false
 		}
 		_ = resp.Body.Close()
-		return resp.StatusCode == http.StatusOK && len(servers) == f.s.engines+1 && parts["active"] == parts["total"]
+		return resp.StatusCode == http.StatusOK && len(servers) == want && parts["active"] == parts["total"]
 	})
 }
 
--- a/test/process/relay_test.go
+++ b/test/process/relay_test.go
@@ -25,7 +25,7 @@
 }
 
 // add relays from one address to another.
-func (r *relays) add(t *testing.T, from, to string) {
+func (r *relays) add(t testing.TB, from, to string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", from)
 	if err != nil {
