--- a/internal/core/configstate/record.go
+++ b/internal/core/configstate/record.go
@@ -230,7 +230,7 @@
 // accepts longer waits; railhalt sends away early to cut the tail.
 var Presets = map[string]Policy{
 	"archive":  {SendAwayPriceMS: 2000, SendAwayMargin: 0.5, SendAwayCeiling: 0.10, CacheWeight: 1.25},
-	"railhalt": {SendAwayPriceMS: 50, SendAwayMargin: 0.15, SendAwayCeiling: 0.60, CacheWeight: 1},
+	"railhalt": {SendAwayPriceMS: 10, SendAwayMargin: 0.05, SendAwayCeiling: 0.60, CacheWeight: 1},
 	"balanced": {SendAwayPriceMS: 400, SendAwayMargin: 0.25, SendAwayCeiling: 0.30, CacheWeight: 1},
 }
 
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -5,6 +5,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -56,6 +57,7 @@
 	Region   string
 	Decision routing.Decision
 	Started  time.Time
+	target   string // with a failure domain: name of the target in summaries
 }
 
 // Grant is a place for a job that waited.
@@ -72,7 +74,8 @@
 	At       time.Time     // when the summary was made, on this host's clock
 	Direct   bool          // received from that failure domain itself
 	Latency  time.Duration // one-way, moving mean
-	sent     map[string]float64
+	inflight map[string]float64 // own forwards under way, by target
+	base     map[string]float64 // the same when the summary arrived
 	lastSent map[string]time.Time
 	suspect  map[string]time.Time // hosts that could not be reached
 }
@@ -121,7 +124,7 @@
 	}
 	r := s.remotes[m.FailureDomain]
 	if r == nil {
-		r = &Remote{sent: map[string]float64{}, lastSent: map[string]time.Time{}, suspect: map[string]time.Time{}}
+		r = &Remote{inflight: map[string]float64{}, lastSent: map[string]time.Time{}, suspect: map[string]time.Time{}}
 		s.remotes[m.FailureDomain] = r
 	}
 	if r.Summary != nil && m.Sequence <= r.Summary.Sequence {
@@ -129,7 +132,7 @@
 	}
 	r.Summary, r.Direct = m, direct
 	r.At = now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
-	clear(r.sent)
+	r.base = maps.Clone(r.inflight)
 }
 
 // Remote returns what is known of another failure domain, or nil.
@@ -310,7 +313,7 @@
 			FailureDomain: r.Summary.FailureDomain, Region: r.Summary.Region, OtherRegion: r.Summary.Region != s.o.Region,
 			Slots: float64(m.Slots), Outstanding: float64(m.Running), ServiceMS: float64(m.ServiceMs),
 			WaitMS: float64(m.WaitMs) + j.Tokens/assumedPrefill*1000, Age: now.Sub(r.At),
-			NetworkMS: float64(r.Latency.Microseconds()) / 1000, Sent: r.sent[j.name()],
+			NetworkMS: float64(r.Latency.Microseconds()) / 1000, Sent: max(0, r.inflight[j.name()]-r.base[j.name()]),
 			Senders: s.senders, Sticky: now.Sub(r.lastSent[j.name()]) < stickiness,
 		})
 	}
@@ -356,7 +359,8 @@
 		return p
 	}
 	r := s.remotes[d.Domain]
-	r.sent[j.name()]++
+	r.inflight[j.name()]++
+	p.target = j.name()
 	r.lastSent[j.name()] = now
 	hosts := r.reachable(now)
 	p.ServerID = hosts[int(s.o.Random()*float64(len(hosts)))]
@@ -371,7 +375,12 @@
 		s.Table.Finished(p.Server, connected, now.Sub(p.Started), now)
 		return
 	}
-	if r := s.remotes[p.Domain]; r != nil && !connected {
+	r := s.remotes[p.Domain]
+	if r == nil {
+		return
+	}
+	r.inflight[p.target] = max(0, r.inflight[p.target]-1)
+	if !connected {
 		r.suspect[p.ServerID] = now
 	}
 }
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -40,7 +40,7 @@
 	WaitMS        float64 // its own estimate for a cold prompt
 	Age           time.Duration
 	NetworkMS     float64 // one-way latency
-	Sent          float64 // own forwards there since the summary
+	Sent          float64 // own forwards under way there beyond those at the summary
 	Senders       float64 // entry hosts that may send there
 	Sticky        bool    // requests were sent there lately
 }
--- a/test/policy/sim_test.go
+++ b/test/policy/sim_test.go
@@ -295,7 +295,10 @@
 	r.at = r.host
 	r.job.Forwarded = false
 	r.job.Avoid[domain] = true
-	r.forward = nil
+	if r.forward != nil {
+		r.host.state.Release(r.forward, true, s.clock())
+		r.forward = nil
+	}
 	s.after(networkDelay, func() { s.place(r) })
 }
 
@@ -357,6 +360,10 @@
 }
 
 func (s *sim) release(r *simRequest, connected bool) {
+	if r.forward != nil {
+		r.host.state.Release(r.forward, true, s.clock())
+		r.forward = nil
+	}
 	if r.place != nil {
 		r.at.state.Release(r.place, connected, s.clock())
 		r.place = nil
