--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -77,9 +77,27 @@
 	h := &Handler{host: host, log: log}
 	router.Handle("/debug/vars", expvar.Handler())
 	router.HandleFunc("/v1/explain/{id}", h.explain).Methods(http.MethodGet)
+	router.HandleFunc("/v1/config", h.config).Methods(http.MethodGet)
 	router.HandleFunc("/v1/drain", h.drain).Methods(http.MethodPost, http.MethodDelete)
 }
 
+// InForce is the configuration in force on one entry host. After the loss of
+// all control disks the highest one found is what a new generation begins with.
+type InForce struct {
+	Generation uint64          `json:"generation"`
+	Version    uint64          `json:"version"`
+	Record     json.RawMessage `json:"record"`
+}
+
+func (h *Handler) config(w http.ResponseWriter, r *http.Request) {
+	if f := h.operator(r); f != nil {
+		problem.Write(w, f, "")
+		return
+	}
+	stamp, raw := h.host.InForce()
+	writeJSON(w, InForce{stamp.Generation, stamp.Version, raw})
+}
+
 // drain takes the host out of the lists (POST) or back in (DELETE). The process
 // goes on; SIGTERM drains and ends it.
 func (h *Handler) drain(w http.ResponseWriter, r *http.Request) {
--- a/internal/app/entry/host.go
+++ b/internal/app/entry/host.go
@@ -226,6 +226,15 @@
 	return &pb.ConfigStamp{}
 }
 
+// InForce returns the stamp and the bytes of the record in force.
+func (h *Host) InForce() (*pb.ConfigStamp, []byte) {
+	v := h.config.Load()
+	if v == nil {
+		return &pb.ConfigStamp{}, nil
+	}
+	return v.Stamp, v.Raw
+}
+
 // Record returns the record in force, or nil.
 func (h *Host) Record() *configstate.Record {
 	if v := h.config.Load(); v != nil {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -71,9 +71,9 @@
 // Remote is what is known of another failure domain.
 type Remote struct {
 	Summary  *pb.Summary
-	At       time.Time     // when the summary was made, on this host's clock
-	Direct   bool          // received from that failure domain itself
-	Latency  time.Duration // one-way, moving mean
+	At       time.Time          // when the summary was made, on this host's clock
+	Direct   bool               // received from that failure domain itself
+	Latency  time.Duration      // one-way, moving mean
 	inflight map[string]float64 // own forwards under way, by target
 	base     map[string]float64 // the same when the summary arrived
 	lastSent map[string]time.Time
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -108,7 +108,7 @@
 func Commands(e *Env) []subcommands.Command {
 	return []subcommands.Command{
 		applyCommand(e), getCommand(e), diffCommand(e), historyCommand(e), validateCommand(e), statusCommand(e),
-		explainCommand(e), drainCommand(e), replicaCommand(e), orderCommand(e), keygenCommand(e), hashCommand(e),
+		explainCommand(e), drainCommand(e), replicaCommand(e), rescueCommand(e), orderCommand(e), keygenCommand(e), hashCommand(e),
 	}
 }
 
@@ -378,6 +378,45 @@
 	}
 }
 
+// inForce is the answer of an entry host's GET /v1/config.
+type inForce struct {
+	Generation uint64          `json:"generation"`
+	Version    uint64          `json:"version"`
+	Record     json.RawMessage `json:"record"`
+}
+
+func rescueCommand(e *Env) *command {
+	var hosts string
+	return &command{
+		name: "rescue", synopsis: "print the highest record that entry hosts hold, after the loss of all control disks",
+		usage: "rescue -hosts URL,URL\n  Example: sesamectl rescue -hosts http://127.20.1.1:9090,http://127.20.2.1:9090 > record.json",
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&hosts, "hosts", "", "`URLs` of entry hosts' operators' addresses, separated by commas")
+		},
+		run: func(ctx context.Context, _ []string) subcommands.ExitStatus {
+			var best inForce
+			var last error
+			for _, host := range strings.Split(hosts, ",") {
+				var got inForce
+				if err := e.entryCall(ctx, http.MethodGet, host, "/v1/config", &got); err != nil {
+					last = err
+					continue
+				}
+				if got.Generation > best.Generation || got.Generation == best.Generation && got.Version > best.Version {
+					best = got
+				}
+			}
+			if best.Record == nil {
+				return e.fail(failure.New(failure.NotFound, "", "no entry host holds a record: %v", last))
+			}
+			fmt.Fprintf(e.Stderr, "generation %d, version %d: form the group anew with generation %d, then apply this with -base 0\n",
+				best.Generation, best.Version, best.Generation+1)
+			fmt.Fprintln(e.Stdout, string(best.Record))
+			return subcommands.ExitSuccess
+		},
+	}
+}
+
 func drainCommand(e *Env) *command {
 	var host string
 	var undo bool
--- a/test/process/control_test.go
+++ b/test/process/control_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -10,13 +12,10 @@
 	"testing"
 	"time"
 
-	"net/http"
-
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"encoding/json"
-
 	"github.com/sesamefork/sesamefork/internal/adapter/operatorhttp"
+	"github.com/sesamefork/sesamefork/internal/ctl"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
@@ -260,3 +259,79 @@
 	f.awaitServing()
 	f.awaitVersion(v, f.hosts)
 }
+
+// TestAllControlDisksLost loses every data folder, takes the record from the
+// entry hosts and forms the group anew. The old generation's records cannot be
+// mistaken for the new one's, though their version numbers are higher.
+func TestAllControlDisksLost(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, controlOnly(68))
+	v := uint64(1)
+	for _, note := range []string{"one", "two", "three"} {
+		v = f.apply(v, note, f.noted(note))
+	}
+	f.awaitVersion(v, f.hosts)
+	for _, c := range f.controls {
+		f.kill("c-" + c.id)
+		if err := os.RemoveAll(f.path("data-" + c.id)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var held struct {
+		Version uint64         `json:"version"`
+		Record  map[string]any `json:"record"`
+	}
+	entry := ctl.NewClient("http://"+f.hosts[0].ip+":9090", opKey)
+	if err := entry.Do(context.Background(), http.MethodGet, "/v1/config", nil, &held); err != nil || held.Version != v {
+		t.Fatalf("version %d held, %v", held.Version, err)
+	}
+	for _, c := range f.controls {
+		name := f.path("c-" + c.id + ".toml")
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.write("c-"+c.id+".toml", strings.Replace(string(text), "id = \"test\"", "id = \"test\"\ngeneration = 2", 1))
+		f.run(f.control(c), "-format")
+		f.restart("c-" + c.id)
+	}
+	if got := f.apply(0, "again", held.Record); got != 1 {
+		t.Fatalf("version %d in the new generation, want 1", got)
+	}
+	for _, h := range f.hosts {
+		f.await("generation 2 on "+h.id, func() bool {
+			var now struct {
+				Generation uint64 `json:"generation"`
+			}
+			c := ctl.NewClient("http://"+h.ip+":9090", opKey)
+			return c.Do(context.Background(), http.MethodGet, "/v1/config", nil, &now) == nil && now.Generation == 2
+		})
+	}
+}
+
+// TestFrozenMajorityRefusesAndRecovers freezes two of three control hosts.
+func TestFrozenMajorityRefusesAndRecovers(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, controlOnly(69))
+	leader := f.leader()
+	for _, c := range f.controls {
+		name := "c-" + c.id
+		if name == leader {
+			f.ctl.Servers = []string{"http://" + c.ip + ":8081"}
+			continue
+		}
+		f.signal(name, syscall.SIGSTOP)
+	}
+	if _, err := f.tryApply(1, "alone", f.noted("alone")); err == nil {
+		t.Error("a change was accepted without a majority")
+	}
+	for _, c := range f.controls {
+		if name := "c-" + c.id; name != leader {
+			f.signal(name, syscall.SIGCONT)
+		}
+	}
+	// The resend gets one answer, whether or not the first send had its effect.
+	if v := f.apply(1, "alone", f.noted("alone")); v != 2 {
+		t.Errorf("version %d, want 2", v)
+	}
+}
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -200,6 +200,9 @@
 }
 
 func quoted(list []string) string {
+	if len(list) == 0 {
+		return "[]"
+	}
 	data, _ := json.Marshal(list)
 	return string(data)
 }
