--- a/internal/adapter/settings/types.go
+++ b/internal/adapter/settings/types.go
@@ -187,7 +187,7 @@
 	// SigningKeyFile names a file that holds it.
 	SigningKey     string `toml:"signing_key"`
 	SigningKeyFile string `toml:"signing_key_file"`
-	// TickMS is the length of a consensus tick (default 50). An election
+	// TickMS is the length of a consensus tick (default 100). An election
 	// follows 10 to 20 ticks without a leader.
 	TickMS int `toml:"tick_ms"`
 	// BootstrapOperatorHash is the SHA-256 hash, in hex, of the key that may
@@ -213,7 +213,7 @@
 func DefaultControl() *Control {
 	return &Control{
 		Store:  Store{SnapshotEvery: 256},
-		Group:  Group{Generation: 1, TickMS: 50},
+		Group:  Group{Generation: 1, TickMS: 100},
 		Link:   Link{KeepAliveMS: 2000},
 		Orders: Orders{MaxOrderMS: 5000, LoadsPerMinute: 6},
 		Trace:  Trace{Exporter: "none", SampleRatio: 1},
--- a/internal/app/control/replica.go
+++ b/internal/app/control/replica.go
@@ -45,7 +45,11 @@
 }
 
 // electionTicks is the election timeout in ticks; it is also a leader's lease.
-const electionTicks = 10
+// A leader sends heartbeats every heartbeatTicks.
+const (
+	electionTicks  = 10
+	heartbeatTicks = 3
+)
 
 // Replica is one member of the control group. All consensus state belongs to
 // the goroutine of Run; other goroutines post functions to it.
@@ -111,7 +115,7 @@
 		}
 	}
 	r.node = consensus.New(consensus.Options{
-		ID: o.Identity.Store, ElectionTicks: electionTicks, Seed: o.Seed,
+		ID: o.Identity.Store, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Seed: o.Seed,
 		HardState: o.State.HardState, Snapshot: snap, Entries: o.State.Entries,
 	})
 	r.publish()
--- a/internal/app/entry/host.go
+++ b/internal/app/entry/host.go
@@ -65,7 +65,8 @@
 	slowStart      = 10 * time.Second
 	assumedLag     = 500 * time.Millisecond // of backend servers' load figures
 	maxWaiting     = 20_000
-	housekeeping   = 20 * time.Millisecond
+	housekeeping   = 100 * time.Millisecond
+	drainPoll      = 20 * time.Millisecond
 	reportInterval = 5 * time.Second
 	callTimeout    = 2 * time.Second
 )
@@ -261,7 +262,7 @@
 // requests that were cut.
 func (h *Host) Drain(ctx context.Context, linger time.Duration, cut <-chan struct{}) []string {
 	h.SetDraining(true)
-	t := time.NewTicker(housekeeping)
+	t := time.NewTicker(drainPoll)
 	defer t.Stop()
 	began := h.o.Clock.Now()
 	for {
--- a/internal/app/entry/ledgerhost.go
+++ b/internal/app/entry/ledgerhost.go
@@ -15,11 +15,11 @@
 
 // Times of the ledger's traffic.
 const (
-	ledgerTick      = 100 * time.Millisecond
+	ledgerTick      = 250 * time.Millisecond
 	ledgerRetry     = 200 // ms between recovery messages
 	ledgerCall      = time.Second
 	ledgerOp        = 3 * time.Second // bound on one operation
-	expireEvery     = 50              // ticks
+	expireEvery     = 20              // ticks
 	defaultMaxKeys  = 200_000
 	abandonedMemory = 10_000
 )
