--- /dev/null
+++ b/internal/app/entry/hosts.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"context"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sesamefork/sesamefork/internal/core/configstate"
+	"github.com/sesamefork/sesamefork/internal/core/membership"
+	"github.com/sesamefork/sesamefork/internal/port"
+)
+
+// sponsorURLs orders the entry hosts of the failure domain for a backend
+// server: spread by a stable hash, this host among them.
+func (h *Host) sponsorURLs(server string) []string {
+	v := h.config.Load()
+	if v == nil {
+		return nil
+	}
+	hosts := h.liveHosts(v, h.o.FailureDomain)
+	sortByHash(hosts, server)
+	return urls(hosts)
+}
+
+func sortByHash(hosts []configstate.Host, salt string) {
+	rank := func(x configstate.Host) uint64 { return xxhash.Sum64String(x.ID + "\x00" + salt) }
+	sort.Slice(hosts, func(i, j int) bool { return rank(hosts[i]) < rank(hosts[j]) })
+}
+
+func urls(hosts []configstate.Host) []string {
+	out := make([]string, 0, len(hosts))
+	for _, e := range hosts {
+		out = append(out, e.Caller)
+	}
+	return out
+}
+
+// liveHosts returns the entry hosts of a failure domain that may take work.
+func (h *Host) liveHosts(v *view, domain string) []configstate.Host {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.o.Clock.Now()
+	var out []configstate.Host
+	listed := map[string]bool{}
+	r := h.place.Remote(domain)
+	if r != nil && now.Sub(r.At) < summaryStale {
+		for _, id := range r.Summary.Hosts {
+			listed[id] = true
+		}
+	}
+	for _, e := range v.Record.Hosts {
+		if e.FailureDomain != domain {
+			continue
+		}
+		switch {
+		case e.ID == h.o.ID:
+			if h.draining.Load() {
+				continue
+			}
+		case domain == h.o.FailureDomain:
+			m, ok := h.members.Get(e.ID)
+			if !ok || m.State != membership.Alive || m.Draining {
+				continue
+			}
+		case !listed[e.ID]:
+			continue
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// EntryHosts returns the entry hosts that a caller should use, best first: the
+// own failure domain, the region, then the other regions.
+func (h *Host) EntryHosts(caller string) []configstate.Host {
+	v := h.config.Load()
+	if v == nil {
+		return nil
+	}
+	var own, region, others []configstate.Host
+	for _, reg := range v.Record.Regions {
+		for _, d := range reg.FailureDomains {
+			hosts := h.liveHosts(v, d)
+			switch {
+			case d == h.o.FailureDomain:
+				own = append(own, hosts...)
+			case reg.Name == h.o.Region:
+				region = append(region, hosts...)
+			default:
+				others = append(others, hosts...)
+			}
+		}
+	}
+	var out []configstate.Host
+	for _, group := range [][]configstate.Host{own, region, others} {
+		sortByHash(group, caller)
+		out = append(out, group...)
+	}
+	return out
+}
+
+func (h *Host) otherURLs() []string {
+	var out []configstate.Host
+	for _, e := range h.EntryHosts(h.o.ID) {
+		if e.ID != h.o.ID {
+			out = append(out, e)
+		}
+	}
+	return urls(out)
+}
+
+func (h *Host) publishDirectory(ctx context.Context, v *view) {
+	if h.o.Directory == nil {
+		return
+	}
+	var entries []port.DirectoryEntry
+	for _, e := range h.EntryHosts("") {
+		if e.Region == h.o.Region {
+			entries = append(entries, port.DirectoryEntry{ID: e.ID, URL: e.Caller, Region: e.Region, FailureDomain: e.FailureDomain})
+		}
+	}
+	if err := h.o.Directory.Publish(ctx, h.o.Region, entries, directoryTTL); err != nil {
+		h.o.Metrics.Add("directory_failures", 1)
+		h.o.Log.V(1).Info("directory not reached", "reason", err.Error())
+	}
+}
+
+// isSummariser reports whether this host speaks for its failure domain: the
+// live host with the lowest ID.
+func (h *Host) isSummariser(v *view) bool {
+	live := h.liveHosts(v, h.o.FailureDomain)
+	for _, e := range live {
+		if e.ID < h.o.ID {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/app/entry/probe.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sesamefork/sesamefork/internal/core/membership"
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+)
+
+// helpers is the number of hosts asked to probe for another.
+const helpers = 2
+
+// frozenFactor times the probe interval without a probe of its own means that
+// the process was frozen.
+const frozenFactor = 3
+
+// probe watches the hosts of the failure domain.
+func (h *Host) probe(ctx context.Context) {
+	v := h.config.Load()
+	if v == nil {
+		return
+	}
+	h.noteFreeze()
+	h.probedAt.Store(h.o.Clock.Now().UnixNano())
+	h.mu.Lock()
+	targets := h.members.Targets()
+	h.mu.Unlock()
+	if len(targets) == 0 {
+		h.unsure.Store(false)
+	}
+	for _, target := range targets {
+		h.wg.Add(1)
+		go func() {
+			defer h.wg.Done()
+			h.probeOne(ctx, v, target)
+		}()
+	}
+}
+
+// noteFreeze detects that this process stood still for longer than its
+// neighbours wait: it may be held dead and asks them before it takes work.
+func (h *Host) noteFreeze() {
+	now := h.o.Clock.Now()
+	last := h.probedAt.Load()
+	if last == 0 {
+		return
+	}
+	if pause := now.Sub(time.Unix(0, last)); pause > frozenFactor*h.o.Probe && !h.unsure.Swap(true) {
+		h.o.Metrics.Add("thawed", 1)
+		h.o.Log.Info("process was frozen", "ms", pause.Milliseconds())
+	}
+}
+
+func (h *Host) probeOne(ctx context.Context, v *view, target string) {
+	timeout := h.o.Probe
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if h.probeDirect(ctx, v, target) {
+		h.unsure.Store(false)
+		return
+	}
+	h.mu.Lock()
+	others := h.members.Helpers(target, helpers)
+	h.mu.Unlock()
+	reached := make(chan bool, len(others))
+	for _, id := range others {
+		go func() { reached <- h.probeThrough(v, id, target) }()
+	}
+	ok := false
+	for range others {
+		ok = <-reached || ok
+	}
+	if ok {
+		return
+	}
+	h.mu.Lock()
+	h.members.Failed(target, h.o.Clock.Now())
+	h.mu.Unlock()
+	if len(others) == 0 {
+		h.unsure.Store(false) // nobody to ask: alone, the host serves on
+	}
+}
+
+func (h *Host) probeDirect(ctx context.Context, v *view, target string) bool {
+	req := h.request()
+	h.mu.Lock()
+	updates := h.members.Updates(target)
+	h.mu.Unlock()
+	req.Body = &pb.Request_Probe{Probe: &pb.Probe{Updates: updates, Draining: h.draining.Load()}}
+	resp, err := h.o.Peers.Call(ctx, v.hosts[target].Peer, req)
+	if err != nil {
+		return false
+	}
+	h.heardStamp(resp.From, v.hosts[target].Peer, resp.Stamp, resp.MaxSchema)
+	ack := resp.GetProbeAck()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.o.Clock.Now()
+	h.members.Merge(ack.GetUpdates(), now)
+	h.members.Acked(target, resp.Incarnation, ack.GetDraining(), now)
+	return true
+}
+
+func (h *Host) probeThrough(v *view, helper, target string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*h.o.Probe)
+	defer cancel()
+	req := h.request()
+	req.Body = &pb.Request_IndirectProbe{IndirectProbe: &pb.IndirectProbe{Target: target}}
+	resp, err := h.o.Peers.Call(ctx, v.hosts[helper].Peer, req)
+	return err == nil && resp.GetProbeAck().GetReached()
+}
+
+// answerProbe takes another host's probe.
+func (h *Host) answerProbe(req *pb.Request, p *pb.Probe) *pb.ProbeAck {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.o.Clock.Now()
+	if h.members.Merge(p.Updates, now) {
+		h.o.Metrics.Add("held_dead", 1)
+		h.o.Log.Info("held dead by a neighbour; refuted", "by", req.From, "incarnation", h.members.Incarnation())
+	}
+	h.members.Acked(req.From, req.Incarnation, p.Draining, now)
+	return &pb.ProbeAck{Updates: h.members.Updates(req.From), Draining: h.draining.Load()}
+}
+
+func (h *Host) answerIndirect(ctx context.Context, p *pb.IndirectProbe) *pb.ProbeAck {
+	v := h.config.Load()
+	host, ok := v.hosts[p.Target]
+	if !ok {
+		return &pb.ProbeAck{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.o.Probe)
+	defer cancel()
+	return &pb.ProbeAck{Reached: h.probeDirect(ctx, v, host.ID)}
+}
+
+// memberEvents acts on hosts that were found dead or alive.
+func (h *Host) memberEvents() {
+	h.mu.Lock()
+	events := h.members.Events()
+	h.place.Table.SetSharers(1 + len(h.members.Live()))
+	h.mu.Unlock()
+	v := h.config.Load()
+	for _, e := range events {
+		h.o.Log.Info("member "+e.State.String(), "member", e.ID)
+		h.o.Metrics.Add("member_"+e.State.String(), 1)
+		if e.State == membership.Dead && h.o.Drop != nil && v != nil {
+			h.o.Drop(v.hosts[e.ID].Peer)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ctl/keys.go
@@ -0,0 +1,48 @@
+package ctl
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/google/subcommands"
+)
+
+func keygenCommand(e *Env) *command {
+	return &command{
+		name: "keygen", synopsis: "make the key pair of the commit evidence",
+		usage: "keygen\n  Example: sesamectl keygen",
+		run: func(context.Context, []string) subcommands.ExitStatus {
+			pub, private, err := ed25519.GenerateKey(rand.Reader)
+			if err != nil {
+				return e.fail(err)
+			}
+			out := map[string]string{"signing_key": hex.EncodeToString(private.Seed()), "verify_key": hex.EncodeToString(pub)}
+			return e.print(out, func(w io.Writer) {
+				fmt.Fprintf(w, "signing_key\t%s\nverify_key\t%s\n", out["signing_key"], out["verify_key"])
+			})
+		},
+	}
+}
+
+func hashCommand(e *Env) *command {
+	return &command{
+		name: "hash", synopsis: "hash a key, read from standard input, for a record",
+		usage: "hash < keyfile\n  Example: printf %s \"$KEY\" | sesamectl hash",
+		run: func(context.Context, []string) subcommands.ExitStatus {
+			data, err := io.ReadAll(os.Stdin)
+			if err != nil {
+				return e.fail(err)
+			}
+			sum := sha256.Sum256([]byte(strings.TrimSpace(string(data))))
+			fmt.Fprintln(e.Stdout, hex.EncodeToString(sum[:]))
+			return subcommands.ExitSuccess
+		},
+	}
+}
