Control traffic: announcements and summaries pass once; the ledger's memory is bounded in bytes

All servers announced to one host; every update repeated every announcement and every summary. Change: stand-ins follow the announced order; each announcement and summary is passed on once, prefixes with every fifth; summaries go to one host of a failure domain, less often the more there are. The ledger refuses new keys when its answers take max_bytes (64 MB): 200,000 keys with answers of 256 KB had no bound.

--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"expvar"
 	"net/http"
+	"net/http/pprof"
 	"slices"
 	"strconv"
 	"strings"
@@ -77,10 +78,20 @@
 	h := &Handler{host: host, log: log}
 	router.Handle("/debug/vars", expvar.Handler())
 	router.HandleFunc("/v1/explain/{id}", h.explain).Methods(http.MethodGet)
+	router.HandleFunc("/debug/pprof/profile", h.profile).Methods(http.MethodGet)
 	router.HandleFunc("/v1/config", h.config).Methods(http.MethodGet)
 	router.HandleFunc("/v1/drain", h.drain).Methods(http.MethodPost, http.MethodDelete)
 }
 
+// profile serves a processor profile of the process.
+func (h *Handler) profile(w http.ResponseWriter, r *http.Request) {
+	if f := h.operator(r); f != nil {
+		problem.Write(w, f, "")
+		return
+	}
+	pprof.Profile(w, r)
+}
+
 // InForce is the configuration in force on one entry host. After the loss of
 // all control disks the highest one found is what a new generation begins with.
 type InForce struct {
--- a/internal/adapter/settings/types.go
+++ b/internal/adapter/settings/types.go
@@ -35,7 +35,7 @@
 	// VerifyKey is the Ed25519 public key, in hex, of the control group's
 	// commit evidence.
 	VerifyKey string `toml:"verify_key"`
-	// KeepAliveMS is the interval of keep-alives on a link, in ms (default 2000).
+	// KeepAliveMS is the interval of keep-alives on a link, in ms (default 3000).
 	KeepAliveMS int `toml:"keep_alive_ms"`
 }
 
@@ -115,7 +115,7 @@
 type Timing struct {
 	// ProbeMS is the interval of membership probes (default 1000).
 	ProbeMS int `toml:"probe_ms"`
-	// UpdateMS is the interval of updates inside a failure domain (default 500).
+	// UpdateMS is the interval of updates inside a failure domain (default 1000).
 	UpdateMS int `toml:"update_ms"`
 	// SummaryMS is the interval of summaries between failure domains (default 2000).
 	SummaryMS int `toml:"summary_ms"`
@@ -139,9 +139,9 @@
 			MaxBodyBytes: 8 << 20, BodyTimeoutMS: 15_000, DrainTimeoutMS: 120_000, DrainLingerMS: 5000,
 			MaxExplained: 2000, StallTimeoutMS: 30_000,
 		},
-		Timing: Timing{ProbeMS: 1000, UpdateMS: 500, SummaryMS: 2000, LeaseMS: 3000, ClockSkewMS: 5000},
+		Timing: Timing{ProbeMS: 1000, UpdateMS: 1000, SummaryMS: 2000, LeaseMS: 3000, ClockSkewMS: 5000},
 		Trace:  Trace{Exporter: "none", SampleRatio: 1},
-		Link:   Link{KeepAliveMS: 2000},
+		Link:   Link{KeepAliveMS: 3000},
 	}
 }
 
@@ -187,8 +187,8 @@
 	// SigningKeyFile names a file that holds it.
 	SigningKey     string `toml:"signing_key"`
 	SigningKeyFile string `toml:"signing_key_file"`
-	// TickMS is the length of a consensus tick (default 100). An election
-	// follows 10 to 20 ticks without a leader.
+	// TickMS is the length of a consensus tick (default 100). A leader sends
+	// heartbeats every 5 ticks; an election follows 20 to 40 ticks without any.
 	TickMS int `toml:"tick_ms"`
 	// BootstrapOperatorHash is the SHA-256 hash, in hex, of the key that may
 	// write the first record.
@@ -214,7 +214,7 @@
 	return &Control{
 		Store:  Store{SnapshotEvery: 256},
 		Group:  Group{Generation: 1, TickMS: 100},
-		Link:   Link{KeepAliveMS: 2000},
+		Link:   Link{KeepAliveMS: 3000},
 		Orders: Orders{MaxOrderMS: 5000, LoadsPerMinute: 6},
 		Trace:  Trace{Exporter: "none", SampleRatio: 1},
 	}
--- a/internal/app/control/replica.go
+++ b/internal/app/control/replica.go
@@ -47,8 +47,8 @@
 // electionTicks is the election timeout in ticks; it is also a leader's lease.
 // A leader sends heartbeats every heartbeatTicks.
 const (
-	electionTicks  = 10
-	heartbeatTicks = 3
+	electionTicks  = 20
+	heartbeatTicks = 5
 )
 
 // Replica is one member of the control group. All consensus state belongs to
--- a/internal/app/control/spread.go
+++ b/internal/app/control/spread.go
@@ -14,7 +14,7 @@
 // Intervals of spreading. The leader offers a new configuration to a few entry
 // hosts of each failure domain; the others hear of it from their neighbours.
 const (
-	spreadInterval = 250 * time.Millisecond
+	spreadInterval = 500 * time.Millisecond
 	reofferAfter   = 3 * time.Second
 	offerPerDomain = 2
 	offerTimeout   = time.Second
--- a/internal/app/entry/config.go
+++ b/internal/app/entry/config.go
@@ -160,12 +160,12 @@
 		return
 	}
 	now := h.o.Clock.Now()
-	hosts := []*pb.HostVersion{{Host: h.o.ID, Stamp: v.Stamp, MaxSchema: configstate.CurrentSchema}}
+	hosts := []*pb.HostVersion{{Host: h.o.ID, Stamp: shortStamp(v.Stamp), MaxSchema: configstate.CurrentSchema}}
 	h.mu.Lock()
 	for _, p := range v.peers {
 		if hv, ok := h.versions[p.ID]; ok {
 			hosts = append(hosts, &pb.HostVersion{
-				Host: p.ID, Stamp: hv.stamp, MaxSchema: hv.schema, AgeMs: uint64(now.Sub(hv.at).Milliseconds()),
+				Host: p.ID, Stamp: shortStamp(hv.stamp), MaxSchema: hv.schema, AgeMs: uint64(now.Sub(hv.at).Milliseconds()),
 			})
 		}
 	}
@@ -182,6 +182,11 @@
 	h.publishDirectory(ctx, v)
 }
 
+// shortStamp leaves out the digest, which reports do not need.
+func shortStamp(s *pb.ConfigStamp) *pb.ConfigStamp {
+	return &pb.ConfigStamp{Generation: s.GetGeneration(), Version: s.GetVersion()}
+}
+
 func ledgerMembers(hosts []configstate.Host) []ledger.Member {
 	out := make([]ledger.Member, 0, len(hosts))
 	for _, host := range hosts {
--- a/internal/app/entry/gossip.go
+++ b/internal/app/entry/gossip.go
@@ -46,30 +46,50 @@
 	defer h.mu.Unlock()
 	up.EngineLoad = float32(h.place.Table.OwnLoad(backend.KindEngine, now))
 	up.ServiceLoad = float32(h.place.Table.OwnLoad(backend.KindService, now))
-	for id, at := range h.sponsored {
+	for id, sp := range h.sponsored {
 		s := h.place.Table.Get(id)
-		if s == nil || now.Sub(at) > h.o.Lease {
+		if s == nil || now.Sub(sp.at) > h.o.Lease {
 			delete(h.sponsored, id)
 			continue
 		}
-		up.Servers = append(up.Servers, aged(s.State, now.Sub(at)))
+		if id := (announcementID{s.State.Incarnation, s.State.Sequence}); sp.passedOn != id {
+			sp.passedOn = id
+			up.Servers = append(up.Servers, aged(s.State, now.Sub(sp.at)))
+		}
 	}
 	for _, r := range h.place.Remotes() {
-		if r.Direct && now.Sub(r.At) < 2*h.o.Summary {
+		if r.Direct && h.passedOn[r.Summary.FailureDomain] != r.Summary.Sequence {
+			h.passedOn[r.Summary.FailureDomain] = r.Summary.Sequence
 			up.Summaries = append(up.Summaries, agedSummary(r.Summary, now.Sub(r.At)))
 		}
 	}
 	return up
 }
 
+// sponsored is a backend server that announces itself here.
+type sponsored struct {
+	at       time.Time
+	passedOn announcementID
+}
+
+// announcementID identifies one announcement of a backend server.
+type announcementID struct{ incarnation, sequence uint64 }
+
+// prefixesEvery is which announcements are passed on with their cached prefixes.
+const prefixesEvery = 5
+
 // aged returns a copy of the state with its age.
 func aged(st *pb.BackendState, age time.Duration) *pb.BackendState {
-	return &pb.BackendState{
+	out := &pb.BackendState{
 		Id: st.Id, Address: st.Address, Kind: st.Kind, Models: st.Models, Adapters: st.Adapters, Slots: st.Slots,
 		Running: st.Running, Queued: st.Queued, QueuedTokens: st.QueuedTokens, Incarnation: st.Incarnation,
-		Sequence: st.Sequence, Leaving: st.Leaving, Prefixes: st.Prefixes, PrefillRate: st.PrefillRate,
+		Sequence: st.Sequence, Leaving: st.Leaving, PrefillRate: st.PrefillRate,
 		DecodeMs: st.DecodeMs, AgeMs: uint64(max(0, age.Milliseconds())),
 	}
+	if st.Sequence%prefixesEvery == 1 {
+		out.Prefixes = st.Prefixes
+	}
+	return out
 }
 
 func agedSummary(s *pb.Summary, age time.Duration) *pb.Summary {
@@ -105,7 +125,12 @@
 	old := h.place.Table.Get(st.Id)
 	fresh := old == nil || old.State.Leaving != st.Leaving || old.State.Incarnation != st.Incarnation
 	if h.place.Table.Merge(st, now) {
-		h.sponsored[st.Id] = now
+		sp := h.sponsored[st.Id]
+		if sp == nil {
+			sp = &sponsored{}
+			h.sponsored[st.Id] = sp
+		}
+		sp.at = now
 	}
 	h.mu.Unlock()
 	if fresh {
@@ -130,8 +155,14 @@
 	return gap, true
 }
 
-// summaryFanout is the number of hosts of each failure domain that get a summary.
-const summaryFanout = 2
+// summaryFanout is the number of hosts of each failure domain that get a
+// summary; they pass it on inside. domainsPerTick is how many other failure
+// domains a summary may go to in each interval: with more, summaries come less
+// often, so that their cost for a host stays bounded.
+const (
+	summaryFanout  = 1
+	domainsPerTick = 10
+)
 
 // sendSummaries tells the other failure domains what this one offers.
 func (h *Host) sendSummaries(ctx context.Context) {
@@ -139,6 +170,14 @@
 	if v == nil || !h.isSummariser(v) {
 		return
 	}
+	domains := 0
+	for _, reg := range v.Record.Regions {
+		domains += len(reg.FailureDomains)
+	}
+	h.summaries++
+	if every := 1 + (domains-1)/domainsPerTick; h.summaries%every != 0 {
+		return
+	}
 	s := h.summarise(v)
 	for _, reg := range v.Record.Regions {
 		for _, d := range reg.FailureDomains {
--- a/internal/app/entry/host.go
+++ b/internal/app/entry/host.go
@@ -65,7 +65,7 @@
 	slowStart      = 10 * time.Second
 	assumedLag     = 500 * time.Millisecond // of backend servers' load figures
 	maxWaiting     = 20_000
-	housekeeping   = 100 * time.Millisecond
+	housekeeping   = 250 * time.Millisecond
 	drainPoll      = 20 * time.Millisecond
 	reportInterval = 5 * time.Second
 	callTimeout    = 2 * time.Second
@@ -90,7 +90,9 @@
 	mu        sync.Mutex
 	place     *placement.State
 	members   *membership.List
-	sponsored map[string]time.Time // backend servers that announce here
+	sponsored map[string]*sponsored // backend servers that announce here
+	passedOn  map[string]uint64     // newest summary passed on, by failure domain
+	summaries int                   // ticks of the summaries' interval
 	waiting   map[*admission.Waiter]*ticket
 	budget    *retry.Budget
 	versions  map[string]hostVersion // configuration in force on neighbours
@@ -123,7 +125,8 @@
 			Region: o.Region, FailureDomain: o.FailureDomain, MaxWaiting: maxWaiting, Random: rand.Float64,
 			Limits: backend.Limits{Lease: o.Lease, SlowStart: slowStart, Lag: assumedLag},
 		}),
-		sponsored: map[string]time.Time{},
+		sponsored: map[string]*sponsored{},
+		passedOn:  map[string]uint64{},
 		waiting:   map[*admission.Waiter]*ticket{},
 		budget:    retry.NewBudget(0.1, now),
 		versions:  map[string]hostVersion{},
@@ -312,6 +315,7 @@
 		return h.place.Waiting()
 	})
 	m.Gauge("ledger_keys", func() any { return h.ledger.keys() })
+	m.Gauge("ledger_bytes", func() any { return h.ledger.bytes() })
 	m.Gauge("ledger_partitions", func() any {
 		active, total := h.ledger.active()
 		return map[string]int{"active": active, "total": total}
--- a/internal/app/entry/ledgerhost.go
+++ b/internal/app/entry/ledgerhost.go
@@ -49,7 +49,7 @@
 
 // setMembers fixes the replica sets of this host's region. It needs l.mu.
 func (l *ledgerHost) setMembers(v *view) {
-	l.replica.SetLimits(v.Record.Ledger.MaxKeys)
+	l.replica.SetLimits(v.Record.Ledger.MaxKeys, v.Record.Ledger.MaxBytes)
 	l.replica.SetMembers(ledgerMembers(v.Record.RegionHosts(l.h.o.Region)), v.Record.Ledger.Replicas)
 }
 
@@ -59,6 +59,12 @@
 	return l.replica.Keys()
 }
 
+func (l *ledgerHost) bytes() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.replica.Bytes()
+}
+
 func (l *ledgerHost) active() (active, total int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/core/configstate/record.go
+++ b/internal/core/configstate/record.go
@@ -141,6 +141,8 @@
 	RetentionMS int64 `json:"retention_ms"`
 	// MaxKeys bounds the keys held by one host.
 	MaxKeys int `json:"max_keys"`
+	// MaxBytes bounds the stored answers held by one host, in bytes.
+	MaxBytes int `json:"max_bytes"`
 	// MaxAnswerBytes bounds the stored body of one answer.
 	MaxAnswerBytes int `json:"max_answer_bytes"`
 }
@@ -217,6 +219,7 @@
 	setDefault(&l.Replicas, 3)
 	setDefault(&l.RetentionMS, 15*60*1000)
 	setDefault(&l.MaxKeys, 200_000)
+	setDefault(&l.MaxBytes, 64<<20)
 	setDefault(&l.MaxAnswerBytes, 256<<10)
 }
 
--- a/internal/core/configstate/validate.go
+++ b/internal/core/configstate/validate.go
@@ -232,6 +232,7 @@
 	}
 	v.checkRange("ledger.retention_ms", float64(r.Ledger.RetentionMS), 1000, 86_400_000)
 	v.checkRange("ledger.max_keys", float64(r.Ledger.MaxKeys), 1, 10_000_000)
+	v.checkRange("ledger.max_bytes", float64(r.Ledger.MaxBytes), 1, 1<<40)
 	v.checkRange("ledger.max_answer_bytes", float64(r.Ledger.MaxAnswerBytes), 1, 16<<20)
 }
 
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -283,6 +283,33 @@
 	}
 }
 
+// TestMemoryOfAnswersIsBounded stores one large answer: a new key is refused,
+// a recovered replica counts the same bytes, and expiry frees them.
+func TestMemoryOfAnswersIsBounded(t *testing.T) {
+	w := newWorld(4, 3, breakage{})
+	for _, r := range w.replicas {
+		r.limits.MaxBytes = 100
+	}
+	claim := w.claim("p")
+	w.deliverAll(func(*pb.LedgerMessage) bool { return claim.Result == Pending })
+	w.net, w.ops = nil, map[string]*Op{}
+	finish := &Op{Kind: OpFinish, Key: testKey, Attempt: claim.Attempt, Answer: &pb.LedgerAnswer{Status: 200, Body: make([]byte, 150)}, RetentionMS: 1000, NowMS: w.now}
+	w.ops["p"] = finish
+	w.net = append(w.net, finish.Follow(claim)...)
+	w.deliverAll(func(*pb.LedgerMessage) bool { return true })
+	w.restartAndRecover("h0", func(*pb.LedgerMessage) bool { return true })
+	for id, r := range w.replicas {
+		r.limits.MaxBytes = 100
+		if r.Bytes() != 150 || !r.full() {
+			t.Errorf("%s holds %d bytes, full %v", id, r.Bytes(), r.full())
+		}
+		r.Expire(w.now + 1000 + 2*testSkew)
+		if r.Bytes() != 0 || r.full() {
+			t.Errorf("%s holds %d bytes after the retention", id, r.Bytes())
+		}
+	}
+}
+
 func TestReplicaSetSpreadsOverFailureDomains(t *testing.T) {
 	var members []Member
 	for i := range 9 {
--- a/internal/core/ledger/recovery.go
+++ b/internal/core/ledger/recovery.go
@@ -231,6 +231,9 @@
 	r.activate(s, generation, birthMS)
 	s.vector, s.keys, s.floor = vector, keys, floor
 	r.keys += len(keys)
+	for _, e := range keys {
+		r.bytes += size(e.value)
+	}
 }
 
 // activate lets the partition vote, in the generation, with no keys.
--- a/internal/core/ledger/replica.go
+++ b/internal/core/ledger/replica.go
@@ -12,9 +12,10 @@
 
 // Limits bounds a replica.
 type Limits struct {
-	MaxKeys int   // keys over all partitions
-	SkewMS  int64 // bound on the difference between clocks
-	RetryMS int64 // interval of the recovery's messages
+	MaxKeys  int   // keys over all partitions
+	MaxBytes int   // stored answers over all partitions
+	SkewMS   int64 // bound on the difference between clocks
+	RetryMS  int64 // interval of the recovery's messages
 }
 
 // Replica holds this host's part of the ledger. It is not safe for concurrent use.
@@ -24,6 +25,7 @@
 	rnd    *rand.Rand
 	slots  map[uint32]*slot
 	keys   int
+	bytes  int // of the stored answers
 }
 
 // entry is the register of one key.
@@ -64,8 +66,27 @@
 	return &Replica{id: id, limits: limits, rnd: rand.New(rand.NewSource(seed)), slots: map[uint32]*slot{}}
 }
 
-// SetLimits changes the bound on the keys held.
-func (r *Replica) SetLimits(maxKeys int) { r.limits.MaxKeys = maxKeys }
+// SetLimits changes the bounds on the keys and the bytes of answers held.
+func (r *Replica) SetLimits(maxKeys, maxBytes int) {
+	r.limits.MaxKeys, r.limits.MaxBytes = maxKeys, maxBytes
+}
+
+// full reports whether there is no room for a new key. Keys that are held
+// already, and the answers of claims that were won, are always taken.
+func (r *Replica) full() bool {
+	return r.keys >= r.limits.MaxKeys || r.limits.MaxBytes > 0 && r.bytes >= r.limits.MaxBytes
+}
+
+// size is the memory that a value's answer takes.
+func size(v *pb.LedgerValue) int { return len(v.GetAnswer().GetBody()) }
+
+// drop forgets the partition's keys.
+func (r *Replica) drop(s *slot) {
+	r.keys -= len(s.keys)
+	for _, e := range s.keys {
+		r.bytes -= size(e.value)
+	}
+}
 
 // SetMembers fixes the replica sets. Partitions that this host holds already
 // with the same set keep their state.
@@ -77,7 +98,7 @@
 			continue
 		}
 		if s != nil {
-			r.keys -= len(s.keys)
+			r.drop(s)
 			delete(r.slots, n)
 		}
 		if contains(set, r.id) {
@@ -102,7 +123,7 @@
 
 // forget puts the partition into the state of a replica that just restarted.
 func (r *Replica) forget(s *slot) {
-	r.keys -= len(s.keys)
+	r.drop(s)
 	s.active, s.birthMS = false, 0
 	s.vector = map[string]uint64{}
 	s.keys = map[string]*entry{}
@@ -114,6 +135,9 @@
 // Keys returns the number of keys held.
 func (r *Replica) Keys() int { return r.keys }
 
+// Bytes returns the bytes of the stored answers.
+func (r *Replica) Bytes() int { return r.bytes }
+
 // Active returns how many of this host's partitions vote, and how many it has.
 func (r *Replica) Active() (active, total int) {
 	for _, s := range r.slots {
@@ -177,7 +201,7 @@
 	}
 	e := s.keys[m.Key]
 	if e == nil {
-		if r.keys >= r.limits.MaxKeys {
+		if r.full() {
 			refuse(reply, ReasonFull)
 			return
 		}
@@ -212,6 +236,7 @@
 		reply.Accepted = e.promised
 		return
 	}
+	r.bytes += size(m.Value) - size(e.value)
 	e.promised, e.accepted, e.value, e.touched = m.Ballot, m.Ballot, m.Value, now
 	if less(e.promised, m.Accepted) {
 		e.promised = m.Accepted // the proposer's next ballot, promised in the same step
@@ -246,6 +271,7 @@
 				if less(s.floor, e.promised) {
 					s.floor = e.promised
 				}
+				r.bytes -= size(e.value)
 				delete(s.keys, key)
 				dropped++
 			}
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -69,11 +69,29 @@
 		if !a.post(ctx, e+"/v1/backend-servers/"+a.ID+"/announcement", now, &reply) {
 			continue
 		}
-		if i > 0 { // this one works: ask it first from now on
-			a.Entries[0], a.Entries[i] = a.Entries[i], a.Entries[0]
-		}
+		a.follow(i, reply.AnnounceTo)
+		return
+	}
+}
+
+// follow takes over the order of entry hosts that the reply names, which spreads
+// the servers over the hosts, and keeps the one that worked when it names none.
+func (a *Announcer) follow(worked int, to []string) {
+	if len(to) == 0 {
+		a.Entries[0], a.Entries[worked] = a.Entries[worked], a.Entries[0]
 		return
 	}
+	known := map[string]bool{}
+	order := append([]string(nil), to...)
+	for _, e := range order {
+		known[e] = true
+	}
+	for _, e := range a.Entries {
+		if !known[e] {
+			order = append(order, e)
+		}
+	}
+	a.Entries = order
 }
 
 func (a *Announcer) cacheEvents(rnd *rand.Rand) {
