--- a/internal/adapter/settings/types.go
+++ b/internal/adapter/settings/types.go
@@ -187,8 +187,8 @@
 	// SigningKeyFile names a file that holds it.
 	SigningKey     string `toml:"signing_key"`
 	SigningKeyFile string `toml:"signing_key_file"`
-	// TickMS is the length of a consensus tick (default 100). A leader sends
-	// heartbeats every 5 ticks; an election follows 20 to 40 ticks without any.
+	// TickMS is the length of a consensus tick (default 200). A leader sends
+	// heartbeats every 2 ticks; an election follows 10 to 20 ticks without any.
 	TickMS int `toml:"tick_ms"`
 	// BootstrapOperatorHash is the SHA-256 hash, in hex, of the key that may
 	// write the first record.
@@ -213,7 +213,7 @@
 func DefaultControl() *Control {
 	return &Control{
 		Store:  Store{SnapshotEvery: 256},
-		Group:  Group{Generation: 1, TickMS: 100},
+		Group:  Group{Generation: 1, TickMS: 200},
 		Link:   Link{KeepAliveMS: 3000},
 		Orders: Orders{MaxOrderMS: 5000, LoadsPerMinute: 6},
 		Trace:  Trace{Exporter: "none", SampleRatio: 1},
--- a/internal/app/control/operate.go
+++ b/internal/app/control/operate.go
@@ -74,16 +74,16 @@
 }
 
 func (r *Replica) tryLeader(ctx context.Context, p *pb.Propose) (*pb.ProposeResult, error) {
-	var st consensus.Status
+	var role consensus.Role
 	var addr string
 	err := r.post(ctx, func() {
-		st = r.node.Status()
-		addr = r.address(st.Leader)
+		role = r.node.Role()
+		addr = r.node.Address(r.node.Leader())
 	})
 	if err != nil {
 		return nil, err
 	}
-	if st.Role == consensus.Leader {
+	if role == consensus.Leader {
 		return r.lead(ctx, p)
 	}
 	if addr == "" {
@@ -256,9 +256,8 @@
 func (r *Replica) checkGate(ctx context.Context) error {
 	var gerr error
 	err := r.post(ctx, func() {
-		st := r.node.Status()
 		lease := time.Duration(r.node.LeaseTicks()) * r.o.Tick
-		gerr = r.gate.Check(st.Term, lease, false, r.o.Clock.Now())
+		gerr = r.gate.Check(r.node.Term(), lease, false, r.o.Clock.Now())
 	})
 	if err != nil {
 		return err
--- a/internal/app/control/peer.go
+++ b/internal/app/control/peer.go
@@ -54,7 +54,7 @@
 // a proposal passed on once is not passed on again.
 func (r *Replica) tryLead(ctx context.Context, p *pb.Propose) (*pb.ProposeResult, error) {
 	leader := false
-	if err := r.post(ctx, func() { leader = r.node.Status().Role == consensus.Leader }); err != nil {
+	if err := r.post(ctx, func() { leader = r.node.Role() == consensus.Leader }); err != nil {
 		return nil, err
 	}
 	if !leader {
@@ -126,7 +126,7 @@
 		return own, err
 	}
 	var addr string
-	if err := r.post(ctx, func() { addr = r.address(own.Leader) }); err != nil {
+	if err := r.post(ctx, func() { addr = r.node.Address(own.Leader) }); err != nil {
 		return nil, err
 	}
 	req := r.request()
--- a/internal/app/control/replica.go
+++ b/internal/app/control/replica.go
@@ -47,8 +47,8 @@
 // electionTicks is the election timeout in ticks; it is also a leader's lease.
 // A leader sends heartbeats every heartbeatTicks.
 const (
-	electionTicks  = 20
-	heartbeatTicks = 5
+	electionTicks  = 10
+	heartbeatTicks = 2
 )
 
 // Replica is one member of the control group. All consensus state belongs to
@@ -307,13 +307,13 @@
 
 // noteLeadership opens the gate for orders when this replica becomes leader.
 func (r *Replica) noteLeadership() {
-	st := r.node.Status()
-	if st.Role == consensus.Leader && st.Term != r.lastTerm {
-		r.lastTerm = st.Term
-		r.gate.Elected(st.Term, r.o.Clock.Now())
-		r.o.Log.Info("became leader", "term", st.Term)
+	role, term := r.node.Role(), r.node.Term()
+	if role == consensus.Leader && term != r.lastTerm {
+		r.lastTerm = term
+		r.gate.Elected(term, r.o.Clock.Now())
+		r.o.Log.Info("became leader", "term", term)
 	}
-	if st.Role != consensus.Leader && len(r.waiters) > 0 {
+	if role != consensus.Leader && len(r.waiters) > 0 {
 		r.failWaiters(failure.New(failure.NoLeader, failure.Unknown, "the leader lost its role before the change was committed"))
 	}
 }
--- a/internal/app/control/send.go
+++ b/internal/app/control/send.go
@@ -23,7 +23,7 @@
 )
 
 func (r *Replica) sendTo(ctx context.Context, m *pb.RaftMessage) {
-	addr := r.address(m.To)
+	addr := r.node.Address(m.To)
 	if addr == "" {
 		return
 	}
@@ -40,15 +40,6 @@
 	}
 }
 
-func (r *Replica) address(id string) string {
-	for _, m := range r.node.Status().Members.Members {
-		if m.Id == id {
-			return m.Address
-		}
-	}
-	return ""
-}
-
 func (r *Replica) runSender(ctx context.Context, addr string, s *sender) {
 	defer r.wg.Done()
 	for {
--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -329,6 +329,25 @@
 	return s
 }
 
+// Role returns the replica's role.
+func (n *Node) Role() Role { return n.role }
+
+// Term returns the replica's term.
+func (n *Node) Term() uint64 { return n.term }
+
+// Leader returns the ID of the leader last heard of, or "".
+func (n *Node) Leader() string { return n.leader }
+
+// Address returns a member's address, or "".
+func (n *Node) Address(id string) string {
+	for _, m := range n.members.Members {
+		if m.Id == id {
+			return m.Address
+		}
+	}
+	return ""
+}
+
 // catchUpLag is how many entries a caught-up replica may be behind.
 const catchUpLag = 64
 
