Share the summaries among a failure domain's hosts; more fault scripts; figures for changes and leaving

Change: each live host speaks to every n-th other failure domain; prefixes are passed on once, not with every fifth announcement. New scripts: half of the backend servers killed; an isolated failure domain.

--- a/internal/app/entry/config.go
+++ b/internal/app/entry/config.go
@@ -156,7 +156,7 @@
 // force; one host of the failure domain does it.
 func (h *Host) report(ctx context.Context) {
 	v := h.config.Load()
-	if v == nil || !h.isSummariser(v) {
+	if v == nil || !h.isSpeaker(v) {
 		return
 	}
 	now := h.o.Clock.Now()
--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -298,6 +298,30 @@
 	check(t, h.Execute(context.Background(), r, &memorySink{}), failure.Done)
 }
 
+// TestPrefixesArePassedOnOnce announces the same cached prefixes again and again.
+func TestPrefixesArePassedOnOnce(t *testing.T) {
+	h := newTestHost(t, &fakeBackends{}, noPeers{})
+	passed := map[int]int{}
+	for i := range 2 * allPrefixesEvery {
+		st := &pb.BackendState{Id: "p", Address: "127.0.0.1:1", Kind: "engine", Models: []string{"m"}, Slots: 1, Incarnation: 1, Sequence: uint64(i + 1), Prefixes: []uint64{1, 2, 3}}
+		if i == 5 {
+			st.Prefixes = []uint64{2, 3, 4}
+		}
+		h.Announce(st)
+		for _, s := range h.domainUpdate().Servers {
+			if s.Id == "p" && len(s.Prefixes) > 0 {
+				passed[i] = len(s.Prefixes)
+			}
+		}
+		if again := h.domainUpdate(); len(again.Servers) > 0 {
+			t.Fatalf("announcement %d was passed on twice", i)
+		}
+	}
+	if len(passed) != 3 || passed[0] != 3 || passed[5] != 1 || passed[allPrefixesEvery] != 3 {
+		t.Errorf("prefixes passed on with announcements %v, want 3 with the first, 1 with the sixth, 3 with number %d", passed, allPrefixesEvery)
+	}
+}
+
 // recordingPeers records what would leave this host.
 type recordingPeers struct {
 	noPeers
--- a/internal/app/entry/gossip.go
+++ b/internal/app/entry/gossip.go
@@ -54,7 +54,9 @@
 		}
 		if id := (announcementID{s.State.Incarnation, s.State.Sequence}); sp.passedOn != id {
 			sp.passedOn = id
-			up.Servers = append(up.Servers, aged(s.State, now.Sub(sp.at)))
+			st := aged(s.State, now.Sub(sp.at))
+			st.Prefixes = sp.newPrefixes(s.State.Prefixes)
+			up.Servers = append(up.Servers, st)
 		}
 	}
 	for _, r := range h.place.Remotes() {
@@ -70,26 +72,41 @@
 type sponsored struct {
 	at       time.Time
 	passedOn announcementID
+	prefixes map[uint64]bool // passed on since the last time they were all
+	count    int             // announcements passed on
+}
+
+// allPrefixesEvery is after how many announcements all prefixes are passed on
+// again, for hosts that have started meanwhile.
+const allPrefixesEvery = 60
+
+// newPrefixes returns the prefixes that were not passed on lately.
+func (s *sponsored) newPrefixes(all []uint64) []uint64 {
+	if s.count%allPrefixesEvery == 0 {
+		s.prefixes = map[uint64]bool{}
+	}
+	s.count++
+	var out []uint64
+	for _, p := range all {
+		if !s.prefixes[p] {
+			s.prefixes[p] = true
+			out = append(out, p)
+		}
+	}
+	return out
 }
 
 // announcementID identifies one announcement of a backend server.
 type announcementID struct{ incarnation, sequence uint64 }
 
-// prefixesEvery is which announcements are passed on with their cached prefixes.
-const prefixesEvery = 5
-
-// aged returns a copy of the state with its age.
+// aged returns a copy of the state with its age, without its prefixes.
 func aged(st *pb.BackendState, age time.Duration) *pb.BackendState {
-	out := &pb.BackendState{
+	return &pb.BackendState{
 		Id: st.Id, Address: st.Address, Kind: st.Kind, Models: st.Models, Adapters: st.Adapters, Slots: st.Slots,
 		Running: st.Running, Queued: st.Queued, QueuedTokens: st.QueuedTokens, Incarnation: st.Incarnation,
 		Sequence: st.Sequence, Leaving: st.Leaving, PrefillRate: st.PrefillRate,
 		DecodeMs: st.DecodeMs, AgeMs: uint64(max(0, age.Milliseconds())),
 	}
-	if st.Sequence%prefixesEvery == 1 {
-		out.Prefixes = st.Prefixes
-	}
-	return out
 }
 
 func agedSummary(s *pb.Summary, age time.Duration) *pb.Summary {
@@ -164,35 +181,48 @@
 	domainsPerTick = 10
 )
 
-// sendSummaries tells the other failure domains what this one offers.
+// sendSummaries tells the other failure domains what this one offers. The live
+// hosts share the work: each speaks to every n-th of the other failure domains.
 func (h *Host) sendSummaries(ctx context.Context) {
 	v := h.config.Load()
-	if v == nil || !h.isSummariser(v) {
+	if v == nil {
 		return
 	}
-	domains := 0
-	for _, reg := range v.Record.Regions {
-		domains += len(reg.FailureDomains)
-	}
+	domains := h.otherDomains(v)
 	h.summaries++
-	if every := 1 + (domains-1)/domainsPerTick; h.summaries%every != 0 {
+	if every := 1 + len(domains)/domainsPerTick; h.summaries%every != 0 {
 		return
 	}
-	s := h.summarise(v)
+	rank, live := h.rank(v)
+	var s *pb.Summary
+	for i, d := range domains {
+		if live == 0 || i%live != rank {
+			continue
+		}
+		if s == nil {
+			s = h.summarise(v)
+		}
+		for _, target := range h.summaryTargets(v, d) {
+			h.wg.Add(1)
+			go func() {
+				defer h.wg.Done()
+				h.sendSummary(ctx, d, target, s)
+			}()
+		}
+	}
+}
+
+// otherDomains returns the other failure domains in the order of the record.
+func (h *Host) otherDomains(v *view) []string {
+	var out []string
 	for _, reg := range v.Record.Regions {
 		for _, d := range reg.FailureDomains {
-			if d == h.o.FailureDomain {
-				continue
-			}
-			for _, target := range h.summaryTargets(v, d) {
-				h.wg.Add(1)
-				go func() {
-					defer h.wg.Done()
-					h.sendSummary(ctx, d, target, s)
-				}()
+			if d != h.o.FailureDomain {
+				out = append(out, d)
 			}
 		}
 	}
+	return out
 }
 
 func (h *Host) summaryTargets(v *view, domain string) []configstate.Host {
--- a/internal/app/entry/hosts.go
+++ b/internal/app/entry/hosts.go
@@ -126,14 +126,26 @@
 	}
 }
 
-// isSummariser reports whether this host speaks for its failure domain: the
-// live host with the lowest ID.
-func (h *Host) isSummariser(v *view) bool {
-	live := h.liveHosts(v, h.o.FailureDomain)
-	for _, e := range live {
+// rank returns this host's place among the live hosts of its failure domain, by
+// ID, and their number. A draining host has none: live is then 0.
+func (h *Host) rank(v *view) (rank, live int) {
+	found := false
+	for _, e := range h.liveHosts(v, h.o.FailureDomain) {
+		live++
 		if e.ID < h.o.ID {
-			return false
+			rank++
 		}
+		found = found || e.ID == h.o.ID
 	}
-	return true
+	if !found {
+		return 0, 0
+	}
+	return rank, live
+}
+
+// isSpeaker reports whether this host reports for its failure domain to the
+// control hosts and the client directory: the live one with the lowest ID.
+func (h *Host) isSpeaker(v *view) bool {
+	rank, live := h.rank(v)
+	return live > 0 && rank == 0
 }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -63,7 +63,6 @@
 // Grant is a place for a job that waited.
 type Grant struct {
 	Waiter *admission.Waiter
-	Job    *Job
 	Place  *Place // nil when the job is refused
 	Err    error
 }
@@ -209,7 +208,7 @@
 	for _, w := range s.queue.Expired(now) {
 		err := failure.New(failure.DeadlineExceeded, failure.NotRun, "no place came free before the deadline").
 			WithRetryAfter(expiredRetry)
-		out = append(out, Grant{Waiter: w, Job: s.waiting[w], Err: err})
+		out = append(out, Grant{Waiter: w, Err: err})
 		delete(s.waiting, w)
 	}
 	for s.queue.Len() > 0 {
@@ -226,14 +225,14 @@
 		// The verdict was for the first job of the target; this one may differ.
 		if d = s.decide(j, now); d.Kind == routing.Nowhere {
 			err := failure.New(failure.NoServer, failure.NotRun, "no permitted place for this request").WithRetryAfter(noServerRetry)
-			out = append(out, Grant{Waiter: w, Job: j, Err: err})
+			out = append(out, Grant{Waiter: w, Err: err})
 			continue
 		}
 		if tooLate(j, d, now) {
-			out = append(out, Grant{Waiter: w, Job: j, Err: lateError(j, d, now)})
+			out = append(out, Grant{Waiter: w, Err: lateError(j, d, now)})
 			continue
 		}
-		out = append(out, Grant{Waiter: w, Job: j, Place: s.take(j, d, now)})
+		out = append(out, Grant{Waiter: w, Place: s.take(j, d, now)})
 	}
 	return out
 }
--- a/test/process/capacity_test.go
+++ b/test/process/capacity_test.go
@@ -8,9 +8,11 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/adapter/metrics"
 	"github.com/sesamefork/sesamefork/internal/load"
 )
 
@@ -167,3 +169,56 @@
 		})
 	}
 }
+
+// BenchmarkChange measures how long a change takes until it is accepted, and
+// from then until it is in force on all nine entry hosts, with the default
+// intervals.
+func BenchmarkChange(b *testing.B) {
+	const changes = 40
+	for b.Loop() {
+		s := threeRegions(120)
+		s.slowControl = true
+		f := newFleet(b, s)
+		accept, inForce := metrics.NewHistogram(), metrics.NewHistogram()
+		for v := uint64(1); v <= changes; v++ {
+			began := time.Now()
+			f.apply(v, fmt.Sprint("change ", v), f.noted(fmt.Sprint(v)))
+			accepted := time.Now()
+			accept.Observe(accepted.Sub(began))
+			f.awaitVersion(v+1, f.hosts)
+			inForce.Observe(time.Since(accepted))
+		}
+		ms := func(h *metrics.Histogram, q float64) float64 { return float64(h.Quantile(q).Microseconds()) / 1000 }
+		b.ReportMetric(ms(accept, 50), "accept-p50-ms")
+		b.ReportMetric(ms(accept, 99), "accept-p99-ms")
+		b.ReportMetric(ms(inForce, 50), "in-force-p50-ms")
+		b.ReportMetric(ms(inForce, 100), "in-force-max-ms")
+		f.stop()
+	}
+}
+
+// BenchmarkLeaving measures the time from a backend server's announcement that
+// it leaves until no entry host of its failure domain gives it work.
+func BenchmarkLeaving(b *testing.B) {
+	for b.Loop() {
+		s := oneRegion(121)
+		s.slowControl, s.engines = true, 5
+		f := newFleet(b, s)
+		h := metrics.NewHistogram()
+		for k := 1; k <= 4; k++ {
+			name := fmt.Sprintf("a-engine%d", k)
+			began := time.Now()
+			f.signal(name, syscall.SIGTERM)
+			for _, host := range f.hosts[:3] {
+				f.await(name+" passed over on "+host.id, func() bool {
+					servers, _ := f.vars(host)["backend_servers"].(map[string]any)
+					server, _ := servers[name].(map[string]any)
+					return server["skip"] == "leaving"
+				})
+			}
+			h.Observe(time.Since(began))
+		}
+		b.ReportMetric(float64(h.Quantile(100).Microseconds())/1000, "leaving-max-ms")
+		f.stop()
+	}
+}
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -231,9 +231,9 @@
 [group]
 id = "test"
 signing_key = %q
-tick_ms = 30
+%s
 bootstrap_operator_hash = %q
-%s`, "c-"+c.id, c.region, c.domain, c.ip+":8081", c.ip+":7100", f.path("data-"+c.id), link, signingKey, hash(opKey), members))
+%s`, "c-"+c.id, c.region, c.domain, c.ip+":8081", c.ip+":7100", f.path("data-"+c.id), link, signingKey, f.tick(), hash(opKey), members))
 	}
 	for _, h := range f.hosts {
 		var seeds []string
@@ -258,6 +258,14 @@
 	}
 }
 
+// tick returns a short consensus tick, or none for the default.
+func (f *fleet) tick() string {
+	if f.s.slowControl {
+		return ""
+	}
+	return "tick_ms = 30"
+}
+
 // intervals returns settings that make faults show quickly.
 func (f *fleet) intervals() string {
 	if f.s.slowControl {
--- a/test/process/request_test.go
+++ b/test/process/request_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/failure"
 	"github.com/sesamefork/sesamefork/internal/load"
 )
 
@@ -107,6 +108,15 @@
 			f.isolate("c", false)
 			f.restart("c1")
 		}},
+		{"half of the backend servers killed", threeRegions, func(f *fleet) {
+			for _, d := range f.domains {
+				f.kill(d + "-engine1")
+			}
+			time.Sleep(2 * beat)
+			for _, d := range f.domains {
+				f.restart(d + "-engine1")
+			}
+		}},
 		{"two of three ledger replicas killed", threeRegions, func(f *fleet) {
 			f.kill("a1")
 			f.kill("a2")
@@ -160,6 +170,44 @@
 	}
 }
 
+// TestIsolatedFailureDomainServes cuts one failure domain off from the other two
+// of its region: it answers chats, and refuses orders at once as not run, with
+// when to come back, since no majority of a key's replicas is in reach.
+func TestIsolatedFailureDomainServes(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, oneRegion(47))
+	f.isolate("a", true)
+	o := f.loadOptions(100, 50)
+	o.Teams, o.ChatShare = o.Teams[:1], 1
+	f.onlyHostsOf(&o, "a")
+	rep := load.Run(context.Background(), o)
+	f.checkReport(rep)
+	if rep.Answered != rep.Requests {
+		t.Errorf("%d of %d chats answered: %v", rep.Answered, rep.Requests, rep.Failures)
+	}
+	o.ChatShare, o.Tries, o.Seed, o.Count = 0, 1, 2, 20
+	orders := load.Run(context.Background(), o)
+	if orders.NotRun != orders.Requests || orders.Failures[string(failure.NoQuorum)] != orders.Requests || orders.Violations() > 0 {
+		t.Errorf("orders of an isolated failure domain: %+v", orders)
+	}
+	f.isolate("a", false)
+	f.awaitServing()
+	o.Tries, o.Seed = 12, 3
+	f.checkReport(load.Run(context.Background(), o))
+}
+
+// onlyHostsOf keeps a load's teams at the entry hosts of one failure domain.
+func (f *fleet) onlyHostsOf(o *load.Options, domain string) {
+	for i := range o.Teams {
+		o.Teams[i].Entries = nil
+		for _, h := range f.hosts {
+			if h.domain == domain {
+				o.Teams[i].Entries = append(o.Teams[i].Entries, h.url())
+			}
+		}
+	}
+}
+
 // TestIsolatedRegionServes cuts a region off from all others and from the
 // control majority: it goes on answering its own callers, orders included.
 func TestIsolatedRegionServes(t *testing.T) {
