sesamectl passes over a control host that never answers

Cause: with the frozen leader first in the list every call ended with the operator's patience; found as TestFrozenLeaderDoesNotAnswerStale failing when the leader happened to be asked first (61 s, not reached). Ruled out: the group, which had a new leader. Change: a bound for each control host (12 s), and the change_id is made by sesamectl, so that the next host is asked for the same change. The test now always asks the frozen one first.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -24,31 +24,45 @@
 	Servers []string // base URLs, tried in order
 	Key     string
 	HTTP    *http.Client
+	// Attempt bounds the call to one control host, so that one that is frozen
+	// does not hold up the others (default 12 s, above the host's own bound).
+	Attempt time.Duration
 }
 
-// callTimeout bounds one call; a replacement of a replica may take a minute.
-const callTimeout = 90 * time.Second
+// Bounds of a call to one control host. A replacement of a replica may take a
+// minute.
+const (
+	defaultAttempt = 12 * time.Second
+	replaceTimeout = 90 * time.Second
+)
 
 // NewClient returns a client for control hosts separated by commas.
 func NewClient(servers, key string) *Client {
-	return &Client{Servers: strings.Split(servers, ","), Key: key, HTTP: &http.Client{Timeout: callTimeout}}
+	return &Client{Servers: strings.Split(servers, ","), Key: key, HTTP: &http.Client{}, Attempt: defaultAttempt}
 }
 
-// Do calls the first control host that can be reached. Only calls that did not
-// reach a host are tried at the next one.
+// Do calls the first control host that answers. A call that got no answer is
+// made again at the next host: reads do no harm, a change carries its change_id,
+// and a membership change that was made already has no effect.
 func (c *Client) Do(ctx context.Context, method, path string, body, out any) error {
+	timeout := c.Attempt
+	if strings.HasPrefix(path, "/v1/replicas") {
+		timeout = replaceTimeout
+	}
 	var last error
 	for _, server := range c.Servers {
-		var reached bool
-		reached, last = c.one(ctx, method, strings.TrimRight(server, "/")+path, body, out)
-		if reached {
+		attempt, cancel := context.WithTimeout(ctx, timeout)
+		answered, err := c.one(attempt, method, strings.TrimRight(server, "/")+path, body, out)
+		cancel()
+		last = err
+		if answered {
 			return last
 		}
 	}
 	return last
 }
 
-func (c *Client) one(ctx context.Context, method, url string, body, out any) (reached bool, err error) {
+func (c *Client) one(ctx context.Context, method, url string, body, out any) (answered bool, err error) {
 	var reader io.Reader
 	if body != nil {
 		data, err := json.Marshal(body)
@@ -69,7 +83,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return true, failure.Wrap(err, failure.PeerUnreachable, failure.Unknown)
+		return false, failure.Wrap(err, failure.PeerUnreachable, failure.Unknown)
 	}
 	if resp.StatusCode/100 != 2 {
 		return true, problemError(resp, data)
--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -46,6 +48,9 @@
 				}
 				base = int64(current.Version)
 			}
+			if changeID == "" {
+				changeID = randomID()
+			}
 			var out operatorhttp.ChangeResult
 			change := operatorhttp.Change{BaseVersion: uint64(base), ChangeID: changeID, Reason: reason, Record: record}
 			if err := c.Do(ctx, http.MethodPut, "/v1/config", change, &out); err != nil {
@@ -169,3 +174,11 @@
 		},
 	}
 }
+
+// randomID makes the change_id of an operator who states none: the same for
+// every control host that is asked.
+func randomID() string {
+	b := make([]byte, 12)
+	_, _ = rand.Read(b)
+	return hex.EncodeToString(b)
+}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/subcommands"
 
@@ -92,6 +93,25 @@
 	}
 }
 
+// TestFrozenControlHostIsPassedOver asks a host that takes the connection and
+// never answers before one that does.
+func TestFrozenControlHostIsPassedOver(t *testing.T) {
+	stop := make(chan struct{})
+	frozen := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-stop }))
+	defer frozen.Close()
+	defer close(stop)
+	good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(operatorhttp.Config{Version: 4})
+	}))
+	defer good.Close()
+	c := NewClient(frozen.URL+","+good.URL, "k")
+	c.Attempt = 200 * time.Millisecond
+	got, err := c.Current(context.Background())
+	if err != nil || got.Version != 4 {
+		t.Errorf("version %d, %v", got.Version, err)
+	}
+}
+
 func TestValidate(t *testing.T) {
 	exit, _, errs := run(&Env{}, "validate", record(t, "schema_version = 9"))
 	if exit != ExitInvalid || !strings.Contains(errs, "9 is not supported") {
--- a/test/process/control_test.go
+++ b/test/process/control_test.go
@@ -108,15 +108,20 @@
 	t.Parallel()
 	f := newFleet(t, controlOnly(62))
 	old := f.leader()
-	f.signal(old, syscall.SIGSTOP)
-	v := f.apply(1, "while frozen", f.noted("new"))
-	f.signal(old, syscall.SIGCONT)
-	// Only the thawed replica is asked now.
+	var frozen string
+	others := []string{}
 	for _, c := range f.controls {
-		if "c-"+c.id == old {
-			f.ctl.Servers = []string{"http://" + c.ip + ":8081"}
+		if url := "http://" + c.ip + ":8081"; "c-"+c.id == old {
+			frozen = url
+		} else {
+			others = append(others, url)
 		}
 	}
+	f.signal(old, syscall.SIGSTOP)
+	f.ctl.Servers = append([]string{frozen}, others...) // the frozen one is asked first
+	v := f.apply(1, "while frozen", f.noted("new"))
+	f.signal(old, syscall.SIGCONT)
+	f.ctl.Servers = []string{frozen} // only the thawed replica is asked now
 	f.expectNote("new", v)
 }
 
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -121,6 +121,9 @@
 	relays   *relays
 }
 
+// controlAttempt bounds a call to one control host, which may be frozen.
+const controlAttempt = 4 * time.Second
+
 // newFleet starts a fleet and waits until every host is ready.
 func newFleet(t testing.TB, s shape) *fleet {
 	t.Helper()
@@ -130,6 +133,7 @@
 	f.startRelays()
 	f.writeSettings()
 	f.ctl = ctl.NewClient(strings.Join(f.operatorURLs(), ","), opKey)
+	f.ctl.Attempt = controlAttempt
 	for _, c := range f.controls {
 		f.run(f.control(c), "-format")
 		f.start("c-"+c.id, "sesame-control", "-settings", f.path("c-"+c.id+".toml"))
