A request of which an attempt may have run is never told not run

Cause: the outcome was that of the last attempt: a chat sent and lost, then refused elsewhere, was told not_run though its first attempt may have run. Found by reading; the two new rows of TestOutcomes failed first (not_run, want unknown). Change: an execution remembers that an attempt may have run. Also: an error shared by the calls of a link was changed in place; and a resend of an order whose answer was too large to keep got an empty 200, now answer-not-kept with outcome done (seen failing first).

--- a/internal/adapter/problem/status.go
+++ b/internal/adapter/problem/status.go
@@ -26,6 +26,7 @@
 	failure.NoServer:          http.StatusServiceUnavailable,
 	failure.NoQuorum:          http.StatusServiceUnavailable,
 	failure.LedgerFull:        http.StatusServiceUnavailable,
+	failure.AnswerNotKept:     http.StatusGone,
 	failure.LedgerForgot:      http.StatusConflict,
 	failure.Draining:          http.StatusServiceUnavailable,
 	failure.NotReady:          http.StatusServiceUnavailable,
--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -205,6 +205,8 @@
 		{"chat, connection lost", func() *Request { return chat(false) }, []attemptResult{{lost: true}, ok}, failure.Done, whole, 2, 2, ""},
 		{"chat, answer breaks off", func() *Request { return chat(false) }, []attemptResult{{body: "{", broken: true}, ok}, failure.Done, whole, 2, 2, ""},
 		{"chat, always lost", func() *Request { return chat(false) }, []attemptResult{{lost: true}}, failure.Unknown, "", 3, 3, ""},
+		{"chat lost, then refused", func() *Request { return chat(false) }, []attemptResult{{lost: true}, {refused: true}}, failure.Unknown, "", 3, 1, ""},
+		{"chat lost, then none reached", func() *Request { return chat(false) }, []attemptResult{{lost: true}, {dial: true}}, failure.Unknown, "", 3, 1, ""},
 		{"chat, none reached", func() *Request { return chat(false) }, []attemptResult{{dial: true}}, failure.NotRun, "", 3, 0, ""},
 		{"stream", func() *Request { return chat(true) }, []attemptResult{streamed(event1, event2, doneEnd)}, failure.Done, event1 + event2 + doneEnd, 1, 1, ""},
 		{"stream breaks off, resumed", func() *Request { return chat(true) }, []attemptResult{brokenStream(event1), streamed(event2, doneEnd)}, failure.Done, event1 + event2 + doneEnd, 2, 2, ""},
@@ -265,6 +267,23 @@
 	}
 }
 
+// TestAnswerTooLargeToKeep resends an order whose answer was over the limit: the
+// caller learns that the work is done, and gets no short answer that looks whole.
+func TestAnswerTooLargeToKeep(t *testing.T) {
+	large := strings.Repeat("x", 300<<10)
+	b := &fakeBackends{script: []attemptResult{{body: large}}}
+	h := newTestHost(t, b, noPeers{})
+	first := &memorySink{}
+	check(t, h.Execute(context.Background(), order("k"), first), failure.Done)
+	if first.body.String() != large {
+		t.Errorf("the first answer has %d bytes", first.body.Len())
+	}
+	f := h.Execute(context.Background(), order("k"), &memorySink{})
+	if f == nil || f.Code != failure.AnswerNotKept || f.Outcome != failure.Done || b.executed != 1 {
+		t.Errorf("the resend: %v, %d executions", f, b.executed)
+	}
+}
+
 func TestKeyReusedForAnotherRequest(t *testing.T) {
 	b := &fakeBackends{script: []attemptResult{{body: whole}}}
 	h := newTestHost(t, b, noPeers{})
--- a/internal/app/entry/execute.go
+++ b/internal/app/entry/execute.go
@@ -27,9 +27,11 @@
 	relayed   int  // tokens passed on
 	headSent  bool // the answer's head was passed on
 	ended     bool // the stream's last event was passed on
-	explain   *Explanation
-	began     time.Time
-	lastToken time.Time
+	// mayHaveRun is set when an attempt ended without proof that it did not run.
+	mayHaveRun bool
+	explain    *Explanation
+	began      time.Time
+	lastToken  time.Time
 }
 
 // Execute carries out a request and passes its answer to sink. The failure
@@ -95,11 +97,10 @@
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = 10 * time.Millisecond
 	pause.MaxInterval = 500 * time.Millisecond
-	var last *failure.Error
 	for {
 		p, f := h.acquire(ctx, x)
 		if f != nil {
-			return x.gaveUp(f, last)
+			return x.finalFailure(ctx, f)
 		}
 		x.attempts++
 		res := h.attempt(ctx, x, p)
@@ -115,10 +116,11 @@
 		if d.Action == retry.Finish {
 			return nil
 		}
-		last = res.err
-		last.Outcome = d.Outcome
+		x.mayHaveRun = x.mayHaveRun || d.Outcome == failure.Unknown
 		if d.Action == retry.GiveUp {
-			return x.finalFailure(ctx, last)
+			last := *res.err // a link's error is shared by its calls
+			last.Outcome = d.Outcome
+			return x.finalFailure(ctx, &last)
 		}
 		h.avoid(x, p, res)
 		h.o.Metrics.Add("retries", 1)
@@ -129,16 +131,12 @@
 	}
 }
 
-// gaveUp joins the failure to find a place with that of the last attempt: a
-// request that was attempted and may have run is not "not run".
-func (x *execution) gaveUp(f, last *failure.Error) *failure.Error {
-	if last != nil && last.Outcome == failure.Unknown {
+// finalFailure returns what the caller is told. A request of which any attempt
+// may have run is not "not run", however the last attempt ended.
+func (x *execution) finalFailure(ctx context.Context, f *failure.Error) *failure.Error {
+	if x.mayHaveRun {
 		f.Outcome = failure.Unknown
 	}
-	return f
-}
-
-func (x *execution) finalFailure(ctx context.Context, f *failure.Error) *failure.Error {
 	if ctx.Err() == context.DeadlineExceeded && f.Outcome == failure.Unknown {
 		return failure.New(failure.DeadlineExceeded, failure.Unknown, "the deadline passed while the request ran: %s", f.Detail)
 	}
--- a/internal/app/entry/once.go
+++ b/internal/app/entry/once.go
@@ -177,16 +177,13 @@
 		}
 	}
 	if len(c.body) > x.view.Record.Ledger.MaxAnswerBytes {
-		a.Headers = append(a.Headers, &pb.Header{Name: headerOmitted, Value: "true"})
+		a.Omitted = true
 		return a
 	}
 	a.Body = c.body
 	return a
 }
 
-// headerOmitted marks a stored answer whose body was too large to keep.
-const headerOmitted = "Sesame-Body-Omitted"
-
 // settle records the end of a claimed attempt: its answer (status 0 for an
 // unknown outcome), or that it did not run.
 func (h *Host) settle(x *execution, claim *ledger.Op, kind ledger.OpKind, a *pb.LedgerAnswer) {
@@ -289,6 +286,9 @@
 	if a.GetStatus() == 0 {
 		return failure.New(failure.BackendLost, failure.Unknown, "the first request with this key ended without a known outcome")
 	}
+	if a.Omitted {
+		return failure.New(failure.AnswerNotKept, failure.Done, "the first request with this key was done; its answer was too large to keep")
+	}
 	h.o.Metrics.Add("answers_replayed", 1)
 	x.explain.ledger("stored answer given again")
 	hd := Head{Status: int(a.Status), Header: http.Header{}, Region: a.Region}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -44,6 +44,7 @@
 	NoServer          Code = "no-backend-server"
 	NoQuorum          Code = "no-ledger-quorum"
 	LedgerFull        Code = "ledger-full"
+	AnswerNotKept     Code = "answer-not-kept"
 	LedgerForgot      Code = "ledger-forgot"
 	Draining          Code = "draining"
 	NotReady          Code = "not-ready"
@@ -87,6 +88,7 @@
 	NoServer:          "No permitted backend server can take the request",
 	NoQuorum:          "The ledger has no quorum in reach",
 	LedgerFull:        "The ledger has no room for a new key",
+	AnswerNotKept:     "The work is done, but its answer was too large to keep",
 	LedgerForgot:      "The ledger lost the record of keys issued before its present generation",
 	Draining:          "The entry host is shutting down",
 	NotReady:          "The entry host is not ready",
