A broken stream is continued by the rest of the stream, or by nothing else

Found by reading: an engine that answered a resume with an error, or with one JSON document, had its body put into the middle of the caller's stream; a stream in answer to a request for one document was taken for one that broke off. Four rows of TestOutcomes, three of them seen failing first.

--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -51,6 +51,7 @@
 	body    string // what arrives of the answer
 	broken  bool   // the body breaks off
 	stream  bool
+	status  int // 200 when 0
 }
 
 // fakeBackends plays a script and counts what was executed.
@@ -87,7 +88,11 @@
 	if s.broken {
 		body = io.MultiReader(body, brokenReader{})
 	}
-	return &port.BackendAnswer{Status: http.StatusOK, Header: h, Body: io.NopCloser(body)}, true, nil
+	status := http.StatusOK
+	if s.status != 0 {
+		status = s.status
+	}
+	return &port.BackendAnswer{Status: status, Header: h, Body: io.NopCloser(body)}, true, nil
 }
 
 type brokenReader struct{}
@@ -213,6 +218,10 @@
 		{"stream ends early, resumed", func() *Request { return chat(true) }, []attemptResult{streamed(event1), streamed(event2, doneEnd)}, failure.Done, event1 + event2 + doneEnd, 2, 2, ""},
 		{"stream breaks inside an event", func() *Request { return chat(true) }, []attemptResult{brokenStream(event1, "data: {\"t"), streamed(event2, doneEnd)}, failure.Done, event1 + event2 + doneEnd, 2, 2, ""},
 		{"stream resumed after a refusal", func() *Request { return chat(true) }, []attemptResult{brokenStream(event1), {refused: true}, streamed(event2, doneEnd)}, failure.Done, event1 + event2 + doneEnd, 3, 2, ""},
+		{"stream breaks off, next answers an error", func() *Request { return chat(true) }, []attemptResult{brokenStream(event1), {status: 404, body: whole}, streamed(event2, doneEnd)}, failure.Done, event1 + event2 + doneEnd, 3, 3, ""},
+		{"stream breaks off, next answers no stream", func() *Request { return chat(true) }, []attemptResult{brokenStream(event1), ok, streamed(event2, doneEnd)}, failure.Done, event1 + event2 + doneEnd, 3, 3, ""},
+		{"error instead of a stream", func() *Request { return chat(true) }, []attemptResult{{status: 404, body: whole}}, failure.Done, whole, 1, 1, ""},
+		{"stream instead of one answer", func() *Request { return chat(false) }, []attemptResult{streamed(event1, doneEnd)}, failure.Done, event1 + doneEnd, 1, 1, ""},
 		{"stream always breaks off", func() *Request { return chat(true) }, []attemptResult{brokenStream(event1), brokenStream(event2), brokenStream()}, failure.Unknown, event1 + event2, 3, 3, ""},
 		{"end of the stream sent twice", func() *Request { return chat(true) }, []attemptResult{streamed(event1, doneEnd, event2, doneEnd)}, failure.Done, event1 + doneEnd, 1, 1, ""},
 	} {
--- a/internal/app/entry/local.go
+++ b/internal/app/entry/local.go
@@ -54,9 +54,14 @@
 	}
 	hd := Head{Status: answer.Status, Header: passable(answer.Header), Region: h.o.Region, Server: p.ServerID}
 	stall.Reset(h.o.StallTimeout)
-	if isStream(answer.Header) && answer.Status == http.StatusOK {
+	if x.r.Stream && isStream(answer.Header) && answer.Status == http.StatusOK {
 		return h.relay(ctx, x, answer.Body, hd, stall)
 	}
+	if x.headSent || x.r.Resume > 0 {
+		// The caller has part of a stream: nothing else can follow it.
+		f := failure.New(failure.BackendRefused, failure.NotRun, "the server answered %d instead of the rest of the stream", answer.Status)
+		return result{point: retry.Refused, err: f, connected: true}
+	}
 	return h.whole(ctx, x, answer.Body, hd, stall)
 }
 
