One look-up each for teams and operators; drop what was computed and not used

A team was looked up in three places and an operator's key in two: now Record.Team and Record.OperatorByKey. sesamectl had its own copy of the entry host's InForce. An order asked the replica's goroutine for a counter that the log index replaced at once; the number of an attempt was passed to a decision that never read it.

Left as they are: readEvent stands in the entry host and in the load tool, which must not share the code that it checks; three makers of random IDs.

--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -221,10 +221,8 @@
 	hash, ok := operatorhttp.BearerHash(r)
 	record := h.host.Record()
 	if ok && record != nil {
-		for _, o := range record.Operators {
-			if slices.Contains(o.KeyHashes, hash) {
-				return nil
-			}
+		if _, known := record.OperatorByKey(hash); known {
+			return nil
 		}
 	}
 	return failure.New(failure.Unauthorized, "", "an operator key is needed")
--- a/internal/adapter/operatorhttp/operatorhttp.go
+++ b/internal/adapter/operatorhttp/operatorhttp.go
@@ -102,18 +102,14 @@
 		}
 		return "", failure.New(failure.Unauthorized, failure.NotRun, "no operator is configured yet; only the bootstrap key is valid")
 	}
-	for _, o := range record.Operators {
-		for _, k := range o.KeyHashes {
-			if k != hash {
-				continue
-			}
-			if write && o.ReadOnly {
-				return "", failure.New(failure.Forbidden, failure.NotRun, "operator %q may only read", o.Name)
-			}
-			return o.Name, nil
-		}
+	o, known := record.OperatorByKey(hash)
+	if !known {
+		return "", failure.New(failure.Unauthorized, failure.NotRun, "the key belongs to no operator")
+	}
+	if write && o.ReadOnly {
+		return "", failure.New(failure.Forbidden, failure.NotRun, "operator %q may only read", o.Name)
 	}
-	return "", failure.New(failure.Unauthorized, failure.NotRun, "the key belongs to no operator")
+	return o.Name, nil
 }
 
 func (h *Handler) health(w http.ResponseWriter, _ *http.Request) {
--- a/internal/app/control/operate.go
+++ b/internal/app/control/operate.go
@@ -218,17 +218,14 @@
 			return nil, failure.New(failure.Overloaded, failure.NotRun, "the weight store's rate limit is reached").WithRetryAfter(wait)
 		}
 	}
-	var counter uint64
-	if err := r.post(ctx, func() { counter = r.machine.OrderCounter() + 1 }); err != nil {
-		return nil, err
-	}
+	var fence uint64 // a committed index is used by one entry only
 	done, err := r.propose(ctx, func() (uint64, uint64, error) {
-		data, err := proto.Marshal(&pb.Command{OrderCounter: counter})
+		data, err := proto.Marshal(&pb.Command{OrderCounter: r.machine.OrderCounter() + 1})
 		if err != nil {
 			return 0, 0, failure.Wrap(err, failure.Internal, failure.NotRun)
 		}
 		index, term, err := r.node.Propose(data)
-		counter = index // a committed index is used by one entry only
+		fence = index
 		return index, term, err
 	})
 	if err != nil {
@@ -243,12 +240,12 @@
 	ctx, cancel := context.WithTimeout(ctx, r.o.MaxOrder)
 	defer cancel()
 	checked, err := r.o.Engines.Order(ctx, o.Address, port.Order{
-		Fence: counter, Action: o.Action, Model: o.Model, Adapter: o.Adapter, Version: o.Version, Role: o.Role,
+		Fence: fence, Action: o.Action, Model: o.Model, Adapter: o.Adapter, Version: o.Version, Role: o.Role,
 	})
 	if err != nil {
 		return nil, err
 	}
-	return &pb.ProposeResult{Fence: counter, FenceChecked: checked, Leader: r.o.Host}, nil
+	return &pb.ProposeResult{Fence: fence, FenceChecked: checked, Leader: r.o.Host}, nil
 }
 
 // checkGate treats every engine as one that ignores fencing numbers: whether it
--- a/internal/app/entry/execute.go
+++ b/internal/app/entry/execute.go
@@ -110,7 +110,7 @@
 			return nil // the last event was passed on: what follows it doesn't matter
 		}
 		d := retry.Decide(retry.Attempt{
-			Break: res.point, Idempotent: x.r.Idempotent, Number: x.attempts,
+			Break: res.point, Idempotent: x.r.Idempotent,
 			Relayed: x.headSent || x.r.Resume > 0, Resumable: x.r.Stream,
 		}, h.more(ctx, x, res))
 		if d.Action == retry.Finish {
--- a/internal/app/entry/forward.go
+++ b/internal/app/entry/forward.go
@@ -228,10 +228,8 @@
 		Method: f.Method, URI: f.Uri, Header: http.Header{}, Body: body, Stream: f.Stream, Priority: int(f.Priority),
 		Key: f.Key, Resume: int(f.ResumeTokens), Path: f.Path, Origin: f.OriginRegion, Weight: 1,
 	}
-	for _, t := range v.Record.Teams {
-		if t.Name == f.Team {
-			r.Weight = t.Weight
-		}
+	if t, ok := v.Record.Team(f.Team); ok {
+		r.Weight = t.Weight
 	}
 	for _, e := range f.Headers {
 		r.Header.Add(e.Name, e.Value)
--- a/internal/app/entry/ledgerhost.go
+++ b/internal/app/entry/ledgerhost.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/ledger"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
@@ -283,13 +282,3 @@
 	defer l.mu.Unlock()
 	return l.abandoned[attempt]
 }
-
-// home returns the team's home region.
-func home(v *configstate.Record, team string) string {
-	for _, t := range v.Teams {
-		if t.Name == team {
-			return t.Home
-		}
-	}
-	return ""
-}
--- a/internal/app/entry/once.go
+++ b/internal/app/entry/once.go
@@ -21,7 +21,8 @@
 // the home region's ledger, runs at most one attempt that reaches a backend
 // server, and keeps the answer for resends.
 func (h *Host) runOnce(ctx context.Context, x *execution) *failure.Error {
-	region := home(x.view.Record, x.r.Team)
+	team, _ := x.view.Record.Team(x.r.Team) // known: the residency rules were asked
+	region := team.Home
 	for {
 		op := h.claimOp(x)
 		if f := h.claim(ctx, x, region, op); f != nil {
--- a/internal/core/configstate/record.go
+++ b/internal/core/configstate/record.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -276,6 +277,26 @@
 	return Host{}, false
 }
 
+// Team returns the team with the name.
+func (r *Record) Team(name string) (Team, bool) {
+	for _, t := range r.Teams {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Team{}, false
+}
+
+// OperatorByKey returns the operator with the key's hash.
+func (r *Record) OperatorByKey(hash string) (Operator, bool) {
+	for _, o := range r.Operators {
+		if slices.Contains(o.KeyHashes, hash) {
+			return o, true
+		}
+	}
+	return Operator{}, false
+}
+
 // Model returns the model with the name.
 func (r *Record) Model(name string) (Model, bool) {
 	for _, m := range r.Models {
--- a/internal/core/residency/residency.go
+++ b/internal/core/residency/residency.go
@@ -21,7 +21,7 @@
 // Permitted returns the regions in which the request may be handled, sorted.
 // An unknown team, kind or target permits none and gives a typed failure.
 func Permitted(r *configstate.Record, q Query) ([]string, error) {
-	team, ok := findTeam(r, q.Team)
+	team, ok := r.Team(q.Team)
 	if !ok {
 		return nil, failure.New(failure.Unauthorized, failure.NotRun, "team %q is not configured", q.Team)
 	}
@@ -55,15 +55,6 @@
 	return err == nil && slices.Contains(permitted, region)
 }
 
-func findTeam(r *configstate.Record, name string) (configstate.Team, bool) {
-	for _, t := range r.Teams {
-		if t.Name == name {
-			return t, true
-		}
-	}
-	return configstate.Team{}, false
-}
-
 func targetRegions(r *configstate.Record, team configstate.Team, q Query) ([]string, error) {
 	if q.Service {
 		s, ok := r.Service(q.Target)
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -29,7 +29,6 @@
 type Attempt struct {
 	Break      Break
 	Idempotent bool
-	Number     int  // 1 for the first
 	Relayed    bool // part of the answer was passed on to the caller
 	Resumable  bool // the rest of the answer can be had elsewhere
 }
--- a/internal/ctl/host.go
+++ b/internal/ctl/host.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/sesamefork/sesamefork/internal/adapter/callerhttp"
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
@@ -38,13 +39,6 @@
 	}
 }
 
-// inForce is the answer of an entry host's GET /v1/config.
-type inForce struct {
-	Generation uint64          `json:"generation"`
-	Version    uint64          `json:"version"`
-	Record     json.RawMessage `json:"record"`
-}
-
 func rescueCommand(e *Env) *command {
 	var hosts string
 	return &command{
@@ -54,10 +48,10 @@
 			f.StringVar(&hosts, "hosts", "", "`URLs` of entry hosts' operators' addresses, separated by commas")
 		},
 		run: func(ctx context.Context, _ []string) subcommands.ExitStatus {
-			var best inForce
+			var best callerhttp.InForce
 			var last error
 			for _, host := range strings.Split(hosts, ",") {
-				var got inForce
+				var got callerhttp.InForce
 				if err := e.entryCall(ctx, http.MethodGet, host, "/v1/config", &got); err != nil {
 					last = err
 					continue
