Links: a connection that gets no answer is tried again after 350 ms

Cause: after a loss of all power entry hosts that started 0.3 s before their control host reached it a second after their own start: the opening packet was lost, and the system repeats it only after a second. Change: a try to connect ends after two round trips between regions, and the next follows within the same time for dialling. Test: TestConnectTriesAgain (failed before: one try), TestConnectGivesUp.

--- a/internal/adapter/peerlink/client.go
+++ b/internal/adapter/peerlink/client.go
@@ -78,6 +78,7 @@
 // Client holds one session to each address that was called.
 type Client struct {
 	o        Options
+	dialTCP  func(ctx context.Context, network, addr string) (net.Conn, error)
 	mu       sync.Mutex
 	sessions map[string]*slot
 	closed   bool
@@ -94,10 +95,19 @@
 // redialPause keeps an unreachable address from being dialled by every caller.
 const redialPause = 200 * time.Millisecond
 
+// connectTry is how long one try to connect may take: two round trips between regions
+// 80 ms apart. The opening packet is lost on a bad link, or finds a host that has no
+// power yet, and the system sends it again only after a second.
+const connectTry = 350 * time.Millisecond
+
 // NewClient returns a client without sessions.
 func NewClient(o Options) *Client {
 	o.setDefaults()
-	return &Client{o: o, sessions: map[string]*slot{}}
+	d := &net.Dialer{}
+	if o.Local != nil {
+		d.LocalAddr = &net.TCPAddr{IP: o.Local}
+	}
+	return &Client{o: o, sessions: map[string]*slot{}, dialTCP: d.DialContext}
 }
 
 // Close ends all sessions.
@@ -166,11 +176,7 @@
 func (c *Client) dial(ctx context.Context, addr string) (*session, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.o.DialTimeout)
 	defer cancel()
-	d := net.Dialer{}
-	if c.o.Local != nil {
-		d.LocalAddr = &net.TCPAddr{IP: c.o.Local}
-	}
-	conn, err := d.DialContext(ctx, "tcp", addr)
+	conn, err := c.connect(ctx, addr)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.PeerUnreachable, failure.NotRun)
 	}
@@ -195,6 +201,19 @@
 	return newSession(mux), nil
 }
 
+// connect opens a TCP connection, with a new try as long as the last one got no answer.
+func (c *Client) connect(ctx context.Context, addr string) (net.Conn, error) {
+	for {
+		try, cancel := context.WithTimeout(ctx, connectTry)
+		conn, err := c.dialTCP(try, "tcp", addr)
+		silent := try.Err() != nil
+		cancel()
+		if err == nil || !silent || ctx.Err() != nil {
+			return conn, errors.Trace(err)
+		}
+	}
+}
+
 // Call implements port.Peers. Calls to one host share a stream: each has a
 // number, and answers come in any order. A call that is given up leaves its
 // number behind, so that a late answer reaches nobody.
--- a/internal/adapter/peerlink/peerlink_test.go
+++ b/internal/adapter/peerlink/peerlink_test.go
@@ -215,3 +215,39 @@
 		}
 	}
 }
+
+// TestConnectTriesAgain loses the opening packet of the first try, as a host does that
+// has no power yet: the second try must follow while the first would still wait.
+func TestConnectTriesAgain(t *testing.T) {
+	l := newLink(t, "key", "key")
+	dial, tries := l.client.dialTCP, 0
+	l.client.dialTCP = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if tries++; tries == 1 {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return dial(ctx, network, addr)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if _, err := l.client.Call(ctx, l.server.Addr(), &pb.Request{From: "a"}); err != nil {
+		t.Fatal(err)
+	}
+	if tries != 2 {
+		t.Errorf("%d tries, want 2", tries)
+	}
+}
+
+// TestConnectGivesUp leaves every try without an answer: the call ends when the time
+// for dialling is over.
+func TestConnectGivesUp(t *testing.T) {
+	l := newLink(t, "key", "key")
+	l.client.dialTCP = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	_, err := l.client.Call(context.Background(), l.server.Addr(), &pb.Request{From: "a"})
+	if !failure.Is(err, failure.PeerUnreachable) {
+		t.Errorf("got %v, want %s", err, failure.PeerUnreachable)
+	}
+}
