Starting entry hosts keep requests that can wait for the configuration

Hosts next to a control host that lost its disk got the configuration 0.75 s after the others. Change: core/dispatch.Startup lets a request wait while the configuration is expected (1.6 s from the start, a quarter of the request's time at most, 256 at once), else it is refused at once with the time that is left. A host without a configuration asks all control hosts, not only the nearest.

--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -47,7 +47,11 @@
 	g.inflight.Add(1)
 	defer g.inflight.Add(-1)
 	ctx, span := g.startRequest(ctx, r)
-	x, f := g.begin(r, sink)
+	var x *execution
+	f := g.awaitStart(ctx, r)
+	if f == nil {
+		x, f = g.begin(r, sink)
+	}
 	if f == nil {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, x.deadline.Sub(g.o.Clock.Now()))
@@ -62,9 +66,6 @@
 // begin finds the request's route and deadline.
 func (g *Gateway) begin(r *Request, sink Sink) (*execution, *failure.Error) {
 	c := g.config.Load()
-	if c == nil {
-		return nil, notRun(failure.NotReady, startRetry, "entry host %s has no configuration yet", g.o.Host)
-	}
 	route, ok := c.Record.RouteFor(r.Host, r.Path)
 	if !ok {
 		if r.Origin != "" {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -57,9 +57,11 @@
 	draining atomic.Bool
 	inflight atomic.Int64
 
-	mu     sync.Mutex
-	fleet  *dispatch.Fleet
-	budget *retry.Shared
+	mu      sync.Mutex
+	fleet   *dispatch.Fleet
+	budget  *retry.Shared
+	startup *dispatch.Startup
+	known   chan struct{} // closed when a configuration is in force and servers are known
 
 	control controlList
 }
@@ -74,7 +76,9 @@
 		fleet: dispatch.New(dispatch.Options{
 			Host: o.Host, Region: o.Region, FailureDomain: o.FailureDomain, Random: o.Random, PrefillRate: o.PrefillRate,
 		}),
-		budget: retry.NewShared(o.Retries, o.Clock.Now()),
+		budget:  retry.NewShared(o.Retries, o.Clock.Now()),
+		startup: dispatch.NewStartup(o.Clock.Now()),
+		known:   make(chan struct{}),
 	}
 	g.control.seeds = o.Seeds
 	return g
@@ -82,27 +86,72 @@
 
 // Ready reports whether the host should get requests; nil when it should.
 func (g *Gateway) Ready() *failure.Error {
+	if g.draining.Load() {
+		return notRun(failure.Draining, drainRetry, "entry host %s is shutting down", g.o.Host)
+	}
+	return g.starting()
+}
+
+// drainRetry is the time to come back: another entry host can be used at once.
+const drainRetry = 100 * time.Millisecond
+
+// starting returns the refusal of a host that does not know enough yet; nil when it does.
+func (g *Gateway) starting() *failure.Error {
 	g.mu.Lock()
-	viewed := g.fleet.HasView()
+	viewed, retry := g.fleet.HasView(), g.startup.RetryAfter(g.o.Clock.Now())
 	g.mu.Unlock()
 	switch {
-	case g.draining.Load():
-		return notRun(failure.Draining, drainRetry, "entry host %s is shutting down", g.o.Host)
 	case g.config.Load() == nil:
-		return notRun(failure.NotReady, startRetry, "entry host %s has no configuration yet", g.o.Host)
+		return notRun(failure.NotReady, retry, "entry host %s has no configuration yet", g.o.Host)
 	case !viewed:
-		return notRun(failure.NotReady, startRetry, "entry host %s knows no backend servers yet", g.o.Host)
+		return notRun(failure.NotReady, retry, "entry host %s knows no backend servers yet", g.o.Host)
 	}
 	return nil
 }
 
-// Times to come back.
-const (
-	// drainRetry: another entry host can be used at once.
-	drainRetry = 100 * time.Millisecond
-	// startRetry covers the fetch of the configuration.
-	startRetry = 500 * time.Millisecond
-)
+// noteKnown lets the requests go on that wait for the host's start.
+func (g *Gateway) noteKnown() {
+	if g.starting() != nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-g.known:
+	default:
+		close(g.known)
+	}
+}
+
+// awaitStart keeps a request while the host is expected to know enough soon. It returns
+// the refusal of a request that can't wait, or waited in vain.
+func (g *Gateway) awaitStart(ctx context.Context, r *Request) *failure.Error {
+	f := g.starting()
+	if f == nil {
+		return nil
+	}
+	began := g.o.Clock.Now()
+	g.mu.Lock()
+	wait := g.startup.Enter(r.Wait, began)
+	g.mu.Unlock()
+	if wait <= 0 {
+		return f
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-g.known:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	g.startup.Leave()
+	g.mu.Unlock()
+	f = g.starting()
+	g.o.Log.Info("request waited for the start", "request_id", r.ID, "waited_ms", g.o.Clock.Now().Sub(began).Milliseconds(),
+		"limit_ms", wait.Milliseconds(), "config_version", g.Version(), "goes_on", f == nil)
+	return f
+}
 
 // Drain takes the host out of the lists for callers, with its next presentation.
 // Requests are still served.
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -184,6 +184,15 @@
 }
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := newStartingFixture(t)
+	f.install(7, baseRecord())
+	f.view(nil)
+	return f
+}
+
+// newStartingFixture is a gateway that knows nothing yet.
+func newStartingFixture(t *testing.T) *fixture {
 	t.Helper()
 	f := &fixture{t: t, clock: &fakeClock{now: time.Unix(1000, 0)}, backends: &fakeBackends{}, peers: &peers{}}
 	f.g = New(Options{
@@ -191,8 +200,6 @@
 		PrefillRate: 38, VerifyKey: signer.Public().(ed25519.PublicKey), Peers: f.peers, Backends: f.backends,
 		Clock: f.clock, Random: func() float64 { return 0.5 }, Log: logr.Discard(), Metrics: noMetrics{},
 	})
-	f.install(7, baseRecord())
-	f.view(nil)
 	return f
 }
 
--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -133,8 +133,13 @@
 	}
 }
 
-// nearerAlive reports whether a control host nearer than distance was heard lately.
+// nearerAlive reports whether a control host nearer than distance was heard lately. A host
+// without a configuration hears all of them: the nearest may have lost its disk and know
+// none itself.
 func (g *Gateway) nearerAlive(distance int) bool {
+	if g.config.Load() == nil {
+		return false
+	}
 	g.control.mu.Lock()
 	defer g.control.mu.Unlock()
 	now := g.o.Clock.Now()
@@ -183,6 +188,7 @@
 	if configstate.Newer(resp.Stamp, g.stamp()) {
 		g.fetch(ctx, addr)
 	}
+	g.noteKnown()
 	return view, nil
 }
 
--- /dev/null
+++ b/internal/core/dispatch/startup.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import "time"
+
+// Times of an entry host's start.
+const (
+	// startWait is how long after its start a host expects to know the configuration: after
+	// all hosts lost power it took 1.0 to 1.4 s, most of it the control hosts' own start and
+	// the election of their leader between regions 80 ms apart.
+	startWait = 1600 * time.Millisecond
+	// startShare is the part of a request's time that it may wait for the start: the rest
+	// must do for a second try elsewhere.
+	startShare = 0.25
+	// startWaiting bounds the requests that wait at one host: at the heaviest load 20 arrive
+	// in a second, and each may hold a prompt of some KB.
+	startWaiting = 256
+	// startRetry is when to come back if the start takes longer than expected: another
+	// election.
+	startRetry = time.Second
+)
+
+// Startup decides what becomes of requests that reach an entry host before it knows the
+// configuration. Those for which it is expected in good time wait for it: when all hosts
+// have stopped, the clients of all of them come at once, each with few tries, and one that
+// is refused comes back later than it could have been served (TestStartupServesMore). The
+// rest is refused at once. It is not safe for concurrent use.
+type Startup struct {
+	began   time.Time
+	waiting int
+}
+
+// NewStartup returns the decision for a host that starts now.
+func NewStartup(now time.Time) *Startup { return &Startup{began: now} }
+
+// Enter lets a request wait whose caller gives up after remaining (0 when it doesn't say),
+// and returns for how long at most; 0 when it has to be refused. Each request that waits
+// must Leave.
+func (s *Startup) Enter(remaining time.Duration, now time.Time) time.Duration {
+	wait := s.left(now)
+	if remaining > 0 {
+		wait = min(wait, time.Duration(startShare*float64(remaining)))
+	}
+	if wait <= 0 || s.waiting >= startWaiting {
+		return 0
+	}
+	s.waiting++
+	return wait
+}
+
+// Leave ends a request's wait.
+func (s *Startup) Leave() { s.waiting-- }
+
+// RetryAfter returns when a request that is refused should come back.
+func (s *Startup) RetryAfter(now time.Time) time.Duration {
+	if left := s.left(now); left > 0 {
+		return max(left, minRetry)
+	}
+	return startRetry
+}
+
+func (s *Startup) left(now time.Time) time.Duration { return s.began.Add(startWait).Sub(now) }
