Views and exchanges leave out the lists that have not changed

Control hosts told each other all their entry hosts and servers three times a second. Change: a list is sent when it changed since the view that the host has, else the ages of the announcements, a byte a server; loads name servers by keys of four bytes. Control hosts tell an entry host whole once and then by its key, and a server when it announced itself since the last exchange; a receiver that restarted refuses, and is told everything.

--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -11,6 +11,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/core/holders"
 	"github.com/sesamefork/sesamefork/internal/core/registry"
+	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 	"github.com/sesamefork/sesamefork/internal/port"
@@ -58,17 +59,24 @@
 
 	mu      sync.Mutex
 	reg     *registry.Registry
-	changed chan struct{}     // closed and replaced at each change
-	seen    uint64            // version for which changed was last replaced
-	prompts holders.Log       // where the region's entry hosts sent prompts
-	told    map[string]uint64 // position in prompts up to which another control host was told
+	changed chan struct{}   // closed and replaced at each change
+	seen    uint64          // version for which changed was last replaced
+	prompts holders.Log     // where the region's entry hosts sent prompts
+	told    map[string]told // by peer address of another control host
+}
+
+// told is what another control host was told, as far as it confirmed it.
+type told struct {
+	prompts   uint64    // position in the log of prompts
+	hosts     uint64    // version at which it was told of all entry hosts; 0 for never
+	serversAt time.Time // when it was told of all servers; zero for never
 }
 
 // NewFleet returns the fleet's view of a replica's host.
 func NewFleet(o FleetOptions, r *Replica) *Fleet {
 	f := &Fleet{
 		o: o, replica: r, epoch: uint64(o.Clock.Now().UnixNano()), changed: make(chan struct{}),
-		told: map[string]uint64{},
+		told: map[string]told{},
 		reg: registry.New(registry.Options{
 			Region: o.Region, FailureDomain: o.FailureDomain, Regions: o.Regions,
 			ServerLease: o.ServerLease, HostLease: hostLease,
@@ -255,59 +263,72 @@
 	req := f.replica.request()
 	x, told := f.exchangeFor(addr)
 	req.Body = &pb.Request_ControlExchange{ControlExchange: x}
-	if _, err := f.o.Peers.Call(ctx, addr, req); err != nil {
-		f.o.Log.V(1).Info("control host not reached", "peer", addr, "reason", err.Error())
-		return
-	}
+	_, err := f.o.Peers.Call(ctx, addr, req)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err != nil {
+		f.o.Log.V(1).Info("control host not reached", "peer", addr, "reason", err.Error())
+		told.hosts, told.serversAt = 0, time.Time{} // it may have restarted
+	}
 	f.told[addr] = told
 }
 
-// exchangeFor returns what the control host at an address is told, and up to which
-// position that tells where prompts were sent.
-func (f *Fleet) exchangeFor(addr string) (x *pb.ControlExchange, told uint64) {
+// exchangeFor returns what the control host at an address is told: all entry hosts that
+// changed and the servers that announced themselves since the last exchange, and of the
+// other entry hosts that they are still there. next is what it has been told then.
+func (f *Fleet) exchangeFor(addr string) (x *pb.ControlExchange, next told) {
 	known := f.replica.MemberAddresses()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.o.Clock.Now()
+	last := f.told[addr]
+	next = told{prompts: last.prompts, hosts: f.reg.Version()}
 	x = &pb.ControlExchange{
 		Store: f.replica.o.Identity.Store, Peer: f.o.Peer, Operator: f.o.Operator,
 		Region: f.o.Region, FailureDomain: f.o.FailureDomain, Known: known,
 		Loads: f.reg.RegionLoads(f.replica.isEvacuated, now),
 	}
 	for _, h := range f.reg.Hosts(now) {
-		if h.Direct {
+		switch {
+		case !h.Direct:
+		case last.hosts == 0 || h.ChangedSince(last.hosts):
 			x.Hosts = append(x.Hosts, hostMessage(h, now))
+		default:
+			x.HeardHosts = append(x.HeardHosts, h.Key())
+			x.HeardAges = append(x.HeardAges, uint32(age(h.HeardAt, now)))
 		}
 	}
 	for _, c := range f.reg.Controls(now) {
 		if c.Peer == addr {
+			next.serversAt = now
 			for _, s := range f.reg.DirectServers(c.Region, now) {
-				x.Servers = append(x.Servers, serverMessage(s, now))
+				if s.HeardAt.After(last.serversAt) {
+					x.Servers = append(x.Servers, serverMessage(s, now))
+				}
 			}
 			if c.Region == f.o.Region {
-				x.ServerLoads = f.reg.DirectLoads(now)
+				x.ServerLoads = serverload.Encode(f.reg.DirectLoads(now))
 			}
 			var places []holders.Place
-			places, told = f.prompts.Direct(f.told[addr])
+			places, next.prompts = f.prompts.Direct(last.prompts)
 			if c.Region != f.o.Region {
 				places = holders.InRegion(f.o.Region, places)
 			}
 			x.Prompts = holders.Encode(places)
 		}
 	}
-	return x, told
+	return x, next
 }
 
-// takeExchange takes what another control host tells.
-func (f *Fleet) takeExchange(x *pb.ControlExchange) {
+// takeExchange takes what another control host tells. It reports whether it knew all
+// entry hosts of which it heard that they are still there.
+func (f *Fleet) takeExchange(x *pb.ControlExchange) (complete bool) {
 	now := f.o.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reg.HearControl(registry.Control{
 		Store: x.Store, Peer: x.Peer, Operator: x.Operator, Region: x.Region, FailureDomain: x.FailureDomain,
-		HeardAt: now, Loads: x.Loads, ServerLoads: x.ServerLoads,
+		HeardAt: now, Loads: x.Loads, ServerLoads: serverload.Decode(x.ServerLoads),
 	})
 	f.prompts.Add("", holders.Decode(x.Prompts))
 	for _, h := range x.Hosts {
@@ -316,6 +337,12 @@
 			HeardAt: now.Add(-milliseconds(h.AgeMs)),
 		}, now)
 	}
+	complete = true
+	for i, key := range x.HeardHosts {
+		if i < len(x.HeardAges) {
+			complete = f.reg.HearHostAgain(key, now.Add(-milliseconds(uint64(x.HeardAges[i]))), now) && complete
+		}
+	}
 	for _, s := range x.Servers {
 		if s.Gone {
 			f.reg.Leave(s.Id, now)
@@ -329,6 +356,7 @@
 		}, now)
 	}
 	f.wakeLocked()
+	return complete
 }
 
 // sync answers an entry host's presentation: at once when something changed
@@ -339,7 +367,7 @@
 	f.mu.Lock()
 	news := f.reg.HearHost(registry.Host{
 		ID: h.GetId(), Peer: h.GetPeer(), Caller: h.GetCaller(), Region: h.GetRegion(), FailureDomain: h.GetFailureDomain(),
-		Ready: h.GetReady(), HeardAt: now, Direct: true, Loads: m.Loads,
+		Ready: h.GetReady(), HeardAt: now, Direct: true, Loads: serverload.Decode(m.Loads),
 	}, now)
 	if news {
 		f.o.Log.Info("entry host presented itself", "host_id", h.GetId(), "caller", h.GetCaller(), "ready", h.GetReady())
@@ -371,7 +399,7 @@
 	now := f.o.Clock.Now()
 	v := &pb.FleetView{
 		Epoch: f.epoch, Version: f.reg.Version(), Evacuated: evacuated, EvacuationRevision: revision,
-		HomeRegion: f.o.Region, HomeDomain: f.o.FailureDomain, Loads: f.reg.OtherLoads(host, now),
+		HomeRegion: f.o.Region, HomeDomain: f.o.FailureDomain, Loads: serverload.Encode(f.reg.OtherLoads(host, now)),
 	}
 	for _, c := range f.reg.Controls(now) {
 		control = append(control, c.Peer)
@@ -386,15 +414,36 @@
 	} else {
 		v.Regions = append(v.Regions, f.reg.RegionLoads(f.replica.isEvacuated, now)...)
 	}
-	for _, s := range f.reg.Servers(region, now) {
-		v.Servers = append(v.Servers, serverMessage(s, now))
+	f.addLists(v, m, region, now)
+	return v
+}
+
+// addLists adds the servers of the entry host's region and all entry hosts to its view. A
+// list that it has already is left out, but for the ages of the servers' announcements:
+// with 300 entry hosts and 3,000 servers each view would carry 150 KB of lists.
+func (f *Fleet) addLists(v *pb.FleetView, m *pb.FleetSync, region string, now time.Time) {
+	known := m.HaveEpoch == f.epoch
+	v.ServersUnchanged = known && !f.reg.ServersSince(m.HaveVersion)
+	for _, s := range f.reg.List(region, now) {
+		if v.ServersUnchanged {
+			v.ServerAges = append(v.ServerAges, uint32(age(s.HeardAt, now)/ageUnitMS))
+		} else {
+			v.Servers = append(v.Servers, serverMessage(s, now))
+		}
+	}
+	v.HostsUnchanged = known && !f.reg.HostsSince(m.HaveVersion)
+	if v.HostsUnchanged {
+		return
 	}
 	for _, h := range f.reg.Hosts(now) {
 		v.Hosts = append(v.Hosts, hostMessage(h, now))
 	}
-	return v
 }
 
+// ageUnitMS is the unit of the ages in a view, in ms: one byte holds 6 s, more than an
+// announcement's lease.
+const ageUnitMS = 50
+
 // aged returns copies of the loads with their age.
 func aged(loads []*pb.RegionLoad, age time.Duration) []*pb.RegionLoad {
 	out := make([]*pb.RegionLoad, 0, len(loads))
--- a/internal/app/control/peer.go
+++ b/internal/app/control/peer.go
@@ -52,7 +52,9 @@
 		if r.fleet == nil {
 			return errNoFleet
 		}
-		r.fleet.takeExchange(b.ControlExchange)
+		if !r.fleet.takeExchange(b.ControlExchange) {
+			return failure.New(failure.PeerRefused, "", "an entry host that is still there was never told here")
+		}
 	case *pb.Request_StatusQuery:
 		st, err := r.Status(ctx)
 		if err != nil {
--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -9,6 +9,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/holders"
+	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
@@ -103,16 +104,10 @@
 	}
 }
 
-// position is how much of a control host's view this host has.
-type position struct {
-	epoch, version uint64
-	prompts        uint64 // in its list of where prompts were sent
-}
-
 // present presents the host to one control host again and again. A farther one
 // is used only while all nearer ones are silent.
 func (g *Gateway) present(ctx context.Context, addr string) {
-	var have position
+	have := &source{}
 	distance := sameDomain // until its answers tell otherwise
 	for ctx.Err() == nil {
 		if g.nearerAlive(distance) {
@@ -129,7 +124,6 @@
 		g.control.mu.Lock()
 		g.control.heard[distance] = g.o.Clock.Now()
 		g.control.mu.Unlock()
-		have = position{view.Epoch, view.Version, view.PromptsNext}
 	}
 }
 
@@ -158,12 +152,12 @@
 	}
 }
 
-func (g *Gateway) syncOnce(ctx context.Context, addr string, have position) (*pb.FleetView, error) {
+func (g *Gateway) syncOnce(ctx context.Context, addr string, have *source) (*pb.FleetView, error) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	ready := g.config.Load() != nil && !g.draining.Load()
 	g.mu.Lock()
-	loads, sent := g.fleet.Loads(g.o.Clock.Now()), g.fleet.TakeSent()
+	loads, sent := serverload.Encode(g.fleet.Loads(g.o.Clock.Now())), g.fleet.TakeSent()
 	g.mu.Unlock()
 	req := g.request()
 	req.Body = &pb.Request_FleetSync{FleetSync: &pb.FleetSync{
@@ -184,6 +178,9 @@
 	if view == nil {
 		return nil, failure.New(failure.PeerRefused, "", "the control host at %s gave no view", addr)
 	}
+	if !have.complete(view) {
+		return nil, failure.New(failure.PeerRefused, "", "the control host at %s names %d ages of %d servers", addr, len(view.ServerAges), len(have.servers))
+	}
 	g.takeView(view)
 	if configstate.Newer(resp.Stamp, g.stamp()) {
 		g.fetch(ctx, addr)
--- a/internal/core/dispatch/defer_test.go
+++ b/internal/core/dispatch/defer_test.go
@@ -5,7 +5,8 @@
 	"testing"
 	"time"
 
-	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+	"github.com/sesamefork/sesamefork/internal/core/holders"
+	"github.com/sesamefork/sesamefork/internal/core/serverload"
 )
 
 // busyFleet has one engine of 16 slots at which 60 requests of other hosts are under way.
@@ -13,11 +14,13 @@
 	f := newTestFleet(1)
 	v := testView(1)
 	v.Regions, v.Servers[0].Slots = nil, 16
-	v.Loads = []*pb.ServerLoad{{Id: "s0", Requests: 60}}
+	v.Loads = serverload.Encode(serverload.Loads{holders.Key("s0"): {Requests: 60}})
 	f.TakeView(v, start)
 	return f
 }
 
+var s0 = holders.Key("s0")
+
 // TestDeferredRequests follows one request that is late in any case: until its first
 // byte it is told to the others as deferred only, and it leaves nothing behind.
 func TestDeferredRequests(t *testing.T) {
@@ -32,7 +35,7 @@
 				t.Fatalf("first byte expected after %.0f ms, target 1000, and not deferred", choice.EstimateMS)
 			}
 			f.Started(&choice, start)
-			if l := f.Loads(start); len(l) != 1 || l[0].Deferred != 1 || l[0].Requests != 0 {
+			if l := f.Loads(start); len(l) != 1 || l[s0].Deferred != 1 || l[s0].Requests != 0 {
 				t.Errorf("told as %v", l)
 			}
 			late := start.Add(3 * time.Second)
@@ -41,7 +44,7 @@
 			}
 			if c.first {
 				f.FirstByte(&choice)
-				if l := f.Loads(late); l[0].Deferred != 0 || l[0].Requests != 1 {
+				if l := f.Loads(late); l[s0].Deferred != 0 || l[s0].Requests != 1 {
 					t.Errorf("after the first byte told as %v", l)
 				}
 			}
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/holders"
+	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
@@ -155,7 +156,7 @@
 	for _, p := range holders.Decode(v.Prompts) {
 		f.holders.Note(p, now)
 	}
-	f.takeLoads(v.Loads)
+	f.takeLoads(serverload.Decode(v.Loads))
 	f.takeHosts(v.Hosts)
 	f.takeRegions(v.Regions, now)
 }
@@ -217,15 +218,11 @@
 	}
 }
 
-func (f *Fleet) takeLoads(loads []*pb.ServerLoad) {
+func (f *Fleet) takeLoads(loads serverload.Loads) {
 	for _, s := range f.servers {
-		s.others, s.othersReading, s.othersDeferred = load{}, 0, 0
-	}
-	for _, l := range loads {
-		if s := f.servers[l.Id]; s != nil {
-			s.others = load{int(l.Requests), float64(l.PromptTokens), float64(l.MemoryTokens)}
-			s.othersReading, s.othersDeferred = float64(l.ReadingMs), int(l.Deferred)
-		}
+		l := loads[s.key]
+		s.others = load{int(l.Requests), float64(l.PromptTokens), float64(l.MemoryTokens)}
+		s.othersReading, s.othersDeferred = float64(l.ReadingMS), int(l.Deferred)
 	}
 }
 
@@ -304,17 +301,16 @@
 }
 
 // Loads returns what this host has under way at each server, for the others.
-func (f *Fleet) Loads(now time.Time) []*pb.ServerLoad {
-	var out []*pb.ServerLoad
+func (f *Fleet) Loads(now time.Time) serverload.Loads {
+	out := serverload.Loads{}
 	for _, s := range f.servers {
 		if reading := s.reading.now(now); s.own.requests > 0 || s.deferred > 0 || reading >= 1 {
-			out = append(out, &pb.ServerLoad{
-				Id: s.ID, Deferred: uint32(s.deferred), Requests: uint32(s.own.requests), ReadingMs: uint32(reading),
+			out[s.key] = serverload.Load{
+				Deferred: uint32(s.deferred), Requests: uint32(s.own.requests), ReadingMS: uint32(reading),
 				PromptTokens: uint32(math.Max(0, s.own.prompt)), MemoryTokens: uint32(math.Max(0, s.own.memory)),
-			})
+			}
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Id < out[j].Id })
 	return out
 }
 
--- a/internal/core/dispatch/load_test.go
+++ b/internal/core/dispatch/load_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/holders"
+	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
@@ -46,7 +47,7 @@
 
 // view gives every host what the others have under way.
 func (p *playedRegion) view() {
-	loads := make([][]*pb.ServerLoad, len(p.hosts))
+	loads := make([]serverload.Loads, len(p.hosts))
 	sent := make([][]holders.Place, len(p.hosts))
 	for i, h := range p.hosts {
 		loads[i], sent[i] = h.Loads(p.now), h.TakeSent()
@@ -57,28 +58,15 @@
 		for k := range p.hosts {
 			v.Hosts = append(v.Hosts, &pb.FleetHost{Id: fmt.Sprintf("h%02d", k), Region: "west", FailureDomain: "w1", Ready: true})
 		}
-		sums := map[string]*pb.ServerLoad{}
+		sums := serverload.Loads{}
 		var told []holders.Place
 		for k := range p.hosts {
-			if k == i {
-				continue
+			if k != i {
+				told = append(told, sent[k]...)
+				sums.Add(loads[k])
 			}
-			told = append(told, sent[k]...)
-			for _, l := range loads[k] {
-				s := sums[l.Id]
-				if s == nil {
-					s = &pb.ServerLoad{Id: l.Id}
-					sums[l.Id] = s
-				}
-				s.Requests += l.Requests
-				s.PromptTokens += l.PromptTokens
-				s.MemoryTokens += l.MemoryTokens
-				s.ReadingMs += l.ReadingMs
-			}
-		}
-		for _, l := range sums {
-			v.Loads = append(v.Loads, l)
 		}
+		v.Loads = serverload.Encode(sums)
 		v.Prompts = holders.Encode(told)
 		h.TakeView(v, p.now)
 	}
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -11,6 +11,8 @@
 	"sort"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/core/holders"
+	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
@@ -42,13 +44,21 @@
 	Direct time.Time
 }
 
+// Key returns the server's key in messages between hosts.
+func (s *Server) Key() uint32 { return holders.Key(s.ID) }
+
+// Key returns the host's key in messages between hosts.
+func (h *Host) Key() uint32 { return holders.Key(h.ID) }
+
 // Host is an entry host.
 type Host struct {
 	ID, Peer, Caller, Region, FailureDomain string
 	Ready                                   bool
 	HeardAt                                 time.Time
 	Direct                                  bool // presents itself to this control host
-	Loads                                   []*pb.ServerLoad
+	Loads                                   serverload.Loads
+	// changed is the registry's list version at the last change that others must learn.
+	changed uint64
 }
 
 // Control is another control host.
@@ -56,7 +66,7 @@
 	Store, Peer, Operator, Region, FailureDomain string
 	HeardAt                                      time.Time
 	Loads                                        []*pb.RegionLoad
-	ServerLoads                                  []*pb.ServerLoad
+	ServerLoads                                  serverload.Loads
 }
 
 // Registry is the view. It is not safe for concurrent use.
@@ -66,14 +76,26 @@
 	byAddress map[string]string // address to the ID that holds it
 	hosts     map[string]*Host
 	controls  map[string]*Control // by peer address
-	version   uint64              // raised by each change that entry hosts must learn at once
+	hostByKey map[uint32]*Host
+	version   uint64 // raised by each change that entry hosts must learn at once
+	// serversVersion and hostsVersion are the versions of the last change of the servers
+	// and of the entry hosts.
+	serversVersion, hostsVersion uint64
+	lists                        map[string]serverList // by region
+}
+
+// serverList is the list of a region's servers at a version.
+type serverList struct {
+	version uint64
+	ids     []string
 }
 
 // New returns an empty registry.
 func New(o Options) *Registry {
 	return &Registry{
 		o: o, servers: map[string]*Server{}, byAddress: map[string]string{},
-		hosts: map[string]*Host{}, controls: map[string]*Control{}, version: 1,
+		hosts: map[string]*Host{}, hostByKey: map[uint32]*Host{}, controls: map[string]*Control{},
+		version: 1, serversVersion: 1, hostsVersion: 1, lists: map[string]serverList{},
 	}
 }
 
@@ -83,6 +105,22 @@
 // Touch raises the version for a change outside the registry.
 func (r *Registry) Touch() { r.version++ }
 
+func (r *Registry) serversChanged() {
+	r.version++
+	r.serversVersion = r.version
+}
+
+func (r *Registry) hostsChanged() {
+	r.version++
+	r.hostsVersion = r.version
+}
+
+// ServersSince reports whether the list of servers changed after a version.
+func (r *Registry) ServersSince(version uint64) bool { return r.serversVersion > version }
+
+// HostsSince reports whether the entry hosts changed after a version.
+func (r *Registry) HostsSince(version uint64) bool { return r.hostsVersion > version }
+
 // Announce takes an announcement. It reports whether it was news; a late one
 // changes nothing.
 func (r *Registry) Announce(s Server, now time.Time) bool {
@@ -104,18 +142,18 @@
 			s.Direct = old.Direct
 		}
 	}
-	news := old == nil || old.Leaving != s.Leaving || old.Service != s.Service || r.lapsed(old, now) ||
+	news := old == nil || old.Leaving != s.Leaving || old.Service != s.Service || old.Slots != s.Slots || r.lapsed(old, now) ||
 		old.Address != s.Address || s.ColdUntil.After(old.ColdUntil.Add(coldNews))
 	r.servers[s.ID] = &s
 	if news {
-		r.version++
+		r.serversChanged()
 	}
 	return news
 }
 
 // coldNews is by how much a server's cold phase must be longer than known before
 // entry hosts are told at once; shorter differences are the delay of messages.
-const coldNews = 500 * time.Millisecond
+const coldNews = 200 * time.Millisecond
 
 // takeAddress gives the address to the newest start of a server. The one that
 // held it is gone, unless that one was seen first later: then s is the old one.
@@ -126,7 +164,7 @@
 			s.Gone = true
 			s.HeardAt = now
 			r.servers[s.ID] = s
-			r.version++
+			r.serversChanged()
 			return
 		}
 		r.retire(holder, now)
@@ -139,7 +177,7 @@
 		return
 	}
 	s.Gone, s.HeardAt = true, now
-	r.version++
+	r.serversChanged()
 }
 
 // Leave records that a server has left for good. It reports whether that was news.
@@ -174,6 +212,24 @@
 	return out
 }
 
+// List returns the region's servers as of the last change of the servers, sorted by ID:
+// the same ones until the next change, also when a lease has just run out.
+func (r *Registry) List(region string, now time.Time) []*Server {
+	l, ok := r.lists[region]
+	if !ok || l.version != r.serversVersion {
+		l = serverList{version: r.serversVersion}
+		for _, s := range r.Servers(region, now) {
+			l.ids = append(l.ids, s.ID)
+		}
+		r.lists[region] = l
+	}
+	out := make([]*Server, 0, len(l.ids))
+	for _, id := range l.ids {
+		out = append(out, r.servers[id])
+	}
+	return out
+}
+
 // DirectServers returns the servers of a region that announced themselves, or
 // left, at this control host within the lease.
 func (r *Registry) DirectServers(region string, now time.Time) []*Server {
@@ -204,14 +260,34 @@
 	if !h.Direct && old != nil {
 		h.Loads = old.Loads
 	}
-	r.hosts[h.ID] = &h
-	news := old == nil || old.Ready != h.Ready || old.Peer != h.Peer || now.Sub(old.HeardAt) > r.o.HostLease
+	news := old == nil || old.Ready != h.Ready || old.Peer != h.Peer || old.Caller != h.Caller || now.Sub(old.HeardAt) > r.o.HostLease
 	if news {
-		r.version++
+		r.hostsChanged()
+		h.changed = r.version
+	} else {
+		h.changed = old.changed
 	}
+	r.hosts[h.ID], r.hostByKey[h.Key()] = &h, &h
 	return news
 }
 
+// HearHostAgain takes the news of another control host that an entry host which it told
+// of before is still there. It reports whether the host is known here.
+func (r *Registry) HearHostAgain(key uint32, heardAt, now time.Time) bool {
+	known := r.hostByKey[key]
+	if known == nil {
+		return false
+	}
+	h := *known
+	h.HeardAt, h.Direct = heardAt, false
+	r.HearHost(h, now)
+	return true
+}
+
+// ChangedSince reports whether other control hosts must be told the host again that were
+// told it at a version.
+func (h *Host) ChangedSince(version uint64) bool { return h.changed > version }
+
 // Hosts returns the live entry hosts, sorted by ID.
 func (r *Registry) Hosts(now time.Time) []*Host {
 	var out []*Host
@@ -285,83 +361,57 @@
 			if r.byAddress[s.Address] == id {
 				delete(r.byAddress, s.Address)
 			}
+			r.serversChanged() // lists name it no more
 			continue
 		}
 		if !s.Gone && r.lapsed(s, now) && !r.lapsed(s, last) {
-			r.version++
+			r.serversChanged()
 		}
 	}
 	for id, h := range r.hosts {
 		if now.Sub(h.HeardAt) > goneFor {
 			delete(r.hosts, id)
+			delete(r.hostByKey, h.Key())
 		} else if now.Sub(h.HeardAt) > r.o.HostLease && last.Sub(h.HeardAt) <= r.o.HostLease {
-			r.version++
+			r.hostsChanged()
 		}
 	}
 }
 
 // OtherLoads adds up the work that the region's other entry hosts have under
 // way at each backend server.
-func (r *Registry) OtherLoads(host string, now time.Time) []*pb.ServerLoad {
+func (r *Registry) OtherLoads(host string, now time.Time) serverload.Loads {
 	sums := r.directLoads(host, now)
 	for _, c := range r.Controls(now) {
 		if c.Region == r.o.Region {
-			sums.add(c.ServerLoads)
+			sums.Add(c.ServerLoads)
 		}
 	}
-	return sums.list()
+	return sums
 }
 
 // DirectLoads adds up the work of the entry hosts that present themselves here.
-func (r *Registry) DirectLoads(now time.Time) []*pb.ServerLoad {
-	return r.directLoads("", now).list()
+func (r *Registry) DirectLoads(now time.Time) serverload.Loads {
+	return r.directLoads("", now)
 }
 
 // directLoads adds up the work of the region's entry hosts that present themselves
 // here, but for the one named.
-func (r *Registry) directLoads(except string, now time.Time) loadSums {
-	sums := loadSums{}
+func (r *Registry) directLoads(except string, now time.Time) serverload.Loads {
+	sums := serverload.Loads{}
 	for _, h := range r.Hosts(now) {
 		if h.ID != except && h.Direct && h.Region == r.o.Region {
-			sums.add(h.Loads)
+			sums.Add(h.Loads)
 		}
 	}
 	return sums
 }
 
-// loadSums adds up work by backend server.
-type loadSums map[string]*pb.ServerLoad
-
-func (sums loadSums) add(loads []*pb.ServerLoad) {
-	for _, l := range loads {
-		s := sums[l.Id]
-		if s == nil {
-			s = &pb.ServerLoad{Id: l.Id}
-			sums[l.Id] = s
-		}
-		s.Requests += l.Requests
-		s.PromptTokens += l.PromptTokens
-		s.MemoryTokens += l.MemoryTokens
-		s.ReadingMs += l.ReadingMs
-		s.Deferred += l.Deferred
-	}
-}
-
-// list returns the sums sorted by server.
-func (sums loadSums) list() []*pb.ServerLoad {
-	out := make([]*pb.ServerLoad, 0, len(sums))
-	for _, s := range sums {
-		out = append(out, s)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Id < out[j].Id })
-	return out
-}
-
 // RegionLoads adds up the region's servers that take work and what the entry
 // hosts that present themselves here have under way at them, for each service.
 func (r *Registry) RegionLoads(evacuated func(domain string) bool, now time.Time) []*pb.RegionLoad {
 	sums := map[string]*pb.RegionLoad{}
-	service := map[string]string{}
+	service := map[uint32]string{}
 	for _, s := range r.Servers(r.o.Region, now) {
 		if s.Gone || s.Leaving || evacuated(s.FailureDomain) || s.ColdUntil.After(now) {
 			continue
@@ -373,10 +423,10 @@
 		}
 		l.Servers++
 		l.Slots += uint32(s.Slots)
-		service[s.ID] = s.Service
+		service[s.Key()] = s.Service
 	}
-	for _, load := range r.OtherLoads("", now) {
-		if l := sums[service[load.Id]]; l != nil {
+	for key, load := range r.OtherLoads("", now) {
+		if l := sums[service[key]]; l != nil {
 			l.Requests += load.Requests
 			l.PromptTokens += load.PromptTokens
 			l.MemoryTokens += load.MemoryTokens
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -5,7 +5,8 @@
 	"testing"
 	"time"
 
-	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+	"github.com/sesamefork/sesamefork/internal/core/holders"
+	"github.com/sesamefork/sesamefork/internal/core/serverload"
 )
 
 var t0 = time.Unix(1000, 0)
@@ -159,9 +160,10 @@
 		s.Leaving = i == 2
 		r.Announce(s, at(0))
 	}
-	load := func(id string, n uint32) []*pb.ServerLoad {
-		return []*pb.ServerLoad{{Id: id, Requests: n, PromptTokens: 100 * n, MemoryTokens: 200 * n}}
+	load := func(id string, n uint32) serverload.Loads {
+		return serverload.Loads{holders.Key(id): {Requests: n, PromptTokens: 100 * n, MemoryTokens: 200 * n}}
 	}
+	s0, s1 := holders.Key("s0"), holders.Key("s1")
 	a, b := host("a", "west", "w1", true, 0), host("b", "west", "w1", true, 0)
 	a.Loads, b.Loads = load("s0", 2), load("s0", 5)
 	r.HearHost(a, at(0))
@@ -169,10 +171,10 @@
 	r.HearControl(Control{Peer: "c2", Region: "west", HeardAt: at(0), ServerLoads: load("s1", 3)})
 	r.HearControl(Control{Peer: "c3", Region: "east", HeardAt: at(0), ServerLoads: load("s1", 9)})
 	others := r.OtherLoads("a", at(0))
-	if len(others) != 2 || others[0].Requests != 5 || others[1].Requests != 3 {
+	if len(others) != 2 || others[s0].Requests != 5 || others[s1].Requests != 3 {
 		t.Errorf("others' work: %v", others)
 	}
-	if direct := r.DirectLoads(at(0)); len(direct) != 1 || direct[0].Requests != 7 {
+	if direct := r.DirectLoads(at(0)); len(direct) != 1 || direct[s0].Requests != 7 {
 		t.Errorf("work of the hosts that present themselves here: %v", direct)
 	}
 	sum := r.RegionLoads(func(string) bool { return false }, at(0))
--- /dev/null
+++ b/internal/core/serverload/serverload_test.go
@@ -0,0 +1,46 @@
+package serverload
+
+import (
+	"maps"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+)
+
+func TestEncodeDecode(t *testing.T) {
+	for name, c := range map[string]struct {
+		loads Loads
+		bytes int
+	}{
+		"none": {Loads{}, 0},
+		"two":  {Loads{7: {Requests: 3, PromptTokens: 900, MemoryTokens: 40_000, ReadingMS: 120, Deferred: 1}, 1 << 31: {Requests: 1}}, 36},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := Encode(c.loads)
+			if got := Decode(m); !maps.Equal(got, c.loads) {
+				t.Errorf("got %v, want %v", got, c.loads)
+			}
+			if got := proto.Size(m); got > c.bytes {
+				t.Errorf("%d bytes, want %d at most", got, c.bytes)
+			}
+		})
+	}
+}
+
+// TestDecodeShort takes a message whose lists have different lengths.
+func TestDecodeShort(t *testing.T) {
+	got := Decode(&pb.ServerLoads{Server: []uint32{1, 2}, Requests: []uint32{5}, Deferred: []uint32{1, 2, 3}})
+	if want := (Loads{1: {Requests: 5, Deferred: 1}, 2: {Deferred: 2}}); !maps.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+func TestAdd(t *testing.T) {
+	sum := Loads{1: {Requests: 1, PromptTokens: 10}}
+	sum.Add(Loads{1: {Requests: 2, MemoryTokens: 5, ReadingMS: 3, Deferred: 4}, 2: {Requests: 7}})
+	if want := (Loads{1: {3, 10, 5, 3, 4}, 2: {Requests: 7}}); !maps.Equal(sum, want) {
+		t.Errorf("got %v, want %v", sum, want)
+	}
+}
