Short requests stay in their failure domain while it is no busier

Half of the requests of a region of two failure domains crossed. Change: a server of another failure domain costs 0.04 (a long prompt 0.1) more, as much as its bytes; of the two sampled engines one is in the own domain.

--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -78,6 +78,10 @@
 	stalledLoss = 3.0
 	// tieBreak spreads requests over places of nearly the same cost.
 	tieBreak = 0.02
+	// crossingLoss and crossingLongLoss are what a short request and a long prompt cost
+	// that go to another failure domain: 5 and 12 KB, at 8 units of loss a MB.
+	crossingLoss     = 0.04
+	crossingLongLoss = 0.1
 	// interRegionMS is the way to another region and back, in ms.
 	interRegionMS = 165.0
 	// awayLoss is what sending a request to another region costs besides its time:
@@ -169,6 +173,7 @@
 	uncovered := math.Max(0, j.Prompt-covered)
 	k := f.costAt(s, j, uncovered, math.Max(0, shared-covered), now)
 	k.addCopy(j, copied)
+	k.loss += f.crossing(s, j)
 	late := k.deferLate(s, j)
 	k.loss += f.o.Random() * tieBreak
 	c.Considered = append(c.Considered, Considered{s.ID, k.firstMS, ""})
@@ -178,6 +183,18 @@
 	}
 }
 
+// crossing is what the bytes between failure domains cost that a server of another one
+// brings. Without it half of the requests cross in a region of two.
+func (f *Fleet) crossing(s *Server, j *Job) float64 {
+	switch {
+	case s.FailureDomain == f.o.FailureDomain:
+		return 0
+	case j.isLong():
+		return crossingLongLoss
+	}
+	return crossingLoss
+}
+
 // costAt is the cost of the request at a server of the own region.
 func (f *Fleet) costAt(s *Server, j *Job, uncovered, reread float64, now time.Time) cost {
 	requests := float64(s.own.requests + s.others.requests)
--- a/internal/core/dispatch/homes.go
+++ b/internal/core/dispatch/homes.go
@@ -101,11 +101,11 @@
 }
 
 // Many hosts that see the same figures, a quarter of a second old, all find the same
-// server best. With more hosts than manyHosts each weighs the homes and sampled
-// others only.
+// server best. With more hosts than manyHosts each weighs the homes, sampled others and
+// one sampled in its own failure domain only.
 const (
 	manyHosts = 6
-	sampled   = 2
+	sampled   = 1
 )
 
 // candidates returns the servers to weigh for a job, sorted by ID: all of them when
@@ -125,8 +125,9 @@
 		chosen[h.server] = true
 	}
 	for range sampled {
-		chosen[all[int(f.o.Random()*float64(len(all)))%len(all)]] = true
+		chosen[f.sample(all)] = true
 	}
+	chosen[f.sample(f.ofOwnDomain(all))] = true
 	var out []*Server
 	usable := false
 	for _, s := range all {
@@ -141,6 +142,18 @@
 	return out
 }
 
+// sample returns one of the servers at random; nil when there are none.
+func (f *Fleet) sample(servers []*Server) *Server {
+	if len(servers) == 0 {
+		return nil
+	}
+	return servers[int(f.o.Random()*float64(len(servers)))%len(servers)]
+}
+
+func (f *Fleet) ofOwnDomain(servers []*Server) []*Server {
+	return slices.DeleteFunc(slices.Clone(servers), func(s *Server) bool { return s.FailureDomain != f.o.FailureDomain })
+}
+
 // sharedTokens is the size of the chain without the request's own part.
 func sharedTokens(parts []Part) int {
 	sum := 0
--- a/internal/core/dispatch/load_test.go
+++ b/internal/core/dispatch/load_test.go
@@ -29,15 +29,25 @@
 	chains  int
 	// copyPerMS is how fast engines copy KV cache from each other, in tokens per ms.
 	copyPerMS float64
+	// twoDomains puts every other host and engine into another failure domain; crossed
+	// counts the short requests that go to the other one.
+	twoDomains bool
+	crossed    int
+}
+
+// inDomain returns the failure domain of the host or engine with a number.
+func (p *playedRegion) inDomain(i int) string {
+	if p.twoDomains && i%2 == 1 {
+		return "w2"
+	}
+	return "w1"
 }
 
 const playStep = 10 * time.Millisecond
 
 func newPlay(seed int64, hosts, engines, chains int) *playedRegion {
 	p := &playedRegion{rnd: rand.New(rand.NewSource(seed)), backlog: map[string]float64{}, cached: map[string]map[string]bool{}, now: start, read: map[string]bool{}, chains: chains}
-	for i := range hosts {
-		p.hosts = append(p.hosts, New(Options{Host: fmt.Sprintf("h%02d", i), Region: "west", FailureDomain: "w1", Random: p.rnd.Float64, PrefillRate: 38}))
-	}
+	p.addHosts(hosts)
 	for i := range engines {
 		p.backlog[fmt.Sprintf("s%d", i)] = 0
 		p.cached[fmt.Sprintf("s%d", i)] = map[string]bool{}
@@ -45,6 +55,14 @@
 	return p
 }
 
+func (p *playedRegion) addHosts(n int) {
+	for i := range n {
+		p.hosts = append(p.hosts, New(Options{
+			Host: fmt.Sprintf("h%02d", i), Region: "west", FailureDomain: p.inDomain(i), Random: p.rnd.Float64, PrefillRate: 38,
+		}))
+	}
+}
+
 // view gives every host what the others have under way.
 func (p *playedRegion) view() {
 	loads := make([]serverload.Loads, len(p.hosts))
@@ -54,6 +72,9 @@
 	}
 	for i, h := range p.hosts {
 		v := testView(len(p.backlog))
+		for k, m := range v.Servers {
+			m.FailureDomain = p.inDomain(k)
+		}
 		v.Regions, v.Hosts = nil, nil
 		for k := range p.hosts {
 			v.Hosts = append(v.Hosts, &pb.FleetHost{Id: fmt.Sprintf("h%02d", k), Region: "west", FailureDomain: "w1", Ready: true})
@@ -159,6 +180,9 @@
 	}
 	if !long {
 		p.short++
+		if c.Server.FailureDomain != h.o.FailureDomain {
+			p.crossed++
+		}
 		if p.backlog[id] > pauseSure {
 			p.paused++
 		}
@@ -233,3 +257,44 @@
 		})
 	}
 }
+
+// TestShortRequestsStayInTheirFailureDomain plays a region of two failure domains: most
+// short requests stay in theirs, where half of them did, and nobody waits longer than
+// with one failure domain.
+func TestShortRequestsStayInTheirFailureDomain(t *testing.T) {
+	const hosts, engines, chains = 24, 40, 300
+	var p99, longP95, crossed float64
+	for seed := range int64(loadSeeds) {
+		p := newPlay(seed, 0, engines, chains)
+		p.twoDomains, p.copyPerMS = true, 500
+		p.addHosts(hosts)
+		p.run(20, 400, 90)
+		p99 += quantile(p.waits, 0.99) / loadSeeds
+		longP95 += quantile(p.long, 0.95) / loadSeeds
+		crossed += float64(p.crossed) / float64(p.short) / loadSeeds
+	}
+	t.Logf("p99 %.0f ms, long p95 %.0f ms, %.2f of the short requests crossed", p99, longP95, crossed)
+	if crossed > 0.25 {
+		t.Errorf("%.2f of the short requests went to the other failure domain", crossed)
+	}
+	if p99 > 600 || longP95 > 350 {
+		t.Errorf("p99 %.0f ms, long prompts' p95 %.0f ms", p99, longP95)
+	}
+}
+
+// TestBusyDomainIsLeft: a busy engine of the own failure domain loses against an idle one
+// of another.
+func TestBusyDomainIsLeft(t *testing.T) {
+	f := newTestFleet(2)
+	v := testView(2)
+	v.Regions, v.Servers[1].FailureDomain = nil, "w2"
+	f.TakeView(v, start)
+	if c := f.Choose(shortJob(), start); c.Server.ID != "s0" {
+		t.Errorf("%s chosen though the engine of the own failure domain is idle", c.Server.ID)
+	}
+	v.Loads = serverload.Encode(serverload.Loads{holders.Key("s0"): {Requests: 20, PromptTokens: 10_000}})
+	f.TakeView(v, start)
+	if c := f.Choose(shortJob(), start); c.Server.ID != "s1" {
+		t.Errorf("%s chosen though the engine of the own failure domain is busy", c.Server.ID)
+	}
+}
