Use cases reach links and metrics by ports; no import runs from app to adapter

Four imports ran outward: the stream type of the links and the metrics' set. The interfaces stand in internal/port now, and the architecture test forbids every import of an adapter by a use case (before: six packages named one by one). Behaviour is as it was.

--- a/internal/adapter/peerlink/peerlink_test.go
+++ b/internal/adapter/peerlink/peerlink_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+	"github.com/sesamefork/sesamefork/internal/port"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -31,7 +32,7 @@
 	return &pb.Response{From: req.From, Body: &pb.Response_Empty{Empty: &pb.Empty{}}}
 }
 
-func (h *echoHandler) HandleForward(ctx context.Context, req *pb.Request, s Stream) {
+func (h *echoHandler) HandleForward(ctx context.Context, req *pb.Request, s port.IncomingStream) {
 	f := req.GetForward()
 	body, err := s.Body(f.BodySize, 1<<20)
 	if err != nil {
--- a/internal/adapter/peerlink/server.go
+++ b/internal/adapter/peerlink/server.go
@@ -13,15 +13,16 @@
 
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+	"github.com/sesamefork/sesamefork/internal/port"
 )
 
-// Stream is the server's end of a request's stream.
-type Stream struct {
+// incoming is the server's end of a request's stream.
+type incoming struct {
 	s *yamux.Stream
 }
 
-// Body reads the body that follows a forward.
-func (s Stream) Body(size uint64, limit uint64) ([]byte, error) {
+// Body implements port.IncomingStream.
+func (s incoming) Body(size uint64, limit uint64) ([]byte, error) {
 	if size > limit {
 		return nil, failure.New(failure.BodyTooLarge, failure.NotRun, "a body of %d bytes is over the limit of %d", size, limit)
 	}
@@ -39,12 +40,11 @@
 	return body, nil
 }
 
-// Send writes a frame of the answer.
-func (s Stream) Send(f *pb.ForwardFrame) error { return WriteMessage(s.s, f) }
+// Send implements port.IncomingStream.
+func (s incoming) Send(f *pb.ForwardFrame) error { return WriteMessage(s.s, f) }
 
-// Gone returns a context that ends when the other end closes the stream. No
-// reads may follow.
-func (s Stream) Gone(ctx context.Context) (context.Context, context.CancelFunc) {
+// Gone implements port.IncomingStream.
+func (s incoming) Gone(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
 		var b [1]byte
@@ -54,17 +54,10 @@
 	return ctx, cancel
 }
 
-// Handler answers requests. Forward writes its answer to the stream; every
-// other request returns a response.
-type Handler interface {
-	HandleRequest(ctx context.Context, req *pb.Request) *pb.Response
-	HandleForward(ctx context.Context, req *pb.Request, s Stream)
-}
-
 // Server accepts links from other hosts.
 type Server struct {
 	o       Options
-	handler Handler
+	handler port.PeerHandler
 	log     logr.Logger
 	ln      net.Listener
 	wg      sync.WaitGroup
@@ -73,7 +66,7 @@
 }
 
 // NewServer listens on addr.
-func NewServer(addr string, o Options, h Handler, log logr.Logger) (*Server, error) {
+func NewServer(addr string, o Options, h port.PeerHandler, log logr.Logger) (*Server, error) {
 	o.setDefaults()
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -185,7 +178,7 @@
 	}
 	_ = stream.SetReadDeadline(time.Time{})
 	if req.GetForward() != nil || req.GetRoutedForward() != nil {
-		s.handler.HandleForward(ctx, req, Stream{stream})
+		s.handler.HandleForward(ctx, req, incoming{stream})
 		return
 	}
 	s.serveCalls(ctx, stream, req)
--- a/internal/adapter/settings/tls_test.go
+++ b/internal/adapter/settings/tls_test.go
@@ -21,6 +21,7 @@
 	"github.com/sesamefork/sesamefork/internal/adapter/settings"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+	"github.com/sesamefork/sesamefork/internal/port"
 )
 
 // authority signs certificates for tests.
@@ -86,8 +87,8 @@
 
 type silent struct{}
 
-func (silent) HandleRequest(context.Context, *pb.Request) *pb.Response     { return &pb.Response{} }
-func (silent) HandleForward(context.Context, *pb.Request, peerlink.Stream) {}
+func (silent) HandleRequest(context.Context, *pb.Request) *pb.Response         { return &pb.Response{} }
+func (silent) HandleForward(context.Context, *pb.Request, port.IncomingStream) {}
 
 func source(t *testing.T, f settings.TLS) *settings.TLSSource {
 	t.Helper()
--- a/internal/app/control/peer.go
+++ b/internal/app/control/peer.go
@@ -3,14 +3,14 @@
 import (
 	"context"
 
-	"github.com/sesamefork/sesamefork/internal/adapter/peerlink"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/consensus"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+	"github.com/sesamefork/sesamefork/internal/port"
 )
 
-// HandleRequest implements peerlink.Handler.
+// HandleRequest implements port.PeerHandler.
 func (r *Replica) HandleRequest(ctx context.Context, req *pb.Request) *pb.Response {
 	resp := &pb.Response{From: r.o.Host, Stamp: r.offered().Stamp, MaxSchema: configstate.CurrentSchema}
 	if err := r.handle(ctx, req, resp); err != nil {
@@ -109,8 +109,8 @@
 	return configstate.Reply(p.Blob, f.HaveGeneration, f.HaveVersion, base)
 }
 
-// HandleForward implements peerlink.Handler: control hosts serve no callers.
-func (r *Replica) HandleForward(_ context.Context, _ *pb.Request, s peerlink.Stream) {
+// HandleForward implements port.PeerHandler: control hosts serve no callers.
+func (r *Replica) HandleForward(_ context.Context, _ *pb.Request, s port.IncomingStream) {
 	_ = s.Send(&pb.ForwardFrame{Frame: &pb.ForwardFrame_End{End: &pb.ForwardEnd{
 		Outcome: string(failure.NotRun), Code: string(failure.PeerRefused), Detail: "a control host takes no requests",
 	}}})
--- a/internal/app/entry/forward.go
+++ b/internal/app/entry/forward.go
@@ -10,7 +10,6 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/sesamefork/sesamefork/internal/adapter/peerlink"
 	"github.com/sesamefork/sesamefork/internal/app/forward"
 	"github.com/sesamefork/sesamefork/internal/core/placement"
 	"github.com/sesamefork/sesamefork/internal/core/residency"
@@ -143,7 +142,7 @@
 
 // streamSink sends an answer back over the link.
 type streamSink struct {
-	s peerlink.Stream
+	s port.IncomingStream
 }
 
 // Head implements Sink.
@@ -167,7 +166,7 @@
 }
 
 // HandleForward takes a request that another entry host sent here.
-func (h *Host) HandleForward(ctx context.Context, req *pb.Request, s peerlink.Stream) {
+func (h *Host) HandleForward(ctx context.Context, req *pb.Request, s port.IncomingStream) {
 	h.heardStamp(req.From, "", req.Stamp, req.MaxSchema)
 	f := req.GetForward()
 	ctx = port.WithTraceparent(ctx, req.Traceparent)
@@ -187,7 +186,7 @@
 	return failure.New(failure.Circulating, failure.NotRun, "the request was forwarded along %v before", path)
 }
 
-func (h *Host) receive(ctx context.Context, f *pb.Forward, s peerlink.Stream) *failure.Error {
+func (h *Host) receive(ctx context.Context, f *pb.Forward, s port.IncomingStream) *failure.Error {
 	if f := h.checkPath(f.Path); f != nil {
 		return f
 	}
--- a/internal/app/entry/host.go
+++ b/internal/app/entry/host.go
@@ -18,7 +18,6 @@
 	"github.com/go-logr/logr"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/sesamefork/sesamefork/internal/adapter/metrics"
 	"github.com/sesamefork/sesamefork/internal/core/admission"
 	"github.com/sesamefork/sesamefork/internal/core/backend"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
@@ -55,7 +54,7 @@
 	Directory port.Directory // may be nil
 	Clock     port.Clock
 	Log       logr.Logger
-	Metrics   *metrics.Set
+	Metrics   port.GaugedMetrics
 	Tracer    trace.Tracer
 }
 
--- a/internal/app/entry/peer.go
+++ b/internal/app/entry/peer.go
@@ -8,7 +8,7 @@
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
-// HandleRequest answers the other hosts' requests; see peerlink.Handler.
+// HandleRequest answers the other hosts' requests; see port.PeerHandler.
 func (h *Host) HandleRequest(ctx context.Context, req *pb.Request) *pb.Response {
 	h.heardStamp(req.From, "", req.Stamp, req.MaxSchema)
 	resp := &pb.Response{From: h.o.ID, Stamp: h.Stamp(), MaxSchema: configstate.CurrentSchema}
--- a/internal/app/gateway/forward.go
+++ b/internal/app/gateway/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/sesamefork/sesamefork/internal/adapter/peerlink"
 	"github.com/sesamefork/sesamefork/internal/app/forward"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
@@ -116,7 +115,7 @@
 
 // streamSink sends an answer back over the link.
 type streamSink struct {
-	s peerlink.Stream
+	s port.IncomingStream
 }
 
 // Head implements Sink.
@@ -131,7 +130,7 @@
 }
 
 // HandleForward takes a request that an entry host of another region sent here.
-func (g *Gateway) HandleForward(ctx context.Context, req *pb.Request, s peerlink.Stream) {
+func (g *Gateway) HandleForward(ctx context.Context, req *pb.Request, s port.IncomingStream) {
 	ctx, cancel := s.Gone(ctx)
 	defer cancel()
 	_ = s.Send(forward.End(g.receive(ctx, req, &streamSink{s}))) // the other end may be gone
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -30,23 +30,17 @@
 	// PrefillRate is the speed at which an engine reads prompts, in tokens per ms.
 	PrefillRate float64
 	VerifyKey   []byte
-	Peers       port.Peers
-	Drop        func(addr string) // ends the link to an address
-	Backends    Backends
-	Clock       port.Clock
+	Peers         port.Peers
+	Drop          func(addr string) // ends the link to an address
+	Backends      Backends
+	Clock         port.Clock
 	// ReadPrompt reads what a forwarded request asks of a model engine; nil for nothing.
 	ReadPrompt func(http.Header) *Prompt
 	Random     func() float64
 	// Tracer makes a span for each hop; nil for none.
 	Tracer  trace.Tracer
 	Log     logr.Logger
-	Metrics Metrics
-}
-
-// Metrics counts.
-type Metrics interface {
-	Add(name string, n int64)
-	Observe(name string, d time.Duration)
+	Metrics port.Metrics
 }
 
 // Gateway is an entry host's use case for routed requests.
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -73,6 +73,36 @@
 	Close() error
 }
 
+// IncomingStream is a forward that another host sent here.
+type IncomingStream interface {
+	// Body reads the body that follows the forward.
+	Body(size, limit uint64) ([]byte, error)
+	// Send writes a frame of the answer.
+	Send(*pb.ForwardFrame) error
+	// Gone returns a context that ends when the other host closes the stream. No
+	// reads may follow.
+	Gone(context.Context) (context.Context, context.CancelFunc)
+}
+
+// PeerHandler answers other hosts. HandleForward writes its answer to the stream;
+// every other request returns a response.
+type PeerHandler interface {
+	HandleRequest(ctx context.Context, req *pb.Request) *pb.Response
+	HandleForward(ctx context.Context, req *pb.Request, s IncomingStream)
+}
+
+// Metrics counts, and measures times.
+type Metrics interface {
+	Add(name string, n int64)
+	Observe(name string, d time.Duration)
+}
+
+// GaugedMetrics are metrics that also ask for values when they are read.
+type GaugedMetrics interface {
+	Metrics
+	Gauge(name string, f func() any)
+}
+
 // DirectoryEntry is one entry host in the platform's client directory.
 type DirectoryEntry struct {
 	ID            string `json:"id"`
--- a/test/architecture/architecture_test.go
+++ b/test/architecture/architecture_test.go
@@ -115,14 +115,14 @@
 	}
 }
 
-// TestLayersPointInward checks that no inner layer imports an outer one. The
-// entry host's use cases take spans and metrics from their adapters, which hold
-// no decisions; docs/design/layers.md says why.
+// TestLayersPointInward checks that no inner layer imports an outer one. Use cases reach
+// links, metrics and spans by the interfaces of internal/port; docs/design/layers.md says
+// why.
 func TestLayersPointInward(t *testing.T) {
 	outer := map[string][]string{
 		"internal/core/": {"internal/adapter/", "internal/app/", "internal/port"},
 		"internal/port":  {"internal/adapter/", "internal/app/", "internal/core/"},
-		"internal/app/":  {"internal/adapter/callerhttp", "internal/adapter/operatorhttp", "internal/adapter/backendhttp", "internal/adapter/journal", "internal/adapter/settings", "internal/adapter/enginehttp"},
+		"internal/app/":  {"internal/adapter/"},
 	}
 	for _, p := range list(t, "./cmd/...") {
 		rel := strings.TrimPrefix(p.ImportPath, module)
