A server's silence is measured in its announcements' interval

Cause: an entry host left a server out after 4.5 s without an announcement, whatever interval the deployment's settings name; with 3 s between two of them one and a half would do. Change: three intervals and 0.9 s, from the setting (4.5 s at 1.2 s, as before). Test: TestLost, failing with the fixed time ('announcements are rarer').

--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -53,7 +53,7 @@
 		Host: s.Host.ID, Region: s.Host.Region, FailureDomain: s.Host.FailureDomain,
 		Peer: s.Fleet.PeerAddress(s.Listen.Peer), Caller: s.Listen.Caller, Seeds: s.Fleet.PeerSeeds(),
 		Retries:     retry.SharedOptions{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: seconds(s.Retries.WindowS)},
-		PrefillRate: prefillRate, VerifyKey: s.Link.PublicKey(), Peers: client, Drop: client.Drop, Backends: servers,
+		PrefillRate: prefillRate, AnnounceEvery: time.Duration(s.Fleet.HeartbeatMS) * time.Millisecond, VerifyKey: s.Link.PublicKey(), Peers: client, Drop: client.Drop, Backends: servers,
 		Clock: port.SystemClock{}, ReadPrompt: platform.ReadPrompt, Random: rand.Float64, Tracer: tracer, Log: log, Metrics: m,
 	})
 	m.Gauge("version", func() any { return g.Version() })
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -29,7 +29,9 @@
 	Retries retry.SharedOptions
 	// PrefillRate is the speed at which an engine reads prompts, in tokens per ms.
 	PrefillRate float64
-	VerifyKey   []byte
+	// AnnounceEvery is the interval of the backend servers' announcements.
+	AnnounceEvery time.Duration
+	VerifyKey     []byte
 	Peers         port.Peers
 	Drop          func(addr string) // ends the link to an address
 	Backends      Backends
@@ -70,6 +72,7 @@
 		o: o,
 		fleet: dispatch.New(dispatch.Options{
 			Host: o.Host, Region: o.Region, FailureDomain: o.FailureDomain, Random: o.Random, PrefillRate: o.PrefillRate,
+			AnnounceEvery: o.AnnounceEvery,
 		}),
 		budget:  retry.NewShared(o.Retries, o.Clock.Now()),
 		startup: dispatch.NewStartup(o.Clock.Now()),
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -23,8 +23,12 @@
 	Random func() float64
 	// PrefillRate is the speed at which an engine reads prompts, in tokens per ms.
 	PrefillRate float64
+	// AnnounceEvery is the interval of the servers' announcements (default 1.2 s).
+	AnnounceEvery time.Duration
 }
 
+const defaultAnnounceEvery = 1200 * time.Millisecond
+
 // Server is one start of a backend server of the own region.
 type Server struct {
 	ID, Service, Address, FailureDomain string
@@ -105,6 +109,9 @@
 
 // New returns a fleet without servers.
 func New(o Options) *Fleet {
+	if o.AnnounceEvery == 0 {
+		o.AnnounceEvery = defaultAnnounceEvery
+	}
 	return &Fleet{
 		o: o, servers: map[string]*Server{}, gone: map[string]time.Time{}, hosts: map[string][]*Host{},
 		regions: map[regionKey]*region{}, chains: map[string]chainRate{}, holders: holders.NewTable(),
@@ -114,10 +121,11 @@
 
 // Times of the view.
 const (
-	// serverSilence is how long a server may be silent, measured at the last view:
-	// three announcements and the way to this host. While no control host can be
-	// reached, the servers last known stay in use.
-	serverSilence = 4500 * time.Millisecond
+	// viewDelay is how much later than at its control host a server's announcement may be
+	// known here: an exchange between control hosts, a view, and the ways between them.
+	viewDelay = 900 * time.Millisecond
+	// missedAnnouncements is how many announcements in a row a server may miss.
+	missedAnnouncements = 3
 	// regionSilence is how old another region's figures may be for a request to be
 	// sent there: they come three times a second and take 0.4 s, so older ones mean
 	// that the way there is probably cut. A request that is sent into a cut is lost.
@@ -314,12 +322,18 @@
 	return out
 }
 
+// missing reports whether a server has missed missedAnnouncements, as of the last view:
+// while no control host can be reached, the servers last known stay in use.
+func (f *Fleet) missing(s *Server) bool {
+	return f.viewedAt.Sub(s.ConfirmedAt) > missedAnnouncements*f.o.AnnounceEvery+viewDelay
+}
+
 // usable reports whether a server may be given new work, and why not.
 func (f *Fleet) usable(s *Server, now time.Time) (reason string) {
 	switch {
 	case s.Leaving:
 		return "leaving"
-	case f.viewedAt.Sub(s.ConfirmedAt) > serverSilence:
+	case f.missing(s):
 		return "silent"
 	case slices.Contains(f.evacuated, s.FailureDomain):
 		return "evacuated"
--- /dev/null
+++ b/internal/core/dispatch/lost_test.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// TestLost lets a server with one request send nothing for a time, and its last
+// announcement have an age at the last view: only both together make it lost. How old an
+// announcement may be depends on how often servers announce themselves.
+func TestLost(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		every         time.Duration // interval of the announcements; 0 for the default
+		silent, heard time.Duration
+		lost, unused  bool
+	}{
+		{"both", 0, 5 * time.Second, 4600 * time.Millisecond, true, true},
+		{"announces itself", 0, 3 * time.Second, time.Second, false, false},
+		{"announcement late, but it sends", 0, 500 * time.Millisecond, 4600 * time.Millisecond, false, true},
+		{"announcements are rarer", 3 * time.Second, 8 * time.Second, 7 * time.Second, false, false},
+		{"announcements are rarer, three missed", 3 * time.Second, 11 * time.Second, 10 * time.Second, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := New(Options{Host: "h1", Region: "west", FailureDomain: "w1", Random: func() float64 { return 0 }, PrefillRate: 38, AnnounceEvery: c.every})
+			v := testView(2)
+			v.Hosts, v.Regions = nil, nil
+			f.TakeView(v, start)
+			choice := f.Choose(shortJob(), start)
+			f.Started(&choice, start)
+			now := start.Add(20 * time.Second)
+			f.Progress(&choice, now.Add(-c.silent))
+			for _, s := range v.Servers {
+				if s.AgeMs = 100; s.Id == choice.Server.ID {
+					s.AgeMs = uint64(c.heard.Milliseconds())
+				}
+			}
+			f.TakeView(v, now)
+			if got := f.Lost(&choice, now); got != c.lost {
+				t.Errorf("lost: %v", got)
+			}
+			j := shortJob()
+			for id := range f.servers {
+				j.Tried[id] = id != choice.Server.ID
+			}
+			if only := f.Choose(j, now); (only.Refused != "") != c.unused {
+				t.Errorf("when no other is left: refused %q", only.Refused)
+			}
+		})
+	}
+}
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -65,7 +65,7 @@
 	if s == nil || s.underWay() == 0 || !s.silent(now) {
 		return false
 	}
-	return f.IsGone(s.ID) || f.viewedAt.Sub(s.ConfirmedAt) > serverSilence
+	return f.IsGone(s.ID) || f.missing(s)
 }
 
 // Outcome is how an attempt ended, as far as the server's health goes.
