Views hold what changed of their lists

Change: registry entries carry the version of their last change, removals are logged; a view holds what changed since the host's last one, and the ages of all announcements in the order of the IDs. A host whose picture doesn't fit, or that missed too much, gets whole lists.

--- a/internal/app/control/changes_test.go
+++ b/internal/app/control/changes_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestViewLeavesOutWhatIsKnown presents an entry host again and again: lists come whole
-// at first, after a change, and to a host that knows another process's; else not.
+// at first and to a host that knows another process's, else what changed.
 func TestViewLeavesOutWhatIsKnown(t *testing.T) {
 	g := newGroup(t)
 	g.mu.Lock()
@@ -28,19 +28,24 @@
 	}
 	announce("a", "10.0.0.1:1")
 	first := present(0, 0)
-	if len(first.Servers) != 1 || len(first.Hosts) != 1 || first.ServersUnchanged || first.HostsUnchanged {
+	if len(first.Servers) != 1 || len(first.Hosts) != 1 || first.Changes {
 		t.Fatalf("the first view is not whole: %v", first)
 	}
 	again := present(first.Epoch, first.Version)
-	if len(again.Servers) != 0 || len(again.Hosts) != 0 || !again.ServersUnchanged || !again.HostsUnchanged || len(again.ServerAges) != 1 {
+	if len(again.Servers) != 0 || len(again.Hosts) != 0 || !again.Changes || len(again.ServerAges) != 1 {
 		t.Errorf("nothing changed, and the view holds %v", again)
 	}
 	announce("b", "10.0.0.2:1")
 	changed := present(again.Epoch, again.Version)
-	if len(changed.Servers) != 2 || changed.ServersUnchanged || !changed.HostsUnchanged {
+	if len(changed.Servers) != 1 || changed.Servers[0].Id != "b" || len(changed.ServerAges) != 2 || len(changed.Hosts) != 0 {
 		t.Errorf("after a change of the servers the view holds %v", changed)
 	}
-	if other := present(changed.Epoch+1, changed.Version); len(other.Servers) != 2 || len(other.Hosts) != 1 {
+	m.f.Leave("a")
+	left := present(changed.Epoch, changed.Version)
+	if len(left.Servers) != 1 || !left.Servers[0].Gone || len(left.ServerAges) != 1 {
+		t.Errorf("after a server left the view holds %v", left)
+	}
+	if other := present(left.Epoch+1, left.Version); other.Changes || len(other.Servers) != 2 || len(other.Hosts) != 1 {
 		t.Errorf("a host that knows an earlier process's view is told %v", other)
 	}
 }
--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -418,25 +418,32 @@
 	return v
 }
 
-// addLists adds the servers of the entry host's region and all entry hosts to its view. A
-// list that it has already is left out, but for the ages of the servers' announcements:
-// with 300 entry hosts and 3,000 servers each view would carry 150 KB of lists.
+// addLists adds the servers of the entry host's region and all entry hosts to its view:
+// what changed since the view that it has, and the ages of the servers' announcements.
+// With 300 entry hosts and 3,000 servers whole lists are 150 KB a view.
 func (f *Fleet) addLists(v *pb.FleetView, m *pb.FleetSync, region string, now time.Time) {
-	known := m.HaveEpoch == f.epoch
-	v.ServersUnchanged = known && !f.reg.ServersSince(m.HaveVersion)
-	for _, s := range f.reg.List(region, now) {
-		if v.ServersUnchanged {
-			v.ServerAges = append(v.ServerAges, uint32(age(s.HeardAt, now)/ageUnitMS))
-		} else {
+	servers, hosts, complete := f.reg.Removed(m.HaveVersion)
+	since := uint64(0)
+	if v.Changes = complete && m.HaveEpoch == f.epoch; v.Changes {
+		since, v.RemovedServers, v.RemovedHosts = m.HaveVersion, servers, hosts
+	}
+	for _, s := range f.reg.List(region) {
+		if s.ChangedSince(since) {
 			v.Servers = append(v.Servers, serverMessage(s, now))
 		}
+		if v.Changes {
+			v.ServerAges = append(v.ServerAges, uint32(age(s.HeardAt, now)/ageUnitMS))
+		}
 	}
-	v.HostsUnchanged = known && !f.reg.HostsSince(m.HaveVersion)
-	if v.HostsUnchanged {
-		return
+	for _, s := range f.reg.Gone(region) {
+		if s.ChangedSince(since) {
+			v.Servers = append(v.Servers, serverMessage(s, now))
+		}
 	}
 	for _, h := range f.reg.Hosts(now) {
-		v.Hosts = append(v.Hosts, hostMessage(h, now))
+		if h.ChangedSince(since) {
+			v.Hosts = append(v.Hosts, hostMessage(h, now))
+		}
 	}
 }
 
--- a/internal/app/gateway/source.go
+++ b/internal/app/gateway/source.go
@@ -1,36 +1,74 @@
 package gateway
 
-import pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+import (
+	"maps"
+	"slices"
 
-// source is what this host has of one control host's view. A view leaves out the lists
-// that have not changed since the one before.
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+)
+
+// source is what this host has of one control host's view. Views hold only what changed
+// since the one before.
 type source struct {
 	epoch, version uint64
-	prompts        uint64 // position in the list of where prompts were sent
-	servers        []*pb.FleetServer
-	hosts          []*pb.FleetHost
+	prompts        uint64                     // position in the list of where prompts were sent
+	servers        map[string]*pb.FleetServer // by ID
+	hosts          map[string]*pb.FleetHost   // by ID
 }
 
 // ageUnitMS is the unit of the ages in a view, in ms.
 const ageUnitMS = 50
 
-// complete adds to a view the lists that it leaves out, and remembers it. It reports
-// whether that is possible; if not, the next view is asked for whole.
+// complete makes a view of changes whole, and remembers it. It reports whether that is
+// possible; if not, the next view is asked for whole.
 func (s *source) complete(v *pb.FleetView) bool {
-	if (v.ServersUnchanged || v.HostsUnchanged) && v.Epoch != s.epoch || v.ServersUnchanged && len(v.ServerAges) != len(s.servers) {
+	if !v.Changes {
+		s.servers, s.hosts = map[string]*pb.FleetServer{}, map[string]*pb.FleetHost{}
+	} else if v.Epoch != s.epoch || s.servers == nil {
 		*s = source{}
 		return false
 	}
-	if v.ServersUnchanged {
-		for i, m := range s.servers {
-			// How long a server is cold was told with the list, from that time on.
-			m.AgeMs, m.ColdMs = uint64(v.ServerAges[i])*ageUnitMS, 0
+	s.epoch, s.version, s.prompts = v.Epoch, v.Version, v.PromptsNext
+	for _, id := range v.RemovedServers {
+		delete(s.servers, id)
+	}
+	for _, id := range v.RemovedHosts {
+		delete(s.hosts, id)
+	}
+	for _, h := range v.Hosts {
+		s.hosts[h.Id] = h
+	}
+	v.Hosts = slices.Collect(maps.Values(s.hosts))
+	return s.completeServers(v)
+}
+
+// completeServers adds the servers that a view leaves out. Those that are gone are told
+// once.
+func (s *source) completeServers(v *pb.FleetView) bool {
+	told := map[string]bool{}
+	for _, m := range v.Servers {
+		told[m.Id] = true
+		if m.Gone {
+			delete(s.servers, m.Id)
+		} else {
+			s.servers[m.Id] = m
 		}
-		v.Servers = s.servers
 	}
-	if v.HostsUnchanged {
-		v.Hosts = s.hosts
+	if !v.Changes {
+		return true
+	}
+	if len(v.ServerAges) != len(s.servers) {
+		*s = source{}
+		return false
+	}
+	for i, id := range slices.Sorted(maps.Keys(s.servers)) {
+		if told[id] {
+			continue
+		}
+		m := s.servers[id]
+		// How long a server is cold was told with its change, from that time on.
+		m.AgeMs, m.ColdMs = uint64(v.ServerAges[i])*ageUnitMS, 0
+		v.Servers = append(v.Servers, m)
 	}
-	*s = source{v.Epoch, v.Version, v.PromptsNext, v.Servers, v.Hosts}
 	return true
 }
--- a/internal/core/registry/changes_test.go
+++ b/internal/core/registry/changes_test.go
@@ -1,59 +1,88 @@
 package registry
 
 import (
+	"fmt"
 	"slices"
 	"testing"
+	"time"
 )
 
-// TestListStaysUntilItChanges takes a list of servers, lets time pass and a lease run out:
-// the list names the same servers until the registry says that they changed.
-func TestListStaysUntilItChanges(t *testing.T) {
+// TestListAndChanges plays announcements, a lapse and a leave, and checks who is listed
+// and what is told of them after the version before each step.
+func TestListAndChanges(t *testing.T) {
 	r := newRegistry()
-	r.Announce(beat("a", "x", 1, 0), at(0))
-	r.Announce(beat("b", "y", 1, 1000), at(1000))
-	ids := func(ms int) []string {
-		var out []string
-		for _, s := range r.List("west", at(ms)) {
-			out = append(out, s.ID)
+	check := func(step string, since uint64, listed, changed, removed []string) {
+		t.Helper()
+		var l, c []string
+		for _, s := range r.List("west") {
+			if l = append(l, s.ID); s.ChangedSince(since) {
+				c = append(c, s.ID)
+			}
+		}
+		for _, s := range r.Gone("west") {
+			if s.ChangedSince(since) {
+				c = append(c, s.ID+" gone")
+			}
+		}
+		gone, _, complete := r.Removed(since)
+		if !slices.Equal(l, listed) || !slices.Equal(c, changed) || !slices.Equal(gone, removed) || !complete {
+			t.Errorf("%s: listed %v, changed %v, removed %v, complete %v", step, l, c, gone, complete)
 		}
-		return out
-	}
-	version := r.Version()
-	if got := ids(1000); !slices.Equal(got, []string{"a", "b"}) {
-		t.Fatalf("listed %v", got)
-	}
-	r.Announce(beat("b", "y", 2, 2000), at(2000)) // no news
-	if got := ids(3700); !slices.Equal(got, []string{"a", "b"}) || r.ServersSince(version) {
-		t.Errorf("listed %v, changed %v, before the lapse was told", got, r.ServersSince(version))
 	}
+	since := r.Version()
+	r.Announce(beat("a", "x", 1, 0), at(0))
+	r.Announce(beat("b", "y", 1, 1000), at(1000))
+	check("two announced", since, []string{"a", "b"}, []string{"a", "b"}, nil)
+	since = r.Version()
+	r.Announce(beat("b", "y", 2, 2000), at(2000))
+	check("no news", since, []string{"a", "b"}, nil, nil)
 	r.Expire(at(3500), at(3700))
-	if got := ids(3700); !slices.Equal(got, []string{"b"}) || !r.ServersSince(version) {
-		t.Errorf("listed %v, changed %v, after the lapse", got, r.ServersSince(version))
+	check("a lapsed", since, []string{"b"}, nil, []string{"a"})
+	since = r.Version()
+	r.Expire(at(3700), at(3800))
+	check("told once", since, []string{"b"}, nil, nil)
+	r.Announce(beat("a", "x", 2, 3900), at(3900))
+	check("a is back", since, []string{"a", "b"}, []string{"a"}, nil)
+	since = r.Version()
+	r.Leave("b", at(4000))
+	check("b left", since, []string{"a"}, []string{"b gone"}, nil)
+	since = r.Version()
+	r.Leave("never-heard", at(4100))
+	check("one left that was never heard", since, []string{"a"}, []string{"never-heard gone"}, nil)
+	since = r.Version()
+	r.Expire(at(4100), at(4100).Add(goneFor+time.Second))
+	check("forgotten", since, nil, nil, []string{"a"})
+}
+
+// TestRemovedIsBounded: a host that missed too much gets whole lists.
+func TestRemovedIsBounded(t *testing.T) {
+	r := newRegistry()
+	start := r.Version()
+	for i := range removalsKept + 1 {
+		r.remove(false, fmt.Sprint("h", i))
 	}
-	version = r.Version()
-	r.HearHost(host("h", "west", "w1", true, 3700), at(3700))
-	if r.ServersSince(version) || !r.HostsSince(version) {
-		t.Error("a new entry host changes the entry hosts only")
+	if _, _, complete := r.Removed(start); complete {
+		t.Error("complete, though the first removal is forgotten")
 	}
-	version = r.Version()
-	r.Announce(beat("c", "z", 1, 3800), at(3800))
-	if !r.ServersSince(version) || r.HostsSince(version) {
-		t.Error("a new server changes the servers only")
+	if _, hosts, complete := r.Removed(start + 1); !complete || len(hosts) != removalsKept {
+		t.Errorf("%d removals, complete %v", len(hosts), complete)
 	}
 }
 
-// TestForgottenServerLeavesTheLists: what was gone for minutes is forgotten.
-func TestForgottenServerLeavesTheLists(t *testing.T) {
+// TestHostsAreRemovedOnce: an entry host whose lease ran out.
+func TestHostsAreRemovedOnce(t *testing.T) {
 	r := newRegistry()
-	r.Announce(beat("a", "x", 1, 0), at(0))
-	r.Leave("a", at(100))
-	if got := r.List("west", at(200)); len(got) != 1 || !got[0].Gone {
-		t.Fatalf("listed %v", got)
+	r.HearHost(host("h", "west", "w1", true, 0), at(0))
+	since := r.Version()
+	r.Expire(at(1400), at(1600))
+	if _, hosts, _ := r.Removed(since); !slices.Equal(hosts, []string{"h"}) {
+		t.Errorf("removed %v", hosts)
 	}
-	version, later := r.Version(), at(100).Add(goneFor+1)
-	r.Expire(at(200), later)
-	if got := r.List("west", later); len(got) != 0 || !r.ServersSince(version) {
-		t.Errorf("listed %v, changed %v", got, r.ServersSince(version))
+	since = r.Version()
+	r.Expire(at(1600), at(1700))
+	r.HearHost(host("h", "west", "w1", true, 1800), at(1800))
+	if _, hosts, _ := r.Removed(since); len(hosts) != 0 || !r.Hosts(at(1800))[0].ChangedSince(since) {
+		t.Errorf("removed %v, or its return is not told", hosts)
 	}
 }
 
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -42,8 +42,15 @@
 	ColdUntil                           time.Time
 	// Direct is set when this control host heard the server itself lately.
 	Direct time.Time
+
+	changed  uint64 // version of the last change that entry hosts must learn
+	unlisted bool   // its lease ran out, and that was told
 }
 
+// ChangedSince reports whether entry hosts must be told the server again that were told
+// it at a version.
+func (s *Server) ChangedSince(version uint64) bool { return s.changed > version }
+
 // Key returns the server's key in messages between hosts.
 func (s *Server) Key() uint32 { return holders.Key(s.ID) }
 
@@ -57,7 +64,7 @@
 	HeardAt                                 time.Time
 	Direct                                  bool // presents itself to this control host
 	Loads                                   serverload.Loads
-	// changed is the registry's list version at the last change that others must learn.
+	// changed is the version of the last change that others must learn.
 	changed uint64
 }
 
@@ -78,24 +85,27 @@
 	controls  map[string]*Control // by peer address
 	hostByKey map[uint32]*Host
 	version   uint64 // raised by each change that entry hosts must learn at once
-	// serversVersion and hostsVersion are the versions of the last change of the servers
-	// and of the entry hosts.
-	serversVersion, hostsVersion uint64
-	lists                        map[string]serverList // by region
+	removed   []removal
+	forgotten uint64 // version of the newest removal that is not remembered any more
 }
 
-// serverList is the list of a region's servers at a version.
-type serverList struct {
+// removal is a server or entry host that left the lists at a version.
+type removal struct {
 	version uint64
-	ids     []string
+	server  bool
+	id      string
 }
 
+// removalsKept bounds the removals that are remembered. A host whose last view is older
+// gets whole lists.
+const removalsKept = 2048
+
 // New returns an empty registry.
 func New(o Options) *Registry {
 	return &Registry{
 		o: o, servers: map[string]*Server{}, byAddress: map[string]string{},
 		hosts: map[string]*Host{}, hostByKey: map[uint32]*Host{}, controls: map[string]*Control{},
-		version: 1, serversVersion: 1, hostsVersion: 1, lists: map[string]serverList{},
+		version: 1,
 	}
 }
 
@@ -105,22 +115,31 @@
 // Touch raises the version for a change outside the registry.
 func (r *Registry) Touch() { r.version++ }
 
-func (r *Registry) serversChanged() {
+// remove records that a server or entry host left the lists.
+func (r *Registry) remove(server bool, id string) {
 	r.version++
-	r.serversVersion = r.version
+	r.removed = append(r.removed, removal{r.version, server, id})
+	if n := len(r.removed) - removalsKept; n > 0 {
+		r.forgotten = r.removed[n-1].version
+		r.removed = r.removed[n:]
+	}
 }
 
-func (r *Registry) hostsChanged() {
-	r.version++
-	r.hostsVersion = r.version
+// Removed returns the servers and entry hosts that left the lists after a version. It
+// reports whether all of them are still remembered.
+func (r *Registry) Removed(version uint64) (servers, hosts []string, complete bool) {
+	for _, m := range r.removed {
+		switch {
+		case m.version <= version:
+		case m.server:
+			servers = append(servers, m.id)
+		default:
+			hosts = append(hosts, m.id)
+		}
+	}
+	return servers, hosts, version >= r.forgotten
 }
 
-// ServersSince reports whether the list of servers changed after a version.
-func (r *Registry) ServersSince(version uint64) bool { return r.serversVersion > version }
-
-// HostsSince reports whether the entry hosts changed after a version.
-func (r *Registry) HostsSince(version uint64) bool { return r.hostsVersion > version }
-
 // Announce takes an announcement. It reports whether it was news; a late one
 // changes nothing.
 func (r *Registry) Announce(s Server, now time.Time) bool {
@@ -146,11 +165,19 @@
 		old.Address != s.Address || s.ColdUntil.After(old.ColdUntil.Add(coldNews))
 	r.servers[s.ID] = &s
 	if news {
-		r.serversChanged()
+		r.changed(&s)
+	} else {
+		s.changed = old.changed
 	}
 	return news
 }
 
+// changed lets the entry hosts learn a server's state at once.
+func (r *Registry) changed(s *Server) {
+	r.version++
+	s.changed = r.version
+}
+
 // coldNews is by how much a server's cold phase must be longer than known before
 // entry hosts are told at once; shorter differences are the delay of messages.
 const coldNews = 200 * time.Millisecond
@@ -164,7 +191,7 @@
 			s.Gone = true
 			s.HeardAt = now
 			r.servers[s.ID] = s
-			r.serversChanged()
+			r.changed(s)
 			return
 		}
 		r.retire(holder, now)
@@ -177,7 +204,7 @@
 		return
 	}
 	s.Gone, s.HeardAt = true, now
-	r.serversChanged()
+	r.changed(s)
 }
 
 // Leave records that a server has left for good. It reports whether that was news.
@@ -212,20 +239,27 @@
 	return out
 }
 
-// List returns the region's servers as of the last change of the servers, sorted by ID:
-// the same ones until the next change, also when a lease has just run out.
-func (r *Registry) List(region string, now time.Time) []*Server {
-	l, ok := r.lists[region]
-	if !ok || l.version != r.serversVersion {
-		l = serverList{version: r.serversVersion}
-		for _, s := range r.Servers(region, now) {
-			l.ids = append(l.ids, s.ID)
+// List returns the region's servers that entry hosts are told of, sorted by ID. One whose
+// lease has run out stays until that is told.
+func (r *Registry) List(region string) []*Server {
+	var out []*Server
+	for _, s := range r.servers {
+		if !s.Gone && !s.unlisted && r.RegionOf(s.FailureDomain) == region {
+			out = append(out, s)
 		}
-		r.lists[region] = l
 	}
-	out := make([]*Server, 0, len(l.ids))
-	for _, id := range l.ids {
-		out = append(out, r.servers[id])
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Gone returns the servers that are gone: the region's, and those that left before it was
+// known where they are.
+func (r *Registry) Gone(region string) []*Server {
+	var out []*Server
+	for _, s := range r.servers {
+		if of := r.RegionOf(s.FailureDomain); s.Gone && (of == region || of == "") {
+			out = append(out, s)
+		}
 	}
 	return out
 }
@@ -262,7 +296,7 @@
 	}
 	news := old == nil || old.Ready != h.Ready || old.Peer != h.Peer || old.Caller != h.Caller || now.Sub(old.HeardAt) > r.o.HostLease
 	if news {
-		r.hostsChanged()
+		r.version++
 		h.changed = r.version
 	} else {
 		h.changed = old.changed
@@ -356,24 +390,24 @@
 // since the last call.
 func (r *Registry) Expire(last, now time.Time) {
 	for id, s := range r.servers {
+		if !s.Gone && !s.unlisted && r.lapsed(s, now) {
+			s.unlisted = true
+			r.remove(true, id)
+		}
 		if now.Sub(s.HeardAt) > goneFor {
 			delete(r.servers, id)
 			if r.byAddress[s.Address] == id {
 				delete(r.byAddress, s.Address)
 			}
-			r.serversChanged() // lists name it no more
-			continue
-		}
-		if !s.Gone && r.lapsed(s, now) && !r.lapsed(s, last) {
-			r.serversChanged()
 		}
 	}
 	for id, h := range r.hosts {
+		if now.Sub(h.HeardAt) > r.o.HostLease && last.Sub(h.HeardAt) <= r.o.HostLease {
+			r.remove(false, id)
+		}
 		if now.Sub(h.HeardAt) > goneFor {
 			delete(r.hosts, id)
 			delete(r.hostByKey, h.Key())
-		} else if now.Sub(h.HeardAt) > r.o.HostLease && last.Sub(h.HeardAt) <= r.o.HostLease {
-			r.hostsChanged()
 		}
 	}
 }
