Control hosts keep the lists and sums that every presentation asks for

BenchmarkPresentation (50 hosts, 1,000 servers): 0.60 ms, of it 43% sorting the region's servers anew and 34% adding up all hosts' loads. Change: the sorted list is kept until a server joins or leaves it, and the sum of the loads is changed by what a host told before and tells now.

--- /dev/null
+++ b/internal/app/control/bench_test.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"context"
+	"crypto/ed25519"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/sesamefork/sesamefork/internal/core/holders"
+	"github.com/sesamefork/sesamefork/internal/core/registry"
+	"github.com/sesamefork/sesamefork/internal/core/serverload"
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+	"github.com/sesamefork/sesamefork/internal/port"
+)
+
+// BenchmarkPresentation is one presentation of an entry host to a control host with 50 of
+// them, in a region of 1,000 busy servers: the sweep's 300 hosts. A control host answers
+// 200 of them a second.
+func BenchmarkPresentation(b *testing.B) {
+	const hosts, servers = 50, 1000
+	r, err := NewReplica(Options{
+		Identity: port.Identity{Store: "c.0"}, Host: "c", Generation: 1, Members: []*pb.RaftMember{{Id: "c.0", Address: "a"}},
+		Signer: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)), Tick: time.Millisecond, SnapshotEvery: 100,
+		Journal: &memoryJournal{}, State: &port.JournalState{}, Peers: noPeers{}, Engines: &engines{}, Clock: port.SystemClock{}, Log: logr.Discard(),
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	f := NewFleet(FleetOptions{
+		Peer: "10.0.0.1:7", Region: "r", FailureDomain: "f", Regions: map[string]string{"f": "r"}, ServerLease: time.Hour,
+		Peers: noPeers{}, Clock: port.SystemClock{}, Log: logr.Discard(),
+	}, r)
+	loads := serverload.Loads{}
+	for i := range servers {
+		id := fmt.Sprintf("i-%06x", i)
+		if _, err := f.Announce(registry.Server{ID: id, Service: "llm", Address: fmt.Sprint("10.1.0.0:", i), FailureDomain: "f", Sequence: 1, Slots: 16}); err != nil {
+			b.Fatal(err)
+		}
+		if i%10 == 0 {
+			loads[holders.Key(id)] = serverload.Load{Requests: 1, PromptTokens: 500, MemoryTokens: 900}
+		}
+	}
+	epoch, version := uint64(0), uint64(0)
+	present := func(i int) {
+		v := f.sync(context.Background(), &pb.FleetSync{
+			Host:      &pb.FleetHost{Id: fmt.Sprint("h", i%hosts), Region: "r", FailureDomain: "f", Ready: true},
+			HaveEpoch: epoch, HaveVersion: version, Loads: serverload.Encode(loads),
+		})
+		epoch, version = v.Epoch, v.Version
+	}
+	for i := range hosts {
+		present(i)
+	}
+	b.ResetTimer()
+	for i := range b.N {
+		present(i)
+	}
+}
--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -307,7 +307,7 @@
 				}
 			}
 			if c.Region == f.o.Region {
-				x.ServerLoads = serverload.Encode(f.reg.DirectLoads(now))
+				x.ServerLoads = serverload.Encode(f.reg.DirectLoads())
 			}
 			var places []holders.Place
 			places, next.prompts = f.prompts.Direct(last.prompts)
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -8,6 +8,7 @@
 package registry
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -66,6 +67,7 @@
 	Loads                                   serverload.Loads
 	// changed is the version of the last change that others must learn.
 	changed uint64
+	counted serverload.Loads // its part of Registry.direct
 }
 
 // Control is another control host.
@@ -85,6 +87,12 @@
 	controls  map[string]*Control // by peer address
 	hostByKey map[uint32]*Host
 	version   uint64 // raised by each change that entry hosts must learn at once
+	// lists holds the servers that List returns, until they change; direct is the sum of
+	// the work of the region's entry hosts that present themselves here. Both are kept
+	// because every presentation asks for them: with 50 entry hosts and 1,000 busy servers
+	// one took 0.60 ms when they were made anew, and takes 0.09 ms (BenchmarkPresentation).
+	lists     map[string][]*Server // by region
+	direct    serverload.Loads
 	removed   []removal
 	forgotten uint64 // version of the newest removal that is not remembered any more
 }
@@ -105,7 +113,7 @@
 	return &Registry{
 		o: o, servers: map[string]*Server{}, byAddress: map[string]string{},
 		hosts: map[string]*Host{}, hostByKey: map[uint32]*Host{}, controls: map[string]*Control{},
-		version: 1,
+		version: 1, lists: map[string][]*Server{}, direct: serverload.Loads{},
 	}
 }
 
@@ -163,11 +171,18 @@
 	}
 	news := old == nil || old.Leaving != s.Leaving || old.Service != s.Service || old.Slots != s.Slots || r.lapsed(old, now) ||
 		old.Address != s.Address || s.ColdUntil.After(old.ColdUntil.Add(coldNews))
-	r.servers[s.ID] = &s
+	if old == nil {
+		old = &Server{}
+		r.servers[s.ID] = old
+	}
+	listed := !s.unlisted && old.ID != "" && !old.unlisted && old.FailureDomain == s.FailureDomain
+	s.changed = old.changed
+	*old = s // lists hold the pointer
+	if !listed {
+		clear(r.lists)
+	}
 	if news {
-		r.changed(&s)
-	} else {
-		s.changed = old.changed
+		r.changed(old)
 	}
 	return news
 }
@@ -204,6 +219,7 @@
 		return
 	}
 	s.Gone, s.HeardAt = true, now
+	clear(r.lists)
 	r.changed(s)
 }
 
@@ -242,13 +258,17 @@
 // List returns the region's servers that entry hosts are told of, sorted by ID. One whose
 // lease has run out stays until that is told.
 func (r *Registry) List(region string) []*Server {
-	var out []*Server
+	out, ok := r.lists[region]
+	if ok {
+		return out
+	}
 	for _, s := range r.servers {
 		if !s.Gone && !s.unlisted && r.RegionOf(s.FailureDomain) == region {
 			out = append(out, s)
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	r.lists[region] = out
 	return out
 }
 
@@ -301,10 +321,24 @@
 	} else {
 		h.changed = old.changed
 	}
+	r.count(old, &h)
 	r.hosts[h.ID], r.hostByKey[h.Key()] = &h, &h
 	return news
 }
 
+// count puts a host's work into the sum in place of what it told before.
+func (r *Registry) count(old, h *Host) {
+	if old != nil {
+		r.direct.Sub(old.counted)
+	}
+	if h.Direct && h.Region == r.o.Region {
+		h.counted = h.Loads
+		r.direct.Add(h.counted)
+	} else {
+		h.counted = nil
+	}
+}
+
 // HearHostAgain takes the news of another control host that an entry host which it told
 // of before is still there. It reports whether the host is known here.
 func (r *Registry) HearHostAgain(key uint32, heardAt, now time.Time) bool {
@@ -392,6 +426,7 @@
 	for id, s := range r.servers {
 		if !s.Gone && !s.unlisted && r.lapsed(s, now) {
 			s.unlisted = true
+			clear(r.lists)
 			r.remove(true, id)
 		}
 		if now.Sub(s.HeardAt) > goneFor {
@@ -404,6 +439,8 @@
 	for id, h := range r.hosts {
 		if now.Sub(h.HeardAt) > r.o.HostLease && last.Sub(h.HeardAt) <= r.o.HostLease {
 			r.remove(false, id)
+			r.direct.Sub(h.counted)
+			h.counted = nil
 		}
 		if now.Sub(h.HeardAt) > goneFor {
 			delete(r.hosts, id)
@@ -415,7 +452,10 @@
 // OtherLoads adds up the work that the region's other entry hosts have under
 // way at each backend server.
 func (r *Registry) OtherLoads(host string, now time.Time) serverload.Loads {
-	sums := r.directLoads(host, now)
+	sums := r.DirectLoads()
+	if h := r.hosts[host]; h != nil {
+		sums.Sub(h.counted)
+	}
 	for _, c := range r.Controls(now) {
 		if c.Region == r.o.Region {
 			sums.Add(c.ServerLoads)
@@ -424,22 +464,8 @@
 	return sums
 }
 
-// DirectLoads adds up the work of the entry hosts that present themselves here.
-func (r *Registry) DirectLoads(now time.Time) serverload.Loads {
-	return r.directLoads("", now)
-}
-
-// directLoads adds up the work of the region's entry hosts that present themselves
-// here, but for the one named.
-func (r *Registry) directLoads(except string, now time.Time) serverload.Loads {
-	sums := serverload.Loads{}
-	for _, h := range r.Hosts(now) {
-		if h.ID != except && h.Direct && h.Region == r.o.Region {
-			sums.Add(h.Loads)
-		}
-	}
-	return sums
-}
+// DirectLoads adds up the work of the region's entry hosts that present themselves here.
+func (r *Registry) DirectLoads() serverload.Loads { return maps.Clone(r.direct) }
 
 // RegionLoads adds up the region's servers that take work and what the entry
 // hosts that present themselves here have under way at them, for each service.
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -174,7 +174,7 @@
 	if len(others) != 2 || others[s0].Requests != 5 || others[s1].Requests != 3 {
 		t.Errorf("others' work: %v", others)
 	}
-	if direct := r.DirectLoads(at(0)); len(direct) != 1 || direct[s0].Requests != 7 {
+	if direct := r.DirectLoads(); len(direct) != 1 || direct[s0].Requests != 7 {
 		t.Errorf("work of the hosts that present themselves here: %v", direct)
 	}
 	sum := r.RegionLoads(func(string) bool { return false }, at(0))
--- a/internal/core/serverload/serverload.go
+++ b/internal/core/serverload/serverload.go
@@ -36,6 +36,23 @@
 	}
 }
 
+// Sub takes away work that was added before.
+func (l Loads) Sub(less Loads) {
+	for key, m := range less {
+		s := l[key]
+		s.Requests -= m.Requests
+		s.PromptTokens -= m.PromptTokens
+		s.MemoryTokens -= m.MemoryTokens
+		s.ReadingMS -= m.ReadingMS
+		s.Deferred -= m.Deferred
+		if s == (Load{}) {
+			delete(l, key)
+		} else {
+			l[key] = s
+		}
+	}
+}
+
 // Encode returns the message that holds the loads, sorted by key; nil for none.
 func Encode(l Loads) *pb.ServerLoads {
 	if len(l) == 0 {
--- a/internal/core/serverload/serverload_test.go
+++ b/internal/core/serverload/serverload_test.go
@@ -44,3 +44,13 @@
 		t.Errorf("got %v, want %v", sum, want)
 	}
 }
+
+func TestSub(t *testing.T) {
+	a, b := Loads{1: {3, 10, 5, 3, 4}, 2: {Requests: 7}}, Loads{1: {Requests: 1, Deferred: 1}, 3: {ReadingMS: 2}}
+	sum := maps.Clone(a)
+	sum.Add(b)
+	sum.Sub(b)
+	if !maps.Equal(sum, a) {
+		t.Errorf("got %v, want %v", sum, a)
+	}
+}
