--- a/cmd/sesame-control/platform.go
+++ b/cmd/sesame-control/platform.go
@@ -17,6 +17,7 @@
 	"github.com/sesamefork/sesamefork/internal/adapter/settings"
 	"github.com/sesamefork/sesamefork/internal/app/control"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
+	"github.com/sesamefork/sesamefork/internal/core/registry"
 	"github.com/sesamefork/sesamefork/internal/daemon"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
@@ -64,17 +65,13 @@
 	fleet := control.NewFleet(control.FleetOptions{
 		Peer: s.Fleet.PeerAddress(s.Listen.Peer), Operator: s.Listen.Operator, Region: s.Host.Region, FailureDomain: s.Host.FailureDomain,
 		Regions: s.Fleet.Regions, Seeds: s.Fleet.PeerSeeds(),
-		ServerLease: missedAnnouncements * time.Duration(s.Fleet.HeartbeatMS) * time.Millisecond,
+		ServerLease: registry.MissedAnnouncements * time.Duration(s.Fleet.HeartbeatMS) * time.Millisecond,
 		Peers:       client, Clock: port.SystemClock{}, Log: log,
 	}, r)
 	m.Gauge("version", func() any { return r.Accepted().Stamp.Version })
 	return servePlatform(s, r, fleet, link, log)
 }
 
-// missedAnnouncements is after how many intervals of silence a backend server is
-// taken for lost: two announcements may be late or lost.
-const missedAnnouncements = 3
-
 // openStore opens the data folder, formatting an empty one. Only a store that is
 // formatted at the fleet's first start is a founder of the group; any later one
 // has no vote until the group has taken it in.
--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -432,7 +432,7 @@
 			v.Servers = append(v.Servers, serverMessage(s, now))
 		}
 		if v.Changes {
-			v.ServerAges = append(v.ServerAges, uint32(age(s.HeardAt, now)/ageUnitMS))
+			v.ServerAges = append(v.ServerAges, uint32(age(s.HeardAt, now)/registry.AgeUnitMS))
 		}
 	}
 	for _, s := range f.reg.Gone(region) {
@@ -447,10 +447,6 @@
 	}
 }
 
-// ageUnitMS is the unit of the ages in a view, in ms: one byte holds 6 s, more than an
-// announcement's lease.
-const ageUnitMS = 50
-
 // aged returns copies of the loads with their age.
 func aged(loads []*pb.RegionLoad, age time.Duration) []*pb.RegionLoad {
 	out := make([]*pb.RegionLoad, 0, len(loads))
--- a/internal/app/gateway/source.go
+++ b/internal/app/gateway/source.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/sesamefork/sesamefork/internal/core/registry"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
@@ -16,9 +17,6 @@
 	hosts          map[string]*pb.FleetHost   // by ID
 }
 
-// ageUnitMS is the unit of the ages in a view, in ms.
-const ageUnitMS = 50
-
 // complete makes a view of changes whole, and remembers it. It reports whether that is
 // possible; if not, the next view is asked for whole.
 func (s *source) complete(v *pb.FleetView) bool {
@@ -67,7 +65,7 @@
 		}
 		m := s.servers[id]
 		// How long a server is cold was told with its change, from that time on.
-		m.AgeMs, m.ColdMs = uint64(v.ServerAges[i])*ageUnitMS, 0
+		m.AgeMs, m.ColdMs = uint64(v.ServerAges[i])*registry.AgeUnitMS, 0
 		v.Servers = append(v.Servers, m)
 	}
 	return true
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/holders"
+	"github.com/sesamefork/sesamefork/internal/core/registry"
 	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
@@ -124,8 +125,6 @@
 	// viewDelay is how much later than at its control host a server's announcement may be
 	// known here: an exchange between control hosts, a view, and the ways between them.
 	viewDelay = 900 * time.Millisecond
-	// missedAnnouncements is how many announcements in a row a server may miss.
-	missedAnnouncements = 3
 	// regionSilence is how old another region's figures may be for a request to be
 	// sent there: they come three times a second and take 0.4 s, so older ones mean
 	// that the way there is probably cut. A request that is sent into a cut is lost.
@@ -322,10 +321,10 @@
 	return out
 }
 
-// missing reports whether a server has missed missedAnnouncements, as of the last view:
+// missing reports whether a server has missed too many announcements, as of the last view:
 // while no control host can be reached, the servers last known stay in use.
 func (f *Fleet) missing(s *Server) bool {
-	return f.viewedAt.Sub(s.ConfirmedAt) > missedAnnouncements*f.o.AnnounceEvery+viewDelay
+	return f.viewedAt.Sub(s.ConfirmedAt) > registry.MissedAnnouncements*f.o.AnnounceEvery+viewDelay
 }
 
 // usable reports whether a server may be given new work, and why not.
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -29,6 +29,14 @@
 	Regions map[string]string
 }
 
+// MissedAnnouncements is after how many intervals of silence a backend server is taken for
+// lost: two announcements may be late or lost.
+const MissedAnnouncements = 3
+
+// AgeUnitMS is the unit of the announcements' ages in a view, in ms: one byte holds 6 s,
+// more than an announcement's lease.
+const AgeUnitMS = 50
+
 // goneFor is how long the ID of a server that is gone is remembered: longer
 // than an announcement can be held up by a cut network.
 const goneFor = 5 * time.Minute
