--- a/internal/adapter/logging/logging_test.go
+++ b/internal/adapter/logging/logging_test.go
@@ -113,3 +113,18 @@
 			"remaining_ms", 14000, "outcome", "server", "server", "i-1", "estimate_ms", 120)
 	}
 }
+
+// BenchmarkLineOverRate is the cost of a line that is dropped because its event comes too
+// often: at ten times the load of a sheet's peak seven lines of ten are.
+func BenchmarkLineOverRate(b *testing.B) {
+	out := NewBounded(io.Discard, 0)
+	defer out.Close()
+	for range linesPerSecond {
+		out.Info("place chosen")
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		out.Info("place chosen", "request_id", "9c41d07be2a35f68", "route", "r-x73d3zj", "attempt", 1, "remaining_ms", 4980,
+			"outcome", "server", "server", "i-7f3a91c2", "estimate_ms", 53)
+	}
+}
