What a failed exchange told of prompts is told again

Cause: found on reading the change: after an exchange that failed a control host told all hosts and servers anew, but took where prompts were sent for told, so that hints were lost with each lost message. Change: the position stays where the last confirmed exchange left it. Test: TestExchangeTellsHostsOnce, seen failing.

--- a/internal/app/control/changes_test.go
+++ b/internal/app/control/changes_test.go
@@ -70,7 +70,14 @@
 	if len(again.Hosts) != 0 || len(again.HeardHosts) != 1 || again.HeardHosts[0] != holders.Key("h1") || len(again.HeardAges) != 1 {
 		t.Errorf("told again: %v", again)
 	}
+	m.f.mu.Lock()
+	m.f.prompts.Add("h1", []holders.Place{{Chain: 7, Server: 70}})
+	m.f.reg.HearControl(registry.Control{Peer: addr, Region: "r", HeardAt: m.f.o.Clock.Now()})
+	m.f.mu.Unlock()
 	m.f.exchange(context.Background(), addr) // fails
+	if after, _ := m.f.exchangeFor(addr); len(holders.Decode(after.Prompts)) != 1 {
+		t.Error("where a prompt was sent is not told again after a failure")
+	}
 	if after, _ := m.f.exchangeFor(addr); len(after.Hosts) != 1 {
 		t.Errorf("told after a failure: %v", after)
 	}
--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -261,16 +261,16 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	req := f.replica.request()
-	x, told := f.exchangeFor(addr)
+	x, next := f.exchangeFor(addr)
 	req.Body = &pb.Request_ControlExchange{ControlExchange: x}
 	_, err := f.o.Peers.Call(ctx, addr, req)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err != nil {
 		f.o.Log.V(1).Info("control host not reached", "peer", addr, "reason", err.Error())
-		told.hosts, told.serversAt = 0, time.Time{} // it may have restarted
+		next = told{prompts: f.told[addr].prompts} // it may have restarted, and knows no hosts
 	}
-	f.told[addr] = told
+	f.told[addr] = next
 }
 
 // exchangeFor returns what the control host at an address is told: all entry hosts that
