--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -60,7 +60,6 @@
 	known   chan struct{} // closed when a configuration is in force and servers are known
 
 	control controlList
-	started time.Time
 }
 
 // New returns a gateway that knows no configuration and no servers yet.
@@ -77,7 +76,6 @@
 		budget:  retry.NewShared(o.Retries, o.Clock.Now()),
 		startup: dispatch.NewStartup(o.Clock.Now()),
 		known:   make(chan struct{}),
-		started: o.Clock.Now(),
 	}
 	g.control.seeds = o.Seeds
 	return g
@@ -125,6 +123,11 @@
 // awaitStart keeps a request while the host is expected to know enough soon. It returns
 // the refusal of a request that can't wait, or waited in vain.
 func (g *Gateway) awaitStart(ctx context.Context, r *Request) *failure.Error {
+	select {
+	case <-g.known:
+		return nil
+	default:
+	}
 	f := g.starting()
 	if f == nil {
 		return nil
--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -138,7 +138,7 @@
 func (g *Gateway) nearerAlive(distance int) bool {
 	now := g.o.Clock.Now()
 	near := distance
-	if near == sameRegion && g.config.Load() == nil && now.Sub(g.started) > unsureAfter {
+	if near == sameRegion && g.config.Load() == nil && g.startup.Age(now) > unsureAfter {
 		near = sameDomain
 	}
 	g.control.mu.Lock()
@@ -185,7 +185,7 @@
 		return nil, failure.New(failure.PeerRefused, "", "the control host at %s gave no view", addr)
 	}
 	if !have.complete(view) {
-		return nil, failure.New(failure.PeerRefused, "", "the control host at %s names %d ages of %d servers", addr, len(view.ServerAges), len(have.servers))
+		return nil, failure.New(failure.PeerRefused, "", "the changes that the control host at %s tells do not fit what this host has", addr)
 	}
 	g.takeView(view)
 	if configstate.Newer(resp.Stamp, g.stamp()) {
--- a/internal/core/dispatch/startup.go
+++ b/internal/core/dispatch/startup.go
@@ -58,4 +58,7 @@
 	return startRetry
 }
 
-func (s *Startup) left(now time.Time) time.Duration { return s.began.Add(startWait).Sub(now) }
+// Age returns for how long the host has run. It may be called at any time.
+func (s *Startup) Age(now time.Time) time.Duration { return now.Sub(s.began) }
+
+func (s *Startup) left(now time.Time) time.Duration { return startWait - s.Age(now) }
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -105,17 +105,6 @@
 	forgotten uint64 // version of the newest removal that is not remembered any more
 }
 
-// removal is a server or entry host that left the lists at a version.
-type removal struct {
-	version uint64
-	server  bool
-	id      string
-}
-
-// removalsKept bounds the removals that are remembered. A host whose last view is older
-// gets whole lists.
-const removalsKept = 2048
-
 // New returns an empty registry.
 func New(o Options) *Registry {
 	return &Registry{
@@ -131,31 +120,6 @@
 // Touch raises the version for a change outside the registry.
 func (r *Registry) Touch() { r.version++ }
 
-// remove records that a server or entry host left the lists.
-func (r *Registry) remove(server bool, id string) {
-	r.version++
-	r.removed = append(r.removed, removal{r.version, server, id})
-	if n := len(r.removed) - removalsKept; n > 0 {
-		r.forgotten = r.removed[n-1].version
-		r.removed = r.removed[n:]
-	}
-}
-
-// Removed returns the servers and entry hosts that left the lists after a version. It
-// reports whether all of them are still remembered.
-func (r *Registry) Removed(version uint64) (servers, hosts []string, complete bool) {
-	for _, m := range r.removed {
-		switch {
-		case m.version <= version:
-		case m.server:
-			servers = append(servers, m.id)
-		default:
-			hosts = append(hosts, m.id)
-		}
-	}
-	return servers, hosts, version >= r.forgotten
-}
-
 // Announce takes an announcement. It reports whether it was news; a late one
 // changes nothing.
 func (r *Registry) Announce(s Server, now time.Time) bool {
@@ -263,35 +227,6 @@
 	return out
 }
 
-// List returns the region's servers that entry hosts are told of, sorted by ID. One whose
-// lease has run out stays until that is told.
-func (r *Registry) List(region string) []*Server {
-	out, ok := r.lists[region]
-	if ok {
-		return out
-	}
-	for _, s := range r.servers {
-		if !s.Gone && !s.unlisted && r.RegionOf(s.FailureDomain) == region {
-			out = append(out, s)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
-	r.lists[region] = out
-	return out
-}
-
-// Gone returns the servers that are gone: the region's, and those that left before it was
-// known where they are.
-func (r *Registry) Gone(region string) []*Server {
-	var out []*Server
-	for _, s := range r.servers {
-		if of := r.RegionOf(s.FailureDomain); s.Gone && (of == region || of == "") {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
 // DirectServers returns the servers of a region that announced themselves, or
 // left, at this control host within the lease.
 func (r *Registry) DirectServers(region string, now time.Time) []*Server {
@@ -334,19 +269,6 @@
 	return news
 }
 
-// count puts a host's work into the sum in place of what it told before.
-func (r *Registry) count(old, h *Host) {
-	if old != nil {
-		r.direct.Sub(old.counted)
-	}
-	if h.Direct && h.Region == r.o.Region {
-		h.counted = h.Loads
-		r.direct.Add(h.counted)
-	} else {
-		h.counted = nil
-	}
-}
-
 // HearHostAgain takes the news of another control host that an entry host which it told
 // of before is still there. It reports whether the host is known here.
 func (r *Registry) HearHostAgain(key uint32, heardAt, now time.Time) bool {
