A backend server that starts again under its ID is known by its start

Change: announcements carry the start of the process. A newer start replaces the known one on control and entry hosts; nothing known of the earlier one is used (cache, load, cold time, failures, hints), and its requests under way are given up at once. Starts that were replaced never return; a start by a clock set back is taken once the known one is silent. Keys between hosts are of the start. Ruled out: comparing sequence numbers alone; a late announcement looks like a restart.

--- a/internal/app/control/changes_test.go
+++ b/internal/app/control/changes_test.go
@@ -40,7 +40,7 @@
 	if len(changed.Servers) != 1 || changed.Servers[0].Id != "b" || len(changed.ServerAges) != 2 || len(changed.Hosts) != 0 {
 		t.Errorf("after a change of the servers the view holds %v", changed)
 	}
-	m.f.Leave("a")
+	m.f.Leave("a", 0)
 	left := present(changed.Epoch, changed.Version)
 	if len(left.Servers) != 1 || !left.Servers[0].Gone || len(left.ServerAges) != 1 {
 		t.Errorf("after a server left the view holds %v", left)
--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -117,7 +117,7 @@
 	news := f.reg.Announce(s, now)
 	f.wakeLocked()
 	if news {
-		f.o.Log.Info("backend server announced", "server", s.ID, "service", s.Service, "address", s.Address,
+		f.o.Log.Info("backend server announced", "server", s.ID, "start", s.Start, "service", s.Service, "address", s.Address,
 			"failure_domain", s.FailureDomain, "leaving", s.Leaving, "sequence", s.Sequence, "cold_ms", max(0, s.ColdUntil.Sub(now).Milliseconds()))
 	}
 	return f.sponsorLocked(s.FailureDomain, now), nil
@@ -145,12 +145,12 @@
 	return near
 }
 
-// Leave records that a backend server is gone.
-func (f *Fleet) Leave(id string) {
+// Leave records that a start of a backend server is gone; 0 means the one that is known.
+func (f *Fleet) Leave(id string, start int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.reg.Leave(id, f.o.Clock.Now()) {
-		f.o.Log.Info("backend server left", "server", id)
+	if f.reg.Leave(id, start, f.o.Clock.Now()) {
+		f.o.Log.Info("backend server left", "server", id, "start", start)
 	}
 	f.wakeLocked()
 }
@@ -345,12 +345,12 @@
 	}
 	for _, s := range x.Servers {
 		if s.Gone {
-			f.reg.Leave(s.Id, now)
+			f.reg.Leave(s.Id, s.Start, now)
 			continue
 		}
 		heard := now.Add(-milliseconds(s.AgeMs))
 		f.reg.Announce(registry.Server{
-			ID: s.Id, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain, Sequence: s.Sequence,
+			ID: s.Id, Start: s.Start, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain, Sequence: s.Sequence,
 			Slots: int(s.Slots), Leaving: s.Leaving, HeardAt: heard, FirstSeen: now.Add(-milliseconds(s.FirstSeenMs)),
 			ColdUntil: heard.Add(milliseconds(s.ColdMs)),
 		}, now)
@@ -474,10 +474,10 @@
 
 func serverMessage(s *registry.Server, now time.Time) *pb.FleetServer {
 	if s.Gone {
-		return &pb.FleetServer{Id: s.ID, Gone: true}
+		return &pb.FleetServer{Id: s.ID, Start: s.Start, Gone: true}
 	}
 	m := &pb.FleetServer{
-		Id: s.ID, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain, Sequence: s.Sequence,
+		Id: s.ID, Start: s.Start, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain, Sequence: s.Sequence,
 		Slots: uint32(s.Slots), Leaving: s.Leaving, AgeMs: age(s.HeardAt, now), FirstSeenMs: age(s.FirstSeen, now),
 	}
 	if s.ColdUntil.After(s.HeardAt) {
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -314,18 +314,15 @@
 const lossCheck = 500 * time.Millisecond
 
 // watch ends an attempt that can go on elsewhere once its server is lost. One that
-// can't waits on: its answer may still come.
+// can't waits on, as its answer may still come, unless the server's process has ended.
 func (g *Gateway) watch(ctx context.Context, x *execution, c *dispatch.Choice, cancel context.CancelCauseFunc) {
-	if !x.route.Idempotent() {
-		return
-	}
 	var check func()
 	check = func() {
 		if ctx.Err() != nil {
 			return
 		}
 		g.mu.Lock()
-		lost := g.fleet.Lost(c, g.o.Clock.Now())
+		lost := g.fleet.Replaced(c) || (x.route.Idempotent() && g.fleet.Lost(c, g.o.Clock.Now()))
 		g.mu.Unlock()
 		if lost {
 			cancel(errLost)
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -74,7 +74,7 @@
 func (g *Gateway) markGone(s *dispatch.Server) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.fleet.MarkGone(s.ID, g.o.Clock.Now())
+	g.fleet.MarkGone(s.ID, s.Start, g.o.Clock.Now())
 }
 
 // whole passes on an answer that is not a stream, after it arrived whole. A
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -104,7 +104,7 @@
 	if !f.servers["s0"].Leaving {
 		t.Error("a leaving server was taken back")
 	}
-	if f.servers["s1"] != nil || !f.IsGone("s1") {
+	if _, gone := f.gone["s1"]; f.servers["s1"] != nil || !gone {
 		t.Error("a server that is gone came back")
 	}
 	if len(f.evacuated) != 1 {
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/holders"
+	"github.com/sesamefork/sesamefork/internal/core/incarnation"
 	"github.com/sesamefork/sesamefork/internal/core/registry"
 	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
@@ -33,11 +34,17 @@
 // Server is one start of a backend server of the own region.
 type Server struct {
 	ID, Service, Address, FailureDomain string
-	Slots                               int
-	Leaving                             bool
-	ConfirmedAt                         time.Time // when it last announced itself
-	FirstSeen                           time.Time
-	ColdUntil                           time.Time
+	// Start is when the server's process began, in Unix ms by its own clock; 0 when it was
+	// not told.
+	Start   int64
+	Slots   int
+	Leaving bool
+	// replaced is set when another process runs under the ID: requests under way are lost.
+	replaced    bool
+	starts      incarnation.History
+	ConfirmedAt time.Time // when it last announced itself
+	FirstSeen   time.Time
+	ColdUntil   time.Time
 
 	own    load // this host's requests under way
 	others load // of the region's other entry hosts, as last told
@@ -49,7 +56,7 @@
 	health                   health
 	reading                  rate // of prompts sent by this host, in ms of reading per second
 	cache                    *partCache
-	key                      uint32      // of the ID, for holders
+	key                      uint32      // of the start, in messages between hosts
 	coldAt                   []time.Time // own requests of the last second, while cold
 	// progressAt is when this host last got a byte from the server, or began to
 	// wait for one.
@@ -89,15 +96,21 @@
 	sent                     load   // own forwards begun since, or still under way
 }
 
+// departure is a start of a server that is never used again.
+type departure struct {
+	at     time.Time
+	starts incarnation.History
+}
+
 type regionKey struct{ region, service string }
 
 // Fleet is what the host knows. It is not safe for concurrent use.
 type Fleet struct {
 	o         Options
 	servers   map[string]*Server
-	gone      map[string]time.Time
-	hosts     map[string][]*Host // entry hosts of other regions, by region
-	neighbors []string           // ready entry hosts of the own region, this one included
+	gone      map[string]departure // by server ID
+	hosts     map[string][]*Host   // entry hosts of other regions, by region
+	neighbors []string             // ready entry hosts of the own region, this one included
 	regions   map[regionKey]*region
 	evacuated []string
 	revision  uint64
@@ -114,7 +127,7 @@
 		o.AnnounceEvery = defaultAnnounceEvery
 	}
 	return &Fleet{
-		o: o, servers: map[string]*Server{}, gone: map[string]time.Time{}, hosts: map[string][]*Host{},
+		o: o, servers: map[string]*Server{}, gone: map[string]departure{}, hosts: map[string][]*Host{},
 		regions: map[regionKey]*region{}, chains: map[string]chainRate{}, holders: holders.NewTable(),
 		byKey: map[uint32]*Server{},
 	}
@@ -153,8 +166,8 @@
 			f.drop(s)
 		}
 	}
-	for id, at := range f.gone {
-		if now.Sub(at) > goneFor {
+	for id, d := range f.gone {
+		if now.Sub(d.at) > goneFor {
 			delete(f.gone, id)
 		}
 	}
@@ -170,16 +183,12 @@
 
 func (f *Fleet) takeServer(m *pb.FleetServer, now time.Time) {
 	if m.Gone {
-		f.MarkGone(m.Id, now)
-		return
-	}
-	if _, ok := f.gone[m.Id]; ok {
+		f.MarkGone(m.Id, m.Start, now)
 		return
 	}
-	s := f.servers[m.Id]
+	s := f.serverFor(m, now)
 	if s == nil {
-		s = &Server{ID: m.Id, FirstSeen: now.Add(-ms(m.FirstSeenMs)), cache: newPartCache(), key: holders.Key(m.Id)}
-		f.servers[m.Id], f.byKey[s.key] = s, s
+		return
 	}
 	heard := now.Add(-ms(m.AgeMs))
 	s.Service, s.Address, s.FailureDomain = m.Service, m.Address, m.FailureDomain
@@ -193,12 +202,67 @@
 	}
 }
 
-// MarkGone records that a server will never be used again.
-func (f *Fleet) MarkGone(id string, now time.Time) {
-	if _, ok := f.gone[id]; !ok {
-		f.gone[id] = now
+// serverFor returns what is known of the start that a view tells of: nothing yet when it is
+// new. It returns nil for a start that left or was replaced.
+func (f *Fleet) serverFor(m *pb.FleetServer, now time.Time) *Server {
+	var starts incarnation.History
+	if d, ok := f.gone[m.Id]; ok {
+		if d.starts.Compare(m.Start, now.Sub(d.at) > f.announcementsHold()) != incarnation.Newer {
+			return nil
+		}
+		starts = d.starts
+		delete(f.gone, m.Id)
+	}
+	if s := f.servers[m.Id]; s != nil {
+		switch s.starts.Compare(m.Start, f.missing(s)) {
+		case incarnation.Older:
+			return nil
+		case incarnation.Same:
+			f.learnStart(s, m.Start)
+			return s
+		}
+		starts = s.starts
+		s.replaced, s.Leaving = true, true
+		f.drop(s)
+	}
+	s := &Server{ID: m.Id, FirstSeen: now.Add(-ms(m.FirstSeenMs)), cache: newPartCache(), starts: starts}
+	f.servers[s.ID] = s
+	f.setStart(s, m.Start)
+	return s
+}
+
+// learnStart takes the start of a server that was told without one before.
+func (f *Fleet) learnStart(s *Server, start int64) {
+	if s.Start == 0 && start != 0 {
+		delete(f.byKey, s.key)
+		f.setStart(s, start)
 	}
-	if s := f.servers[id]; s != nil {
+}
+
+func (f *Fleet) setStart(s *Server, start int64) {
+	s.Start = start
+	s.starts.Advance(start)
+	s.key = incarnation.Key(s.ID, start)
+	f.byKey[s.key] = s
+}
+
+// MarkGone records that a start of a server will never be used again; 0 means the one that
+// is known.
+func (f *Fleet) MarkGone(id string, start int64, now time.Time) {
+	s := f.servers[id]
+	if s != nil && s.starts.Compare(start, false) == incarnation.Older {
+		return
+	}
+	d, ok := f.gone[id]
+	if !ok {
+		d.at = now
+		if s != nil {
+			d.starts = s.starts
+		}
+	}
+	d.starts.Advance(start)
+	f.gone[id] = d
+	if s != nil {
 		s.Leaving = true
 		if s.underWay() == 0 {
 			f.drop(s)
@@ -207,14 +271,18 @@
 }
 
 func (f *Fleet) drop(s *Server) {
-	delete(f.servers, s.ID)
-	delete(f.byKey, s.key)
+	if f.servers[s.ID] == s {
+		delete(f.servers, s.ID)
+	}
+	if f.byKey[s.key] == s {
+		delete(f.byKey, s.key)
+	}
 }
 
-// IsGone reports whether a server is known to be gone.
-func (f *Fleet) IsGone(id string) bool {
-	_, ok := f.gone[id]
-	return ok
+// IsGone reports whether the server's start is known to be gone.
+func (f *Fleet) IsGone(s *Server) bool {
+	_, ok := f.gone[s.ID]
+	return s.replaced || ok
 }
 
 // SetCold records that a server is cold until a moment: its cache is empty.
@@ -324,7 +392,12 @@
 // missing reports whether a server has missed too many announcements, as of the last view:
 // while no control host can be reached, the servers last known stay in use.
 func (f *Fleet) missing(s *Server) bool {
-	return f.viewedAt.Sub(s.ConfirmedAt) > registry.MissedAnnouncements*f.o.AnnounceEvery+viewDelay
+	return f.viewedAt.Sub(s.ConfirmedAt) > f.announcementsHold()
+}
+
+// announcementsHold is how long an announcement counts on this host.
+func (f *Fleet) announcementsHold() time.Duration {
+	return registry.MissedAnnouncements*f.o.AnnounceEvery + viewDelay
 }
 
 // usable reports whether a server may be given new work, and why not.
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -59,15 +59,25 @@
 }
 
 // Lost reports whether the attempt's server is lost: it sends nothing on any
-// request, and it does not announce itself any more or has left.
+// request, and it does not announce itself any more or has left; or another process runs
+// under its ID, so that it ended.
 func (f *Fleet) Lost(c *Choice, now time.Time) bool {
 	s := c.Server
-	if s == nil || s.underWay() == 0 || !s.silent(now) {
+	switch {
+	case s == nil:
+		return false
+	case s.replaced:
+		return true
+	case s.underWay() == 0 || !s.silent(now):
 		return false
 	}
-	return f.IsGone(s.ID) || f.missing(s)
+	return f.IsGone(s) || f.missing(s)
 }
 
+// Replaced reports whether the process to which the attempt was sent has ended for certain:
+// another one runs under its ID. No answer can come any more.
+func (f *Fleet) Replaced(c *Choice) bool { return c.Server != nil && c.Server.replaced }
+
 // Outcome is how an attempt ended, as far as the server's health goes.
 type Outcome int
 
--- a/internal/core/registry/kept_test.go
+++ b/internal/core/registry/kept_test.go
@@ -30,7 +30,7 @@
 				s.FailureDomain = domains[n%len(domains)]
 				r.Announce(s, at(ms))
 			case 1:
-				r.Leave(fmt.Sprint("s", n), at(ms))
+				r.Leave(fmt.Sprint("s", n), 0, at(ms))
 			case 2, 3:
 				h := host(fmt.Sprint("h", n), regions[domain], domain, rnd.Intn(2) == 0, ms)
 				h.Direct = rnd.Intn(4) > 0
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -2,9 +2,9 @@
 // that announce themselves, the entry hosts that present themselves, and what
 // other control hosts tell of theirs. It does no I/O and reads no clock.
 //
-// Invariants: a server that has left, or whose address another start of a server
-// has taken over, never comes back under the same ID; of two announcements of a
-// server the one with the higher sequence number holds, whichever arrives last.
+// Invariants: a start of a server that has left, or that another start has replaced under
+// its ID or at its address, never comes back; of two announcements of a start the one with
+// the higher sequence number holds, whichever arrives last.
 package registry
 
 import (
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/holders"
+	"github.com/sesamefork/sesamefork/internal/core/incarnation"
 	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
@@ -44,24 +45,28 @@
 // Server is one start of a backend server.
 type Server struct {
 	ID, Service, Address, FailureDomain string
-	Sequence                            uint64
-	Slots                               int
-	Leaving, Gone                       bool
-	FirstSeen, HeardAt                  time.Time
-	ColdUntil                           time.Time
+	// Start is when the server's process began, in Unix ms by its own clock; 0 when it was
+	// not told.
+	Start              int64
+	Sequence           uint64
+	Slots              int
+	Leaving, Gone      bool
+	FirstSeen, HeardAt time.Time
+	ColdUntil          time.Time
 	// Direct is set when this control host heard the server itself lately.
 	Direct time.Time
 
 	changed  uint64 // version of the last change that entry hosts must learn
 	unlisted bool   // its lease ran out, and that was told
+	starts   incarnation.History
 }
 
 // ChangedSince reports whether entry hosts must be told the server again that were told
 // it at a version.
 func (s *Server) ChangedSince(version uint64) bool { return s.changed > version }
 
-// Key returns the server's key in messages between hosts.
-func (s *Server) Key() uint32 { return holders.Key(s.ID) }
+// Key returns the key of the server's start in messages between hosts.
+func (s *Server) Key() uint32 { return incarnation.Key(s.ID, s.Start) }
 
 // Key returns the host's key in messages between hosts.
 func (h *Host) Key() uint32 { return holders.Key(h.ID) }
@@ -124,37 +129,75 @@
 // changes nothing.
 func (r *Registry) Announce(s Server, now time.Time) bool {
 	old := r.servers[s.ID]
-	if old != nil && (old.Gone || s.Sequence < old.Sequence || (s.Sequence == old.Sequence && !s.HeardAt.After(old.HeardAt))) {
+	if old == nil {
+		return r.add(&Server{}, s, now)
+	}
+	switch r.compareStart(old, s.Start, now) {
+	case incarnation.Older:
 		return false
+	case incarnation.Newer:
+		return r.restart(old, s, now)
 	}
-	if old == nil {
-		if s.FirstSeen.IsZero() {
-			s.FirstSeen = now
-		}
-		r.takeAddress(&s, now)
-		if s.Gone {
-			return false
-		}
-	} else {
-		s.FirstSeen = old.FirstSeen
-		if s.Direct.IsZero() {
-			s.Direct = old.Direct
-		}
+	if old.Gone || s.Sequence < old.Sequence || (s.Sequence == old.Sequence && !s.HeardAt.After(old.HeardAt)) {
+		return false
 	}
-	news := old == nil || old.Leaving != s.Leaving || old.Service != s.Service || old.Slots != s.Slots || r.lapsed(old, now) ||
-		old.Address != s.Address || s.ColdUntil.After(old.ColdUntil.Add(coldNews))
-	if old == nil {
-		old = &Server{}
-		r.servers[s.ID] = old
+	if s.Start == 0 {
+		s.Start = old.Start
+	}
+	s.FirstSeen = old.FirstSeen
+	if s.Direct.IsZero() {
+		s.Direct = old.Direct
+	}
+	news := old.Leaving != s.Leaving || old.Service != s.Service || old.Slots != s.Slots || r.lapsed(old, now) ||
+		old.Start != s.Start || old.Address != s.Address || s.ColdUntil.After(old.ColdUntil.Add(coldNews))
+	return r.store(old, s, news)
+}
+
+// compareStart tells how an announced start stands to the one that is known. A server that
+// left without telling its start may come back once its announcements would have lapsed.
+func (r *Registry) compareStart(known *Server, start int64, now time.Time) incarnation.Order {
+	if known.Gone && known.Start == 0 && start != 0 && r.lapsed(known, now) {
+		return incarnation.Newer
 	}
-	listed := !s.unlisted && old.ID != "" && !old.unlisted && old.FailureDomain == s.FailureDomain
-	s.changed = old.changed
-	*old = s // lists hold the pointer
+	return known.starts.Compare(start, r.lapsed(known, now))
+}
+
+// add takes a start that is the first under its ID, or the first of a new process.
+func (r *Registry) add(into *Server, s Server, now time.Time) bool {
+	if s.FirstSeen.IsZero() {
+		s.FirstSeen = now
+	}
+	clear(r.lists)
+	into.starts.Advance(s.Start)
+	s.starts = into.starts
+	r.takeAddress(&s, now)
+	if s.Gone {
+		return false
+	}
+	r.servers[s.ID] = into
+	return r.store(into, s, true)
+}
+
+// restart replaces a start of a server by a newer one under the same ID. Nothing that was
+// known of the earlier one holds for it.
+func (r *Registry) restart(old *Server, s Server, now time.Time) bool {
+	if r.byAddress[old.Address] == old.ID {
+		delete(r.byAddress, old.Address)
+	}
+	return r.add(old, s, now)
+}
+
+// store puts an announced state in the place of the known one; lists hold the pointer.
+func (r *Registry) store(known *Server, s Server, news bool) bool {
+	listed := !s.unlisted && known.ID != "" && !known.unlisted && known.FailureDomain == s.FailureDomain
+	s.changed, s.starts = known.changed, known.starts
+	s.starts.Advance(s.Start)
+	*known = s
 	if !listed {
 		clear(r.lists)
 	}
 	if news {
-		r.changed(old)
+		r.changed(known)
 	}
 	return news
 }
@@ -195,13 +238,23 @@
 	r.changed(s)
 }
 
-// Leave records that a server has left for good. It reports whether that was news.
-func (r *Registry) Leave(id string, now time.Time) bool {
+// Leave records that a start of a server has left for good; start 0 means the one that is
+// known. It reports whether that was news. A late message of an earlier start changes
+// nothing.
+func (r *Registry) Leave(id string, start int64, now time.Time) bool {
 	s := r.servers[id]
 	if s == nil {
 		s = &Server{ID: id, FirstSeen: now}
 		r.servers[id] = s
 	}
+	switch r.compareStart(s, start, now) {
+	case incarnation.Older:
+		return false
+	case incarnation.Newer:
+		s.Gone = false
+	}
+	s.starts.Advance(start)
+	s.Start = s.starts.Current
 	news := !s.Gone
 	r.retire(s, now)
 	return news
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -61,7 +61,7 @@
 				before := r.Version()
 				news := false
 				if s.leave != "" {
-					news = r.Leave(s.leave, at(s.ms))
+					news = r.Leave(s.leave, 0, at(s.ms))
 				} else {
 					news = r.Announce(s.server, at(s.ms))
 				}
