A stopping entry host closes only connections from which no request was read

A request whose bytes had been read, but which was not parsed yet, still counted as idle: it ran over a forward, and its caller got no answer. Ruled out: forwards (the caller's connection ended first, 56 ms after the signal), the end of the grace time. Change: the server of callers tracks each connection's reads; a connection is closed as idle only if nothing was read since its last answer, and bytes that come later are not taken. Idle connections stay open while the host still takes requests.

--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -123,7 +123,7 @@
 	router := mux.NewRouter().SkipClean(true)
 	backendhttp.Mount(router, host)
 	callerhttp.Mount(router, host, callerhttp.Limits{MaxBody: s.Limits.MaxBodyBytes, BodyTimeout: ms(s.Limits.BodyTimeoutMS)}, log)
-	srv, ln, err := daemon.NewHTTPServer(s.Listen.Caller, router, callerTLS.Server())
+	callers, err := daemon.NewCallerServer(s.Listen.Caller, router, callerTLS.Server())
 	if err != nil {
 		return nil, err
 	}
@@ -132,7 +132,7 @@
 	g, serving := errgroup.WithContext(serving)
 	g.Go(func() error { return host.Run(serving) })
 	g.Go(func() error { return peers.Run(serving) })
-	g.Go(func() error { return serveHTTP(srv, ln) })
+	g.Go(callers.Serve)
 	if err := serveDebug(serving, g, s, host, log); err != nil {
 		end()
 		return nil, err
@@ -144,9 +144,9 @@
 	}
 	log.Info("draining")
 	drain, cancel := context.WithTimeout(context.Background(), ms(s.Limits.DrainTimeoutMS))
-	srv.SetKeepAlivesEnabled(false)
+	callers.StartDraining()
 	cut := host.Drain(drain, ms(s.Limits.DrainLingerMS), second)
-	_ = srv.Shutdown(drain)
+	callers.Finish(drain)
 	cancel()
 	end()
 	return cut, g.Wait()
--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"time"
 
@@ -69,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	front, frontLn, err := daemon.NewHTTPServer(s.Listen.Caller, &platform.Callers{Gateway: g, Log: log}, nil)
+	front, err := daemon.NewCallerServer(s.Listen.Caller, &platform.Callers{Gateway: g, Log: log}, nil)
 	if err != nil {
 		return err
 	}
@@ -85,7 +84,7 @@
 	group.Go(func() error { return g.Run(ctx) })
 	group.Go(func() error { return servers.Run(ctx) })
 	group.Go(func() error { return peers.Run(ctx) })
-	group.Go(func() error { return serveHTTP(front, frontLn) })
+	group.Go(front.Serve)
 	group.Go(func() error { return daemon.Serve(ctx, ready, readyLn) })
 	if s.Listen.Debug != "" {
 		debug, ln, err := daemon.NewHTTPServer(s.Listen.Debug, daemon.DebugHandler(), nil)
@@ -116,18 +115,18 @@
 
 // drainPlatform takes the host out of the callers' lists, serves on while they
 // still come, then lets the requests under way finish.
-func drainPlatform(s *settings.Entry, g *gateway.Gateway, front *http.Server, log logr.Logger) {
+func drainPlatform(s *settings.Entry, g *gateway.Gateway, front *daemon.CallerServer, log logr.Logger) {
 	grace := seconds(s.Limits.GraceS)
 	deadline, cancel := context.WithTimeout(context.Background(), time.Duration(finishShare*float64(grace)))
 	defer cancel()
 	log.Info("draining", "inflight", g.Inflight())
 	g.Drain()
-	front.SetKeepAlivesEnabled(false)
+	front.StartDraining()
 	accept := time.NewTimer(time.Duration(acceptShare * float64(grace)))
 	defer accept.Stop()
 	<-accept.C
-	if err := front.Shutdown(deadline); err != nil {
-		log.Info("requests cut by the shutdown", "inflight", g.Inflight())
+	if cut := front.Finish(deadline); cut > 0 {
+		log.Info("requests cut by the shutdown", "connections", cut, "inflight", g.Inflight())
 	}
 	for g.Inflight() > 0 && deadline.Err() == nil {
 		time.Sleep(drainPoll) // requests that other hosts sent here
