A control host whose disk is full goes on and comes back by itself

Change: the replica leaves the group, refuses what it is asked with the failure, and opens the store anew every 500 ms; all of it is written into a new segment before it is used, as what can be read back after a failed write or sync need not be on the disk. Announcements, views and the directory go on. Found beside it: opening a store removed the older segment before the newer one's names were durable; a power loss then lost what was acknowledged (TestRemovalWaitsForNames, seen failing: last entry 0 of 3).

--- a/cmd/sesame-control/platform.go
+++ b/cmd/sesame-control/platform.go
@@ -32,7 +32,7 @@
 	out := logging.NewBounded(os.Stdout, s.Log.Level)
 	defer out.Close()
 	log := out.WithValues("host", s.Host.ID)
-	j, state, err := openStore(s, log)
+	j, state, err := awaitStore(s, log)
 	if err != nil {
 		return err
 	}
@@ -56,7 +56,7 @@
 		Generation: s.Group.Generation, Members: founders(state.Identity), Signer: signer,
 		Tick: time.Duration(s.Group.TickMS) * time.Millisecond, SnapshotEvery: s.Store.SnapshotEvery,
 		MaxOrder: time.Duration(s.Orders.MaxOrderMS) * time.Millisecond, LoadsPerMin: s.Orders.LoadsPerMinute,
-		Seed: seed(), NoOrders: true, Journal: j, State: state, Peers: client, Engines: enginehttp.New(),
+		Seed: seed(), NoOrders: true, Journal: j, State: state, Reopen: reopener(s), Peers: client, Engines: enginehttp.New(),
 		Clock: port.SystemClock{}, Log: log,
 	})
 	if err != nil {
@@ -72,6 +72,30 @@
 	return servePlatform(s, r, fleet, link, log)
 }
 
+// storeRetry is the pause between attempts to open a store on a disk that refuses.
+const storeRetry = 500 * time.Millisecond
+
+// awaitStore opens the store, and tries again while the disk refuses.
+func awaitStore(s *settings.Control, log logr.Logger) (*journal.Journal, *port.JournalState, error) {
+	for logged := false; ; time.Sleep(storeRetry) {
+		j, state, err := openStore(s, log)
+		if !failure.Is(err, failure.JournalFailed) {
+			return j, state, err
+		}
+		if !logged {
+			log.Info("store can't be opened; trying again", "reason", err.Error())
+			logged = true
+		}
+	}
+}
+
+// reopener returns what opens the store anew after its journal failed.
+func reopener(s *settings.Control) func() (port.Journal, *port.JournalState, error) {
+	return func() (port.Journal, *port.JournalState, error) {
+		return journal.Reopen(journal.OS{}, s.Store.Dir, s.Host.ID)
+	}
+}
+
 // openStore opens the data folder, formatting an empty one. Only a store that is
 // formatted at the fleet's first start is a founder of the group; any later one
 // has no vote until the group has taken it in.
--- a/internal/adapter/journal/journal.go
+++ b/internal/adapter/journal/journal.go
@@ -167,6 +167,11 @@
 			j.seq = seq
 		}
 	}
+	// The names of the segment that is in force must last before older ones are removed: a
+	// power loss may keep the removal and lose the rename.
+	if err := j.fs.SyncDir(j.dir); err != nil {
+		return failure.Wrap(err, failure.JournalFailed, "")
+	}
 	for _, e := range names {
 		if j.isLeftover(e.Name()) {
 			if err := j.fs.Remove(filepath.Join(j.dir, e.Name())); err != nil {
@@ -214,6 +219,9 @@
 	if err := proto.Unmarshal(payload, st.Snapshot); err != nil {
 		return failure.Wrap(err, failure.JournalCorrupt, "")
 	}
+	if st.Snapshot.Index == 0 {
+		st.Snapshot = nil // a segment that was rewritten before the first snapshot
+	}
 	return nil
 }
 
@@ -304,6 +312,25 @@
 	return append(buf, payload...)
 }
 
+// Reopen opens the store anew after its journal failed, and writes all of it into a new
+// segment before it may be used: after a failed write or sync nobody knows whether what can
+// be read back is on the disk. It fails while the disk takes nothing.
+func Reopen(fsys FS, dir, host string) (*Journal, *port.JournalState, error) {
+	j, st, err := Open(fsys, dir, host)
+	if err != nil {
+		return nil, nil, err
+	}
+	snap := st.Snapshot
+	if snap == nil {
+		snap = &pb.SnapshotFile{}
+	}
+	if err := j.SaveSnapshot(snap, &pb.JournalRecord{HardState: st.HardState, Entries: st.Entries}); err != nil {
+		_ = j.Close() // the failure that is reported came first
+		return nil, nil, err
+	}
+	return j, st, nil
+}
+
 // Append implements port.Journal.
 func (j *Journal) Append(rec *pb.JournalRecord) error {
 	if j.failed != nil {
--- a/internal/adapter/journal/journal_test.go
+++ b/internal/adapter/journal/journal_test.go
@@ -244,3 +244,80 @@
 		}
 	}
 }
+
+// TestReopenAfterFailure lets the disk fail in each way, then crashes with what was never
+// synced: a store that was opened anew holds all that was acknowledged, durably, and takes
+// more. While the disk still refuses it can't be opened anew.
+func TestReopenAfterFailure(t *testing.T) {
+	for name, set := range map[string]func(*memFS){
+		"sync":  func(m *memFS) { m.failSync = true },
+		"full":  func(m *memFS) { m.failWrite = syscall.ENOSPC },
+		"write": func(m *memFS) { m.failWrite = syscall.EIO },
+	} {
+		for _, withSnapshot := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, snapshot %v", name, withSnapshot), func(t *testing.T) {
+				m := formatted(t)
+				j, _ := open(t, m)
+				appendEntries(t, j, 1, 3)
+				if withSnapshot {
+					tail := &pb.JournalRecord{HardState: &pb.HardState{Term: 1, Commit: 3}, Entries: []*pb.RaftEntry{entry(3)}}
+					if err := j.SaveSnapshot(&pb.SnapshotFile{Index: 2, Term: 1}, tail); err != nil {
+						t.Fatal(err)
+					}
+				}
+				set(m)
+				if err := j.Append(&pb.JournalRecord{Entries: []*pb.RaftEntry{entry(4)}}); err == nil {
+					t.Fatal("appended to a disk that fails")
+				}
+				if _, _, err := Reopen(m, dir, "c1"); !failure.Is(err, failure.JournalFailed) {
+					t.Fatalf("opened anew on a disk that fails: %v", err)
+				}
+				m.failSync, m.failWrite = false, nil
+				j, st, err := Reopen(m, dir, "c1")
+				if err != nil {
+					t.Fatal(err)
+				}
+				if got := last(st); got != 3 && got != 4 {
+					t.Errorf("last entry %d after opening anew", got)
+				}
+				kept := last(st)
+				appendEntries(t, j, kept+1, kept+1)
+				if _, st := open(t, m.crash()); last(st) != kept+1 || (st.Snapshot != nil) != withSnapshot {
+					t.Errorf("last entry %d after a crash, want %d; snapshot %v", last(st), kept+1, st.Snapshot)
+				}
+			})
+		}
+	}
+}
+
+// TestRemovalWaitsForNames crashes while a store is opened whose newest segment's names were
+// never made durable: the segment before it must still be there.
+func TestRemovalWaitsForNames(t *testing.T) {
+	for step := range 4 {
+		m := formatted(t)
+		j, _ := open(t, m)
+		appendEntries(t, j, 1, 3)
+		j.fs = &stepFS{memFS: m, left: 5} // the names of the last rename are not synced
+		err := j.SaveSnapshot(&pb.SnapshotFile{Index: 2, Term: 1}, &pb.JournalRecord{Entries: []*pb.RaftEntry{entry(3)}})
+		if err == nil {
+			t.Fatal("the snapshot was taken; the step of the test is wrong")
+		}
+		_, _, _ = Open(&stepFS{memFS: m, left: step}, dir, "c1") // ends by a crash at this step
+		if _, st := open(t, m.crashKeepingRemovals()); last(st) != 3 {
+			t.Fatalf("crash at step %d: last entry %d", step, last(st))
+		}
+	}
+}
+
+// crashKeepingRemovals is a power loss after which removed names are gone and names that
+// were not synced are lost.
+func (m *memFS) crashKeepingRemovals() *memFS {
+	out := m.crash()
+	for name := range m.names {
+		if _, ok := m.live[name]; !ok {
+			delete(out.live, name)
+			delete(out.names, name)
+		}
+	}
+	return out
+}
--- a/internal/app/control/replica.go
+++ b/internal/app/control/replica.go
@@ -42,6 +42,9 @@
 
 	Journal port.Journal
 	State   *port.JournalState
+	// Reopen opens the store anew after its journal failed; nil to end the replica then. It
+	// fails while the disk takes nothing.
+	Reopen  func() (port.Journal, *port.JournalState, error)
 	Peers   port.Peers
 	Engines port.Engines
 	Clock   port.Clock
@@ -134,7 +137,6 @@
 func NewReplica(o Options) (*Replica, error) {
 	r := &Replica{
 		o:       o,
-		machine: configstate.NewMachine(o.Generation),
 		gate:    fencing.NewGate(fencing.Limits{Lease: electionTicks * o.Tick, MaxOrder: o.MaxOrder}),
 		loads:   newBucket(o.LoadsPerMin),
 		inbox:   make(chan func(), 1024),
@@ -145,23 +147,32 @@
 		reports: newReports(),
 		started: o.Clock.Now(),
 	}
-	snap := consensus.Snapshot{Members: &pb.RaftMembers{Members: o.Members}}
-	if s := o.State.Snapshot; s != nil {
+	if err := r.load(); err != nil {
+		return nil, err
+	}
+	r.publish()
+	return r, nil
+}
+
+// load makes the consensus core and the state machine from the store's state.
+func (r *Replica) load() error {
+	r.machine = configstate.NewMachine(r.o.Generation)
+	snap := consensus.Snapshot{Members: &pb.RaftMembers{Members: r.o.Members}}
+	if s := r.o.State.Snapshot; s != nil {
 		snap = consensus.Snapshot{Index: s.Index, Term: s.Term, Members: s.Members, Data: s.Data}
 		if err := r.machine.Restore(s.Data); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	r.node = consensus.New(consensus.Options{
-		ID: o.Identity.Store, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Seed: o.Seed, NoLeases: o.NoOrders,
-		HardState: o.State.HardState, Snapshot: snap, Entries: o.State.Entries,
+		ID: r.o.Identity.Store, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Seed: r.o.Seed, NoLeases: r.o.NoOrders,
+		HardState: r.o.State.HardState, Snapshot: snap, Entries: r.o.State.Entries,
 	})
-	r.publish()
-	return r, nil
+	return nil
 }
 
-// Run drives the replica until ctx ends or the journal fails. After a journal
-// failure the replica takes no further part in the group.
+// Run drives the replica until ctx ends or the journal fails. After a journal failure the
+// replica takes no part in the group until its store could be opened anew.
 func (r *Replica) Run(ctx context.Context) error {
 	defer r.wg.Wait()
 	defer close(r.stopped)
@@ -188,9 +199,13 @@
 		}
 		if err := r.advance(ctx); err != nil {
 			f := failure.As(err, "")
-			r.halted.Store(f)
-			r.failWaiters(f)
-			return f
+			r.halt(f)
+			if r.o.Reopen == nil {
+				return f
+			}
+			if !r.recoverStore(ctx) {
+				return nil
+			}
 		}
 	}
 }
@@ -348,12 +363,22 @@
 		p.Recent = append([]*pb.Accepted(nil), r.machine.History()...)
 	}
 	p.Evacuated, p.Revision = r.machine.Evacuated()
+	if !r.publishes(p) {
+		return
+	}
 	r.published.Store(p)
 	if r.fleet != nil {
 		r.fleet.configurationChanged()
 	}
 }
 
+// publishes reports whether the applied state may take the place of what is published. A
+// store that was opened anew applies again what was applied before.
+func (r *Replica) publishes(next *Published) bool {
+	last := r.published.Load()
+	return last == nil || (!configstate.Newer(last.Stamp, next.Stamp) && next.Revision >= last.Revision)
+}
+
 // Store returns the identity of the replica's store.
 func (r *Replica) Store() string { return r.o.Identity.Store }
 
@@ -434,6 +459,9 @@
 
 // post runs f on the replica's goroutine and waits until it ran.
 func (r *Replica) post(ctx context.Context, f func()) error {
+	if h := r.halted.Load(); h != nil {
+		return h
+	}
 	done := make(chan struct{})
 	select {
 	case r.inbox <- func() { f(); close(done) }:
--- /dev/null
+++ b/internal/app/control/storage_test.go
@@ -0,0 +1,103 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/sesamefork/sesamefork/internal/failure"
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+	"github.com/sesamefork/sesamefork/internal/port"
+)
+
+// recordedJournal keeps its records, so that a store can be opened anew from them.
+type recordedJournal struct {
+	memoryJournal
+	state port.JournalState
+}
+
+func (j *recordedJournal) Append(rec *pb.JournalRecord) error {
+	if err := j.memoryJournal.Append(rec); err != nil {
+		return err
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if rec.HardState != nil {
+		j.state.HardState = rec.HardState
+	}
+	j.state.Entries = append(j.state.Entries, rec.Entries...)
+	return nil
+}
+
+// TestFullDiskIsNoEnd fills a replica's disk and makes room again. Meanwhile changes are
+// refused, reads are too, and the process goes on; afterwards what was acknowledged is
+// still there, what was refused is not, and changes are taken again.
+func TestFullDiskIsNoEnd(t *testing.T) {
+	j := &recordedJournal{}
+	asked := make(chan struct{}, 64)
+	room := make(chan struct{})
+	r, err := NewReplica(Options{
+		Identity: port.Identity{Store: "c.0"}, Host: "c", Generation: 1,
+		Members: []*pb.RaftMember{{Id: "c.0", Address: "a"}}, Signer: ed25519.NewKeyFromSeed(bytes.Repeat([]byte{7}, 32)),
+		Tick: time.Millisecond, SnapshotEvery: 100, MaxOrder: time.Second, LoadsPerMin: 2, Journal: j, State: &port.JournalState{},
+		Reopen: func() (port.Journal, *port.JournalState, error) {
+			asked <- struct{}{}
+			select {
+			case <-room:
+			default:
+				return nil, nil, failure.New(failure.JournalFailed, "", "no space left on device")
+			}
+			next := &recordedJournal{state: j.state}
+			state := j.state
+			return next, &state, nil
+		},
+		Peers: noPeers{}, Engines: &engines{}, Clock: port.SystemClock{}, Log: logr.Discard(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx) }()
+	if err := change(r, 0, "a"); err != nil {
+		t.Fatal(err)
+	}
+	j.setFail()
+	if err := change(r, 1, "b"); !failure.Is(err, failure.JournalFailed) {
+		t.Errorf("a change on a full disk: %v", err)
+	}
+	<-asked // it tries again by itself
+	if err := change(r, 1, "c"); !failure.Is(err, failure.JournalFailed) {
+		t.Errorf("a change while the disk is full: %v", err)
+	}
+	if _, err := r.Current(context.Background()); !failure.Is(err, failure.JournalFailed) {
+		t.Errorf("a read while the disk is full: %v", err)
+	}
+	if v := r.Accepted().Stamp.Version; v != 1 {
+		t.Errorf("version %d is offered while the disk is full", v)
+	}
+	close(room)
+	for r.Halted() != nil {
+		runtime.Gosched()
+	}
+	for failure.Is(err, failure.NoLeader) || err == nil {
+		if err = change(r, 1, "d"); err == nil {
+			break
+		}
+	}
+	if err != nil {
+		t.Errorf("a change after there is room: %v", err)
+	}
+	if last, err := r.Current(ctx); err != nil || last.Version != 2 {
+		t.Errorf("version %d after the next change: %v", last.GetVersion(), err)
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
