How fast servers work is learned from their answers

Cause: the rate of reading (38.4 tokens/ms), the begin of an answer and a plain service's time were constants of two customers' engines; on engines of 140 tokens/ms estimates were 3.6 times too slow, and requests were refused that could have been served. Change: package speed keeps medians of the newest answers a service: rate of reading, time to the first event without reading, time of plain answers. Ruled out: a constant by hand (another deployment has other engines).

--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -21,10 +21,6 @@
 	"github.com/sesamefork/sesamefork/platform"
 )
 
-// prefillRate is the speed at which the deployments' engines read prompts, in
-// tokens per ms, as their sheets state it.
-const prefillRate = 38.4
-
 // runPlatform serves the users' platform: hosts are found through the control
 // hosts, and requests are carried as they came.
 func runPlatform(path string, s *settings.Entry) error {
@@ -51,8 +47,8 @@
 	g := gateway.New(gateway.Options{
 		Host: s.Host.ID, Region: s.Host.Region, FailureDomain: s.Host.FailureDomain,
 		Peer: s.Fleet.PeerAddress(s.Listen.Peer), Caller: s.Listen.Caller, Seeds: s.Fleet.PeerSeeds(),
-		Retries:     retry.SharedOptions{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: seconds(s.Retries.WindowS)},
-		PrefillRate: prefillRate, AnnounceEvery: time.Duration(s.Fleet.HeartbeatMS) * time.Millisecond, VerifyKey: s.Link.PublicKey(), Peers: client, Drop: client.Drop, Backends: servers,
+		Retries:       retry.SharedOptions{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: seconds(s.Retries.WindowS)},
+		AnnounceEvery: time.Duration(s.Fleet.HeartbeatMS) * time.Millisecond, VerifyKey: s.Link.PublicKey(), Peers: client, Drop: client.Drop, Backends: servers,
 		Clock: port.SystemClock{}, ReadPrompt: platform.ReadPrompt, Random: rand.Float64, Tracer: tracer, Log: log, Metrics: m,
 	})
 	m.Gauge("version", func() any { return g.Version() })
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -303,7 +303,7 @@
 	g.fleet.Progress(c, now)
 	if res.first == 0 {
 		res.first = max(now.Sub(began), 1)
-		g.fleet.FirstByte(c)
+		g.fleet.FirstByte(c, res.first)
 	}
 }
 
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -27,8 +27,6 @@
 	Seeds []string
 	// Retries is the fleet's retry budget.
 	Retries retry.SharedOptions
-	// PrefillRate is the speed at which an engine reads prompts, in tokens per ms.
-	PrefillRate float64
 	// AnnounceEvery is the interval of the backend servers' announcements.
 	AnnounceEvery time.Duration
 	VerifyKey     []byte
@@ -70,7 +68,7 @@
 	g := &Gateway{
 		o: o,
 		fleet: dispatch.New(dispatch.Options{
-			Host: o.Host, Region: o.Region, FailureDomain: o.FailureDomain, Random: o.Random, PrefillRate: o.PrefillRate,
+			Host: o.Host, Region: o.Region, FailureDomain: o.FailureDomain, Random: o.Random,
 			AnnounceEvery: o.AnnounceEvery,
 		}),
 		budget:  retry.NewShared(o.Retries, o.Clock.Now()),
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -197,7 +197,7 @@
 	f := &fixture{t: t, clock: &fakeClock{now: time.Unix(1000, 0)}, backends: &fakeBackends{}, peers: &peers{}}
 	f.g = New(Options{
 		Host: "host-w", Region: "west", FailureDomain: "w1", Retries: retry.SharedOptions{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
-		PrefillRate: 38, VerifyKey: signer.Public().(ed25519.PublicKey), Peers: f.peers, Backends: f.backends,
+		VerifyKey: signer.Public().(ed25519.PublicKey), Peers: f.peers, Backends: f.backends,
 		Clock: f.clock, Random: func() float64 { return 0.5 }, Log: logr.Discard(), Metrics: noMetrics{},
 	})
 	return f
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -59,10 +59,14 @@
 	Refused    string
 	RetryAfter time.Duration
 
-	loss float64
-	job  *Job
-	key  regionKey
-	read bool // the first byte has come
+	// ahead is the prompt tokens that were to be read before at the server, and idle is set
+	// when it had free slots.
+	ahead float64
+	idle  bool
+	loss  float64
+	job   *Job
+	key   regionKey
+	read  bool // the first byte has come
 }
 
 // Figures of the estimate.
@@ -70,8 +74,6 @@
 	// releasePerMS is how many tokens of KV cache a busy engine frees per ms: a
 	// hundred requests of 1,000 tokens that run 1.5 s each.
 	releasePerMS = 60.0
-	// serviceMS is the assumed time of a request at a plain service, in ms.
-	serviceMS = 40.0
 	// errorLoss is what a certain failure costs.
 	errorLoss = 2.0
 	// stalledLoss is what a server costs that sends nothing on any request.
@@ -180,6 +182,7 @@
 	if k.loss < c.loss {
 		c.Server, c.EstimateMS, c.loss, c.Uncovered, c.CopyFrom = s, k.firstMS, k.loss, uncovered, from
 		c.Deferred = late
+		c.ahead, c.idle = s.own.prompt+s.others.prompt, s.own.requests+s.others.requests < s.Slots
 	}
 }
 
@@ -204,21 +207,23 @@
 		unhealthy += stalledLoss
 	}
 	excess := s.health.excess.now(now)
+	speed := f.speedOf(j.Service)
 	if !j.Engine {
-		k := serviceCost(requests, slots, j)
+		k := serviceCost(requests, slots, speed.AnswerMS(), j)
 		return cost{k.loss + unhealthy + excess/1000*delayLoss, k.firstMS + excess}
 	}
 	k := promptCost(engineState{
-		requests: requests, slots: slots, pendingMS: (s.own.prompt + s.others.prompt) / f.o.PrefillRate * chunkOverhead,
+		requests: requests, slots: slots, pendingMS: (s.own.prompt + s.others.prompt) / speed.Rate(),
 		busy:   (s.reading.now(now) + s.othersReading) / 1000,
 		memory: s.own.memory + s.others.memory, memoryCapacity: j.MemoryTokens,
-	}, j, uncovered, reread, f.o.PrefillRate)
+	}, j, uncovered, reread, speed)
 	return cost{k.loss + unhealthy + shortLoss*lateRisk(k.firstMS+excess, j.Target) - shortLoss*lateRisk(k.firstMS, j.Target), k.firstMS}
 }
 
-// serviceCost is the cost of a request at a plain service.
-func serviceCost(requests, slots float64, j *Job) cost {
-	ms := serviceMS*(1+math.Max(0, requests+1-slots)/slots) + serviceMS*requests/slots/2
+// serviceCost is the cost of a request at a plain service
+// whose answers take answerMS while it has free slots.
+func serviceCost(requests, slots, answerMS float64, j *Job) cost {
+	ms := answerMS*(1+math.Max(0, requests+1-slots)/slots) + answerMS*requests/slots/2
 	return cost{ms/1000*delayLoss + lateRisk(ms, j.Target), ms}
 }
 
@@ -262,17 +267,18 @@
 func (f *Fleet) costAway(r *region, j *Job, now time.Time) (k cost, uncovered float64) {
 	requests := (r.requests + float64(r.sent.requests)) / r.servers
 	slots := math.Max(1, r.slots/r.servers)
+	speed := f.speedOf(j.Service)
 	if !j.Engine {
-		k = serviceCost(requests, slots, j)
+		k = serviceCost(requests, slots, speed.AnswerMS(), j)
 		return cost{k.loss + awayLoss + interRegionMS/1000*delayLoss, k.firstMS + interRegionMS}, 0
 	}
 	reread := f.rereadAway(r, j, now)
 	uncovered = j.Prompt - float64(sharedTokens(j.Parts)) + reread
-	pending := (r.prompt + r.sent.prompt) / r.servers / f.o.PrefillRate * chunkOverhead
+	pending := (r.prompt + r.sent.prompt) / r.servers / speed.Rate()
 	k = promptCost(engineState{
 		requests: requests, slots: slots, pendingMS: pending + interRegionMS,
 		memory: (r.memory + r.sent.memory) / r.servers, memoryCapacity: j.MemoryTokens,
-	}, j, uncovered, reread, f.o.PrefillRate)
+	}, j, uncovered, reread, speed)
 	k.loss += awayLoss
 	return k, uncovered
 }
--- a/internal/core/dispatch/copies.go
+++ b/internal/core/dispatch/copies.go
@@ -108,7 +108,7 @@
 func (f *Fleet) keptFor(s *Server, j *Job, now time.Time) time.Duration {
 	free := j.MemoryTokens - s.own.memory - s.others.memory
 	readingMS := s.reading.now(now) + s.othersReading // per second
-	perSecond := readingMS / chunkOverhead * f.o.PrefillRate * writtenPerRead
+	perSecond := readingMS * f.speedOf(j.Service).Rate() * writtenPerRead
 	if perSecond*maxKept.Seconds() <= free {
 		return maxKept
 	}
--- a/internal/core/dispatch/cost.go
+++ b/internal/core/dispatch/cost.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/sesamefork/sesamefork/internal/core/speed"
 )
 
 // A place for a prompt is judged by what it costs all callers, in units of a short
@@ -13,16 +15,10 @@
 
 // Figures of the engines, as their sheets state them, and of the losses.
 const (
-	// chunkOverhead is by how much attention over a long context lengthens the
-	// reading of a prompt.
-	chunkOverhead = 1.25
 	// stepBase and stepPerRequest give the length of a step, in ms, with the
 	// requests that run; the second includes the context that each brings.
 	stepBase       = 5.0
 	stepPerRequest = 0.03
-	// startMS is the time from a request's arrival to its first token on an idle
-	// engine, without reading, in ms.
-	startMS = 45.0
 	// pauseFrom and pauseSure bound the continuous reading, in ms, at which an
 	// answer's pause becomes too long: five steps per event, 600 ms accepted.
 	pauseFrom = 250.0
@@ -64,10 +60,10 @@
 
 // promptCost is the cost of a prompt of which the engine must read uncovered
 // tokens, reread of them shared ones that others had read before.
-func promptCost(e engineState, j *Job, uncovered, reread, rate float64) cost {
-	read := uncovered / rate * chunkOverhead
+func promptCost(e engineState, j *Job, uncovered, reread float64, speed *speed.Estimator) cost {
+	read := uncovered / speed.Rate()
 	step := stepBase + stepPerRequest*e.requests
-	first := startMS + e.pendingMS + read + (e.pendingMS+read)/100*step + step
+	first := speed.BeginMS() + e.pendingMS + read + (e.pendingMS+read)/100*step + step
 	first += waitForRoom(e, uncovered+j.Output)
 	own := shortLoss
 	if j.isLong() {
--- a/internal/core/dispatch/defer_test.go
+++ b/internal/core/dispatch/defer_test.go
@@ -43,7 +43,7 @@
 				t.Error("a server counts as stalled for a request that waits behind all others")
 			}
 			if c.first {
-				f.FirstByte(&choice)
+				f.FirstByte(&choice, 0)
 				if l := f.Loads(late); l[s0].Deferred != 0 || l[s0].Requests != 1 {
 					t.Errorf("after the first byte told as %v", l)
 				}
@@ -101,7 +101,7 @@
 		next := max(0, slices.IndexFunc(e.waiting, func(r *playedRequest) bool { return !r.choice.Deferred }))
 		r := e.waiting[next]
 		e.waiting = slices.Delete(e.waiting, next, next+1)
-		e.f.FirstByte(&r.choice)
+		e.f.FirstByte(&r.choice, 0)
 		if now.Sub(r.arrived) <= r.choice.job.Target {
 			e.inTime++
 		}
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -14,7 +14,7 @@
 // newTestFleet returns a fleet of region "west" with n engines and one host.
 func newTestFleet(n int) *Fleet {
 	rnd := rand.New(rand.NewSource(1))
-	f := New(Options{Host: "h1", Region: "west", FailureDomain: "w1", Random: rnd.Float64, PrefillRate: 38})
+	f := New(Options{Host: "h1", Region: "west", FailureDomain: "w1", Random: rnd.Float64, PrefillRate: 38 / 1.25})
 	f.TakeView(testView(n), start)
 	return f
 }
@@ -250,7 +250,7 @@
 		j.Permits = only("west")
 		c := f.Choose(j, now)
 		f.Started(&c, now)
-		f.FirstByte(&c)
+		f.FirstByte(&c, 0)
 		f.Ended(&c, Served, 200*time.Millisecond, now)
 		if at[chain] == nil {
 			at[chain] = map[string]bool{}
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/incarnation"
 	"github.com/sesamefork/sesamefork/internal/core/registry"
 	"github.com/sesamefork/sesamefork/internal/core/serverload"
+	"github.com/sesamefork/sesamefork/internal/core/speed"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
@@ -23,7 +24,8 @@
 	Host, Region, FailureDomain string
 	// Random returns a number in [0, 1).
 	Random func() float64
-	// PrefillRate is the speed at which an engine reads prompts, in tokens per ms.
+	// PrefillRate is what the engines are taken to read in a ms until it is learned, in
+	// tokens; 0 for the start value of package speed.
 	PrefillRate float64
 	// AnnounceEvery is the interval of the servers' announcements (default 1.2 s).
 	AnnounceEvery time.Duration
@@ -116,6 +118,7 @@
 	revision  uint64
 	viewedAt  time.Time // last view from a control host
 	chains    map[string]chainRate
+	speeds    map[string]*speed.Estimator // by service
 	byKey     map[uint32]*Server
 	holders   *holders.Table
 	sent      []holders.Place // not told to a control host yet
@@ -129,10 +132,20 @@
 	return &Fleet{
 		o: o, servers: map[string]*Server{}, gone: map[string]departure{}, hosts: map[string][]*Host{},
 		regions: map[regionKey]*region{}, chains: map[string]chainRate{}, holders: holders.NewTable(),
-		byKey: map[uint32]*Server{},
+		byKey: map[uint32]*Server{}, speeds: map[string]*speed.Estimator{},
 	}
 }
 
+// speedOf returns what was learned of a service's servers.
+func (f *Fleet) speedOf(service string) *speed.Estimator {
+	e := f.speeds[service]
+	if e == nil {
+		e = speed.New(f.o.PrefillRate)
+		f.speeds[service] = e
+	}
+	return e
+}
+
 // Times of the view.
 const (
 	// viewDelay is how much later than at its control host a server's announcement may be
--- a/internal/core/dispatch/homes.go
+++ b/internal/core/dispatch/homes.go
@@ -69,7 +69,7 @@
 // are taken to see as many requests for it as this one.
 func (f *Fleet) homeCount(j *Job, key string, now time.Time) int {
 	perSecond := f.chains[key].now(now) / chainMemory.Seconds() * float64(f.Neighbors())
-	readMS := (j.Prompt - float64(sharedTokens(j.Parts))) / f.o.PrefillRate * chunkOverhead
+	readMS := (j.Prompt - float64(sharedTokens(j.Parts))) / f.speedOf(j.Service).Rate()
 	return 1 + int(perSecond*readMS/1000/homeUse)
 }
 
--- a/internal/core/dispatch/load_test.go
+++ b/internal/core/dispatch/load_test.go
@@ -58,7 +58,7 @@
 func (p *playedRegion) addHosts(n int) {
 	for i := range n {
 		p.hosts = append(p.hosts, New(Options{
-			Host: fmt.Sprintf("h%02d", i), Region: "west", FailureDomain: p.inDomain(i), Random: p.rnd.Float64, PrefillRate: 38,
+			Host: fmt.Sprintf("h%02d", i), Region: "west", FailureDomain: p.inDomain(i), Random: p.rnd.Float64, PrefillRate: 38 / 1.25,
 		}))
 	}
 }
@@ -119,7 +119,7 @@
 				u.host.Ended(&u.choice, Served, u.first.Sub(p.now), p.now)
 			default:
 				if !u.choice.read && !p.now.Before(u.first) {
-					u.host.FirstByte(&u.choice)
+					u.host.FirstByte(&u.choice, 0)
 				}
 				kept = append(kept, u)
 			}
--- a/internal/core/dispatch/lost_test.go
+++ b/internal/core/dispatch/lost_test.go
@@ -22,7 +22,7 @@
 		{"announcements are rarer, three missed", 3 * time.Second, 11 * time.Second, 10 * time.Second, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			f := New(Options{Host: "h1", Region: "west", FailureDomain: "w1", Random: func() float64 { return 0 }, PrefillRate: 38, AnnounceEvery: c.every})
+			f := New(Options{Host: "h1", Region: "west", FailureDomain: "w1", Random: func() float64 { return 0 }, PrefillRate: 38 / 1.25, AnnounceEvery: c.every})
 			v := testView(2)
 			v.Hosts, v.Regions = nil, nil
 			f.TakeView(v, start)
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/sesamefork/sesamefork/internal/core/speed"
 )
 
 // Started records that the request was sent to the chosen place.
@@ -26,16 +28,18 @@
 		f.countChain(chainOf(c.job.Parts), now)
 		f.noteHolder(c, now)
 		c.Server.cache.use(c.job.Parts, int(c.job.MemoryTokens), now)
-		c.Server.reading.add(c.Uncovered/f.o.PrefillRate*chunkOverhead, now)
+		c.Server.reading.add(c.Uncovered/f.speedOf(c.job.Service).Rate(), now)
 	}
 	if now.Before(c.Server.ColdUntil) {
 		c.Server.coldAt = append(c.Server.coldAt, now)
 	}
 }
 
-// FirstByte records that the prompt was read.
-func (f *Fleet) FirstByte(c *Choice) {
+// FirstByte records that the prompt was read, so long after the request was sent; 0 when
+// that tells nothing.
+func (f *Fleet) FirstByte(c *Choice, took time.Duration) {
 	if c.Server != nil {
+		f.learn(c, took)
 		if c.Deferred {
 			c.Server.deferred--
 			c.Server.own.add(c.load())
@@ -45,6 +49,20 @@
 	c.read = true
 }
 
+// learn takes what the time to the first byte tells of the service's servers. A copied part
+// is neither read nor free, and a deferred request waits for others.
+func (f *Fleet) learn(c *Choice, took time.Duration) {
+	ms := float64(took) / float64(time.Millisecond)
+	e := f.speedOf(c.job.Service)
+	switch {
+	case c.Deferred || c.CopyFrom != "":
+	case c.job.Engine:
+		e.Event(speed.Sample{Read: c.Uncovered, Ahead: c.ahead, FirstMS: ms})
+	case c.idle:
+		e.Answer(ms)
+	}
+}
+
 // Load returns the work that this host knows to be under way at the server, its own
 // included, for the log.
 func (s *Server) Load() (requests int, promptTokens, memoryTokens float64) {
--- /dev/null
+++ b/internal/core/speed/speed.go
@@ -0,0 +1,116 @@
+// Package speed learns from answers how fast the servers of a service work: how many tokens
+// of a prompt a model engine reads in a ms, how long an answer takes to begin without
+// reading, and how long a plain service takes. It does no I/O and reads no clock.
+//
+// The figures are medians of the newest samples, so that a few engines in trouble, or a few
+// prompts of which the engine held more or less than expected, don't move them.
+package speed
+
+import "slices"
+
+// Start values and bounds. The start values lie in the middle, on a scale of ratios, of what
+// engines and services reach; a host uses them for its first samples only.
+const (
+	startRate   = 60.0 // tokens per ms
+	minRate     = 5.0
+	maxRate     = 1000.0
+	startBegin  = 45.0 // ms
+	startAnswer = 40.0 // ms
+	maxBegin    = 2000.0
+)
+
+// Samples that are used.
+const (
+	// kept is how many samples a median is taken of: a host with two long prompts a second
+	// follows a change of all engines within ten seconds.
+	kept = 32
+	// enough is from how many samples on a median is trusted.
+	enough = 3
+	// minReading is the size from which a prompt's time tells of reading, in tokens: with
+	// less, the start of the answer outweighs it on a quick engine.
+	minReading = 1000.0
+	// maxStarting is the size up to which a prompt's time tells of the start of its answer:
+	// reading so much takes a step or two.
+	maxStarting = 400.0
+	// maxAhead is the share of its own reading that may wait before a prompt whose time is
+	// used: what others have under way is known 0.3 s late.
+	maxAhead = 0.25
+	// maxAheadStarting is the same for prompts that tell of the start, in tokens.
+	maxAheadStarting = 200.0
+)
+
+// Sample is one answer of an engine.
+type Sample struct {
+	Read    float64 // tokens of the prompt that the engine had to read
+	Ahead   float64 // tokens of other prompts that were to be read before
+	FirstMS float64 // time to the first event
+}
+
+// Estimator holds the figures of one service. It is not safe for concurrent use.
+type Estimator struct {
+	reading, begin, answer median
+}
+
+// New returns an estimator that begins with a rate of reading, in tokens per ms; 0 for the
+// start value.
+func New(rate float64) *Estimator {
+	if rate <= 0 {
+		rate = startRate
+	}
+	return &Estimator{
+		reading: median{value: 1 / rate}, begin: median{value: startBegin}, answer: median{value: startAnswer},
+	}
+}
+
+// Rate returns the tokens that an engine reads in a ms.
+func (e *Estimator) Rate() float64 { return min(maxRate, max(minRate, 1/e.reading.value)) }
+
+// BeginMS returns the time from a request to its first event without reading, in ms.
+func (e *Estimator) BeginMS() float64 { return min(maxBegin, e.begin.value) }
+
+// AnswerMS returns the time of an answer of a plain service, in ms.
+func (e *Estimator) AnswerMS() float64 { return min(maxBegin, e.answer.value) }
+
+// Samples returns the number of samples of prompts, for logs and metrics.
+func (e *Estimator) Samples() int { return len(e.reading.samples) }
+
+// Event takes the first event of an engine's answer.
+func (e *Estimator) Event(s Sample) {
+	switch {
+	case s.FirstMS <= 0:
+	case s.Read >= minReading && s.Ahead <= maxAhead*s.Read:
+		if ms := s.FirstMS - e.BeginMS(); ms > 0 {
+			e.reading.add(ms / (s.Read + s.Ahead))
+		}
+	case s.Read <= maxStarting && s.Ahead <= maxAheadStarting:
+		e.begin.add(max(1, s.FirstMS-(s.Read+s.Ahead)/e.Rate()))
+	}
+}
+
+// Answer takes the time of a plain service's answer while it had free slots.
+func (e *Estimator) Answer(ms float64) {
+	if ms > 0 {
+		e.answer.add(ms)
+	}
+}
+
+// median keeps the newest samples and their median.
+type median struct {
+	samples []float64
+	next    int
+	value   float64
+}
+
+func (m *median) add(v float64) {
+	if len(m.samples) < kept {
+		m.samples = append(m.samples, v)
+	} else {
+		m.samples[m.next] = v
+	}
+	m.next = (m.next + 1) % kept
+	if len(m.samples) < enough {
+		return
+	}
+	sorted := slices.Sorted(slices.Values(m.samples))
+	m.value = sorted[len(sorted)/2]
+}
