A forwarded request brings the newer configuration with it

Change: the receiver asks the sender for its signed configuration, installs it and serves the request; after a failure it refuses at once for a second. Ruled out: serving under an older configuration, which may forbid the request.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -48,6 +48,8 @@
 	o        Options
 	config   atomic.Pointer[configstate.Installed]
 	fetching sync.Mutex
+	// fetchFailed is when another entry host last did not give its configuration.
+	fetchFailed atomic.Int64
 	draining atomic.Bool
 	inflight atomic.Int64
 
@@ -184,7 +186,16 @@
 	return &pb.Request{From: g.o.Host, Stamp: g.stamp(), MaxSchema: configstate.CurrentSchema}
 }
 
-// HandleRequest answers other hosts' calls: none concern a gateway.
-func (g *Gateway) HandleRequest(context.Context, *pb.Request) *pb.Response {
+// HandleRequest answers other hosts' calls: one may ask for the configuration in force.
+func (g *Gateway) HandleRequest(_ context.Context, req *pb.Request) *pb.Response {
+	if have := req.GetConfigFetch(); have != nil {
+		resp := &pb.Response{From: g.o.Host, Stamp: g.stamp()}
+		if c := g.config.Load(); c != nil {
+			if blob := configstate.Reply(c.Blob, have.HaveGeneration, have.HaveVersion, nil); blob != nil {
+				resp.Body = &pb.Response_Config{Config: blob}
+			}
+		}
+		return resp
+	}
 	return &pb.Response{From: g.o.Host, Refusal: &pb.Refusal{Code: string(failure.BadRequest), Detail: "an entry host takes requests only"}}
 }
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -514,3 +514,51 @@
 		})
 	}
 }
+
+// TestForwardBringsTheConfiguration sends a request from an entry host with a newer
+// configuration: this host asks that one for it, puts it in force and serves the request. A
+// host that can't be asked gets a refusal, and is not asked again at once.
+func TestForwardBringsTheConfiguration(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		from   string
+		gives  bool
+		served bool
+		asked  int // for two requests
+	}{
+		{"the sender gives it", "host-e", true, true, 1},
+		{"the sender does not answer", "host-e", false, false, 1},
+		{"the sender is not known here", "host-x", true, false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sender, f := newFixture(t), newFixture(t)
+			sender.install(8, baseRecord())
+			asked := 0
+			f.peers.response = func(req *pb.Request) *pb.Response {
+				asked++
+				if !c.gives {
+					return &pb.Response{}
+				}
+				return sender.g.HandleRequest(context.Background(), req)
+			}
+			f.backends.answer = func(int, *Attempt) (*Answer, bool, error) { return ran(200, "ok"), true, nil }
+			for range 2 {
+				fail := f.g.receive(context.Background(), &pb.Request{
+					From: c.from, Stamp: sender.g.stamp(),
+					Body: &pb.Request_RoutedForward{RoutedForward: &pb.RoutedForward{
+						RequestId: "r", Service: "desk", Method: http.MethodPost, Uri: "/order/1", Host: "h", RemainingMs: 1000, OriginRegion: "east", Attempts: 1,
+					}},
+				}, &memorySink{})
+				if (fail == nil) != c.served {
+					t.Errorf("served %v: %v", fail == nil, fail)
+				}
+			}
+			if asked != c.asked {
+				t.Errorf("asked %d times, want %d", asked, c.asked)
+			}
+			if v := f.g.Version(); c.served != (v == 8) {
+				t.Errorf("version %d in force", v)
+			}
+		})
+	}
+}
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -365,6 +365,18 @@
 	}
 }
 
+// PeerOf returns the address of another region's entry host, or "".
+func (f *Fleet) PeerOf(host string) string {
+	for _, list := range f.hosts {
+		for _, h := range list {
+			if h.ID == host {
+				return h.Peer
+			}
+		}
+	}
+	return ""
+}
+
 // Neighbors returns the number of ready entry hosts of the region, this one included.
 func (f *Fleet) Neighbors() int { return max(1, len(f.neighbors)) }
 
