Only a host whose region's hosts are settled sends to a cold server

Cause (found with a changed rate of reading): hosts that start all at once each know themselves first, hold themselves to be the cold server's only sender, and together send more than it bears. Change: a host sends only after it has known the same ready hosts for 1.9 s: the age of a view and the second in which the rate is counted.

--- /dev/null
+++ b/internal/core/dispatch/cold_test.go
@@ -0,0 +1,154 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand"
+	"sort"
+	"testing"
+	"time"
+
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+)
+
+// coldBound is what a cold server bears in any second, for a rate that it tolerates.
+func coldBound(rate float64) float64 { return rate*1.5 + 3 }
+
+// coldRegion is a region whose hosts all start within a second, hear each other's presence
+// through one control host with delays, and find one cold server, with more requests than
+// it may get. Hosts leave and come back meanwhile.
+type coldRegion struct {
+	rnd   *rand.Rand
+	rate  float64
+	hosts []*Fleet
+	names []string
+	up    []time.Time // when a host presents itself; zero while it is down
+	views []coldView
+	sent  []time.Time
+}
+
+// coldView is a list of hosts on its way to a host.
+type coldView struct {
+	host int
+	at   time.Time
+	list []string
+}
+
+const (
+	coldStep  = 20 * time.Millisecond
+	coldSpan  = 8 * time.Second
+	viewEvery = 250 * time.Millisecond
+)
+
+func newColdRegion(seed int64) *coldRegion {
+	rnd := rand.New(rand.NewSource(seed))
+	r := &coldRegion{rnd: rnd, rate: 1 + 9*rnd.Float64()}
+	for i := range 1 + rnd.Intn(12) {
+		r.names = append(r.names, fmt.Sprint("h", i))
+		r.up = append(r.up, start.Add(time.Duration(rnd.Intn(1000))*time.Millisecond))
+		r.hosts = append(r.hosts, r.newHost(i))
+	}
+	return r
+}
+
+func (r *coldRegion) newHost(i int) *Fleet {
+	return New(Options{Host: r.names[i], Region: "west", FailureDomain: "w1", Random: r.rnd.Float64})
+}
+
+// live returns the hosts of which the control host heard by a moment.
+func (r *coldRegion) live(now time.Time) []string {
+	var out []string
+	for i, at := range r.up {
+		if !at.IsZero() && !at.After(now) {
+			out = append(out, r.names[i])
+		}
+	}
+	return out
+}
+
+func (r *coldRegion) step(now time.Time) {
+	if r.rnd.Intn(100) == 0 { // a host stops, or comes back knowing nothing
+		i := r.rnd.Intn(len(r.hosts))
+		if r.up[i].IsZero() {
+			r.up[i], r.hosts[i] = now, r.newHost(i)
+		} else {
+			r.up[i] = time.Time{}
+		}
+	}
+	for i := range r.hosts {
+		if now.Sub(start)%viewEvery == 0 && !r.up[i].IsZero() && !r.up[i].After(now) {
+			delay := time.Duration(r.rnd.Int63n(int64(viewDelay)))
+			r.views = append(r.views, coldView{i, now.Add(delay), r.live(now)})
+		}
+	}
+	var later []coldView
+	for _, v := range r.views {
+		if v.at.After(now) {
+			later = append(later, v)
+			continue
+		}
+		r.deliver(v, now)
+	}
+	r.views = later
+	for i, f := range r.hosts {
+		if !r.up[i].IsZero() && !r.up[i].After(now) && f.HasView() {
+			r.send(f, now)
+		}
+	}
+}
+
+func (r *coldRegion) deliver(v coldView, now time.Time) {
+	if r.up[v.host].IsZero() || r.up[v.host].After(now) {
+		return
+	}
+	view := &pb.FleetView{Version: 1, Servers: []*pb.FleetServer{{
+		Id: "s0", Service: "llm", Address: "a:1", FailureDomain: "w1", Slots: 128, ColdMs: uint64(2 * coldSpan.Milliseconds()),
+	}}}
+	for _, name := range v.list {
+		view.Hosts = append(view.Hosts, &pb.FleetHost{Id: name, Region: "west", Ready: true})
+	}
+	r.hosts[v.host].TakeView(view, now)
+}
+
+func (r *coldRegion) send(f *Fleet, now time.Time) {
+	for {
+		j := shortJob()
+		j.ColdPerSecond = r.rate
+		c := f.Choose(j, now)
+		if c.Server == nil {
+			return
+		}
+		f.Started(&c, now)
+		f.Ended(&c, Served, time.Millisecond, now)
+		// It arrives a little later, and may wait for a connection meanwhile.
+		r.sent = append(r.sent, now.Add(time.Duration(r.rnd.Intn(100))*time.Millisecond))
+	}
+}
+
+// TestColdBoundAcrossHosts checks every second of many regions: all hosts together send a
+// cold server no more than it bears.
+func TestColdBoundAcrossHosts(t *testing.T) {
+	used := 0
+	for seed := range int64(150) {
+		r := newColdRegion(seed)
+		for at := time.Duration(0); at < coldSpan; at += coldStep {
+			r.step(start.Add(at))
+		}
+		sort.Slice(r.sent, func(a, b int) bool { return r.sent[a].Before(r.sent[b]) })
+		used += len(r.sent)
+		for from, first := range r.sent {
+			n := 0
+			for _, at := range r.sent[from:] {
+				if at.Sub(first) >= time.Second {
+					break
+				}
+				n++
+			}
+			if float64(n) > coldBound(r.rate) {
+				t.Fatalf("seed %d, %d hosts: %d requests in the second from %s, the server bears %.1f", seed, len(r.hosts), n, first.Sub(start), coldBound(r.rate))
+			}
+		}
+	}
+	if used == 0 {
+		t.Error("no request was sent: the test shows nothing")
+	}
+}
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -108,20 +108,21 @@
 
 // Fleet is what the host knows. It is not safe for concurrent use.
 type Fleet struct {
-	o         Options
-	servers   map[string]*Server
-	gone      map[string]departure // by server ID
-	hosts     map[string][]*Host   // entry hosts of other regions, by region
-	neighbors []string             // ready entry hosts of the own region, this one included
-	regions   map[regionKey]*region
-	evacuated []string
-	revision  uint64
-	viewedAt  time.Time // last view from a control host
-	chains    map[string]chainRate
-	speeds    map[string]*speed.Estimator // by service
-	byKey     map[uint32]*Server
-	holders   *holders.Table
-	sent      []holders.Place // not told to a control host yet
+	o              Options
+	servers        map[string]*Server
+	gone           map[string]departure // by server ID
+	hosts          map[string][]*Host   // entry hosts of other regions, by region
+	neighbors      []string             // ready entry hosts of the own region, this one included
+	neighborsSince time.Time            // when neighbors last changed
+	regions        map[regionKey]*region
+	evacuated      []string
+	revision       uint64
+	viewedAt       time.Time // last view from a control host
+	chains         map[string]chainRate
+	speeds         map[string]*speed.Estimator // by service
+	byKey          map[uint32]*Server
+	holders        *holders.Table
+	sent           []holders.Place // not told to a control host yet
 }
 
 // New returns a fleet without servers.
@@ -190,7 +191,7 @@
 		f.holders.Note(p, now)
 	}
 	f.takeLoads(serverload.Decode(v.Loads))
-	f.takeHosts(v.Hosts)
+	f.takeHosts(v.Hosts, now)
 	f.takeRegions(v.Regions, now)
 }
 
@@ -314,7 +315,7 @@
 	}
 }
 
-func (f *Fleet) takeHosts(hosts []*pb.FleetHost) {
+func (f *Fleet) takeHosts(hosts []*pb.FleetHost, now time.Time) {
 	suspects := map[string]time.Time{}
 	for _, list := range f.hosts {
 		for _, h := range list {
@@ -322,17 +323,20 @@
 		}
 	}
 	f.hosts = map[string][]*Host{}
-	f.neighbors = []string{f.o.Host}
+	neighbors := []string{f.o.Host}
 	for _, h := range hosts {
 		switch {
 		case !h.Ready:
 		case h.Region != f.o.Region:
 			f.hosts[h.Region] = append(f.hosts[h.Region], &Host{ID: h.Id, Peer: h.Peer, Region: h.Region, suspectUntil: suspects[h.Id]})
 		case h.Id != f.o.Host:
-			f.neighbors = append(f.neighbors, h.Id)
+			neighbors = append(neighbors, h.Id)
 		}
 	}
-	sort.Strings(f.neighbors)
+	sort.Strings(neighbors)
+	if !slices.Equal(neighbors, f.neighbors) {
+		f.neighbors, f.neighborsSince = neighbors, now
+	}
 }
 
 func (f *Fleet) takeRegions(loads []*pb.RegionLoad, now time.Time) {
--- a/internal/core/dispatch/homes.go
+++ b/internal/core/dispatch/homes.go
@@ -163,22 +163,25 @@
 	return sum
 }
 
-// coldShare is the part of a cold server's rate that one host uses. Two hosts that
-// both hold themselves to be its only sender use twice the rate, which is below the
-// one at which servers fall over.
-const coldShare = 1.0
+// coldSettle is how long a host must have known the same ready hosts of its region before it
+// may send to cold servers: within viewDelay all hosts that hear the same control host know
+// the list, and what an earlier sender sent a second before that has left the window in which
+// the rate is counted. Hosts that have just started, all at once, each know themselves first.
+const coldSettle = viewDelay + time.Second
 
 // coldAllowed reports whether this host may send to a cold server: one host of
-// the region does, and it keeps to the rate.
+// the region does, and it keeps to the rate. Hosts that hear different control hosts, which
+// can't reach each other, may each hold themselves to be the sender: two of them use twice
+// the rate, which is below the one at which servers fall over.
 func (f *Fleet) coldAllowed(s *Server, j *Job, now time.Time) bool {
 	if j.ColdPerSecond <= 0 {
 		return true
 	}
-	if f.ownerOf(s.ID) != f.o.Host {
+	if now.Sub(f.neighborsSince) < coldSettle || f.ownerOf(s.ID) != f.o.Host {
 		return false
 	}
 	s.coldAt = slices.DeleteFunc(s.coldAt, func(at time.Time) bool { return now.Sub(at) >= time.Second })
-	return float64(len(s.coldAt)+1) <= math.Max(1, j.ColdPerSecond*coldShare)
+	return float64(len(s.coldAt)+1) <= math.Max(1, j.ColdPerSecond)
 }
 
 // ownerOf returns the entry host of the region that alone sends to a cold server.
