--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -53,6 +53,7 @@
 	})
 	m.Gauge("version", func() any { return g.Version() })
 	m.Gauge("inflight", func() any { return g.Inflight() })
+	m.Gauge("learned_speeds", func() any { return g.Speeds() })
 	return servePlatform(path, s, g, servers, link, log)
 }
 
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -349,9 +349,21 @@
 	if res.first == 0 {
 		res.first = max(now.Sub(began), 1)
 		g.fleet.FirstByte(c, res.first)
+		g.noteForecast(c, res.first)
 	}
 }
 
+// noteForecast counts how far the time to the first byte was from its forecast, so that
+// wrong forecasts show before callers complain.
+func (g *Gateway) noteForecast(c *dispatch.Choice, first time.Duration) {
+	forecast := time.Duration(c.EstimateMS * float64(time.Millisecond))
+	if first > forecast {
+		g.o.Metrics.Observe("answer_began_after_forecast", first-forecast)
+		return
+	}
+	g.o.Metrics.Observe("answer_began_before_forecast", forecast-first)
+}
+
 // errLost ends an attempt at a server that is lost.
 var errLost = failure.New(failure.BackendLost, failure.Unknown, "the server sends nothing and does not announce itself any more")
 
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -50,8 +50,8 @@
 	fetching sync.Mutex
 	// fetchFailed is when another entry host last did not give its configuration.
 	fetchFailed atomic.Int64
-	draining atomic.Bool
-	inflight atomic.Int64
+	draining    atomic.Bool
+	inflight    atomic.Int64
 
 	mu      sync.Mutex
 	fleet   *dispatch.Fleet
@@ -169,6 +169,13 @@
 	return configstate.RequestLimits{}
 }
 
+// Speeds returns what this host learned of how fast the services' servers work.
+func (g *Gateway) Speeds() map[string]dispatch.Speed {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fleet.Speeds()
+}
+
 // Inflight returns the number of requests under way.
 func (g *Gateway) Inflight() int64 { return g.inflight.Load() }
 
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -381,6 +381,23 @@
 	return ""
 }
 
+// Speed is what was learned of a service's servers.
+type Speed struct {
+	TokensPerMS float64 `json:"tokens_per_ms"` // of prompts read by an engine
+	BeginMS     float64 `json:"begin_ms"`      // time to an answer's first event without reading
+	AnswerMS    float64 `json:"answer_ms"`     // of a plain service
+	Samples     int     `json:"samples"`       // of long prompts, of which the rate is the median
+}
+
+// Speeds returns what was learned, by service.
+func (f *Fleet) Speeds() map[string]Speed {
+	out := make(map[string]Speed, len(f.speeds))
+	for service, e := range f.speeds {
+		out[service] = Speed{e.Rate(), e.BeginMS(), e.AnswerMS(), e.Samples()}
+	}
+	return out
+}
+
 // Neighbors returns the number of ready entry hosts of the region, this one included.
 func (f *Fleet) Neighbors() int { return max(1, len(f.neighbors)) }
 
