--- a/internal/adapter/settings/settings_test.go
+++ b/internal/adapter/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"github.com/sebdah/goldie/v2"
@@ -36,8 +37,11 @@
 	}
 }
 
+// TestSampleSettingsAreGood loads the settings of all sample deployments. Days to play, in
+// deploy/days, are no settings.
 func TestSampleSettingsAreGood(t *testing.T) {
 	files, err := filepath.Glob("../../../deploy/*/*-*.toml")
+	files = slices.DeleteFunc(files, func(f string) bool { return filepath.Base(filepath.Dir(f)) == "days" })
 	if err != nil || len(files) < 24 {
 		t.Fatalf("%d files, %v", len(files), err)
 	}
