The group is still repaired after a control host's disk was full

Found reading the change: the repair ended for good when the replica refused it while its store failed; as a leader it would never have replaced a lost host again. Change: it goes on with the next interval. TestFullDiskIsNoEnd lets a host join after the store is back; before, it never joined (the test ran into its time).

--- a/internal/app/control/repair.go
+++ b/internal/app/control/repair.go
@@ -41,7 +41,8 @@
 		}
 		var st consensus.Status
 		if err := r.post(ctx, func() { st = r.node.Status() }); err != nil {
-			return
+			clear(heard) // out of the group while the store fails
+			continue
 		}
 		if st.Role != consensus.Leader {
 			clear(heard)
--- a/internal/app/control/storage_test.go
+++ b/internal/app/control/storage_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/ed25519"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -61,6 +62,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	fleet := NewFleet(FleetOptions{Peer: "a", Peers: noPeers{}, Clock: port.SystemClock{}, Log: logr.Discard()}, r)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- r.Run(ctx) }()
@@ -96,6 +98,10 @@
 	if last, err := r.Current(ctx); err != nil || last.Version != 2 {
 		t.Errorf("version %d after the next change: %v", last.GetVersion(), err)
 	}
+	for !slices.Contains(r.MemberAddresses(), "d") { // the group is still repaired
+		fleet.takeExchange(&pb.ControlExchange{Store: "d.1", Peer: "d"})
+		runtime.Gosched()
+	}
 	cancel()
 	if err := <-done; err != nil {
 		t.Errorf("ended with %v", err)
