--- a/cmd/sesame-control/platform.go
+++ b/cmd/sesame-control/platform.go
@@ -72,12 +72,9 @@
 	return servePlatform(s, r, fleet, link, log)
 }
 
-// storeRetry is the pause between attempts to open a store on a disk that refuses.
-const storeRetry = 500 * time.Millisecond
-
 // awaitStore opens the store, and tries again while the disk refuses.
 func awaitStore(s *settings.Control, log logr.Logger) (*journal.Journal, *port.JournalState, error) {
-	for logged := false; ; time.Sleep(storeRetry) {
+	for logged := false; ; time.Sleep(control.StoreRetry) {
 		j, state, err := openStore(s, log)
 		if !failure.Is(err, failure.JournalFailed) {
 			return j, state, err
--- a/internal/app/control/storage.go
+++ b/internal/app/control/storage.go
@@ -7,9 +7,9 @@
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
-// storeRetry is the pause between attempts to open a failed store anew: a fraction of the
+// StoreRetry is the pause between attempts to open a failed store anew: a fraction of the
 // time in which a lost voter would be replaced, and few writes to a disk in trouble.
-const storeRetry = 500 * time.Millisecond
+const StoreRetry = 500 * time.Millisecond
 
 // halt takes the replica out of the group: nothing that it was asked is acknowledged, and
 // what is asked from now on is refused with the failure.
@@ -25,7 +25,7 @@
 // disk, goes on meanwhile.
 func (r *Replica) recoverStore(ctx context.Context) bool {
 	began := r.o.Clock.Now()
-	t := time.NewTicker(storeRetry)
+	t := time.NewTicker(StoreRetry)
 	defer t.Stop()
 	for {
 		select {
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -209,16 +209,16 @@
 		unhealthy += stalledLoss
 	}
 	excess := s.health.excess.now(now)
-	speed := f.speedOf(j.Service)
+	learned := f.speedOf(j.Service)
 	if !j.Engine {
-		k := serviceCost(requests, slots, speed.AnswerMS(), j)
+		k := serviceCost(requests, slots, learned.AnswerMS(), j)
 		return cost{k.loss + unhealthy + excess/1000*delayLoss, k.firstMS + excess}
 	}
 	k := promptCost(engineState{
-		requests: requests, slots: slots, pendingMS: (s.own.prompt + s.others.prompt) / speed.Rate(),
+		requests: requests, slots: slots, pendingMS: (s.own.prompt + s.others.prompt) / learned.Rate(),
 		busy:   (s.reading.now(now) + s.othersReading) / 1000,
 		memory: s.own.memory + s.others.memory, memoryCapacity: j.MemoryTokens,
-	}, j, uncovered, reread, speed)
+	}, j, uncovered, reread, learned)
 	return cost{k.loss + unhealthy + shortLoss*lateRisk(k.firstMS+excess, j.Target) - shortLoss*lateRisk(k.firstMS, j.Target), k.firstMS}
 }
 
@@ -269,18 +269,18 @@
 func (f *Fleet) costAway(r *region, j *Job, now time.Time) (k cost, uncovered float64) {
 	requests := (r.requests + float64(r.sent.requests)) / r.servers
 	slots := math.Max(1, r.slots/r.servers)
-	speed := f.speedOf(j.Service)
+	learned := f.speedOf(j.Service)
 	if !j.Engine {
-		k = serviceCost(requests, slots, speed.AnswerMS(), j)
+		k = serviceCost(requests, slots, learned.AnswerMS(), j)
 		return cost{k.loss + awayLoss + interRegionMS/1000*delayLoss, k.firstMS + interRegionMS}, 0
 	}
 	reread := f.rereadAway(r, j, now)
 	uncovered = j.Prompt - float64(sharedTokens(j.Parts)) + reread
-	pending := (r.prompt + r.sent.prompt) / r.servers / speed.Rate()
+	pending := (r.prompt + r.sent.prompt) / r.servers / learned.Rate()
 	k = promptCost(engineState{
 		requests: requests, slots: slots, pendingMS: pending + interRegionMS,
 		memory: (r.memory + r.sent.memory) / r.servers, memoryCapacity: j.MemoryTokens,
-	}, j, uncovered, reread, speed)
+	}, j, uncovered, reread, learned)
 	k.loss += awayLoss
 	return k, uncovered
 }
--- a/internal/core/dispatch/cost.go
+++ b/internal/core/dispatch/cost.go
@@ -60,10 +60,10 @@
 
 // promptCost is the cost of a prompt of which the engine must read uncovered
 // tokens, reread of them shared ones that others had read before.
-func promptCost(e engineState, j *Job, uncovered, reread float64, speed *speed.Estimator) cost {
-	read := uncovered / speed.Rate()
+func promptCost(e engineState, j *Job, uncovered, reread float64, learned *speed.Estimator) cost {
+	read := uncovered / learned.Rate()
 	step := stepBase + stepPerRequest*e.requests
-	first := speed.BeginMS() + e.pendingMS + read + (e.pendingMS+read)/100*step + step
+	first := learned.BeginMS() + e.pendingMS + read + (e.pendingMS+read)/100*step + step
 	first += waitForRoom(e, uncovered+j.Output)
 	own := shortLoss
 	if j.isLong() {
