Sight: control hosts tell how old their state may be; views, logs, metrics

Cause looked for: a change not in force behind a cut-off control host. The logs could not tell whether its entry hosts were answered by a control host that is behind, or the configuration was on its way. Heartbeats carry the leader's commit index, a replica knows as of when it held all of it, and views carry the time since. Nothing goes by it yet.

--- a/cmd/sesame-control/platform.go
+++ b/cmd/sesame-control/platform.go
@@ -68,6 +68,7 @@
 		ServerLease: registry.MissedAnnouncements * time.Duration(s.Fleet.HeartbeatMS) * time.Millisecond,
 		Peers:       client, Clock: port.SystemClock{}, Log: log,
 	}, r)
+	m.Gauge("staleness_ms", func() any { return r.Staleness().Milliseconds() })
 	m.Gauge("version", func() any { return r.Accepted().Stamp.Version })
 	return servePlatform(s, r, fleet, link, log)
 }
--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -52,6 +52,7 @@
 		Clock: port.SystemClock{}, ReadPrompt: platform.ReadPrompt, Random: rand.Float64, Tracer: tracer, Log: log, Metrics: m,
 	})
 	m.Gauge("version", func() any { return g.Version() })
+	m.Gauge("config_staleness_ms", func() any { return g.ConfigStaleness().Milliseconds() })
 	m.Gauge("inflight", func() any { return g.Inflight() })
 	m.Gauge("learned_speeds", func() any { return g.Speeds() })
 	return servePlatform(path, s, g, servers, link, log)
--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -179,7 +179,7 @@
 	defer exchange.Stop()
 	expire := time.NewTicker(expireInterval)
 	defer expire.Stop()
-	last := f.o.Clock.Now()
+	last, stale := f.o.Clock.Now(), false
 	busy := &busySet{m: map[string]bool{}}
 	f.exchangeAll(ctx, busy) // opens the links over which votes are answered
 	for {
@@ -193,6 +193,7 @@
 			f.wakeLocked()
 			f.mu.Unlock()
 			last = now
+			stale = f.logStaleness(stale)
 		case <-exchange.C:
 			f.exchangeAll(ctx, busy)
 		}
@@ -399,7 +400,7 @@
 	now := f.o.Clock.Now()
 	v := &pb.FleetView{
 		Epoch: f.epoch, Version: f.reg.Version(), Evacuated: evacuated, EvacuationRevision: revision,
-		HomeRegion: f.o.Region, HomeDomain: f.o.FailureDomain, Loads: serverload.Encode(f.reg.OtherLoads(host, now)),
+		HomeRegion: f.o.Region, HomeDomain: f.o.FailureDomain, StalenessMs: uint64(f.replica.Staleness().Milliseconds()), Loads: serverload.Encode(f.reg.OtherLoads(host, now)),
 	}
 	for _, c := range f.reg.Controls(now) {
 		control = append(control, c.Peer)
--- a/internal/app/control/replica.go
+++ b/internal/app/control/replica.go
@@ -82,8 +82,10 @@
 	fleet     *Fleet // nil in a group whose record lists the hosts
 	members   atomic.Pointer[[]string]
 	started   time.Time
-	seen      roleSeen    // as last logged
-	confirmed atomic.Bool // the applied state was the leader's at some moment of this process
+	seen      roleSeen                  // as last logged
+	confirmed atomic.Bool               // the applied state was the leader's at some moment of this process
+	currentAt atomic.Pointer[time.Time] // see Staleness; nil before the first time
+	currentAs uint64                    // the node's tick for currentAt
 }
 
 // roleSeen is what a replica believes of the group's leader.
@@ -126,6 +128,7 @@
 
 // load makes the consensus core and the state machine from the store's state.
 func (r *Replica) load() error {
+	r.currentAs = 0
 	r.machine = configstate.NewMachine(r.o.Generation)
 	snap := consensus.Snapshot{Members: &pb.RaftMembers{Members: r.o.Members}}
 	if s := r.o.State.Snapshot; s != nil {
@@ -202,6 +205,7 @@
 		if rd.Empty() {
 			r.noteLeadership()
 			r.noteConfirmed()
+			r.noteCurrent()
 			r.publishMembers()
 			return nil
 		}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -45,9 +45,10 @@
 
 // Gateway is an entry host's use case for routed requests.
 type Gateway struct {
-	o        Options
-	config   atomic.Pointer[configstate.Installed]
-	fetching sync.Mutex
+	o         Options
+	config    atomic.Pointer[configstate.Installed]
+	currentAt atomic.Pointer[time.Time] // see ConfigStaleness; nil before the first time
+	fetching  sync.Mutex
 	// fetchFailed is when another entry host last did not give its configuration.
 	fetchFailed atomic.Int64
 	draining    atomic.Bool
--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -108,6 +108,7 @@
 // is used only while all nearer ones are silent.
 func (g *Gateway) present(ctx context.Context, addr string) {
 	have := &source{}
+	seen := &controlSeen{}
 	distance := sameDomain // until its answers tell otherwise
 	for ctx.Err() == nil {
 		if g.nearerAlive(distance) {
@@ -115,6 +116,7 @@
 			continue
 		}
 		view, err := g.syncOnce(ctx, addr, have)
+		g.logControl(seen, addr, view, err)
 		if err != nil {
 			g.o.Metrics.Add("sync_failures", 1)
 			pause(ctx, syncPause)
@@ -191,6 +193,7 @@
 	if configstate.Newer(resp.Stamp, g.stamp()) {
 		g.fetch(ctx, addr, resp.Stamp, fetchTimeout)
 	}
+	g.noteCurrent(resp.Stamp, view)
 	g.noteKnown()
 	return view, nil
 }
@@ -255,6 +258,7 @@
 	defer cancel()
 	resp, err := g.o.Peers.Call(ctx, addr, req)
 	if err != nil || resp.GetConfig() == nil {
+		g.logNotFetched(addr, have, want, err)
 		return
 	}
 	next, err := configstate.Install(g.config.Load(), resp.GetConfig(), g.o.VerifyKey)
--- a/internal/core/consensus/members.go
+++ b/internal/core/consensus/members.go
@@ -14,7 +14,7 @@
 	if n.role != Leader {
 		return 0, 0, failure.New(failure.NoLeader, failure.NotRun, "replica %s is a %s", n.o.ID, n.role)
 	}
-	if t, _ := n.log.term(n.log.commit); t != n.term || n.membersIndex > n.log.commit {
+	if !n.committedInTerm() || n.membersIndex > n.log.commit {
 		return 0, 0, failure.New(failure.MembershipPending, failure.NotRun, "the last membership change is not committed yet")
 	}
 	if err := n.checkMembers(next); err != nil {
--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -120,6 +120,7 @@
 	leader string
 	log    replicaLog
 
+	fresh        freshness
 	members      *pb.RaftMembers
 	membersIndex uint64
 	progress     map[string]*progress
@@ -219,7 +220,7 @@
 	if n.role != Leader {
 		return failure.New(failure.NoLeader, "", "replica %s is a %s", n.o.ID, n.role)
 	}
-	if t, _ := n.log.term(n.log.commit); t != n.term {
+	if !n.committedInTerm() {
 		return failure.New(failure.NoLeader, "", "the leader has not committed an entry of its term yet")
 	}
 	n.broadcastHeartbeat()
@@ -388,12 +389,7 @@
 // contactTicks returns for how many more ticks a leader counts as in contact with a
 // majority.
 func (n *Node) contactTicks() int {
-	sent := n.quorumOf(func(id string, p *progress) uint64 {
-		if id == n.o.ID {
-			return n.tick
-		}
-		return p.ackSent
-	})
+	sent := n.majorityHeardUntil()
 	left := int64(sent) + int64(n.o.ElectionTicks) - int64(n.tick)
 	if sent == 0 && !n.aloneVoter() {
 		return 0
@@ -401,6 +397,17 @@
 	return int(max(left, 0))
 }
 
+// majorityHeardUntil returns the tick of the newest heartbeat that a majority of voters
+// answered, this leader included.
+func (n *Node) majorityHeardUntil() uint64 {
+	return n.quorumOf(func(id string, p *progress) uint64 {
+		if id == n.o.ID {
+			return n.tick
+		}
+		return p.ackSent
+	})
+}
+
 func (n *Node) aloneVoter() bool {
 	return countVoters(n.members) == 1 && n.isVoter(n.o.ID)
 }
--- a/internal/core/consensus/replicate.go
+++ b/internal/core/consensus/replicate.go
@@ -80,7 +80,7 @@
 		p.paused = false
 		n.send(&pb.RaftMessage{
 			Type: uint32(MsgHeartbeat), To: m.Id, Term: n.term,
-			Commit: min(n.log.commit, p.match), Context: n.round,
+			Commit: min(n.log.commit, p.match), LeaderCommit: n.leaderCommit(), Context: n.round,
 		})
 	}
 }
@@ -256,6 +256,7 @@
 }
 
 func (n *Node) handleHeartbeat(m *pb.RaftMessage) {
+	n.fresh.hear(m.LeaderCommit, n.log.applied, n.tick)
 	n.log.commit = max(n.log.commit, min(m.Commit, n.log.last()))
 	n.send(&pb.RaftMessage{
 		Type: uint32(MsgHeartbeatReply), To: m.From, Term: n.term, Context: m.Context, Index: n.log.last(),
