--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"crypto/ed25519"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
@@ -207,12 +206,7 @@
 // install puts a configuration in force.
 func (f *fixture) install(version uint64, rec configstate.Record) {
 	f.t.Helper()
-	raw, err := json.Marshal(&rec)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	stamp := &pb.ConfigStamp{Generation: 1, Version: version, Digest: configstate.Digest(raw)}
-	blob := &pb.ConfigBlob{Stamp: stamp, Record: raw, Signature: configstate.Sign(signer, stamp)}
+	blob := testBlob(f.t, version, rec)
 	next, err := configstate.Install(f.g.config.Load(), blob, f.g.o.VerifyKey)
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -188,6 +188,9 @@
 	return registry.MissedAnnouncements*f.o.AnnounceEvery + viewDelay
 }
 
+// Evacuated reports whether servers of a failure domain are to get nothing.
+func (f *Fleet) Evacuated(domain string) bool { return slices.Contains(f.evacuated, domain) }
+
 // usable reports whether a server may be given new work, and why not.
 func (f *Fleet) usable(s *Server, now time.Time) (reason string) {
 	switch {
@@ -195,7 +198,7 @@
 		return "leaving"
 	case f.missing(s):
 		return "silent"
-	case slices.Contains(f.evacuated, s.FailureDomain):
+	case f.Evacuated(s.FailureDomain):
 		return "evacuated"
 	case now.Before(s.health.closedUntil):
 		return "failing"
