Mend: an entry host asks farther control hosts while the nearer ones are out of date

Cause: an entry host took any answer of a near control host for the group's word. One that is cut off from the majority answers too, with the configuration and evacuations of before the cut.

Change: which control hosts are asked is pure code of its own (core/controlhosts). A control host counts as one that speaks for the group only as of the moment when it last held all that was committed; 2 s later the farther ones are asked besides. The near one stays in use for what only it hears; the host's own work is told to one of the nearest only, and what a control host that is behind tells of entry hosts and other regions gives way to the word of one that is not.

--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
+	"github.com/sesamefork/sesamefork/internal/core/controlhosts"
+	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/holders"
 	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	"github.com/sesamefork/sesamefork/internal/failure"
@@ -26,9 +28,6 @@
 	syncPause = 200 * time.Millisecond
 	// fetchTimeout bounds the transfer of a configuration.
 	fetchTimeout = 2 * time.Second
-	// nearLost is how long the nearer control hosts may be silent before farther
-	// ones are asked: those of the own failure domain, its region, other regions.
-	nearLost = 1500 * time.Millisecond
 )
 
 // controlList is where control hosts are found: the seeds of the settings and
@@ -37,24 +36,17 @@
 	mu    sync.Mutex
 	seeds []string
 	named []string
-	heard [farthest + 1]time.Time // by distance
+	heard controlhosts.Heard
 }
 
-// Distances of a control host.
-const (
-	sameDomain = iota
-	sameRegion
-	farthest
-)
-
-func (g *Gateway) distance(v *pb.FleetView) int {
+func (g *Gateway) distance(v *pb.FleetView) controlhosts.Distance {
 	switch {
 	case v.HomeDomain == g.o.FailureDomain:
-		return sameDomain
+		return controlhosts.SameDomain
 	case v.HomeRegion == g.o.Region:
-		return sameRegion
+		return controlhosts.SameRegion
 	}
-	return farthest
+	return controlhosts.OtherRegion
 }
 
 func (c *controlList) all() []string {
@@ -104,55 +96,70 @@
 	}
 }
 
-// present presents the host to one control host again and again. A farther one
-// is used only while all nearer ones are silent.
+// present presents the host to one control host again and again, as package controlhosts
+// decides. How far the control host is, its first answer tells.
 func (g *Gateway) present(ctx context.Context, addr string) {
-	have := &source{}
-	seen := &controlSeen{}
-	distance := sameDomain // until its answers tell otherwise
+	c := &controlHost{addr: addr, distance: controlhosts.SameDomain}
 	for ctx.Err() == nil {
-		if g.nearerAlive(distance) {
+		if !g.asks(c.distance) {
 			pause(ctx, syncPause)
 			continue
 		}
-		view, err := g.syncOnce(ctx, addr, have)
-		g.logControl(seen, addr, view, err)
+		nearest := g.nearest(c)
+		view, err := g.syncOnce(ctx, c, nearest)
+		g.logControl(&c.logged, addr, view, err)
 		if err != nil {
 			g.o.Metrics.Add("sync_failures", 1)
 			pause(ctx, syncPause)
 			continue
 		}
-		distance = g.distance(view)
-		g.control.mu.Lock()
-		g.control.heard[distance] = g.o.Clock.Now()
-		g.control.mu.Unlock()
+		if p := controlhosts.Pause(nearest, staleness(view)); p > 0 {
+			pause(ctx, p)
+		}
 	}
 }
 
-// unsureAfter is how long a host that starts waits for a configuration from the nearest
-// control host before it asks others of its region too: when all hosts start at once,
-// presenting themselves to twice as many is 3 MB more between failure domains.
-const unsureAfter = 800 * time.Millisecond
+// controlHost is what this host knows of one control host.
+type controlHost struct {
+	addr     string
+	distance controlhosts.Distance
+	known    bool // the distance is
+	have     source
+	logged   controlSeen
+}
 
-// nearerAlive reports whether a control host nearer than distance was heard lately. While
-// this host has no configuration, those of its region soon count as equally near: the one
-// of its failure domain may have lost its disk and know none itself.
-func (g *Gateway) nearerAlive(distance int) bool {
+func (g *Gateway) asks(d controlhosts.Distance) bool {
 	now := g.o.Clock.Now()
-	near := distance
-	if near == sameRegion && g.config.Load() == nil && g.startup.Age(now) > unsureAfter {
-		near = sameDomain
-	}
+	configured, age := g.config.Load() != nil, g.startup.Age(now)
 	g.control.mu.Lock()
 	defer g.control.mu.Unlock()
-	for d := range near {
-		if now.Sub(g.control.heard[d]) < nearLost {
-			return true
-		}
+	return g.control.heard.Asks(d, configured, age, now)
+}
+
+// nearest reports whether a control host is one of the nearest that were heard lately.
+func (g *Gateway) nearest(c *controlHost) bool {
+	d := c.distance
+	if !c.known {
+		d = controlhosts.OtherRegion
 	}
-	return false
+	g.control.mu.Lock()
+	defer g.control.mu.Unlock()
+	return g.control.heard.Nearest(d, g.o.Clock.Now())
+}
+
+// noteHeard notes a control host's answer. It reports whether what it tells of the fleet
+// counts.
+func (g *Gateway) noteHeard(c *controlHost, view *pb.FleetView) bool {
+	c.distance, c.known = g.distance(view), true
+	now := g.o.Clock.Now()
+	g.control.mu.Lock()
+	defer g.control.mu.Unlock()
+	g.control.heard.Note(c.distance, staleness(view), now)
+	return g.control.heard.KnowsFleet(staleness(view), now)
 }
 
+func staleness(v *pb.FleetView) time.Duration { return milliseconds(v.StalenessMs) }
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
@@ -160,51 +167,61 @@
 	}
 }
 
-func (g *Gateway) syncOnce(ctx context.Context, addr string, have *source) (*pb.FleetView, error) {
+// syncOnce presents the host to a control host and takes its view. Only one of the nearest
+// hears of the host's own work, and tells of the work of others.
+func (g *Gateway) syncOnce(ctx context.Context, c *controlHost, nearest bool) (*pb.FleetView, error) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	ready := g.config.Load() != nil && !g.draining.Load()
-	g.mu.Lock()
-	loads, sent := serverload.Encode(g.fleet.Loads(g.o.Clock.Now())), g.fleet.TakeSent()
-	g.mu.Unlock()
 	req := g.request()
-	req.Body = &pb.Request_FleetSync{FleetSync: &pb.FleetSync{
-		Host: &pb.FleetHost{
-			Id: g.o.Host, Peer: g.o.Peer, Caller: g.o.Caller, Region: g.o.Region, FailureDomain: g.o.FailureDomain, Ready: ready,
-		},
-		HaveEpoch: have.epoch, HaveVersion: have.version, WaitMs: uint32(syncWait.Milliseconds()), Loads: loads,
-		Prompts: holders.Encode(sent), HavePrompts: have.prompts,
-	}}
-	resp, err := g.o.Peers.Call(ctx, addr, req)
+	req.Body = &pb.Request_FleetSync{FleetSync: g.presentation(c, nearest)}
+	resp, err := g.o.Peers.Call(ctx, c.addr, req)
 	if err != nil {
 		if ctx.Err() != nil && g.o.Drop != nil {
-			g.o.Drop(addr) // the link may be silent for good
+			g.o.Drop(c.addr) // the link may be silent for good
 		}
 		return nil, err
 	}
 	view := resp.GetFleetView()
 	if view == nil {
-		return nil, failure.New(failure.PeerRefused, "", "the control host at %s gave no view", addr)
+		return nil, failure.New(failure.PeerRefused, "", "the control host at %s gave no view", c.addr)
 	}
-	if !have.complete(view) {
-		return nil, failure.New(failure.PeerRefused, "", "the changes that the control host at %s tells do not fit what this host has", addr)
+	if !c.have.complete(view) {
+		return nil, failure.New(failure.PeerRefused, "", "the changes that the control host at %s tells do not fit what this host has", c.addr)
 	}
-	g.takeView(view)
+	g.takeView(view, dispatch.Scope{Loads: nearest, Fleet: g.noteHeard(c, view)})
 	if configstate.Newer(resp.Stamp, g.stamp()) {
-		g.fetch(ctx, addr, resp.Stamp, fetchTimeout)
+		g.fetch(ctx, c.addr, resp.Stamp, fetchTimeout)
 	}
 	g.noteCurrent(resp.Stamp, view)
 	g.noteKnown()
 	return view, nil
 }
 
-func (g *Gateway) takeView(v *pb.FleetView) {
+// presentation returns what a control host is told of this host.
+func (g *Gateway) presentation(c *controlHost, nearest bool) *pb.FleetSync {
+	m := &pb.FleetSync{
+		Host: &pb.FleetHost{
+			Id: g.o.Host, Peer: g.o.Peer, Caller: g.o.Caller, Region: g.o.Region, FailureDomain: g.o.FailureDomain,
+			Ready: g.config.Load() != nil && !g.draining.Load(),
+		},
+		HaveEpoch: c.have.epoch, HaveVersion: c.have.version, HavePrompts: c.have.prompts, WaitMs: uint32(syncWait.Milliseconds()),
+	}
+	if nearest {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		m.Loads = serverload.Encode(g.fleet.Loads(g.o.Clock.Now()))
+		m.Prompts = holders.Encode(g.fleet.TakeSent())
+	}
+	return m
+}
+
+func (g *Gateway) takeView(v *pb.FleetView, scope dispatch.Scope) {
 	if len(v.Control) > 0 {
 		g.control.name(v.Control)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.fleet.TakeView(v, g.o.Clock.Now())
+	g.fleet.TakeView(v, scope, g.o.Clock.Now())
 	close(g.viewed)
 	g.viewed = make(chan struct{})
 	g.budget.SetHosts(g.fleet.AllHosts())
--- a/internal/core/controlhosts/controlhosts.go
+++ b/internal/core/controlhosts/controlhosts.go
@@ -1,12 +1,115 @@
-// Package controlhosts decides by which control hosts an entry host goes. It does no I/O
-// and reads no clock.
+// Package controlhosts decides by which control hosts an entry host goes. Each presents
+// itself to the nearest ones and learns there who is there, what is evacuated, and of which
+// configuration there is. It does no I/O and reads no clock.
+//
+// Invariant: an answer counts as a sign that a control host is there; only one from a host
+// that is up to date with its group counts as the group's word. While none of the nearer
+// control hosts gives that, farther ones are asked as well.
 package controlhosts
 
 import "time"
 
-// MaxStaleness is how old a control host's configuration and evacuations may be before
-// others have to be heard as well. A new leader's first commit, between regions 80 ms
-// apart, comes 1.0 to 1.9 s after the last word of one that was lost; 0.6 s more is needed
-// to ask a farther control host and fetch the configuration, and an accepted one has to be
-// in force within 4 s.
-const MaxStaleness = 2 * time.Second
+// Distance says how far away a control host is.
+type Distance int
+
+// Distances.
+const (
+	SameDomain Distance = iota
+	SameRegion
+	OtherRegion
+	distances
+)
+
+// Times after which others are asked.
+const (
+	// MaxStaleness is how old a control host's configuration and evacuations may be before
+	// others have to be heard as well. A new leader's first commit, between regions 80 ms
+	// apart, comes 1.0 to 1.9 s after the last word of one that was lost; 0.6 s more is needed
+	// to ask a farther control host and fetch the configuration, and an accepted one has to be
+	// in force within 4 s.
+	MaxStaleness = 2 * time.Second
+	// Lost is how long control hosts may be silent before farther ones are asked: six
+	// presentations, or a connection that is opened anew.
+	Lost = 1500 * time.Millisecond
+	// unsureAfter is how long a host that starts waits for a configuration from the nearest
+	// control host before it asks others of its region too: when all hosts start at once,
+	// presenting themselves to twice as many is 3 MB more between failure domains.
+	unsureAfter = 800 * time.Millisecond
+	// retryStale is the pause between presentations to a farther control host that is itself
+	// out of date. While the group has no majority all are, and each would otherwise be asked
+	// by every entry host four times a second. With the time that an answer takes it stays
+	// below the lease of an entry host, 1.5 s.
+	retryStale = 600 * time.Millisecond
+)
+
+// Heard is what an entry host heard of the control hosts at each distance. The zero value
+// has heard none. It is not safe for concurrent use.
+type Heard struct {
+	at   [distances]time.Time // last answer
+	asOf [distances]time.Time // newest moment as of which one of them was up to date
+}
+
+// Note takes an answer from a control host whose state is so old.
+func (h *Heard) Note(d Distance, staleness time.Duration, now time.Time) {
+	h.at[d] = now
+	if asOf := now.Add(-staleness); asOf.After(h.asOf[d]) {
+		h.asOf[d] = asOf
+	}
+}
+
+// Asks reports whether control hosts at a distance are to be asked now. Those of the own
+// failure domain always are: only they hear its backend servers while it is cut off. configured
+// says whether the entry host has a configuration, age for how long it has run: without one,
+// control hosts of its region soon count as equally near, as the one of its failure
+// domain may have lost its disk.
+func (h *Heard) Asks(d Distance, configured bool, age time.Duration, now time.Time) bool {
+	if d == SameRegion && !configured && age > unsureAfter {
+		return true
+	}
+	for near := range d {
+		if h.lately(near, now) && h.upToDate(near, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// Nearest reports whether no control host nearer than d was heard lately, up to date or
+// not. One of the nearest hears what the entry host has under way; a farther one that is
+// asked besides must not, or the region would count it twice.
+func (h *Heard) Nearest(d Distance, now time.Time) bool {
+	for near := range d {
+		if h.lately(near, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// KnowsFleet reports whether what a control host whose state is so old tells of entry hosts
+// and other regions counts: one that is out of date may be cut off from the others.
+func (h *Heard) KnowsFleet(staleness time.Duration, now time.Time) bool {
+	if staleness <= MaxStaleness {
+		return true
+	}
+	for d := range distances {
+		if h.upToDate(d, now) {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *Heard) lately(d Distance, now time.Time) bool { return now.Sub(h.at[d]) < Lost }
+
+func (h *Heard) upToDate(d Distance, now time.Time) bool { return now.Sub(h.asOf[d]) <= MaxStaleness }
+
+// Pause returns how long to wait before a control host that has just answered is asked
+// again. Answers are held until something changes or a wait is over, so that mostly no
+// pause is needed.
+func Pause(nearest bool, staleness time.Duration) time.Duration {
+	if !nearest && staleness > MaxStaleness {
+		return retryStale
+	}
+	return 0
+}
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -108,8 +108,20 @@
 	goneFor = 5 * time.Minute
 )
 
+// Scope says which parts of a view count, beside its servers and evacuations, of which each
+// has a version or an age of its own.
+type Scope struct {
+	// Loads: the work of the region's other entry hosts.
+	Loads bool
+	// Fleet: the entry hosts, and the loads of other regions.
+	Fleet bool
+}
+
+// Everything is the scope of the view of a control host that is near and up to date.
+var Everything = Scope{Loads: true, Fleet: true}
+
 // TakeView takes a control host's view.
-func (f *Fleet) TakeView(v *pb.FleetView, now time.Time) {
+func (f *Fleet) TakeView(v *pb.FleetView, scope Scope, now time.Time) {
 	f.viewedAt = now
 	if v.EvacuationRevision >= f.revision {
 		f.revision, f.evacuated = v.EvacuationRevision, v.Evacuated
@@ -132,9 +144,13 @@
 	for _, p := range holders.Decode(v.Prompts) {
 		f.holders.Note(p, now)
 	}
-	f.takeLoads(serverload.Decode(v.Loads))
-	f.takeHosts(v.Hosts, now)
-	f.takeRegions(v.Regions, now)
+	if scope.Loads {
+		f.takeLoads(serverload.Decode(v.Loads))
+	}
+	if scope.Fleet {
+		f.takeHosts(v.Hosts, now)
+		f.takeRegions(v.Regions, now)
+	}
 }
 
 func (f *Fleet) takeLoads(loads serverload.Loads) {
