--- a/internal/app/control/group_test.go
+++ b/internal/app/control/group_test.go
@@ -4,13 +4,16 @@
 	"bytes"
 	"context"
 	"crypto/ed25519"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/sesamefork/sesamefork/internal/core/consensus"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 	"github.com/sesamefork/sesamefork/internal/port"
@@ -60,6 +63,8 @@
 	t  *testing.T
 	mu sync.Mutex
 	up map[string]*member // by peer address
+	// drop, unless nil, takes messages of the group out on their way to an address.
+	drop func(addr string, m *pb.RaftMessage) bool
 }
 
 type member struct {
@@ -75,12 +80,16 @@
 // Call implements port.Peers.
 func (g *group) Call(ctx context.Context, addr string, req *pb.Request) (*pb.Response, error) {
 	g.mu.Lock()
-	m := g.up[addr]
+	m, drop := g.up[addr], g.drop
 	g.mu.Unlock()
 	if m == nil {
 		return nil, failure.New(failure.PeerUnreachable, failure.NotRun, "%s is down", addr)
 	}
-	resp := m.r.HandleRequest(ctx, proto.Clone(req).(*pb.Request))
+	req = proto.Clone(req).(*pb.Request)
+	if c := req.GetConsensus(); c != nil && drop != nil {
+		c.Messages = slices.DeleteFunc(c.Messages, func(m *pb.RaftMessage) bool { return drop(addr, m) })
+	}
+	resp := m.r.HandleRequest(ctx, req)
 	return resp, ctx.Err()
 }
 
@@ -307,3 +316,73 @@
 		return resp.GetConfig().GetStamp().GetVersion() == 9
 	})
 }
+
+// TestHostThatCatchesUpOffersNothingStale restarts a host that missed changes while it was
+// down. It hears the leader's heartbeats before what it missed: a leader is there, but the
+// applied configuration is older than one that was acknowledged, so it must not be handed
+// to entry hosts.
+func TestHostThatCatchesUpOffersNothingStale(t *testing.T) {
+	g := newGroup(t)
+	g.declare(5)
+	addr := founderAddresses[2]
+	await(t, "the change is applied there", func() bool { return g.member(addr).r.Accepted().Stamp.Version == 5 })
+	j := g.kill(addr).j
+	g.declare(6)
+	var heartbeats atomic.Int32
+	g.setDrop(func(to string, m *pb.RaftMessage) bool {
+		if to != addr {
+			return false
+		}
+		if consensus.MessageType(m.Type) == consensus.MsgHeartbeat {
+			heartbeats.Add(1)
+		}
+		return consensus.MessageType(m.Type) == consensus.MsgAppend
+	})
+	m := g.start(addr, addr+".0", j, founderAddresses)
+	await(t, "the leader was heard for some time", func() bool { return heartbeats.Load() > 20 })
+	resp := m.r.HandleRequest(context.Background(), &pb.Request{Body: &pb.Request_ConfigFetch{ConfigFetch: &pb.ConfigFetch{}}})
+	if got := resp.GetConfig().GetStamp().GetVersion(); got != 0 {
+		t.Errorf("offered version %d; 6 was acknowledged", got)
+	}
+	g.setDrop(nil)
+	await(t, "the newest version is offered", func() bool {
+		resp := m.r.HandleRequest(context.Background(), &pb.Request{Body: &pb.Request_ConfigFetch{ConfigFetch: &pb.ConfigFetch{}}})
+		return resp.GetConfig().GetStamp().GetVersion() == 6
+	})
+}
+
+func (g *group) member(addr string) *member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.up[addr]
+}
+
+func (g *group) setDrop(f func(addr string, m *pb.RaftMessage) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.drop = f
+}
+
+// TestCutOffHostKnowsThatItIsBehind cuts each control host off in turn: the time since it
+// held what the group had committed grows, while its answers go on; after the cut it is
+// small again.
+func TestCutOffHostKnowsThatItIsBehind(t *testing.T) {
+	const long, short = 400 * time.Millisecond, 200 * time.Millisecond
+	g := newGroup(t)
+	g.declare(5)
+	for _, addr := range founderAddresses {
+		await(t, "it is up to date", func() bool { return g.member(addr).r.Staleness() < short })
+		g.setDrop(func(to string, m *pb.RaftMessage) bool { return to == addr || m.From == addr+".0" })
+		await(t, "it knows that it is behind", func() bool { return g.member(addr).r.Staleness() > long })
+		view := g.member(addr).f.view(&pb.FleetSync{}, "", "r")
+		if view.StalenessMs < uint64(long.Milliseconds()) {
+			t.Errorf("%s tells an entry host that it is %d ms behind", addr, view.StalenessMs)
+		}
+		for _, other := range founderAddresses {
+			if other != addr {
+				await(t, "the others are up to date", func() bool { return g.member(other).r.Staleness() < short })
+			}
+		}
+		g.setDrop(nil)
+	}
+}
--- a/internal/app/control/publish.go
+++ b/internal/app/control/publish.go
@@ -20,7 +20,7 @@
 // index is not synced with each change, so a restarted replica may have applied
 // less than was acknowledged; an entry host that restarts too would then go back.
 func (r *Replica) offered() *Published {
-	if r.confirmed.Load() || r.o.Clock.Now().Sub(r.started) > unconfirmedFor {
+	if r.currentAt.Load() != nil || r.o.Clock.Now().Sub(r.started) > unconfirmedFor {
 		return r.published.Load()
 	}
 	return nothing
@@ -75,13 +75,3 @@
 	domains, _ := r.Evacuated()
 	return slices.Contains(domains, domain)
 }
-
-// noteConfirmed notes the moment from which the applied state is known to be new.
-func (r *Replica) noteConfirmed() {
-	if !r.confirmed.Load() && r.node.Current() {
-		r.confirmed.Store(true)
-		if r.fleet != nil {
-			r.fleet.configurationChanged()
-		}
-	}
-}
--- a/internal/app/control/replica.go
+++ b/internal/app/control/replica.go
@@ -83,7 +83,6 @@
 	members   atomic.Pointer[[]string]
 	started   time.Time
 	seen      roleSeen                  // as last logged
-	confirmed atomic.Bool               // the applied state was the leader's at some moment of this process
 	currentAt atomic.Pointer[time.Time] // see Staleness; nil before the first time
 	currentAs uint64                    // the node's tick for currentAt
 }
@@ -204,7 +203,6 @@
 		rd := r.node.Ready()
 		if rd.Empty() {
 			r.noteLeadership()
-			r.noteConfirmed()
 			r.noteCurrent()
 			r.publishMembers()
 			return nil
--- a/internal/app/control/staleness.go
+++ b/internal/app/control/staleness.go
@@ -17,7 +17,10 @@
 	return r.o.Clock.Now().Sub(at)
 }
 
-// noteCurrent notes the time as of which the applied state is the group's newest.
+// noteCurrent notes the time as of which the applied state is the group's newest. The first
+// time is also the moment from which the state may be handed to entry hosts: a follower that
+// merely hears a leader may still lack what was acknowledged while it was down
+// (TestHostThatCatchesUpOffersNothingStale).
 func (r *Replica) noteCurrent() {
 	asOf := r.node.CurrentAsOf()
 	if asOf == r.currentAs {
@@ -25,7 +28,9 @@
 	}
 	r.currentAs = asOf
 	at := r.o.Clock.Now().Add(-time.Duration(r.node.Ticks()-asOf) * r.o.Tick)
-	r.currentAt.Store(&at)
+	if first := r.currentAt.Swap(&at) == nil; first && r.fleet != nil {
+		r.fleet.configurationChanged()
+	}
 }
 
 // logStaleness writes when this control host's state begins to be too old for entry hosts
--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -344,13 +344,6 @@
 	return s
 }
 
-// Current reports whether the replica has applied everything that the present
-// leader had committed when it was last heard.
-func (n *Node) Current() bool {
-	t, ok := n.log.term(n.log.commit)
-	return ok && t == n.term && t > 0 && n.leader != "" && n.log.applied >= n.log.commit
-}
-
 // Role returns the replica's role.
 func (n *Node) Role() Role { return n.role }
 
--- a/internal/core/consensus/restart_test.go
+++ b/internal/core/consensus/restart_test.go
@@ -57,7 +57,7 @@
 		}
 		w.net = nil
 		for _, id := range w.order {
-			if s := w.servers[id]; s.up && s.node.Role() == Leader && s.node.Current() {
+			if s := w.servers[id]; s.up && s.node.Role() == Leader && s.node.committedInTerm() {
 				return tick
 			}
 		}
