An entry host that starts behind a control host that is cut off waits for one that is not

The host waits up to 1.5 s for a control host that is up to date, and then goes by what there is. Addresses of control hosts are taken as entry hosts and regions are: not from one that is behind while another is heard.

--- a/internal/app/gateway/behind_test.go
+++ b/internal/app/gateway/behind_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -31,12 +32,18 @@
 	at map[string]fakeMember
 	// asked counts the presentations by address.
 	asked map[string]int
+	// held, unless nil, keeps the answers of an address until it is closed.
+	held     chan struct{}
+	heldAddr string
 }
 
 func (c *fakeGroup) Call(ctx context.Context, addr string, req *pb.Request) (*pb.Response, error) {
 	if req.GetFleetSync() != nil {
 		pause(ctx, time.Millisecond)
 	}
+	if c.held != nil && addr == c.heldAddr {
+		<-c.held
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h := c.at[addr]
@@ -134,6 +141,52 @@
 	}
 }
 
+// TestStartBehindAControlHostThatIsBehind restarts an entry host while its control host is
+// cut off from the group. The nearest one answers first, with an older configuration than
+// the entry host had before; one that is up to date is in reach. What was in force here must
+// not come back older. Where no other one is in reach, the host serves with what there is.
+func TestStartBehindAControlHostThatIsBehind(t *testing.T) {
+	behind := fakeMember{domain: "w1", region: "west", staleness: 30 * time.Second, version: 7, evacuated: []string{}, revision: 1}
+	current := fakeMember{domain: "e1", region: "east", staleness: 100 * time.Millisecond, version: 8, evacuated: []string{"w2"}, revision: 2}
+	cases := []struct {
+		name    string
+		hosts   map[string]fakeMember
+		version uint64
+	}{
+		{"another region's is up to date", map[string]fakeMember{"c1": behind, "c2": current}, 8},
+		{"none else is in reach", map[string]fakeMember{"c1": behind, "c2": {domain: "e1", region: "east", silent: true}}, 7},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newStartingFixture(t)
+			control := &fakeGroup{t: t, at: c.hosts, asked: map[string]int{}, held: make(chan struct{}), heldAddr: "c2"}
+			f.g.SetSeeds([]string{"c1", "c2"})
+			f.g.o.Peers = control
+			ctx, stop := context.WithCancel(context.Background())
+			ran := make(chan error)
+			go func() { ran <- f.g.Run(ctx) }()
+			defer func() { stop(); <-ran }()
+			for control.count("c1") < 20 { // the clock stands still
+				runtime.Gosched()
+			}
+			if v := f.g.Version(); v != 0 {
+				t.Errorf("version %d is in force before others could answer", v)
+			}
+			close(control.held)
+			f.await("the host has a configuration", func() bool { return f.g.Version() != 0 })
+			if v := f.g.Version(); v != c.version {
+				t.Errorf("version %d is in force, want %d", v, c.version)
+			}
+		})
+	}
+}
+
+func (c *fakeGroup) count(addr string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.asked[addr]
+}
+
 // await lets the clock run until cond holds.
 func (f *fixture) await(what string, cond func() bool) {
 	f.t.Helper()
--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -57,6 +57,7 @@
 	return slices.Compact(out)
 }
 
+// name takes the addresses that a control host names.
 func (c *controlList) name(addrs []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -158,6 +159,10 @@
 	return g.control.heard.KnowsFleet(staleness(view), now)
 }
 
+func (g *Gateway) takesFrom(v *pb.FleetView) bool {
+	return controlhosts.Takes(staleness(v), g.config.Load() != nil, g.startup.Age(g.o.Clock.Now()))
+}
+
 func staleness(v *pb.FleetView) time.Duration { return milliseconds(v.StalenessMs) }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -189,7 +194,7 @@
 		return nil, failure.New(failure.PeerRefused, "", "the changes that the control host at %s tells do not fit what this host has", c.addr)
 	}
 	g.takeView(view, dispatch.Scope{Loads: nearest, Fleet: g.noteHeard(c, view)})
-	if configstate.Newer(resp.Stamp, g.stamp()) {
+	if configstate.Newer(resp.Stamp, g.stamp()) && g.takesFrom(view) {
 		g.fetch(ctx, c.addr, resp.Stamp, fetchTimeout)
 	}
 	g.noteCurrent(resp.Stamp, view)
@@ -216,7 +221,7 @@
 }
 
 func (g *Gateway) takeView(v *pb.FleetView, scope dispatch.Scope) {
-	if len(v.Control) > 0 {
+	if scope.Fleet && len(v.Control) > 0 {
 		g.control.name(v.Control)
 	}
 	g.mu.Lock()
--- a/internal/core/controlhosts/controlhosts.go
+++ b/internal/core/controlhosts/controlhosts.go
@@ -35,6 +35,9 @@
 	// control host before it asks others of its region too: when all hosts start at once,
 	// presenting themselves to twice as many is 3 MB more between failure domains.
 	unsureAfter = 800 * time.Millisecond
+	// startPatience is how long a host that starts passes over the configuration of a control
+	// host that is out of date: two tries to reach one of another region.
+	startPatience = 1500 * time.Millisecond
 	// retryStale is the pause between presentations to a farther control host that is itself
 	// out of date. While the group has no majority all are, and each would otherwise be asked
 	// by every entry host four times a second. With the time that an answer takes it stays
@@ -104,6 +107,14 @@
 
 func (h *Heard) upToDate(d Distance, now time.Time) bool { return now.Sub(h.asOf[d]) <= MaxStaleness }
 
+// Takes reports whether an entry host takes the configuration of a control host whose state
+// is so old; what it has already it never gives up for an older one. A host that has just
+// started waits for one that is up to date: before its start it may have served by a newer
+// configuration. If none is in reach it goes by what there is.
+func Takes(staleness time.Duration, configured bool, age time.Duration) bool {
+	return configured || staleness <= MaxStaleness || age > startPatience
+}
+
 // Pause returns how long to wait before a control host that has just answered is asked
 // again. Answers are held until something changes or a wait is over, so that mostly no
 // pause is needed.
