A control host that is cut off refuses operators at once

An operator waits a second for an answer and then asks another host; a control host that had not heard the group for long kept it for up to 3 s in the hope of a leader.

--- a/internal/app/control/group_test.go
+++ b/internal/app/control/group_test.go
@@ -60,9 +60,10 @@
 
 // group runs control hosts in one process; calls between them pass through it.
 type group struct {
-	t  *testing.T
-	mu sync.Mutex
-	up map[string]*member // by peer address
+	t     *testing.T
+	mu    sync.Mutex
+	up    map[string]*member // by peer address
+	clock port.Clock         // of hosts that are started; nil for the system's
 	// drop, unless nil, takes messages of the group out on their way to an address.
 	drop func(addr string, m *pb.RaftMessage) bool
 }
@@ -101,6 +102,10 @@
 // start runs the control host at an address with the store on its disk.
 func (g *group) start(addr, store string, j *diskJournal, founders []string) *member {
 	g.t.Helper()
+	var clock port.Clock = port.SystemClock{}
+	if g.clock != nil {
+		clock = g.clock
+	}
 	var members []*pb.RaftMember
 	for _, a := range founders {
 		members = append(members, &pb.RaftMember{Id: a + ".0", Address: a})
@@ -108,14 +113,14 @@
 	r, err := NewReplica(Options{
 		Identity: port.Identity{Store: store}, Host: addr, Region: "r", FailureDomain: "f", Generation: 1, Members: members,
 		Signer: ed25519.NewKeyFromSeed(bytes.Repeat([]byte{7}, 32)), Tick: 5 * time.Millisecond, SnapshotEvery: 64, Seed: int64(len(store)) + int64(addr[3]),
-		Journal: j, State: j.read(), Peers: g, Clock: port.SystemClock{}, Log: logr.Discard(),
+		Journal: j, State: j.read(), Peers: g, Clock: clock, Log: logr.Discard(),
 	})
 	if err != nil {
 		g.t.Fatal(err)
 	}
 	f := NewFleet(FleetOptions{
 		Peer: addr, Operator: addr, Region: "r", FailureDomain: "f", Regions: map[string]string{"f": "r"},
-		Seeds: founderAddresses, ServerLease: time.Second, Peers: g, Clock: port.SystemClock{}, Log: logr.Discard(),
+		Seeds: founderAddresses, ServerLease: time.Second, Peers: g, Clock: clock, Log: logr.Discard(),
 	}, r)
 	ctx, stop := context.WithCancel(context.Background())
 	m := &member{r: r, f: f, j: j, stop: stop, done: make(chan struct{})}
@@ -143,8 +148,10 @@
 	return m
 }
 
-func newGroup(t *testing.T) *group {
-	g := &group{t: t, up: map[string]*member{}}
+func newGroup(t *testing.T) *group { return newGroupWithClock(t, nil) }
+
+func newGroupWithClock(t *testing.T, clock port.Clock) *group {
+	g := &group{t: t, up: map[string]*member{}, clock: clock}
 	for _, a := range founderAddresses {
 		g.start(a, a+".0", &diskJournal{}, founderAddresses)
 	}
@@ -386,3 +393,50 @@
 		g.setDrop(nil)
 	}
 }
+
+// handClock stands still but when it is moved.
+type handClock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *handClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *handClock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+// TestCutOffHostRefusesAtOnce: a host that has heard no leader for longer than an election
+// takes refuses an operator's change at once, so that the operator goes to another host.
+func TestCutOffHostRefusesAtOnce(t *testing.T) {
+	clock := &handClock{now: time.Unix(1000, 0)}
+	g := newGroupWithClock(t, clock)
+	g.declare(5)
+	addr := founderAddresses[2]
+	for _, other := range founderAddresses[:2] {
+		g.kill(other)
+	}
+	m := g.member(addr)
+	await(t, "no leader is known there", func() bool {
+		st, err := m.r.Status(context.Background())
+		return err == nil && st.Leader == ""
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	refused := make(chan error, 1)
+	go func() {
+		_, err := m.r.Change(ctx, &pb.Command{Record: []byte(openRecord), DeclaredVersion: 6})
+		refused <- err
+	}()
+	clock.advance(2500 * time.Millisecond) // less than the time for which it waits at most
+	err := <-refused
+	if f := failure.As(err, ""); !failure.Is(err, failure.NoLeader) || f.Outcome != failure.NotRun || ctx.Err() != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
--- a/internal/app/control/operate.go
+++ b/internal/app/control/operate.go
@@ -11,6 +11,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/consensus"
+	"github.com/sesamefork/sesamefork/internal/core/controlhosts"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 	"github.com/sesamefork/sesamefork/internal/port"
@@ -78,7 +79,10 @@
 const leaderPatience = 3 * time.Second
 
 // toLeader carries out p on the leader, wherever it is. A result that is
-// "no leader" and not run is tried again until the patience ends.
+// "no leader" and not run is tried again until the patience ends. A replica that has not
+// heard the group for longer than an election takes refuses at once: it is probably cut off,
+// and operators wait for a second before they ask another host
+// (TestCutOffHostRefusesAtOnce).
 func (r *Replica) toLeader(ctx context.Context, p *pb.Propose) (*pb.ProposeResult, error) {
 	deadline := r.o.Clock.Now().Add(leaderPatience)
 	for {
@@ -86,7 +90,7 @@
 		if err == nil || !failure.Is(err, failure.NoLeader) || failure.As(err, "").Outcome == failure.Unknown {
 			return res, err
 		}
-		if ctx.Err() != nil || r.o.Clock.Now().After(deadline) {
+		if ctx.Err() != nil || r.o.Clock.Now().After(deadline) || r.Staleness() > controlhosts.MaxStaleness {
 			return nil, failure.As(err, failure.NotRun).WithRetryAfter(time.Second)
 		}
 		select {
