Sight: what callers' connections held that a stopping host closed

Cause looked for: a caller's whole request that ends with a closed connection just after a stopping host begins to close idle ones. The new line tells unread bytes, dropped bytes and waiting connections apart; no change of logic.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -25,6 +25,10 @@
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
+
+	raw     net.Listener
+	unread  int
+	dropped atomic.Int32
 }
 
 // NewCallerServer listens on addr for callers of a handler.
@@ -37,7 +41,7 @@
 }
 
 func newCallerServer(ln net.Listener, h http.Handler, tlsConfig *tls.Config) *CallerServer {
-	s := &CallerServer{conns: map[*callerConn]struct{}{}}
+	s := &CallerServer{conns: map[*callerConn]struct{}{}, raw: ln}
 	s.ln = &callerListener{ln, s}
 	if tlsConfig != nil {
 		s.ln = tls.NewListener(s.ln, tlsConfig)
@@ -72,27 +76,42 @@
 // idlePoll is how often a server that finishes looks for connections that became idle.
 const idlePoll = 10 * time.Millisecond
 
-// Finish takes no more connections, closes each one once it is idle, and returns the
-// number of connections that were still busy when ctx ended.
-func (s *CallerServer) Finish(ctx context.Context) (cut int) {
+// Finished says how the connections of a server that finished ended.
+type Finished struct {
+	Waiting bool // connections waited to be accepted when the listener was closed
+	Unread  int  // connections that were closed as idle with bytes unread in their socket
+	Dropped int  // connections from which bytes were read that nobody handled
+	Cut     int  // connections that were still busy in the end
+}
+
+// Finish takes no more connections and closes each one once it is idle, until ctx ends.
+func (s *CallerServer) Finish(ctx context.Context) Finished {
 	s.StartDraining()
 	s.finished.Store(true)
+	waiting := readable(s.raw)
 	_ = s.ln.Close() // nothing more is accepted, whatever it says
+	cut := s.closeEach(ctx)
+	_ = s.srv.Close() // the busy ones are cut
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Finished{Waiting: waiting, Unread: s.unread, Dropped: int(s.dropped.Load()), Cut: cut}
+}
+
+// closeEach closes the connections as they become idle, and returns the number of those
+// that were still busy when ctx ended.
+func (s *CallerServer) closeEach(ctx context.Context) (cut int) {
 	t := time.NewTicker(idlePoll)
 	defer t.Stop()
 	for {
 		if cut = s.closeIdle(); cut == 0 {
-			break
+			return 0
 		}
 		select {
 		case <-t.C:
-			continue
 		case <-ctx.Done():
+			return cut
 		}
-		break
 	}
-	_ = s.srv.Close() // the busy ones are cut
-	return cut
 }
 
 // closeIdle closes the idle connections and returns the number of the others.
@@ -151,6 +170,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
+		if n > 0 {
+			c.server.dropped.Add(1)
+		}
 		return 0, net.ErrClosed
 	}
 	c.read = c.read || n > 0
@@ -181,6 +203,9 @@
 	}
 	if !c.closed {
 		c.closed = true
+		if readable(c.Conn) {
+			c.server.unread++
+		}
 		_ = c.Conn.Close() // ends the reading; net/http then closes it for good
 	}
 	return true
