--- /dev/null
+++ b/internal/daemon/callers_unread_test.go
@@ -0,0 +1,226 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+// starvedConn is a connection whose reader gets the processor when run is closed.
+type starvedConn struct {
+	*net.TCPConn
+	starved atomic.Bool
+	run     chan struct{}
+}
+
+func (c *starvedConn) Read(p []byte) (int, error) {
+	if c.starved.Load() {
+		<-c.run
+	}
+	return c.TCPConn.Read(p)
+}
+
+// starvedListener accepts when run is closed.
+type starvedListener struct {
+	*net.TCPListener
+	run    chan struct{}
+	conns  chan *starvedConn
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (l *starvedListener) Accept() (net.Conn, error) {
+	<-l.run
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	s := &starvedConn{TCPConn: c, run: make(chan struct{})}
+	l.conns <- s
+	return s, nil
+}
+
+func (l *starvedListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.TCPListener.Close()
+}
+
+func newStarvedListener(t *testing.T) *starvedListener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &starvedListener{
+		TCPListener: ln.(*net.TCPListener), run: make(chan struct{}), conns: make(chan *starvedConn, 1), closed: make(chan struct{}),
+	}
+}
+
+// caller is a caller with one connection.
+type caller struct {
+	t    *testing.T
+	conn net.Conn
+	in   *bufio.Reader
+	sent bool // a request without an answer
+}
+
+func newCaller(t *testing.T, ln net.Listener) *caller {
+	t.Helper()
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return &caller{t: t, conn: conn, in: bufio.NewReader(conn)}
+}
+
+func (c *caller) send() {
+	c.t.Helper()
+	if _, err := io.WriteString(c.conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		c.t.Fatal(err)
+	}
+	c.sent = true
+}
+
+// answered reports whether a whole answer comes.
+func (c *caller) answered() bool {
+	c.sent = false
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return false
+	}
+	body, err := io.ReadAll(resp.Body)
+	return err == nil && string(body) == "done"
+}
+
+// TestFinishAnswersWhatWasSent tells this story. A caller sent a whole request on a kept
+// connection to a host that had been told to stop and still took requests; it got no answer
+// and no refusal, and the host's log knew nothing of it. The host was 100 to 200 ms behind in
+// its work. The time in which it takes requests ended, and it closed each connection from
+// which it had read nothing since the last answer: the request lay unread in the socket.
+// That a process has read nothing does not say that nothing was sent.
+//
+// Evidence: on two days that showed it the host had closed connections with bytes unread in
+// their sockets, 1 and 6; stopping hosts also dropped bytes that were read a moment before
+// the close. The same holds for a connection that waits to be accepted.
+func TestFinishAnswersWhatWasSent(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		waits, carries bool // the connection waits to be accepted; it carries a request
+	}{
+		{"a request is unread", false, true},
+		{"a kept connection carries nothing", false, false},
+		{"a connection with a request waits to be accepted", true, true},
+		{"a connection without a request waits to be accepted", true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newStopping(t)
+			if c.waits {
+				f.connect()
+			} else {
+				f.keepIdle()
+			}
+			if c.carries {
+				f.send()
+			}
+			finished := f.finishWhileStarved()
+			if got := f.answered(); got != c.carries {
+				t.Errorf("answered: %v", got)
+			}
+			if end := <-finished; end != (Finished{}) {
+				t.Errorf("connections ended as %+v", end)
+			}
+			if err := <-f.served; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// stopping is a server whose goroutines get the processor late, and a caller of it.
+type stopping struct {
+	*caller
+	ln     *starvedListener
+	s      *CallerServer
+	served chan error
+	conn   *starvedConn // nil while it is not accepted
+}
+
+func newStopping(t *testing.T) *stopping {
+	t.Helper()
+	f := &stopping{ln: newStarvedListener(t), served: make(chan error, 1)}
+	f.s = newCallerServer(f.ln, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "done")
+	}), nil)
+	f.s.srv.ConnState = func(c net.Conn, state http.ConnState) {
+		f.s.stateChanged(c, state)
+		if state == http.StateIdle { // no read is under way then
+			c.(*callerConn).Conn.(*starvedConn).starved.Store(true)
+		}
+	}
+	go func() { f.served <- f.s.Serve() }()
+	f.caller = &caller{t: t}
+	return f
+}
+
+// connect opens a connection that waits to be accepted.
+func (f *stopping) connect() {
+	f.caller = newCaller(f.t, f.ln)
+	for !readable(f.ln.TCPListener) {
+		runtime.Gosched()
+	}
+}
+
+// keepIdle opens a connection, has one request answered, and lets its reader starve.
+func (f *stopping) keepIdle() {
+	f.connect()
+	close(f.ln.run)
+	f.conn = <-f.ln.conns
+	f.send()
+	if !f.answered() {
+		f.t.Fatal("the first request was not answered")
+	}
+	for !f.conn.starved.Load() {
+		runtime.Gosched()
+	}
+}
+
+// finishWhileStarved lets the server finish, and the rest of it run only once it has looked
+// at its connections.
+func (f *stopping) finishWhileStarved() <-chan Finished {
+	if f.conn != nil {
+		for f.sent && !readable(f.conn.TCPConn) {
+			runtime.Gosched()
+		}
+		f.s.closeIdle()
+		defer close(f.conn.run)
+	}
+	finished := make(chan Finished, 1)
+	go func() { finished <- f.s.Finish(context.Background()) }()
+	if f.conn == nil {
+		f.ln.runOnceFinishing(f.s)
+	}
+	return finished
+}
+
+// runOnceFinishing lets connections be accepted once the server has begun to finish, and has
+// had the time to close the listener.
+func (l *starvedListener) runOnceFinishing(s *CallerServer) {
+	for !s.finished.Load() {
+		runtime.Gosched()
+	}
+	for range 1000 {
+		select {
+		case <-l.closed:
+		default:
+			runtime.Gosched()
+		}
+	}
+	close(l.run)
+}
