Mend: servers of a failure domain that comes back are cold until they are heard

Cause: when an evacuation is withdrawn, the servers there may have become cold meanwhile; one whose announcement of that did not arrive counted as warm, and every entry host sent to it at once. Ruled out: hosts that disagree on who sends to a cold server (none weighed it as cold).

Change: from the moment at which an entry host learns that a failure domain is taken back until a server there announces itself, it counts as cold.

--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -149,7 +149,7 @@
 			c.Considered = append(c.Considered, Considered{s.ID, 0, reason})
 			continue
 		}
-		if now.Before(s.ColdUntil) {
+		if s.cold(now) {
 			cold = append(cold, s)
 			continue
 		}
--- a/internal/core/dispatch/copies.go
+++ b/internal/core/dispatch/copies.go
@@ -146,7 +146,7 @@
 	}
 	best := 0.0
 	for _, h := range keep.holders {
-		if h.server == s || f.usable(h.server, now) != "" || now.Before(h.server.ColdUntil) || h.server.stalled(now) {
+		if h.server == s || f.usable(h.server, now) != "" || h.server.cold(now) || h.server.stalled(now) {
 			continue
 		}
 		if t := trust(now.Sub(h.used), f.keptFor(h.server, j, now)); t > best {
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -123,9 +123,7 @@
 // TakeView takes a control host's view.
 func (f *Fleet) TakeView(v *pb.FleetView, scope Scope, now time.Time) {
 	f.viewedAt = now
-	if v.EvacuationRevision >= f.revision {
-		f.revision, f.evacuated = v.EvacuationRevision, v.Evacuated
-	}
+	f.takeEvacuated(v.Evacuated, v.EvacuationRevision, now)
 	for _, m := range v.Servers {
 		f.takeServer(m, now)
 	}
--- a/internal/core/dispatch/homes.go
+++ b/internal/core/dispatch/homes.go
@@ -133,7 +133,7 @@
 	for _, s := range all {
 		if chosen[s] {
 			out = append(out, s)
-			usable = usable || (!j.Tried[s.ID] && f.usable(s, now) == "" && !now.Before(s.ColdUntil))
+			usable = usable || (!j.Tried[s.ID] && f.usable(s, now) == "" && !s.cold(now))
 		}
 	}
 	if !usable {
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -30,7 +30,7 @@
 		c.Server.cache.use(c.job.Parts, int(c.job.MemoryTokens), now)
 		c.Server.reading.add(c.Uncovered/f.speedOf(c.job.Service).Rate(), now)
 	}
-	if now.Before(c.Server.ColdUntil) {
+	if c.Server.cold(now) {
 		c.Server.coldAt = append(c.Server.coldAt, now)
 	}
 }
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -23,6 +23,8 @@
 	ConfirmedAt time.Time // when it last announced itself
 	FirstSeen   time.Time
 	ColdUntil   time.Time
+	// restoredAt is when the evacuation of its failure domain was last withdrawn.
+	restoredAt time.Time
 
 	own    load // this host's requests under way
 	others load // of the region's other entry hosts, as last told
@@ -177,6 +179,28 @@
 	}
 }
 
+// cold reports whether the server bears only few requests. One of a failure domain that was
+// evacuated may have become cold meanwhile, and its word of that may be lost: it counts as
+// cold until it announces itself again, an interval later at most. Without this an engine
+// that control hosts could not hear got 13 requests in 80 ms as its failure domain came
+// back, where it bore 10 in a second, and fell over.
+func (s *Server) cold(now time.Time) bool {
+	return now.Before(s.ColdUntil) || s.restoredAt.After(s.ConfirmedAt)
+}
+
+// takeEvacuated takes the list of the evacuated failure domains.
+func (f *Fleet) takeEvacuated(domains []string, revision uint64, now time.Time) {
+	if revision < f.revision {
+		return
+	}
+	for _, s := range f.servers {
+		if f.Evacuated(s.FailureDomain) && !slices.Contains(domains, s.FailureDomain) {
+			s.restoredAt = now
+		}
+	}
+	f.revision, f.evacuated = revision, domains
+}
+
 // missing reports whether a server has missed too many announcements, as of the last view:
 // while no control host can be reached, the servers last known stay in use.
 func (f *Fleet) missing(s *Server) bool {
