--- /dev/null
+++ b/internal/app/control/view.go
@@ -0,0 +1,138 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sesamefork/sesamefork/internal/core/holders"
+	"github.com/sesamefork/sesamefork/internal/core/registry"
+	"github.com/sesamefork/sesamefork/internal/core/serverload"
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+)
+
+// sync answers an entry host's presentation: at once when something changed
+// since the view that it has, else after its wait.
+func (f *Fleet) sync(ctx context.Context, m *pb.FleetSync) *pb.FleetView {
+	now := f.o.Clock.Now()
+	h := m.GetHost()
+	f.mu.Lock()
+	news := f.reg.HearHost(registry.Host{
+		ID: h.GetId(), Peer: h.GetPeer(), Caller: h.GetCaller(), Region: h.GetRegion(), FailureDomain: h.GetFailureDomain(),
+		Ready: h.GetReady(), HeardAt: now, Direct: true, Loads: serverload.Decode(m.Loads),
+	}, now)
+	if news {
+		f.o.Log.Info("entry host presented itself", "host_id", h.GetId(), "caller", h.GetCaller(), "ready", h.GetReady())
+	}
+	if h.GetRegion() == f.o.Region {
+		f.prompts.Add(h.GetId(), holders.Decode(m.Prompts))
+	}
+	f.wakeLocked()
+	changed := f.changed
+	current := m.HaveEpoch == f.epoch && m.HaveVersion == f.reg.Version()
+	f.mu.Unlock()
+	if current {
+		wait := time.NewTimer(min(milliseconds(uint64(m.WaitMs)), maxSyncWait))
+		defer wait.Stop()
+		select {
+		case <-changed:
+		case <-wait.C:
+		case <-ctx.Done():
+		}
+	}
+	return f.view(m, h.GetId(), h.GetRegion())
+}
+
+func (f *Fleet) view(m *pb.FleetSync, host, region string) *pb.FleetView {
+	control := append(f.replica.MemberAddresses(), f.o.Peer)
+	evacuated, revision := f.replica.Evacuated()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.o.Clock.Now()
+	v := &pb.FleetView{
+		Epoch: f.epoch, Version: f.reg.Version(), Evacuated: evacuated, EvacuationRevision: revision,
+		HomeRegion: f.o.Region, HomeDomain: f.o.FailureDomain, StalenessMs: uint64(f.replica.Staleness().Milliseconds()), Loads: serverload.Encode(f.reg.OtherLoads(host, now)),
+	}
+	for _, c := range f.reg.Controls(now) {
+		control = append(control, c.Peer)
+		v.Regions = append(v.Regions, aged(c.Loads, now.Sub(c.HeardAt))...)
+	}
+	slices.Sort(control)
+	v.Control = slices.Compact(control)
+	if region == f.o.Region {
+		var places []holders.Place
+		places, v.PromptsNext = f.prompts.For(host, m.HavePrompts)
+		v.Prompts = holders.Encode(places)
+	} else {
+		v.Regions = append(v.Regions, f.reg.RegionLoads(f.replica.isEvacuated, now)...)
+	}
+	f.addLists(v, m, region, now)
+	return v
+}
+
+// addLists adds the servers of the entry host's region and all entry hosts to its view:
+// what changed since the view that it has, and the ages of the servers' announcements.
+// With 300 entry hosts and 3,000 servers whole lists are 150 KB a view.
+func (f *Fleet) addLists(v *pb.FleetView, m *pb.FleetSync, region string, now time.Time) {
+	servers, hosts, complete := f.reg.Removed(m.HaveVersion)
+	since := uint64(0)
+	if v.Changes = complete && m.HaveEpoch == f.epoch; v.Changes {
+		since, v.RemovedServers, v.RemovedHosts = m.HaveVersion, servers, hosts
+	}
+	for _, s := range f.reg.List(region) {
+		if s.ChangedSince(since) {
+			v.Servers = append(v.Servers, serverMessage(s, now))
+		}
+		if v.Changes {
+			v.ServerAges = append(v.ServerAges, uint32(age(s.HeardAt, now)/registry.AgeUnitMS))
+		}
+	}
+	for _, s := range f.reg.Gone(region) {
+		if s.ChangedSince(since) {
+			v.Servers = append(v.Servers, serverMessage(s, now))
+		}
+	}
+	for _, h := range f.reg.Hosts(now) {
+		if h.ChangedSince(since) {
+			v.Hosts = append(v.Hosts, hostMessage(h, now))
+		}
+	}
+}
+
+// aged returns copies of the loads with their age.
+func aged(loads []*pb.RegionLoad, age time.Duration) []*pb.RegionLoad {
+	out := make([]*pb.RegionLoad, 0, len(loads))
+	for _, l := range loads {
+		c := proto.Clone(l).(*pb.RegionLoad)
+		c.AgeMs = uint64(max(0, age.Milliseconds()))
+		out = append(out, c)
+	}
+	return out
+}
+
+func hostMessage(h *registry.Host, now time.Time) *pb.FleetHost {
+	return &pb.FleetHost{
+		Id: h.ID, Peer: h.Peer, Caller: h.Caller, Region: h.Region, FailureDomain: h.FailureDomain, Ready: h.Ready,
+		AgeMs: age(h.HeardAt, now),
+	}
+}
+
+func serverMessage(s *registry.Server, now time.Time) *pb.FleetServer {
+	if s.Gone {
+		return &pb.FleetServer{Id: s.ID, Start: s.Start, Gone: true}
+	}
+	m := &pb.FleetServer{
+		Id: s.ID, Start: s.Start, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain, Sequence: s.Sequence,
+		Slots: uint32(s.Slots), Leaving: s.Leaving, AgeMs: age(s.HeardAt, now), FirstSeenMs: age(s.FirstSeen, now),
+	}
+	if s.ColdUntil.After(s.HeardAt) {
+		m.ColdMs = uint64(s.ColdUntil.Sub(s.HeardAt).Milliseconds())
+	}
+	return m
+}
+
+func age(at, now time.Time) uint64 { return uint64(max(0, now.Sub(at).Milliseconds())) }
+
+func milliseconds(n uint64) time.Duration { return time.Duration(n) * time.Millisecond }
