--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -19,6 +19,10 @@
 // closes it, after it has found the socket empty: nobody else can tell that nothing is on its
 // way through the process (TestFinishAnswersWhatWasSent, TestIdleCloseLosesNoRequest).
 type CallerServer struct {
+	// TooLate refuses a request that was sent after the server began to finish. Nil serves
+	// it.
+	TooLate http.Handler
+
 	srv      *http.Server
 	ln       net.Listener
 	draining atomic.Bool
