Mend: a stopping host refuses what comes on a connection whose answer ended too late

Cause: an answer whose head was sent before SIGTERM does not end its connection. Once it ended after the server had begun to finish, the connection's next request was served however late and cut with the process. Change: such a connection is late; a request found on it is refused at once, not run, with a time to come back, and an empty one is closed as before. Connections that were idle when the server began to finish still bring what was sent on them.

--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -66,10 +66,12 @@
 	if err != nil {
 		return err
 	}
-	front, err := daemon.NewCallerServer(s.Listen.Caller, &platform.Callers{Gateway: g, Log: log}, nil)
+	callers := &platform.Callers{Gateway: g, Log: log}
+	front, err := daemon.NewCallerServer(s.Listen.Caller, callers, nil)
 	if err != nil {
 		return err
 	}
+	front.TooLate = callers.TooLate()
 	ready, readyLn, err := daemon.NewHTTPServer(s.Listen.Ready, platform.Ready(g), nil)
 	if err != nil {
 		return err
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -87,11 +87,16 @@
 // Ready reports whether the host should get requests; nil when it should.
 func (g *Gateway) Ready() *failure.Error {
 	if g.draining.Load() {
-		return notRun(failure.Draining, drainRetry, "entry host %s is shutting down", g.o.Host)
+		return g.TooLate()
 	}
 	return g.starting()
 }
 
+// TooLate returns the refusal of a host that takes no more requests.
+func (g *Gateway) TooLate() *failure.Error {
+	return notRun(failure.Draining, drainRetry, "entry host %s is shutting down", g.o.Host)
+}
+
 // drainRetry is the time to come back: another entry host can be used at once.
 const drainRetry = 100 * time.Millisecond
 
--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -19,6 +19,9 @@
 	read bool
 	// woken is set when the server that finishes has ended a wait for the next request.
 	woken bool
+	// late is set when an answer ended after the server began to finish: whatever follows
+	// on the connection was sent later still.
+	late bool
 }
 
 // past is a deadline that ends a read at once.
@@ -95,4 +98,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.read = false
+	c.late = c.server.finished.Load()
+}
+
+func (c *callerConn) isLate() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.late
 }
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -19,8 +19,8 @@
 // closes it, after it has found the socket empty: nobody else can tell that nothing is on its
 // way through the process (TestFinishAnswersWhatWasSent, TestIdleCloseLosesNoRequest).
 type CallerServer struct {
-	// TooLate refuses a request that was sent after the server began to finish. Nil serves
-	// it.
+	// TooLate refuses a request that was sent after the server began to finish: it could be
+	// cut by the end of the process. Nil serves it.
 	TooLate http.Handler
 
 	srv      *http.Server
@@ -52,20 +52,49 @@
 	}
 	s.srv = &http.Server{
 		Handler: s.closing(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: s.stateChanged,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 	}
 	return s
 }
 
-// closing lets the answers that begin while the server drains end their connections.
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// closing lets the answers that begin while the server drains end their connections, and
+// refuses the requests that come too late.
 func (s *CallerServer) closing(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		if s.TooLate != nil && tooLate(r) {
+			s.TooLate.ServeHTTP(w, r)
+			return
+		}
 		h.ServeHTTP(w, r)
 	})
 }
 
+// tooLate reports whether a request was sent after the server began to finish: only then
+// had its connection's last answer ended.
+func tooLate(r *http.Request) bool {
+	c, ok := r.Context().Value(connKey{}).(net.Conn)
+	if !ok {
+		return false
+	}
+	conn, ok := callerConnOf(c)
+	return ok && conn.isLate()
+}
+
+// callerConnOf returns the connection below TLS.
+func callerConnOf(c net.Conn) (conn *callerConn, ok bool) {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	conn, ok = c.(*callerConn)
+	return conn, ok
+}
+
 // Serve serves until Finish. It is called once.
 func (s *CallerServer) Serve() error {
 	defer close(s.served)
@@ -139,11 +168,7 @@
 }
 
 func (s *CallerServer) stateChanged(c net.Conn, state http.ConnState) {
-	if t, ok := c.(*tls.Conn); ok {
-		c = t.NetConn()
-	}
-	conn, ok := c.(*callerConn)
-	if ok && state == http.StateIdle {
+	if conn, ok := callerConnOf(c); ok && state == http.StateIdle {
 		conn.setIdle()
 	}
 }
