Switches for experiments: each mechanism of the policy can be left out

One typed set (core/dispatch, Mechanisms), read from the settings' experiments.off and handed to the decisions once. Empty in service; unknown names are refused with file and line. No change of behaviour with nothing off.

--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -15,6 +15,7 @@
 	"github.com/sesamefork/sesamefork/internal/adapter/settings"
 	"github.com/sesamefork/sesamefork/internal/adapter/tracing"
 	"github.com/sesamefork/sesamefork/internal/app/gateway"
+	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
 	"github.com/sesamefork/sesamefork/internal/daemon"
 	"github.com/sesamefork/sesamefork/internal/port"
@@ -43,13 +44,17 @@
 		return err
 	}
 	defer tracer.Shutdown(context.Background())
+	off, fault := dispatch.ParseMechanisms(s.Experiments.Off)
+	if fault != nil {
+		return fault
+	}
 	servers := platform.NewServers(daemon.HostIP(s.Listen.Peer))
 	g := gateway.New(gateway.Options{
 		Host: s.Host.ID, Region: s.Host.Region, FailureDomain: s.Host.FailureDomain,
 		Peer: s.Fleet.PeerAddress(s.Listen.Peer), Caller: s.Listen.Caller, Seeds: s.Fleet.PeerSeeds(),
 		Retries:       retry.SharedOptions{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: seconds(s.Retries.WindowS)},
 		AnnounceEvery: time.Duration(s.Fleet.HeartbeatMS) * time.Millisecond, VerifyKey: s.Link.PublicKey(), Peers: client, Drop: client.Drop, Backends: servers,
-		Clock: port.SystemClock{}, ReadPrompt: platform.ReadPrompt, Random: rand.Float64, Tracer: tracer, Log: log, Metrics: m,
+		Clock: port.SystemClock{}, ReadPrompt: platform.ReadPrompt, Random: rand.Float64, Off: off, Tracer: tracer, Log: log, Metrics: m,
 	})
 	m.Gauge("version", func() any { return g.Version() })
 	m.Gauge("config_staleness_ms", func() any { return g.ConfigStaleness().Milliseconds() })
--- a/internal/adapter/settings/types.go
+++ b/internal/adapter/settings/types.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
@@ -87,6 +88,14 @@
 	Log       Log       `toml:"log"`
 	Trace     Trace     `toml:"trace"`
 	Directory Directory `toml:"directory"`
+	// Experiments is for measurements of the policy, not for service.
+	Experiments Experiments `toml:"experiments"`
+}
+
+// Experiments changes the policy for a measurement.
+type Experiments struct {
+	// Off names mechanisms to go without.
+	Off []string `toml:"off"`
 }
 
 // Ports are the addresses that sesame-entry listens on.
@@ -361,6 +370,9 @@
 		c.between("retries.window_s", e.Retries.WindowS, 0.1, 600)
 		c.between("limits.grace_s", e.Limits.GraceS, 0.5, 3600)
 	}
+	if _, f := dispatch.ParseMechanisms(e.Experiments.Off); f != nil {
+		c.fail("experiments.off", "%s", f.Detail)
+	}
 	return c
 }
 
--- a/internal/app/gateway/forward.go
+++ b/internal/app/gateway/forward.go
@@ -142,7 +142,7 @@
 		return failure.New(failure.BadRequest, failure.NotRun, "this host takes routed requests only")
 	}
 	// What this host does not know yet may forbid the request here, or allow it.
-	if configstate.Newer(req.Stamp, g.stamp()) && !g.catchUp(ctx, req) {
+	if configstate.Newer(req.Stamp, g.stamp()) && (g.o.Off.Has(dispatch.ConfigFromSender) || !g.catchUp(ctx, req)) {
 		return notRun(failure.NotReady, 0, "version %d is in force here, the sender has version %d", g.Version(), req.Stamp.GetVersion())
 	}
 	r := &Request{
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -37,6 +37,8 @@
 	// ReadPrompt reads what a forwarded request asks of a model engine; nil for nothing.
 	ReadPrompt func(http.Header) *Prompt
 	Random     func() float64
+	// Off are the mechanisms of the policy that an experiment goes without.
+	Off dispatch.Mechanisms
 	// Tracer makes a span for each hop; nil for none.
 	Tracer  trace.Tracer
 	Log     logr.Logger
@@ -73,10 +75,10 @@
 		o: o,
 		fleet: dispatch.New(dispatch.Options{
 			Host: o.Host, Region: o.Region, FailureDomain: o.FailureDomain, Random: o.Random,
-			AnnounceEvery: o.AnnounceEvery,
+			AnnounceEvery: o.AnnounceEvery, Off: o.Off,
 		}),
 		budget:  retry.NewShared(o.Retries, o.Clock.Now()),
-		startup: dispatch.NewStartup(o.Clock.Now(), o.AnnounceEvery),
+		startup: dispatch.NewStartup(o.Clock.Now(), o.AnnounceEvery, o.Off),
 		known:   make(chan struct{}),
 		viewed:  make(chan struct{}),
 	}
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -105,7 +105,7 @@
 	if j.Permits(f.o.Region) {
 		f.chooseServer(j, &c, now)
 	}
-	if !j.Forwarded {
+	if !j.Forwarded && !f.off(OtherRegions) {
 		f.chooseRegion(j, &c, now)
 	}
 	if c.Server == nil && c.Host == nil {
@@ -178,7 +178,7 @@
 	k := f.costAt(s, j, uncovered, math.Max(0, shared-covered), now)
 	k.addCopy(j, copied)
 	k.loss += f.crossing(s, j)
-	late := k.deferLate(s, j)
+	late := !f.off(Deferral) && k.deferLate(s, j)
 	k.loss += f.o.Random() * tieBreak
 	c.Considered = append(c.Considered, Considered{s.ID, k.firstMS, ""})
 	if k.loss < c.loss {
@@ -192,7 +192,7 @@
 // brings. Without it half of the requests cross in a region of two.
 func (f *Fleet) crossing(s *Server, j *Job) float64 {
 	switch {
-	case s.FailureDomain == f.o.FailureDomain:
+	case s.FailureDomain == f.o.FailureDomain, f.off(OwnDomainFirst):
 		return 0
 	case j.isLong():
 		return crossingLongLoss
@@ -205,10 +205,13 @@
 	requests := float64(s.own.requests + s.others.requests)
 	slots := float64(max(1, s.Slots))
 	unhealthy := s.health.errors.now(now) * errorLoss
-	if s.stalled(now) {
+	excess := s.health.excess.now(now)
+	if f.off(Health) {
+		unhealthy, excess = 0, 0
+	}
+	if s.stalled(now) && !f.off(Silence) {
 		unhealthy += stalledLoss
 	}
-	excess := s.health.excess.now(now)
 	learned := f.speedOf(j.Service)
 	if !j.Engine {
 		k := serviceCost(requests, slots, learned.AnswerMS(), j)
@@ -217,7 +220,7 @@
 	k := promptCost(engineState{
 		requests: requests, slots: slots, pendingMS: (s.own.prompt + s.others.prompt) / learned.Rate(),
 		busy:   (s.reading.now(now) + s.othersReading) / 1000,
-		memory: s.own.memory + s.others.memory, memoryCapacity: j.MemoryTokens,
+		memory: s.own.memory + s.others.memory, memoryCapacity: j.MemoryTokens, off: f.o.Off,
 	}, j, uncovered, reread, learned)
 	return cost{k.loss + unhealthy + shortLoss*lateRisk(k.firstMS+excess, j.Target) - shortLoss*lateRisk(k.firstMS, j.Target), k.firstMS}
 }
@@ -279,7 +282,7 @@
 	pending := (r.prompt + r.sent.prompt) / r.servers / learned.Rate()
 	k = promptCost(engineState{
 		requests: requests, slots: slots, pendingMS: pending + interRegionMS,
-		memory: (r.memory + r.sent.memory) / r.servers, memoryCapacity: j.MemoryTokens,
+		memory: (r.memory + r.sent.memory) / r.servers, memoryCapacity: j.MemoryTokens, off: f.o.Off,
 	}, j, uncovered, reread, learned)
 	k.loss += awayLoss
 	return k, uncovered
--- a/internal/core/dispatch/copies.go
+++ b/internal/core/dispatch/copies.go
@@ -39,7 +39,14 @@
 }
 
 func (f *Fleet) keepersOf(j *Job, now time.Time) keepers {
-	return keepers{f.homesOf(j, now), f.holdersOf(j)}
+	var k keepers
+	if !f.off(Homes) {
+		k.homes = f.homesOf(j, now)
+	}
+	if !f.off(Holders) {
+		k.holders = f.holdersOf(j)
+	}
+	return k
 }
 
 // holdersOf returns the engines to which this host or others sent the job's shared
@@ -141,7 +148,7 @@
 // copySource returns the engine from which a server can copy what it lacks of the
 // job's shared parts, with the tokens that it probably gets.
 func (f *Fleet) copySource(s *Server, j *Job, keep keepers, lacks float64, now time.Time) (addr string, tokens float64) {
-	if j.CopyPerMS <= 0 || lacks < minShared {
+	if j.CopyPerMS <= 0 || lacks < minShared || f.off(Copies) {
 		return "", 0
 	}
 	best := 0.0
--- a/internal/core/dispatch/cost.go
+++ b/internal/core/dispatch/cost.go
@@ -56,6 +56,7 @@
 	pendingMS              float64 // reading under way and queued
 	busy                   float64 // share of the time spent on reading
 	memory, memoryCapacity float64 // tokens of KV cache
+	off                    Mechanisms
 }
 
 // promptCost is the cost of a prompt of which the engine must read uncovered
@@ -69,11 +70,15 @@
 	if j.isLong() {
 		own = longLoss
 	}
-	before, after := pauseRisk(e.pendingMS), pauseRisk(e.pendingMS+read)
 	loss := reread/1000*rereadLoss + first/1000*delayLoss
 	loss += own * lateRisk(first, j.Target)
-	loss += (after - before) * e.requests * pausedShare * shortLoss
-	loss += own / shortLoss * busyLoss * math.Min(1, e.busy*e.busy)
+	if !e.off.Has(PauseCost) {
+		before, after := pauseRisk(e.pendingMS), pauseRisk(e.pendingMS+read)
+		loss += (after - before) * e.requests * pausedShare * shortLoss
+	}
+	if !e.off.Has(BusyCost) {
+		loss += own / shortLoss * busyLoss * math.Min(1, e.busy*e.busy)
+	}
 	return cost{loss, first}
 }
 
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -27,6 +27,8 @@
 	PrefillRate float64
 	// AnnounceEvery is the interval of the servers' announcements (default 1.2 s).
 	AnnounceEvery time.Duration
+	// Off are the mechanisms that an experiment goes without.
+	Off Mechanisms
 }
 
 const defaultAnnounceEvery = 1200 * time.Millisecond
@@ -151,6 +153,9 @@
 	}
 }
 
+// off reports whether an experiment goes without a mechanism.
+func (f *Fleet) off(m Mechanisms) bool { return f.o.Off.Has(m) }
+
 func (f *Fleet) takeLoads(loads serverload.Loads) {
 	for _, s := range f.servers {
 		l := loads[s.key]
--- a/internal/core/dispatch/homes.go
+++ b/internal/core/dispatch/homes.go
@@ -112,7 +112,7 @@
 // none of the few can be used.
 func (f *Fleet) candidates(j *Job, keep keepers, now time.Time) []*Server {
 	all := f.ofService(j.Service)
-	if f.Neighbors() <= manyHosts || len(all) <= sampled+len(keep.homes) {
+	if f.Neighbors() <= manyHosts || len(all) <= sampled+len(keep.homes) || f.off(Sampling) {
 		return all
 	}
 	chosen := map[*Server]bool{}
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -55,7 +55,7 @@
 	ms := float64(took) / float64(time.Millisecond)
 	e := f.speedOf(c.job.Service)
 	switch {
-	case c.Deferred || c.CopyFrom != "":
+	case c.Deferred || c.CopyFrom != "" || f.off(LearnedSpeeds):
 	case c.job.Engine:
 		e.Event(speed.Sample{Read: c.Uncovered, Ahead: c.ahead, FirstMS: ms})
 	case c.idle:
--- a/internal/core/dispatch/startup.go
+++ b/internal/core/dispatch/startup.go
@@ -27,16 +27,17 @@
 type Startup struct {
 	began         time.Time
 	announceEvery time.Duration
+	off           Mechanisms
 	waiting       int
 }
 
 // NewStartup returns the decision for a host that starts now, where servers announce
 // themselves in an interval.
-func NewStartup(now time.Time, announceEvery time.Duration) *Startup {
+func NewStartup(now time.Time, announceEvery time.Duration, off Mechanisms) *Startup {
 	if announceEvery == 0 {
 		announceEvery = defaultAnnounceEvery
 	}
-	return &Startup{began: now, announceEvery: announceEvery}
+	return &Startup{began: now, announceEvery: announceEvery, off: off}
 }
 
 // Enter lets a request wait whose caller gives up after remaining (0 when it doesn't say),
@@ -65,7 +66,7 @@
 	if remaining > 0 {
 		wait = min(wait, time.Duration(startShare*float64(remaining)))
 	}
-	if wait <= 0 || s.waiting >= startWaiting {
+	if wait <= 0 || s.waiting >= startWaiting || s.off.Has(StartWaiting) {
 		return 0
 	}
 	s.waiting++
--- a/internal/core/dispatch/startup_test.go
+++ b/internal/core/dispatch/startup_test.go
@@ -22,7 +22,7 @@
 		{"the caller does not say, late", at(1700), 0, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if got := NewStartup(t0, 0).Enter(c.remaining, c.now); got != c.want {
+			if got := NewStartup(t0, 0, 0).Enter(c.remaining, c.now); got != c.want {
 				t.Errorf("waits %v, want %v", got, c.want)
 			}
 		})
@@ -31,7 +31,7 @@
 
 func TestStartupBounds(t *testing.T) {
 	now := time.Unix(1000, 0)
-	s := NewStartup(now, 0)
+	s := NewStartup(now, 0, 0)
 	for range startWaiting {
 		if s.Enter(time.Minute, now) == 0 {
 			t.Fatal("refused below the bound")
@@ -83,7 +83,7 @@
 // TestStartupServesMore compares waiting for the configuration with refusing until it is
 // known, with a time to come back of 500 ms.
 func TestStartupServesMore(t *testing.T) {
-	s := NewStartup(time.Unix(1000, 0), 0)
+	s := NewStartup(time.Unix(1000, 0), 0, 0)
 	served, inTime := startupLoad(func(remaining time.Duration, now time.Time) (time.Duration, time.Duration) {
 		wait := s.Enter(remaining, now)
 		if wait > 0 {
