Tests of one replica: ticks of 20 ms, so that a busy machine still holds an election in time

TestRecordThatALiveHostCannotEnforce failed once beside other work: no leader. A replica takes itself for cut off after 40 ticks of wall time, and an election needs 10 to 20 ticks of a ticker that drops them when the process is held up. The checks are as they were.

--- a/internal/app/control/control_test.go
+++ b/internal/app/control/control_test.go
@@ -60,6 +60,10 @@
 	return nil, failure.New(failure.PeerUnreachable, failure.NotRun, "no network")
 }
 
+// testTick is long enough that a test on a busy machine, where ticks are dropped, still has an
+// election within the time after which a replica takes itself for cut off.
+const testTick = 20 * time.Millisecond
+
 // single runs a control group of one replica.
 func single(t *testing.T, maxOrder time.Duration) (*Replica, *memoryJournal, *engines, chan error) {
 	t.Helper()
@@ -67,7 +71,7 @@
 	r, err := NewReplica(Options{
 		Identity: port.Identity{Store: "c.0"}, Host: "c", Generation: 1,
 		Members: []*pb.RaftMember{{Id: "c.0", Address: "a"}}, Signer: ed25519.NewKeyFromSeed(bytes.Repeat([]byte{7}, 32)),
-		Tick: time.Millisecond, SnapshotEvery: 100, MaxOrder: maxOrder, LoadsPerMin: 2,
+		Tick: testTick, SnapshotEvery: 100, MaxOrder: maxOrder, LoadsPerMin: 2,
 		Journal: j, State: &port.JournalState{}, Peers: noPeers{}, Engines: e, Clock: port.SystemClock{}, Log: logr.Discard(),
 	})
 	if err != nil {
