Control host: entry hosts are kept sorted, not sorted for each view

Cause: half of the time of building a view went into sorting all entry hosts; in the return of a whole fleet every entry host asks for view after view. Ruled out: the servers' list (kept already).

--- /dev/null
+++ b/internal/app/control/return_bench_test.go
@@ -0,0 +1,82 @@
+package control
+
+import (
+	"context"
+	"crypto/ed25519"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sesamefork/sesamefork/internal/core/registry"
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+	"github.com/sesamefork/sesamefork/internal/port"
+)
+
+// BenchmarkReturn is the return of a whole fleet at one control host: its entry hosts present
+// themselves and its servers announce themselves, each once, while every entry host asks for
+// the next view as soon as it has one. It reports the views and bytes that this takes.
+func BenchmarkReturn(b *testing.B) {
+	for _, c := range []struct{ hosts, servers int }{{30, 33}, {100, 110}, {294, 327}} {
+		b.Run(fmt.Sprintf("%d hosts", c.hosts), func(b *testing.B) {
+			views, bytes := 0, 0
+			for range b.N {
+				f := newReturnFleet(b)
+				have := make([]*pb.FleetView, c.hosts)
+				for i := range max(c.hosts, c.servers) {
+					if i < c.servers {
+						s := registry.Server{ID: fmt.Sprintf("i-%06x", i), Service: "llm", Address: fmt.Sprint("10.1.0.0:", i), FailureDomain: "f", Sequence: 1, Slots: 12}
+						if _, err := f.Announce(s); err != nil {
+							b.Fatal(err)
+						}
+					}
+					if i >= c.hosts {
+						continue
+					}
+					have[i] = &pb.FleetView{}
+					if i%returnBatch != returnBatch-1 && i != c.hosts-1 {
+						continue
+					}
+					for k := range i + 1 { // all that are there ask once
+						have[k] = f.sync(context.Background(), returnSync(k, have[k]))
+						views++
+						bytes += proto.Size(have[k])
+					}
+				}
+			}
+			b.ReportMetric(float64(views)/float64(b.N), "views/op")
+			b.ReportMetric(float64(bytes)/float64(b.N), "bytes/op")
+		})
+	}
+}
+
+// returnBatch is how many hosts arrive between two views of a host.
+const returnBatch = 10
+
+func returnSync(i int, have *pb.FleetView) *pb.FleetSync {
+	return &pb.FleetSync{
+		Host: &pb.FleetHost{
+			Id: fmt.Sprintf("edge-kl-hall-a-%d", i), Peer: fmt.Sprint("10.1.0.1:", i), Caller: fmt.Sprint("10.1.0.1:", i),
+			Region: "r", FailureDomain: "f", Ready: true,
+		},
+		HaveEpoch: have.Epoch, HaveVersion: have.Version,
+	}
+}
+
+func newReturnFleet(b *testing.B) *Fleet {
+	b.Helper()
+	r, err := NewReplica(Options{
+		Identity: port.Identity{Store: "c.0"}, Host: "c", Generation: 1, Members: []*pb.RaftMember{{Id: "c.0", Address: "a"}},
+		Signer: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)), Tick: time.Millisecond, SnapshotEvery: 100,
+		Journal: &memoryJournal{}, State: &port.JournalState{}, Peers: noPeers{}, Engines: &engines{}, Clock: port.SystemClock{}, Log: logr.Discard(),
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return NewFleet(FleetOptions{
+		Peer: "10.0.0.1:7", Region: "r", FailureDomain: "f", Regions: map[string]string{"f": "r"}, ServerLease: time.Hour,
+		Peers: noPeers{}, Clock: port.SystemClock{}, Log: logr.Discard(),
+	}, r)
+}
--- a/internal/core/registry/hosts.go
+++ b/internal/core/registry/hosts.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -53,6 +54,10 @@
 		h.changed = old.changed
 	}
 	r.count(old, &h)
+	if old == nil {
+		at, _ := slices.BinarySearch(r.hostIDs, h.ID)
+		r.hostIDs = slices.Insert(r.hostIDs, at, h.ID)
+	}
 	r.hosts[h.ID], r.hostByKey[h.Key()] = &h, &h
 	return news
 }
@@ -76,13 +81,12 @@
 
 // Hosts returns the live entry hosts, sorted by ID.
 func (r *Registry) Hosts(now time.Time) []*Host {
-	var out []*Host
-	for _, h := range r.hosts {
-		if now.Sub(h.HeardAt) <= r.o.HostLease {
+	out := make([]*Host, 0, len(r.hostIDs))
+	for _, id := range r.hostIDs {
+		if h := r.hosts[id]; now.Sub(h.HeardAt) <= r.o.HostLease {
 			out = append(out, h)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
 }
 
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -9,6 +9,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -73,6 +74,7 @@
 	servers   map[string]*Server
 	byAddress map[string]string // address to the ID that holds it
 	hosts     map[string]*Host
+	hostIDs   []string            // of hosts, sorted: every view lists them
 	controls  map[string]*Control // by peer address
 	hostByKey map[uint32]*Host
 	version   uint64 // raised by each change that entry hosts must learn at once
@@ -298,6 +300,7 @@
 		if now.Sub(h.HeardAt) > goneFor {
 			delete(r.hosts, id)
 			delete(r.hostByKey, h.Key())
+			r.hostIDs = slices.DeleteFunc(r.hostIDs, func(known string) bool { return known == id })
 		}
 	}
 }
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -208,3 +209,31 @@
 		t.Errorf("region: %v", sum)
 	}
 }
+
+// TestHostsAreSorted checks the list of entry hosts while they come, go and come back.
+func TestHostsAreSorted(t *testing.T) {
+	r := newRegistry()
+	ids := func(now time.Time) string {
+		var out []string
+		for _, h := range r.Hosts(now) {
+			out = append(out, h.ID)
+		}
+		return strings.Join(out, " ")
+	}
+	for _, id := range []string{"c", "a", "b", "a"} {
+		r.HearHost(host(id, "west", "w1", true, 0), at(0))
+	}
+	if got := ids(at(0)); got != "a b c" {
+		t.Errorf("hosts: %s", got)
+	}
+	later := at(0).Add(goneFor + time.Minute)
+	r.HearHost(Host{ID: "b", Region: "west", FailureDomain: "w1", HeardAt: later}, later)
+	r.Expire(at(0), later)
+	if got := ids(later); got != "b" {
+		t.Errorf("hosts that are left: %s", got)
+	}
+	r.HearHost(Host{ID: "a", Region: "west", FailureDomain: "w1", HeardAt: later}, later)
+	if got := ids(later); got != "a b" {
+		t.Errorf("hosts with one that came back: %s", got)
+	}
+}
