--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -51,6 +51,8 @@
 	// CopyFrom is the address of the engine from which the server copies shared parts
 	// of the prompt; "" for none.
 	CopyFrom string
+	// Share is how a request for a plain service was shared out; nil for others.
+	Share *Share
 	// Deferred is set when the first byte is late in any case: the request waits behind
 	// those that can still be in time.
 	Deferred   bool
@@ -103,6 +105,7 @@
 func (f *Fleet) Choose(j *Job, now time.Time) Choice {
 	c := Choice{job: j, loss: math.Inf(1)}
 	turn := f.turnOf(j, now)
+	c.Share = turn.share
 	if j.Permits(f.o.Region) {
 		f.chooseServer(j, &c, turn, now)
 	}
--- a/internal/core/dispatch/share.go
+++ b/internal/core/dispatch/share.go
@@ -89,6 +89,7 @@
 // turn is where the shares send one request. The zero turn is that of a request that is not
 // shared out: no place costs anything beside its own cost.
 type turn struct {
+	share  *Share
 	region string          // whose turn it is
 	place  map[*Server]int // of the region's servers, in the order in which they are preferred
 }
@@ -100,13 +101,22 @@
 	}
 	servers := f.warmServers(j.Service, now)
 	here := f.poolHere(j.Service, servers, now)
-	t := turn{f.o.Region, f.order(servers, here)}
+	t := turn{region: f.o.Region, place: f.order(servers, here)}
 	if !j.Forwarded {
 		t.region = draw(shareOut(here, f.poolsAway(j, now)), f.o.Random(), f.o.Region)
 	}
+	t.share = &Share{t.region, here.arrivals, here.capacity, here.waiting}
 	return t
 }
 
+// Share is what sent a request to one region, for the log.
+type Share struct {
+	Region  string  // whose turn the request is
+	Asked   float64 // requests a second from the own region's callers
+	CanRun  float64 // requests a second that its servers can run
+	Waiting float64 // requests that wait there for a slot
+}
+
 // beyond is what a region costs when it is not its turn.
 func (t turn) beyond(region string) float64 {
 	if t.region == "" || t.region == region {
