--- a/internal/app/gateway/log.go
+++ b/internal/app/gateway/log.go
@@ -20,8 +20,8 @@
 		"request_id", x.r.ID, "route", x.route.Name, "service", x.service, "attempt", x.sends + 1,
 		"config_version", x.version, "config_staleness_ms", g.ConfigStaleness().Milliseconds(), "remaining_ms", x.deadline.Sub(now).Milliseconds(), "view_age_ms", g.fleet.ViewAge(now).Milliseconds(),
 	}
-	if s := c.Share; s != nil {
-		kv = append(kv, "turn", s.Region, "asked_per_s", int(s.Asked), "can_run_per_s", int(s.CanRun), "waiting", int(s.Waiting))
+	if t := c.Turn; t != nil {
+		kv = append(kv, "turn", t.Region, "asked_per_s", int(t.Asked), "can_run_per_s", int(t.CanRun), "waiting", int(t.Waiting))
 	}
 	switch {
 	case c.Refused != "":
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -51,8 +51,8 @@
 	// CopyFrom is the address of the engine from which the server copies shared parts
 	// of the prompt; "" for none.
 	CopyFrom string
-	// Share is how a request for a plain service was shared out; nil for others.
-	Share *Share
+	// Turn is how a request for a plain service was shared out; nil for others.
+	Turn *Turn
 	// Deferred is set when the first byte is late in any case: the request waits behind
 	// those that can still be in time.
 	Deferred   bool
@@ -104,13 +104,13 @@
 // Choose returns where the request goes now.
 func (f *Fleet) Choose(j *Job, now time.Time) Choice {
 	c := Choice{job: j, loss: math.Inf(1)}
-	turn := f.turnOf(j, now)
-	c.Share = turn.share
+	prefer := f.preferenceFor(j, now)
+	c.Turn = prefer.turn
 	if j.Permits(f.o.Region) {
-		f.chooseServer(j, &c, turn, now)
+		f.chooseServer(j, &c, prefer, now)
 	}
 	if !j.Forwarded && !f.off(OtherRegions) {
-		f.chooseRegion(j, &c, turn, now)
+		f.chooseRegion(j, &c, prefer, now)
 	}
 	if c.Server == nil && c.Host == nil {
 		c.Refused, c.RetryAfter, c.OutOfReach = "no backend server in reach", f.backIn(j, now), true
@@ -142,10 +142,10 @@
 	return min(max(d, minRetry), max(j.Remaining/3, minRetry))
 }
 
-func (f *Fleet) chooseServer(j *Job, c *Choice, turn turn, now time.Time) {
+func (f *Fleet) chooseServer(j *Job, c *Choice, prefer preference, now time.Time) {
 	var cold []*Server
 	k := f.keepersOf(j, now)
-	beyond := turn.beyond(f.o.Region)
+	beyond := prefer.beyond(f.o.Region)
 	for _, s := range f.candidates(j, k, now) {
 		if j.Tried[s.ID] {
 			continue
@@ -158,7 +158,7 @@
 			cold = append(cold, s)
 			continue
 		}
-		f.offer(s, j, c, k, beyond+turn.at(s), now)
+		f.offer(s, j, c, k, beyond+prefer.at(s), now)
 	}
 	// A cold server is used when no warm one can take the request in time.
 	if c.Server != nil && c.EstimateMS < float64(j.Target.Milliseconds()) {
@@ -169,7 +169,7 @@
 			c.Considered = append(c.Considered, Considered{s.ID, 0, "cold"})
 			continue
 		}
-		f.offer(s, j, c, k, beyond+turn.at(s), now)
+		f.offer(s, j, c, k, beyond+prefer.at(s), now)
 	}
 }
 
@@ -245,7 +245,7 @@
 
 // chooseRegion sends the request to another region when that is better by the
 // margin, or when nothing here can take it.
-func (f *Fleet) chooseRegion(j *Job, c *Choice, turn turn, now time.Time) {
+func (f *Fleet) chooseRegion(j *Job, c *Choice, prefer preference, now time.Time) {
 	var names []string
 	for name := range f.hosts {
 		names = append(names, name)
@@ -270,7 +270,7 @@
 			continue
 		}
 		k, uncovered := f.costAway(r, j, now)
-		k.loss += turn.beyond(name)
+		k.loss += prefer.beyond(name)
 		c.Considered = append(c.Considered, Considered{name, k.firstMS, ""})
 		if k.loss < c.loss {
 			c.Server, c.Host, c.EstimateMS, c.loss, c.key = nil, h, k.firstMS, k.loss, key
--- a/internal/core/dispatch/share.go
+++ b/internal/core/dispatch/share.go
@@ -86,47 +86,47 @@
 	return own
 }
 
-// turn is where the shares send one request. The zero turn is that of a request that is not
-// shared out: no place costs anything beside its own cost.
-type turn struct {
-	share  *Share
-	region string          // whose turn it is
-	place  map[*Server]int // of the region's servers, in the order in which they are preferred
+// preference is where the shares send one request. The zero preference is that of a request
+// that is not shared out: no place costs anything beside its own cost.
+type preference struct {
+	turn  *Turn           // nil for the zero preference
+	place map[*Server]int // of the region's servers, in the order in which they are preferred
 }
 
-// turnOf draws where a request for a plain service goes. One that another region sent stays.
-func (f *Fleet) turnOf(j *Job, now time.Time) turn {
+// Turn is what sent a request for a plain service to one region, for the log.
+type Turn struct {
+	Region  string  // whose turn the request is
+	Asked   float64 // requests a second from the own region's callers
+	CanRun  float64 // requests a second that its servers can run
+	Waiting float64 // requests that wait there for a slot
+}
+
+// preferenceFor draws where a request for a plain service goes. One that another region sent
+// stays.
+func (f *Fleet) preferenceFor(j *Job, now time.Time) preference {
 	if j.Engine || f.off(Shares) {
-		return turn{}
+		return preference{}
 	}
 	servers := f.warmServers(j.Service, now)
 	here := f.poolHere(j.Service, servers, now)
-	t := turn{region: f.o.Region, place: f.order(servers, here)}
+	t := &Turn{f.o.Region, here.arrivals, here.capacity, here.waiting}
+	place := f.order(servers, here)
 	if !j.Forwarded {
-		t.region = draw(shareOut(here, f.poolsAway(j, now)), f.o.Random(), f.o.Region)
+		t.Region = draw(shareOut(here, f.poolsAway(j, now)), f.o.Random(), f.o.Region)
 	}
-	t.share = &Share{t.region, here.arrivals, here.capacity, here.waiting}
-	return t
-}
-
-// Share is what sent a request to one region, for the log.
-type Share struct {
-	Region  string  // whose turn the request is
-	Asked   float64 // requests a second from the own region's callers
-	CanRun  float64 // requests a second that its servers can run
-	Waiting float64 // requests that wait there for a slot
+	return preference{t, place}
 }
 
 // beyond is what a region costs when it is not its turn.
-func (t turn) beyond(region string) float64 {
-	if t.region == "" || t.region == region {
+func (p preference) beyond(region string) float64 {
+	if p.turn == nil || p.turn.Region == region {
 		return 0
 	}
 	return shareLoss
 }
 
 // at is what a server of the own region costs by the order.
-func (t turn) at(s *Server) float64 { return orderLoss * float64(t.place[s]) }
+func (p preference) at(s *Server) float64 { return orderLoss * float64(p.place[s]) }
 
 // perSlot is how many requests a second a slot runs.
 func (f *Fleet) perSlot(service string) float64 { return 1000 / f.speedOf(service).AnswerMS() }
