--- a/internal/adapter/logging/logging.go
+++ b/internal/adapter/logging/logging.go
@@ -29,11 +29,10 @@
 
 // Bounds of a bounded logger.
 const (
-	// linesPerSecond bounds the lines of one event in a second: three times the
-	// decisions of an entry host at its sheet's peak, 60 KB/s at 400 bytes a line.
+	// linesPerSecond bounds the lines of one event in a second: a few times the decisions of
+	// an entry host at its peak.
 	linesPerSecond = 150
-	// queuedLines bounds the lines that wait for the output: seven seconds of the
-	// above, 0.4 MB.
+	// queuedLines bounds the lines that wait for the output: some seconds of the above.
 	queuedLines = 1024
 	// maxBatch bounds the bytes written in one call: lines may come faster than
 	// they are collected.
--- a/internal/app/control/operate.go
+++ b/internal/app/control/operate.go
@@ -89,9 +89,8 @@
 
 // toLeader carries out p on the leader, wherever it is. A result that is
 // "no leader" and not run is tried again until the patience ends. A replica that is
-// cut off refuses at once: operators wait for a second before they ask another host, and the
-// slowest of five changes behind a cut was acknowledged 2.7 s after it was sent instead of
-// 5.0 s (one day; TestCutOffHostRefusesAtOnce).
+// cut off refuses at once: operators wait for a second before they ask another host
+// (TestCutOffHostRefusesAtOnce).
 func (r *Replica) toLeader(ctx context.Context, p *pb.Propose) (*pb.ProposeResult, error) {
 	deadline := r.o.Clock.Now().Add(leaderPatience)
 	for {
--- a/internal/app/control/view.go
+++ b/internal/app/control/view.go
@@ -74,7 +74,7 @@
 
 // addLists adds the servers of the entry host's region and all entry hosts to its view:
 // what changed since the view that it has, and the ages of the servers' announcements.
-// With 300 entry hosts and 3,000 servers whole lists are 150 KB a view.
+// Whole lists grow with the fleet, and each entry host has several views a second.
 func (f *Fleet) addLists(v *pb.FleetView, m *pb.FleetSync, region string, now time.Time) {
 	servers, hosts, complete := f.reg.Removed(m.HaveVersion)
 	since := uint64(0)
--- a/internal/core/configstate/compress.go
+++ b/internal/core/configstate/compress.go
@@ -13,9 +13,9 @@
 // maxInflated bounds an inflated record, in bytes.
 const maxInflated = 64 << 20
 
-// Compress returns a record's bytes compressed. A record of 440 routes shrinks
-// from 300 KB to about 20 KB, which passes between regions in one round trip;
-// uncompressed it held up the group's heartbeats beyond the election timeout.
+// Compress returns a record's bytes compressed, so that one of hundreds of routes passes
+// between regions in one round trip and does not hold up the group's heartbeats beyond the
+// election timeout.
 func Compress(raw []byte) ([]byte, error) {
 	var out bytes.Buffer
 	w, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
--- a/internal/core/controlhosts/controlhosts.go
+++ b/internal/core/controlhosts/controlhosts.go
@@ -24,18 +24,16 @@
 const (
 	// MaxStaleness is how old a control host's configuration and evacuations may be before
 	// others have to be heard as well. Less would make every election a reason to ask: a new
-	// leader's first commit comes 1.0 to 1.8 s after the last word of one that was lost, an
-	// election timeout of 0.5 to 1.25 s and three round trips between regions 80 ms apart
-	// (worked out; in nine days with three control hosts lost each, none was seen over it).
-	// An accepted change has to be in force within 4 s, of which asking a farther control host
-	// and the transfer take 0.3 to 0.7 s (measured behind cuts).
+	// leader's first commit comes an election timeout and three round trips between regions
+	// after the last word of one that was lost. More would leave too little of the time in
+	// which an accepted change has to be in force for asking a farther control host.
 	MaxStaleness = 2 * time.Second
 	// Lost is how long control hosts may be silent before farther ones are asked: six
 	// presentations, or a connection that is opened anew.
 	Lost = 1500 * time.Millisecond
 	// unsureAfter is how long a host that starts waits for a configuration from the nearest
 	// control host before it asks others of its region too: when all hosts start at once,
-	// presenting themselves to twice as many is 3 MB more between failure domains.
+	// each would send the same to twice as many.
 	unsureAfter = 800 * time.Millisecond
 	// startPatience is how long a host that starts passes over the configuration of a control
 	// host that is out of date: two tries to reach one of another region.
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -84,15 +84,15 @@
 	stalledLoss = 3.0
 	// tieBreak spreads requests over places of nearly the same cost.
 	tieBreak = 0.02
-	// crossingLoss and crossingLongLoss are what a short request and a long prompt cost
-	// that go to another failure domain: 5 and 12 KB, at 8 units of loss a MB.
+	// crossingLoss and crossingLongLoss are what the bytes of a short request and of a long
+	// prompt cost that go to another failure domain.
 	crossingLoss     = 0.04
 	crossingLongLoss = 0.1
 	// interRegionMS is the way to another region and back, in ms.
 	interRegionMS = 165.0
-	// awayLoss is what sending a request to another region costs besides its time:
-	// bytes between regions, and figures of the other region that are 0.4 s old.
-	// Less makes regions send to each other and back for no gain.
+	// awayLoss is what sending a prompt to another region costs besides its time: bytes
+	// between regions, and figures of the other region that are old when they come. Less
+	// makes regions send to each other and back for no gain.
 	awayLoss = 0.5
 	// minRetry is the shortest time to come back: a few answers later.
 	minRetry = 300 * time.Millisecond
--- a/internal/core/dispatch/cost.go
+++ b/internal/core/dispatch/cost.go
@@ -31,8 +31,7 @@
 	// makes late: the rest is late already or has room.
 	pausedShare = 0.5
 	// rereadLoss is what reading 1,000 tokens of a shared part again costs: work
-	// that the engine's other callers wait for. 0.6 instead of 0.3 gains 0.02 to 0.03
-	// of the worth of a heavy day with 140 and 62 engines, and nothing with 12 and 9.
+	// that the engine's other callers wait for.
 	rereadLoss = 0.6
 	// delayLoss is what a second to the first token costs while it is not late, so
 	// that of equal places the quicker is taken.
@@ -40,7 +39,7 @@
 	// busyLoss is what a short request loses at an engine that reads prompts all
 	// the time.
 	busyLoss = 1.3
-	// rateMemory is how fast the measured rate of reading fades.
+	// rateMemory is how fast the rate of reading fades.
 	rateMemory = 3 * time.Second
 )
 
@@ -83,9 +82,9 @@
 }
 
 // deferLate makes a request whose first byte would be late wait behind all that can be in
-// time: it tells so, and adds the wait behind the others that are deferred already. With
-// twice the load that an engine can serve 0.48 of the requests are in time, 0.05 in the
-// order of arrival (TestOverloadServesSomeInTime).
+// time: it tells so, and adds the wait behind the others that are deferred already. In the
+// order of arrival an overloaded engine answers nearly all of them late
+// (TestOverloadServesSomeInTime).
 func (k *cost) deferLate(s *Server, j *Job) bool {
 	if !j.Engine || j.Target <= 0 || k.firstMS <= float64(j.Target.Milliseconds()) {
 		return false
--- a/internal/core/dispatch/homes.go
+++ b/internal/core/dispatch/homes.go
@@ -21,10 +21,9 @@
 
 // homeUse is the share of its time that a home spends on one chain's requests before
 // the chain gets another home. An engine that reads for half of its time answers late,
-// and a home serves other chains too. Each further home reads the shared parts anew:
-// with up to three homes for every chain 0.02 of what callers were owed was lost with
-// 140 and 62 engines (four days of 34 s), and with one home for every chain a load of
-// few hot chains reads too much at one engine (TestLoadOnARegion).
+// and a home serves other chains too. Each further home reads the shared parts anew, and
+// with one home for every chain a load of few hot chains reads too much at one engine
+// (TestLoadOnARegion).
 const homeUse = 0.35
 
 // chainMemory is the time constant of a chain's rate: some requests of a hot chain.
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -181,9 +181,8 @@
 
 // cold reports whether the server bears only few requests. One of a failure domain that was
 // evacuated may have become cold meanwhile, and its word of that may be lost: it counts as
-// cold until it announces itself again, an interval later at most. Without this an engine
-// that control hosts could not hear got 13 requests in 80 ms as its failure domain came
-// back, where it bore 10 in a second, and fell over.
+// cold until it announces itself again, an interval later at most: an engine that control
+// hosts could not hear would get all at once as its failure domain comes back, and fall over.
 func (s *Server) cold(now time.Time) bool {
 	return now.Before(s.ColdUntil) || s.restoredAt.After(s.ConfirmedAt)
 }
--- a/internal/core/dispatch/startup.go
+++ b/internal/core/dispatch/startup.go
@@ -4,15 +4,15 @@
 
 // Times of an entry host's start.
 const (
-	// startWait is how long after its start a host expects to know the configuration: after
-	// all hosts lost power it took 1.0 to 1.4 s, most of it the control hosts' own start and
-	// the election of their leader between regions 80 ms apart.
+	// startWait is how long after its start a host expects to know the configuration: when all
+	// hosts start at once, the control hosts' own start and the election of their leader, a few
+	// round trips between regions.
 	startWait = 1600 * time.Millisecond
 	// startShare is the part of a request's time that it may wait for the start: the rest
 	// must do for a second try elsewhere.
 	startShare = 0.25
-	// startWaiting bounds the requests that wait at one host: at the heaviest load 20 arrive
-	// in a second, and each may hold a prompt of some KB.
+	// startWaiting bounds the requests that wait at one host, each of which may hold a prompt
+	// of some KB.
 	startWaiting = 256
 	// startRetry is when to come back if the start takes longer than expected: another
 	// election.
@@ -49,8 +49,8 @@
 
 // EnterForServers is Enter for a request for which no backend server is in reach. Control
 // hosts that started too hear of the servers within an interval of their announcements, and
-// of other regions with the next view. Of a region whose own engines were evacuated, 200 of
-// 230 requests were refused in the second after the configuration was in force.
+// of other regions with the next view: till then a region whose own servers were evacuated
+// has none in reach.
 func (s *Startup) EnterForServers(remaining time.Duration, now time.Time) time.Duration {
 	return s.enter(s.serversIn(now), remaining)
 }
--- a/internal/core/holders/holders.go
+++ b/internal/core/holders/holders.go
@@ -13,9 +13,9 @@
 )
 
 // Place says that a prompt with the chain was sent to the server, or to some server of
-// another region, which then stands in its place. Both are keys: four
-// bytes each keep the hints of a region with 325 long prompts a second at 2.6 KB/s for
-// a host. Two IDs with one key make a hint wrong, which costs one reading.
+// another region, which then stands in its place. Both are keys of four bytes, as each host
+// hears of every long prompt of its region. Two IDs with one key make a hint wrong, which
+// costs one reading.
 type Place struct{ Chain, Server uint32 }
 
 // Key returns the key of a chain's or server's ID.
--- a/internal/core/speed/speed.go
+++ b/internal/core/speed/speed.go
@@ -25,8 +25,8 @@
 	// kept is how many samples a median is taken of: a host with two long prompts a second
 	// follows a change of all engines within ten seconds.
 	kept = 32
-	// enough is from how many samples on a median is trusted: with three, hosts of one region
-	// believed rates from 7 to 60 tokens/ms and begins from 1 to 550 ms at the same time.
+	// enough is from how many samples on a median of prompts' times is trusted: other delays
+	// outweigh the reading in some of them.
 	enough = 10
 	// enoughAnswers is the same for plain answers, whose times differ little.
 	enoughAnswers = 3
