--- a/internal/app/control/bench_test.go
+++ b/internal/app/control/bench_test.go
@@ -21,18 +21,7 @@
 // 200 of them a second.
 func BenchmarkPresentation(b *testing.B) {
 	const hosts, servers = 50, 1000
-	r, err := NewReplica(Options{
-		Identity: port.Identity{Store: "c.0"}, Host: "c", Generation: 1, Members: []*pb.RaftMember{{Id: "c.0", Address: "a"}},
-		Signer: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)), Tick: time.Millisecond, SnapshotEvery: 100,
-		Journal: &memoryJournal{}, State: &port.JournalState{}, Peers: noPeers{}, Engines: &engines{}, Clock: port.SystemClock{}, Log: logr.Discard(),
-	})
-	if err != nil {
-		b.Fatal(err)
-	}
-	f := NewFleet(FleetOptions{
-		Peer: "10.0.0.1:7", Region: "r", FailureDomain: "f", Regions: map[string]string{"f": "r"}, ServerLease: time.Hour,
-		Peers: noPeers{}, Clock: port.SystemClock{}, Log: logr.Discard(),
-	}, r)
+	f := newBenchFleet(b)
 	loads := serverload.Loads{}
 	for i := range servers {
 		id := fmt.Sprintf("i-%06x", i)
@@ -59,3 +48,20 @@
 		present(i)
 	}
 }
+
+// newBenchFleet returns a control host's view of a fleet that is alone in its group.
+func newBenchFleet(b *testing.B) *Fleet {
+	b.Helper()
+	r, err := NewReplica(Options{
+		Identity: port.Identity{Store: "c.0"}, Host: "c", Generation: 1, Members: []*pb.RaftMember{{Id: "c.0", Address: "a"}},
+		Signer: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)), Tick: time.Millisecond, SnapshotEvery: 100,
+		Journal: &memoryJournal{}, State: &port.JournalState{}, Peers: noPeers{}, Engines: &engines{}, Clock: port.SystemClock{}, Log: logr.Discard(),
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return NewFleet(FleetOptions{
+		Peer: "10.0.0.1:7", Region: "r", FailureDomain: "f", Regions: map[string]string{"f": "r"}, ServerLease: time.Hour,
+		Peers: noPeers{}, Clock: port.SystemClock{}, Log: logr.Discard(),
+	}, r)
+}
--- a/internal/app/control/return_bench_test.go
+++ b/internal/app/control/return_bench_test.go
@@ -2,17 +2,13 @@
 
 import (
 	"context"
-	"crypto/ed25519"
 	"fmt"
 	"testing"
-	"time"
 
-	"github.com/go-logr/logr"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sesamefork/sesamefork/internal/core/registry"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
-	"github.com/sesamefork/sesamefork/internal/port"
 )
 
 // BenchmarkReturn is the return of a whole fleet at one control host: its entry hosts present
@@ -23,7 +19,7 @@
 		b.Run(fmt.Sprintf("%d hosts", c.hosts), func(b *testing.B) {
 			views, bytes := 0, 0
 			for range b.N {
-				f := newReturnFleet(b)
+				f := newBenchFleet(b)
 				have := make([]*pb.FleetView, c.hosts)
 				for i := range max(c.hosts, c.servers) {
 					if i < c.servers {
@@ -64,19 +60,3 @@
 		HaveEpoch: have.Epoch, HaveVersion: have.Version,
 	}
 }
-
-func newReturnFleet(b *testing.B) *Fleet {
-	b.Helper()
-	r, err := NewReplica(Options{
-		Identity: port.Identity{Store: "c.0"}, Host: "c", Generation: 1, Members: []*pb.RaftMember{{Id: "c.0", Address: "a"}},
-		Signer: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)), Tick: time.Millisecond, SnapshotEvery: 100,
-		Journal: &memoryJournal{}, State: &port.JournalState{}, Peers: noPeers{}, Engines: &engines{}, Clock: port.SystemClock{}, Log: logr.Discard(),
-	})
-	if err != nil {
-		b.Fatal(err)
-	}
-	return NewFleet(FleetOptions{
-		Peer: "10.0.0.1:7", Region: "r", FailureDomain: "f", Regions: map[string]string{"f": "r"}, ServerLease: time.Hour,
-		Peers: noPeers{}, Clock: port.SystemClock{}, Log: logr.Discard(),
-	}, r)
-}
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -15,8 +15,9 @@
 // CallerServer is an HTTP server that stops without losing a request. net/http closes the
 // connections that it counts as idle; one whose next request lies in the socket, or has been
 // read but not yet parsed, still counts as idle then; a host that is behind in its work has
-// such connections at its stop. Here the goroutine that reads a connection closes it, after it
-// has found the socket empty: nobody else can tell that nothing is on its way through the process (TestFinishAnswersWhatWasSent, TestIdleCloseLosesNoRequest).
+// such connections at its stop. Here the goroutine that reads a connection closes it, after
+// it has found the socket empty: nobody else can tell that nothing is on its way through the
+// process (TestFinishAnswersWhatWasSent, TestIdleCloseLosesNoRequest).
 type CallerServer struct {
 	// TooLate refuses a request that was sent after the server began to finish: it could be
 	// cut by the end of the process. Nil serves it.
