Logs tell repeats of one request, and whether a server that broke off requests has ended

'attempt failed' now bears the request's fingerprint (caller, method, host, target, body; never its ID), and after a server broke off requests an entry host asks once whether a process still listens there ('server checked after it broke off requests'). No decision uses either.

--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sesamefork/sesamefork/internal/adapter/listenprobe"
 	"github.com/sesamefork/sesamefork/internal/adapter/logging"
 	"github.com/sesamefork/sesamefork/internal/adapter/metrics"
 	"github.com/sesamefork/sesamefork/internal/adapter/peerlink"
@@ -54,6 +55,7 @@
 		Peer: s.Fleet.PeerAddress(s.Listen.Peer), Caller: s.Listen.Caller, Seeds: s.Fleet.PeerSeeds(),
 		Retries:       retry.SharedOptions{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: seconds(s.Retries.WindowS)},
 		AnnounceEvery: time.Duration(s.Fleet.HeartbeatMS) * time.Millisecond, VerifyKey: s.Link.PublicKey(), Peers: client, Drop: client.Drop, Backends: servers,
+		Probe: listenprobe.Dialer{Local: daemon.HostIP(s.Listen.Peer)},
 		Clock: port.SystemClock{}, ReadPrompt: platform.ReadPrompt, Random: rand.Float64, Off: off, Tracer: tracer, Log: log, Metrics: m,
 	})
 	m.Gauge("version", func() any { return g.Version() })
--- /dev/null
+++ b/internal/adapter/listenprobe/listenprobe.go
@@ -0,0 +1,35 @@
+// Package listenprobe asks whether a process listens at an address.
+package listenprobe
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+
+	"github.com/sesamefork/sesamefork/internal/port"
+)
+
+// Dialer implements port.ListenProbe.
+type Dialer struct {
+	// Local is the address to dial from; nil for any.
+	Local net.IP
+}
+
+// Listening implements port.ListenProbe. A refused connection says that no process listens;
+// no answer says nothing, as the way there may be cut.
+func (d Dialer) Listening(ctx context.Context, addr string) port.Listening {
+	var dialer net.Dialer
+	if d.Local != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: d.Local}
+	}
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	switch {
+	case err == nil:
+		_ = conn.Close()
+		return port.Accepts
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return port.Refuses
+	}
+	return port.NoAnswer
+}
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -9,6 +9,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
+	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
@@ -22,11 +23,13 @@
 	service  string
 	sink     Sink
 	deadline time.Time
-	tried    map[string]bool
-	sends    int // attempts made, refused ones included
-	ran      int // attempts that may have run
-	headSent bool
-	last     uint64 // last event passed on
+	// fingerprint is the same for each repeat of the request.
+	fingerprint quarantine.Fingerprint
+	tried       map[string]bool
+	sends       int // attempts made, refused ones included
+	ran         int // attempts that may have run
+	headSent    bool
+	last        uint64 // last event passed on
 	// mayHaveRun is set when an attempt ended without proof that it did not run.
 	mayHaveRun bool
 }
@@ -75,7 +78,7 @@
 	}
 	x := &execution{
 		r: r, record: c.Record, version: c.Stamp.Version, route: route, sink: sink,
-		tried: map[string]bool{}, last: r.ResumeAfter, service: r.service,
+		tried: map[string]bool{}, last: r.ResumeAfter, service: r.service, fingerprint: fingerprintOf(r),
 	}
 	switch {
 	case x.service == "":
@@ -338,6 +341,9 @@
 	if res.point != retry.BeforeSend && res.point != retry.Refused {
 		x.ran++
 	}
+	if brokenBy(ctx, c, res) {
+		go g.processEnded(c.Server)
+	}
 	if ctx.Err() != nil && res.outcome == dispatch.Broke {
 		res.outcome = dispatch.CallerEnded
 	}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -33,7 +33,9 @@
 	Peers         port.Peers
 	Drop          func(addr string) // ends the link to an address
 	Backends      Backends
-	Clock         port.Clock
+	// Probe tells whether a server that broke off requests has ended; nil for no such check.
+	Probe port.ListenProbe
+	Clock port.Clock
 	// ReadPrompt reads what a forwarded request asks of a model engine; nil for nothing.
 	ReadPrompt func(http.Header) *Prompt
 	Random     func() float64
@@ -64,6 +66,9 @@
 	viewed  chan struct{} // closed and replaced with each view
 
 	control controlList
+
+	checking sync.Mutex
+	checks   map[serverStart]*serverCheck
 }
 
 // New returns a gateway that knows no configuration and no servers yet.
@@ -81,6 +86,7 @@
 		startup: dispatch.NewStartup(o.Clock.Now(), o.AnnounceEvery, o.Off),
 		known:   make(chan struct{}),
 		viewed:  make(chan struct{}),
+		checks:  map[serverStart]*serverCheck{},
 	}
 	g.control.seeds = o.Seeds
 	return g
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -157,3 +157,23 @@
 type Backends interface {
 	Do(ctx context.Context, c BackendCall) (a *BackendAnswer, sent bool, err error)
 }
+
+// Listening is what an address says to a new connection.
+type Listening int
+
+// Answers to a new connection.
+const (
+	NoAnswer Listening = iota // the host is down, or the way there is cut
+	Accepts                   // a process listens
+	Refuses                   // the host answers, and no process listens
+)
+
+// String implements fmt.Stringer.
+func (l Listening) String() string {
+	return [...]string{"no answer", "accepts", "refuses"}[l]
+}
+
+// ListenProbe asks whether a process listens at an address.
+type ListenProbe interface {
+	Listening(ctx context.Context, addr string) Listening
+}
