Requests that crash the servers that run them are recognised and refused, on the platform's path

What callers saw: one caller's request ended each server that began to run it, and came again at any entry host; every request beside it lost its answer, until most of a service was away. Cause: nothing connected the repeats. A host knew that a server broke off some requests, not that the same request had ended others, and told nobody. The failing test shows it with servers that do not fall over when cold and with no repeat of the system's own. Ruled out: the system's own repeats (no request was broken off at two servers in the kept logs; the route allows one attempt), cold servers (the stand-ins bear any load).

A start that is heard again takes the evidence back; a server that was leaving, a caller that left, a deadline and another entry host's end are none. Hosts tell what they saw through the control hosts; three ends of different starts with no whole answer since refuse the request everywhere. Two leave it one attempt at a time on a host, where few others run. Verdicts are in the group's log and outlive all processes.

--- a/cmd/sesame-control/main.go
+++ b/cmd/sesame-control/main.go
@@ -142,7 +142,7 @@
 		Generation: s.Group.Generation, Members: members(s), Signer: signer,
 		Tick: time.Duration(s.Group.TickMS) * time.Millisecond, SnapshotEvery: s.Store.SnapshotEvery,
 		MaxOrder: time.Duration(s.Orders.MaxOrderMS) * time.Millisecond, LoadsPerMin: s.Orders.LoadsPerMinute,
-		Seed: seed(), Journal: j, State: state, Reopen: reopener(s), Peers: client, Engines: enginehttp.New(),
+		Seed: seed(), Quarantine: s.Quarantine.Options(s.Host.ID), Journal: j, State: state, Reopen: reopener(s), Peers: client, Engines: enginehttp.New(),
 		Clock: port.SystemClock{}, Log: log,
 	})
 	if err != nil {
--- a/cmd/sesame-control/platform.go
+++ b/cmd/sesame-control/platform.go
@@ -56,7 +56,7 @@
 		Generation: s.Group.Generation, Members: founders(state.Identity), Signer: signer,
 		Tick: time.Duration(s.Group.TickMS) * time.Millisecond, SnapshotEvery: s.Store.SnapshotEvery,
 		MaxOrder: time.Duration(s.Orders.MaxOrderMS) * time.Millisecond, LoadsPerMin: s.Orders.LoadsPerMinute,
-		Seed: seed(), NoOrders: true, Journal: j, State: state, Reopen: reopener(s), Peers: client, Engines: enginehttp.New(),
+		Seed: seed(), NoOrders: true, Quarantine: s.Quarantine.Options(s.Host.ID), Journal: j, State: state, Reopen: reopener(s), Peers: client, Engines: enginehttp.New(),
 		Clock: port.SystemClock{}, Log: log,
 	})
 	if err != nil {
--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -15,6 +15,7 @@
 	"github.com/sesamefork/sesamefork/internal/adapter/peerlink"
 	"github.com/sesamefork/sesamefork/internal/adapter/settings"
 	"github.com/sesamefork/sesamefork/internal/adapter/tracing"
+	"github.com/sesamefork/sesamefork/internal/app/crashwatch"
 	"github.com/sesamefork/sesamefork/internal/app/gateway"
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
@@ -50,17 +51,23 @@
 		return fault
 	}
 	servers := platform.NewServers(daemon.HostIP(s.Listen.Peer))
+	crashes := crashwatch.New(crashwatch.Options{
+		Quarantine: s.Quarantine.Options(s.Host.ID), AnnounceEvery: time.Duration(s.Fleet.HeartbeatMS) * time.Millisecond,
+		Probe: listenprobe.Dialer{Local: daemon.HostIP(s.Listen.Peer)}, Clock: port.SystemClock{}, Log: log, Metrics: m,
+	})
 	g := gateway.New(gateway.Options{
 		Host: s.Host.ID, Region: s.Host.Region, FailureDomain: s.Host.FailureDomain,
 		Peer: s.Fleet.PeerAddress(s.Listen.Peer), Caller: s.Listen.Caller, Seeds: s.Fleet.PeerSeeds(),
 		Retries:       retry.SharedOptions{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: seconds(s.Retries.WindowS)},
 		AnnounceEvery: time.Duration(s.Fleet.HeartbeatMS) * time.Millisecond, VerifyKey: s.Link.PublicKey(), Peers: client, Drop: client.Drop, Backends: servers,
-		Probe: listenprobe.Dialer{Local: daemon.HostIP(s.Listen.Peer)},
-		Clock: port.SystemClock{}, ReadPrompt: platform.ReadPrompt, Random: rand.Float64, Off: off, Tracer: tracer, Log: log, Metrics: m,
+		Crashes: crashes,
+		Clock:   port.SystemClock{}, ReadPrompt: platform.ReadPrompt, Random: rand.Float64, Off: off, Tracer: tracer, Log: log, Metrics: m,
 	})
 	m.Gauge("version", func() any { return g.Version() })
 	m.Gauge("config_staleness_ms", func() any { return g.ConfigStaleness().Milliseconds() })
 	m.Gauge("inflight", func() any { return g.Inflight() })
+	m.Gauge("requests_under_suspicion", func() any { n, _ := crashes.Sizes(); return n })
+	m.Gauge("requests_refused_as_crashing", func() any { _, n := crashes.Sizes(); return n })
 	m.Gauge("learned_speeds", func() any { return g.Speeds() })
 	return servePlatform(path, s, g, servers, link, log)
 }
--- a/internal/adapter/settings/types.go
+++ b/internal/adapter/settings/types.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
+	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
@@ -88,10 +89,35 @@
 	Log       Log       `toml:"log"`
 	Trace     Trace     `toml:"trace"`
 	Directory Directory `toml:"directory"`
+	// Quarantine is about requests that crash the servers that run them.
+	Quarantine Quarantine `toml:"quarantine"`
 	// Experiments is for measurements of the policy, not for service.
 	Experiments Experiments `toml:"experiments"`
 }
 
+// Quarantine bounds what is remembered of requests that crash the servers that run them.
+type Quarantine struct {
+	// MaxRequests is how many such requests, and others that were under way beside them, are
+	// remembered (default 4096). Those under which fewest servers ended yield first.
+	MaxRequests int `toml:"max_requests"`
+	// HoldS is how long a request is refused before it is tried once more, in s (default 600).
+	HoldS float64 `toml:"hold_s"`
+}
+
+func defaultQuarantine() Quarantine {
+	return Quarantine{MaxRequests: quarantine.DefaultCapacity, HoldS: quarantine.DefaultHold.Seconds()}
+}
+
+// Options returns the settings for a host.
+func (q Quarantine) Options(host string) quarantine.Options {
+	return quarantine.Options{Host: host, Capacity: q.MaxRequests, Hold: time.Duration(q.HoldS * float64(time.Second))}
+}
+
+func (c *collector) quarantine(q Quarantine) {
+	c.between("quarantine.max_requests", float64(q.MaxRequests), 64, 1<<20)
+	c.between("quarantine.hold_s", q.HoldS, 1, 7*24*3600)
+}
+
 // Experiments changes the policy for a measurement.
 type Experiments struct {
 	// Off names mechanisms to go without.
@@ -168,7 +194,7 @@
 		},
 		Timing: Timing{ProbeMS: 1000, UpdateMS: 1000, SummaryMS: 2000, LeaseMS: 3000, ClockSkewMS: 5000},
 		Trace:  Trace{Exporter: "none", SampleRatio: 1},
-		Link:   Link{KeepAliveMS: 3000},
+		Link:   Link{KeepAliveMS: 3000}, Quarantine: defaultQuarantine(),
 	}
 }
 
@@ -205,8 +231,10 @@
 		Peer     TLS `toml:"peer"`
 	} `toml:"tls"`
 	Orders Orders `toml:"orders"`
-	Log    Log    `toml:"log"`
-	Trace  Trace  `toml:"trace"`
+	// Quarantine is about requests that crash the servers that run them.
+	Quarantine Quarantine `toml:"quarantine"`
+	Log        Log        `toml:"log"`
+	Trace      Trace      `toml:"trace"`
 }
 
 // Store is the data folder.
@@ -258,8 +286,8 @@
 		Store:  Store{SnapshotEvery: 256},
 		Group:  Group{Generation: 1, TickMS: 200},
 		Link:   Link{KeepAliveMS: 3000},
-		Orders: Orders{MaxOrderMS: 5000, LoadsPerMinute: 6},
-		Trace:  Trace{Exporter: "none", SampleRatio: 1},
+		Orders: Orders{MaxOrderMS: 5000, LoadsPerMinute: 6}, Quarantine: defaultQuarantine(),
+		Trace: Trace{Exporter: "none", SampleRatio: 1},
 	}
 }
 
@@ -361,6 +389,7 @@
 	c.between("timing.lease_ms", float64(e.Timing.LeaseMS), 200, 60_000)
 	c.between("timing.clock_skew_ms", float64(e.Timing.ClockSkewMS), 0, 600_000)
 	c.trace(e.Trace)
+	c.quarantine(e.Quarantine)
 	c.outside(e.Interface)
 	if e.Interface == InterfacePlatform {
 		c.addr("listen.ready", e.Listen.Ready, false)
@@ -411,6 +440,7 @@
 	c.between("orders.max_order_ms", float64(s.Orders.MaxOrderMS), 1, 600_000)
 	c.between("orders.loads_per_minute", s.Orders.LoadsPerMinute, 0, 10_000)
 	c.trace(s.Trace)
+	c.quarantine(s.Quarantine)
 	return c
 }
 
--- a/internal/app/control/exchange.go
+++ b/internal/app/control/exchange.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/sesamefork/sesamefork/internal/core/holders"
+	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/registry"
 	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
@@ -127,6 +128,7 @@
 				places = holders.InRegion(f.o.Region, places)
 			}
 			x.Prompts = holders.Encode(places)
+			x.Quarantine, next.verdicts = f.replica.verdictsSince(last.verdicts, exchangeRecords, quarantine.All)
 		}
 	}
 	return x, next
@@ -143,6 +145,9 @@
 		HeardAt: now, Loads: x.Loads, ServerLoads: serverload.Decode(x.ServerLoads),
 	})
 	f.prompts.Add("", holders.Decode(x.Prompts))
+	if f.replica.mergeVerdicts(x.Quarantine, x.Store) {
+		f.reg.Touch()
+	}
 	for _, h := range x.Hosts {
 		f.reg.HearHost(registry.Host{
 			ID: h.Id, Peer: h.Peer, Caller: h.Caller, Region: h.Region, FailureDomain: h.FailureDomain, Ready: h.Ready,
@@ -163,7 +168,7 @@
 		heard := now.Add(-milliseconds(s.AgeMs))
 		f.reg.Announce(registry.Server{
 			ID: s.Id, Start: s.Start, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain, Sequence: s.Sequence,
-			Slots: int(s.Slots), Leaving: s.Leaving, HeardAt: heard, FirstSeen: now.Add(-milliseconds(s.FirstSeenMs)),
+			Slots: int(s.Slots), Leaving: s.Leaving, Release: s.Release, HeardAt: heard, FirstSeen: now.Add(-milliseconds(s.FirstSeenMs)),
 			ColdUntil: heard.Add(milliseconds(s.ColdMs)),
 		}, now)
 	}
--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -65,6 +65,7 @@
 // told is what another control host was told, as far as it confirmed it.
 type told struct {
 	prompts   uint64    // position in the log of prompts
+	verdicts  uint64    // revision of the records of crashing requests
 	hosts     uint64    // version at which it was told of all entry hosts; 0 for never
 	serversAt time.Time // when it was told of all servers; zero for never
 }
--- a/internal/app/control/operate.go
+++ b/internal/app/control/operate.go
@@ -157,7 +157,7 @@
 }
 
 func (r *Replica) leadChange(ctx context.Context, c *pb.Command) (*pb.ProposeResult, error) {
-	if c.Evacuate != "" || c.Restore != "" {
+	if c.Evacuate != "" || c.Restore != "" || c.Quarantine != nil || c.Lift != nil {
 		return r.commitChange(ctx, c)
 	}
 	parsed, err := configstate.Parse(c.Record)
--- a/internal/app/control/publish.go
+++ b/internal/app/control/publish.go
@@ -36,6 +36,10 @@
 	// Evacuated are the evacuated failure domains, sorted; Revision numbers the list.
 	Evacuated []string
 	Revision  uint64
+	// Quarantined are the kept verdicts on requests that crash servers, oldest first;
+	// QuarantineRevision numbers the list.
+	Quarantined        []*pb.KeptQuarantine
+	QuarantineRevision uint64
 }
 
 // publish makes the applied configuration visible to other goroutines.
@@ -49,10 +53,14 @@
 		p.Recent = append([]*pb.Accepted(nil), r.machine.History()...)
 	}
 	p.Evacuated, p.Revision = r.machine.Evacuated()
+	p.Quarantined, p.QuarantineRevision = r.machine.Quarantined()
 	if !r.publishes(p) {
 		return
 	}
-	r.published.Store(p)
+	before := r.published.Swap(p)
+	if before == nil || before.QuarantineRevision != p.QuarantineRevision {
+		r.takeKept(p.Quarantined)
+	}
 	if r.fleet != nil {
 		r.fleet.configurationChanged()
 	}
@@ -62,7 +70,7 @@
 // store that was opened anew applies again what was applied before.
 func (r *Replica) publishes(next *Published) bool {
 	last := r.published.Load()
-	return last == nil || (!configstate.Newer(last.Stamp, next.Stamp) && next.Revision >= last.Revision)
+	return last == nil || (!configstate.Newer(last.Stamp, next.Stamp) && next.Revision >= last.Revision && next.QuarantineRevision >= last.QuarantineRevision)
 }
 
 // Evacuated returns the evacuated failure domains and the list's revision.
--- a/internal/app/control/replica.go
+++ b/internal/app/control/replica.go
@@ -17,6 +17,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/consensus"
 	"github.com/sesamefork/sesamefork/internal/core/fencing"
+	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 	"github.com/sesamefork/sesamefork/internal/port"
@@ -35,7 +36,9 @@
 	SnapshotEvery int
 	MaxOrder      time.Duration
 	LoadsPerMin   float64
-	Seed          int64
+	// Quarantine bounds what is remembered of requests that crash servers.
+	Quarantine quarantine.Options
+	Seed       int64
 	// NoOrders says that the group gives no orders to engines, which alone need the
 	// leader's lease: the group then elects a leader sooner after a restart.
 	NoOrders bool
@@ -80,6 +83,8 @@
 	reports     *reports
 	wg          sync.WaitGroup
 	fleet       *Fleet // nil in a group whose record lists the hosts
+	verdicts    *verdicts
+	leading     atomic.Bool
 	members     atomic.Pointer[[]string]
 	started     time.Time
 	seen        roleSeen                  // as last logged
@@ -107,16 +112,17 @@
 // NewReplica restores the replica's state from its journal.
 func NewReplica(o Options) (*Replica, error) {
 	r := &Replica{
-		o:       o,
-		gate:    fencing.NewGate(fencing.Limits{Lease: electionTicks * o.Tick, MaxOrder: o.MaxOrder}),
-		loads:   newBucket(o.LoadsPerMin),
-		inbox:   make(chan func(), 1024),
-		stopped: make(chan struct{}),
-		waiters: map[uint64]waiter{},
-		reads:   map[uint64]chan error{},
-		senders: map[senderKey]*sender{},
-		reports: newReports(),
-		started: o.Clock.Now(),
+		o:        o,
+		gate:     fencing.NewGate(fencing.Limits{Lease: electionTicks * o.Tick, MaxOrder: o.MaxOrder}),
+		loads:    newBucket(o.LoadsPerMin),
+		inbox:    make(chan func(), 1024),
+		stopped:  make(chan struct{}),
+		waiters:  map[uint64]waiter{},
+		reads:    map[uint64]chan error{},
+		senders:  map[senderKey]*sender{},
+		reports:  newReports(),
+		started:  o.Clock.Now(),
+		verdicts: newVerdicts(o.Quarantine),
 	}
 	if err := r.load(); err != nil {
 		return nil, err
@@ -150,7 +156,8 @@
 	defer close(r.stopped)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r.wg.Add(1)
+	r.wg.Add(2)
+	go r.keepVerdicts(ctx)
 	if r.fleet != nil {
 		go r.repair(ctx)
 	} else {
@@ -255,10 +262,13 @@
 	}
 	before := r.machine.Version()
 	_, evacuation := r.machine.Evacuated()
+	_, quarantined := r.machine.Quarantined()
 	for _, e := range rd.Committed {
 		r.applyEntry(e)
 	}
-	if _, now := r.machine.Evacuated(); r.machine.Version() != before || now != evacuation {
+	_, evacuationNow := r.machine.Evacuated()
+	_, quarantinedNow := r.machine.Quarantined()
+	if r.machine.Version() != before || evacuationNow != evacuation || quarantinedNow != quarantined {
 		r.publish()
 	}
 	for _, read := range rd.Reads {
@@ -361,6 +371,7 @@
 func (r *Replica) noteLeadership() {
 	role, term := r.node.Role(), r.node.Term()
 	r.logRole(role, term)
+	r.leading.Store(role == consensus.Leader)
 	if role == consensus.Leader && term != r.lastTerm {
 		r.lastTerm = term
 		r.gate.Elected(term, r.o.Clock.Now())
--- a/internal/app/control/view.go
+++ b/internal/app/control/view.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sesamefork/sesamefork/internal/core/holders"
+	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/registry"
 	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
@@ -26,6 +27,9 @@
 	if news {
 		f.o.Log.Info("entry host presented itself", "host_id", h.GetId(), "caller", h.GetCaller(), "ready", h.GetReady())
 	}
+	if f.replica.mergeVerdicts(m.Quarantine, h.GetId()) {
+		f.reg.Touch()
+	}
 	if h.GetRegion() == f.o.Region {
 		f.prompts.Add(h.GetId(), holders.Decode(m.Prompts))
 	}
@@ -69,6 +73,11 @@
 		v.Regions = append(v.Regions, f.reg.RegionLoads(f.replica.isEvacuated, now)...)
 	}
 	f.addLists(v, m, region, now)
+	known := uint64(0)
+	if m.HaveEpoch == f.epoch {
+		known = m.HaveQuarantine
+	}
+	v.Quarantine, v.QuarantineNext = f.replica.verdictsSince(known, viewRecords, quarantine.Decisive)
 	return v
 }
 
@@ -125,7 +134,7 @@
 	}
 	m := &pb.FleetServer{
 		Id: s.ID, Start: s.Start, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain, Sequence: s.Sequence,
-		Slots: uint32(s.Slots), Leaving: s.Leaving, AgeMs: age(s.HeardAt, now), FirstSeenMs: age(s.FirstSeen, now),
+		Slots: uint32(s.Slots), Leaving: s.Leaving, Release: s.Release, AgeMs: age(s.HeardAt, now), FirstSeenMs: age(s.FirstSeen, now),
 	}
 	if s.ColdUntil.After(s.HeardAt) {
 		m.ColdMs = uint64(s.ColdUntil.Sub(s.HeardAt).Milliseconds())
--- /dev/null
+++ b/internal/app/crashwatch/crashwatch.go
@@ -0,0 +1,273 @@
+// Package crashwatch watches on an entry host for requests that crash the servers that run
+// them, for every way by which requests come. It asks whether servers that broke off requests
+// have ended, keeps the table of package quarantine, and writes its verdicts to the log.
+package crashwatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/sesamefork/sesamefork/internal/core/quarantine"
+	"github.com/sesamefork/sesamefork/internal/failure"
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+	"github.com/sesamefork/sesamefork/internal/port"
+)
+
+// Options configures a Watch.
+type Options struct {
+	Quarantine quarantine.Options
+	// AnnounceEvery is the interval of the servers' announcements.
+	AnnounceEvery time.Duration
+	// Probe asks whether a process listens; nil for never.
+	Probe   port.ListenProbe
+	Clock   port.Clock
+	Log     logr.Logger
+	Metrics port.Metrics
+	// Changed is called after a verdict came or went by what happened here; nil for nothing.
+	Changed func()
+}
+
+// Times of a question whether a server's process has ended.
+const (
+	checkTimeout = 300 * time.Millisecond
+	// checkPause precedes a second look: a process that ends closes its connections one by
+	// one, the listening one possibly last.
+	checkPause = 30 * time.Millisecond
+	// checkHolds is how long an answer serves the requests that break off after it.
+	checkHolds = 500 * time.Millisecond
+)
+
+// Watch is what one entry host knows.
+type Watch struct {
+	o Options
+
+	mu     sync.Mutex
+	table  *quarantine.Table
+	breaks *quarantine.Breaks
+	checks map[quarantine.Start]*check
+}
+
+// check is one question whether a process listens, for all requests that a server broke off.
+type check struct {
+	done chan struct{} // closed with the answer
+	at   time.Time
+}
+
+// New returns a watch that knows nothing yet.
+func New(o Options) *Watch {
+	return &Watch{
+		o: o, table: quarantine.New(o.Quarantine), breaks: quarantine.NewBreaks(o.AnnounceEvery),
+		checks: map[quarantine.Start]*check{},
+	}
+}
+
+// Begin returns how an attempt of a request is to be treated, or its refusal. Finish follows
+// an attempt that was not refused.
+func (w *Watch) Begin(f quarantine.Fingerprint) (quarantine.Judgement, *failure.Error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	j := w.table.Begin(f, w.o.Clock.Now())
+	switch j.Verdict {
+	case quarantine.Quarantined:
+		w.o.Metrics.Add("refused_quarantined", 1)
+		return j, failure.New(failure.Quarantined, failure.NotRun, "%d servers ended while they ran it; fingerprint %s", j.Ends, f)
+	case quarantine.Busy:
+		w.o.Metrics.Add("refused_suspected", 1)
+		return j, failure.New(failure.Suspected, failure.NotRun, "%d servers ended while they ran it, and it is being tried; fingerprint %s", j.Ends, f).
+			WithRetryAfter(busyRetry)
+	}
+	return j, nil
+}
+
+// busyRetry is when a request comes back that is being tried: most are answered by then, or
+// have ended their server.
+const busyRetry = time.Second
+
+// Finish records that an attempt has ended.
+func (w *Watch) Finish(f quarantine.Fingerprint, j quarantine.Judgement) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.table.Finish(f, j)
+}
+
+// Served records that a server answered the request to its end.
+func (w *Watch) Served(f quarantine.Fingerprint) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.table.Judge(f, w.o.Clock.Now())
+	if w.table.Served(f, w.o.Clock.Now()) && before.Ends > 1 {
+		w.o.Log.Info("suspicion ended", "fingerprint", f.String(), "ends", before.Ends, "verdict", before.Verdict.String(), "reason", "a server answered it")
+	}
+}
+
+// Broken takes that a server broke off a request, and returns once it is known whether the
+// server's process has ended, as far as that can be asked.
+func (w *Watch) Broken(b quarantine.Break, e quarantine.Evidence) {
+	e.Server = b.Start.Key()
+	w.mu.Lock()
+	if w.breaks.Add(b, e, w.o.Clock.Now()) {
+		w.countLocked([]quarantine.Evidence{e}, "the server has ended")
+		w.mu.Unlock()
+		return
+	}
+	c := w.checks[b.Start]
+	if c == nil || w.o.Clock.Now().Sub(c.at) > checkHolds {
+		c = &check{done: make(chan struct{}), at: w.o.Clock.Now()}
+		w.checks[b.Start] = c
+		go w.ask(b, c)
+	}
+	w.mu.Unlock()
+	<-c.done
+}
+
+// Ended takes proof that the server's process ended while it ran a request.
+func (w *Watch) Ended(b quarantine.Break, e quarantine.Evidence) {
+	e.Server = b.Start.Key()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.countLocked([]quarantine.Evidence{e}, "another process runs under the server's ID")
+}
+
+func (w *Watch) ask(b quarantine.Break, c *check) {
+	answer := w.listening(b.Address)
+	w.o.Log.Info("server checked after it broke off requests", "server", b.Start.ID, "start", b.Start.Born, "address", b.Address, "listening", answer.String())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if answer == port.Refuses {
+		w.countLocked(w.breaks.Refused(b.Start), "no process listens at the server's address")
+	}
+	close(c.done)
+	time.AfterFunc(checkHolds, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.checks[b.Start] == c {
+			delete(w.checks, b.Start)
+		}
+	})
+}
+
+func (w *Watch) listening(addr string) port.Listening {
+	if w.o.Probe == nil {
+		return port.NoAnswer
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	answer := w.o.Probe.Listening(ctx, addr)
+	if answer != port.Accepts {
+		return answer
+	}
+	t := time.NewTimer(checkPause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return w.o.Probe.Listening(ctx, addr)
+}
+
+// Idle reports whether nothing that a server's announcement tells would matter.
+func (w *Watch) Idle() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.breaks.Len() == 0 && w.table.Len() == 0
+}
+
+// Heard takes which servers are known.
+func (w *Watch) Heard(servers []quarantine.Sighting) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.o.Clock.Now()
+	proved, alive := w.breaks.Heard(servers, now)
+	w.countLocked(proved, "another server was heard under its ID or at its address")
+	for _, key := range alive {
+		for _, f := range w.table.Alive(key, now) {
+			w.o.Log.Info("evidence taken back", "fingerprint", f.String(), "server_key", key, "reason", "the server was heard again")
+		}
+	}
+	w.table.Forget(now)
+}
+
+// countLocked counts evidence against the requests that it names.
+func (w *Watch) countLocked(list []quarantine.Evidence, proof string) {
+	now, decided := w.o.Clock.Now(), false
+	for _, e := range list {
+		j, counted := w.table.Ended(e, now)
+		if !counted {
+			continue
+		}
+		w.o.Metrics.Add("servers_ended_under_requests", 1)
+		if j.Ends > 1 {
+			decided = true
+			w.logVerdict(quarantine.Change{Fingerprint: e.Fingerprint, After: j, Team: e.Team, Service: e.Service, Release: e.Release}, "proof", proof, "server_key", e.Server)
+		}
+	}
+	if decided && w.o.Changed != nil {
+		w.o.Changed()
+	}
+}
+
+// logVerdict writes how a request stands, with the evidence.
+func (w *Watch) logVerdict(c quarantine.Change, kv ...any) {
+	event := "request suspected"
+	switch c.After.Verdict {
+	case quarantine.Quarantined, quarantine.Trial:
+		event = "request quarantined"
+		w.o.Metrics.Add("requests_quarantined", 1)
+	case quarantine.Clear:
+		event = "quarantine or suspicion lifted"
+	}
+	w.o.Log.Info(event, append([]any{
+		"fingerprint", c.Fingerprint.String(), "team", c.Team, "service", c.Service, "release", c.Release, "ends", c.After.Ends,
+		"since_ms", max(0, w.o.Clock.Now().Sub(c.After.Last).Milliseconds()),
+	}, kv...)...)
+}
+
+// Merge takes what another host knows.
+func (w *Watch) Merge(records []*pb.QuarantineRecord, from string) {
+	if len(records) == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.table.Merge(records, w.o.Clock.Now()) {
+		if c.After.Ends > 1 || c.Before.Ends > 1 {
+			w.logVerdict(c, "told_by", from)
+		}
+	}
+}
+
+// Since returns records to tell another host; see quarantine.Table.
+func (w *Watch) Since(revision uint64, most int, wanted quarantine.Wanted) ([]*pb.QuarantineRecord, uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.table.Since(revision, most, wanted, w.o.Clock.Now())
+}
+
+// SetHosts tells how many entry hosts there are.
+func (w *Watch) SetHosts(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.table.SetHosts(n)
+}
+
+// SetReleases tells which releases a service's servers run.
+func (w *Watch) SetReleases(service string, releases []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.table.SetReleases(service, releases, w.o.Clock.Now())
+}
+
+// Sizes returns how many fingerprints are remembered and how many of them are refused.
+func (w *Watch) Sizes() (remembered, quarantined int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range w.table.List(w.o.Clock.Now()) {
+		if e.Verdict == quarantine.Quarantined {
+			quarantined++
+		}
+	}
+	return w.table.Len(), quarantined
+}
--- a/internal/app/gateway/ended.go
+++ b/internal/app/gateway/ended.go
@@ -2,85 +2,72 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
-	"github.com/sesamefork/sesamefork/internal/port"
+	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
-// Times of a check whether a server's process has ended.
-const (
-	checkTimeout = 300 * time.Millisecond
-	// checkPause precedes a second look: a process that ends closes its connections one by
-	// one, the listening one possibly last.
-	checkPause = 30 * time.Millisecond
-	// checkHolds is how long an answer serves the requests that break off after it.
-	checkHolds = 500 * time.Millisecond
-)
-
-// serverStart names one process of a server.
-type serverStart struct {
-	id    string
-	start int64
-}
-
-// serverCheck is one question whether a process listens at a server's address, asked for all
-// requests that the server broke off.
-type serverCheck struct {
-	done      chan struct{} // closed with the answer
-	at        time.Time
-	listening port.Listening
+// fingerprintOf identifies what the request asks a server to run. The caller is named by its
+// credentials, where it has any.
+func fingerprintOf(r *Request) quarantine.Fingerprint {
+	return quarantine.Identity{
+		Caller: r.Header.Get("Authorization"), Method: r.Method, Host: r.Host, Target: r.URI, Body: r.Body,
+	}.Fingerprint()
 }
 
-// brokenBy reports whether the server ended the connection of an attempt that it had, or
-// may have had.
-func brokenBy(ctx context.Context, c *dispatch.Choice, res result) bool {
-	return c.Server != nil && ctx.Err() == nil && res.outcome == dispatch.Broke && res.point != retry.BeforeSend
+// admit returns the refusal of a request that crashes servers; nil when it may be tried.
+func (g *Gateway) admit(x *execution) *failure.Error {
+	j, f := g.o.Crashes.Begin(x.fingerprint)
+	x.judgement = j
+	if f != nil {
+		g.o.Log.Info("request refused as a crashing one", "request_id", x.r.ID, "fingerprint", x.fingerprint.String(), "verdict", j.Verdict.String(), "ends", j.Ends)
+	}
+	return f
 }
 
-// processEnded asks whether the process of a server that broke off an attempt has ended.
-func (g *Gateway) processEnded(s *dispatch.Server) bool {
-	if g.o.Probe == nil {
-		return false
-	}
-	key, now := serverStart{s.ID, s.Start}, g.o.Clock.Now()
-	g.checking.Lock()
-	check := g.checks[key]
-	if check == nil || now.Sub(check.at) > checkHolds {
-		check = &serverCheck{done: make(chan struct{}), at: now}
-		g.checks[key] = check
-		go g.check(key, s.Address, check)
+// noteSurvival tells the watch how the attempt went for its server. Only an answer that came
+// to its end, and a connection that the server ended, say anything of it: not a caller that
+// left, a deadline, a server that was leaving, or another entry host.
+func (g *Gateway) noteSurvival(ctx context.Context, x *execution, c *dispatch.Choice, res result) {
+	switch {
+	case c.Server == nil:
+	case res.point == retry.Answered, res.outcome == dispatch.Failed && res.keep != nil:
+		g.o.Crashes.Served(x.fingerprint)
+	case ctx.Err() != nil || res.outcome != dispatch.Broke || res.point == retry.BeforeSend:
+	default:
+		g.noteBreak(x, c.Server)
 	}
-	g.checking.Unlock()
-	<-check.done
-	return check.listening == port.Refuses
 }
 
-func (g *Gateway) check(key serverStart, addr string, c *serverCheck) {
-	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
-	defer cancel()
-	c.listening = g.o.Probe.Listening(ctx, addr)
-	if c.listening == port.Accepts {
-		pause(ctx, checkPause)
-		c.listening = g.o.Probe.Listening(ctx, addr)
+func (g *Gateway) noteBreak(x *execution, s *dispatch.Server) {
+	g.mu.Lock()
+	replaced, left := s.Replaced(), g.fleet.IsGone(s) || s.Leaving
+	b := quarantine.Break{Start: quarantine.Start{ID: s.ID, Born: s.Start}, Address: s.Address}
+	e := quarantine.Evidence{Fingerprint: x.fingerprint, Team: x.r.Host, Service: x.service, Release: s.Release}
+	g.mu.Unlock()
+	switch {
+	case replaced:
+		g.o.Crashes.Ended(b, e)
+	case left:
+	case x.route.Idempotent():
+		// Where it is tried next depends on what it did here.
+		g.o.Crashes.Broken(b, e)
+	default:
+		go g.o.Crashes.Broken(b, e)
 	}
-	close(c.done)
-	g.o.Log.Info("server checked after it broke off requests", "server", key.id, "start", key.start, "address", addr, "listening", c.listening.String())
-	time.AfterFunc(checkHolds, func() {
-		g.checking.Lock()
-		defer g.checking.Unlock()
-		if g.checks[key] == c {
-			delete(g.checks, key)
-		}
-	})
 }
 
-// fingerprintOf identifies what the request asks a server to run. The caller is named by its
-// credentials, where it has any.
-func fingerprintOf(r *Request) quarantine.Fingerprint {
-	return quarantine.Identity{
-		Caller: r.Header.Get("Authorization"), Method: r.Method, Host: r.Host, Target: r.URI, Body: r.Body,
-	}.Fingerprint()
+// tellWatch tells the watch which servers a view shows. The gateway is locked.
+func (g *Gateway) tellWatch() {
+	g.o.Crashes.SetHosts(g.fleet.AllHosts())
+	if g.o.Crashes.Idle() {
+		return
+	}
+	sightings, releases := g.fleet.Sightings()
+	g.o.Crashes.Heard(sightings)
+	for service, list := range releases {
+		g.o.Crashes.SetReleases(service, list)
+	}
 }
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -25,11 +25,13 @@
 	deadline time.Time
 	// fingerprint is the same for each repeat of the request.
 	fingerprint quarantine.Fingerprint
-	tried       map[string]bool
-	sends       int // attempts made, refused ones included
-	ran         int // attempts that may have run
-	headSent    bool
-	last        uint64 // last event passed on
+	// judgement is how the request stood at its last attempt.
+	judgement quarantine.Judgement
+	tried     map[string]bool
+	sends     int // attempts made, refused ones included
+	ran       int // attempts that may have run
+	headSent  bool
+	last      uint64 // last event passed on
 	// mayHaveRun is set when an attempt ended without proof that it did not run.
 	mayHaveRun bool
 }
@@ -146,11 +148,16 @@
 func (g *Gateway) run(ctx context.Context, x *execution) *failure.Error {
 	var fallback *kept
 	for {
+		if f := g.admit(x); f != nil {
+			return g.giveUp(ctx, x, fallback, f)
+		}
 		c, f := g.choose(ctx, x)
 		if f != nil {
+			g.o.Crashes.Finish(x.fingerprint, x.judgement)
 			return g.giveUp(ctx, x, fallback, f)
 		}
 		res := g.attempt(ctx, x, c)
+		g.o.Crashes.Finish(x.fingerprint, x.judgement)
 		if res.keep != nil {
 			fallback = res.keep
 		}
@@ -181,7 +188,7 @@
 	if x.mayHaveRun {
 		out.Outcome = failure.Unknown
 	}
-	if out.Outcome == failure.NotRun && out.Code != failure.Overloaded && out.RetryAfter == 0 {
+	if out.Outcome == failure.NotRun && out.Code != failure.Overloaded && out.Code != failure.Quarantined && out.RetryAfter == 0 {
 		out.RetryAfter = refusedRetry
 	}
 	if ctx.Err() == context.DeadlineExceeded {
@@ -212,6 +219,9 @@
 	if ctx.Err() != nil || x.deadline.Sub(g.o.Clock.Now()) < minAttempt || res.point == retry.Answered {
 		return false
 	}
+	if res.err != nil && (res.err.Code == failure.Quarantined || res.err.Code == failure.Suspected) {
+		return false // another region refused it, for what holds everywhere
+	}
 	limit := x.route.Attempts
 	if x.r.attempts > 0 {
 		limit = x.r.attempts
@@ -240,6 +250,7 @@
 	j := &dispatch.Job{
 		Service: x.service, Permits: x.route.Permits, Remaining: x.deadline.Sub(now), Tried: x.tried,
 		Target: time.Duration(x.route.LatencyTargetMS) * time.Millisecond, Forwarded: x.r.Origin != "",
+		Ends: x.judgement.Ends,
 	}
 	s, ok := x.record.RoutedService(x.service)
 	if !ok {
@@ -341,9 +352,7 @@
 	if res.point != retry.BeforeSend && res.point != retry.Refused {
 		x.ran++
 	}
-	if brokenBy(ctx, c, res) {
-		go g.processEnded(c.Server)
-	}
+	g.noteSurvival(ctx, x, c, res)
 	if ctx.Err() != nil && res.outcome == dispatch.Broke {
 		res.outcome = dispatch.CallerEnded
 	}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"github.com/sesamefork/sesamefork/internal/app/crashwatch"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
@@ -33,9 +34,10 @@
 	Peers         port.Peers
 	Drop          func(addr string) // ends the link to an address
 	Backends      Backends
-	// Probe tells whether a server that broke off requests has ended; nil for no such check.
-	Probe port.ListenProbe
-	Clock port.Clock
+	// Crashes recognises requests that crash servers; nil for one that asks no server whether
+	// it has ended.
+	Crashes *crashwatch.Watch
+	Clock   port.Clock
 	// ReadPrompt reads what a forwarded request asks of a model engine; nil for nothing.
 	ReadPrompt func(http.Header) *Prompt
 	Random     func() float64
@@ -66,13 +68,13 @@
 	viewed  chan struct{} // closed and replaced with each view
 
 	control controlList
-
-	checking sync.Mutex
-	checks   map[serverStart]*serverCheck
 }
 
 // New returns a gateway that knows no configuration and no servers yet.
 func New(o Options) *Gateway {
+	if o.Crashes == nil {
+		o.Crashes = crashwatch.New(crashwatch.Options{AnnounceEvery: o.AnnounceEvery, Clock: o.Clock, Log: o.Log, Metrics: o.Metrics})
+	}
 	if o.Tracer == nil {
 		o.Tracer = noop.NewTracerProvider().Tracer("")
 	}
@@ -86,7 +88,6 @@
 		startup: dispatch.NewStartup(o.Clock.Now(), o.AnnounceEvery, o.Off),
 		known:   make(chan struct{}),
 		viewed:  make(chan struct{}),
-		checks:  map[serverStart]*serverCheck{},
 	}
 	g.control.seeds = o.Seeds
 	return g
--- a/internal/app/gateway/source.go
+++ b/internal/app/gateway/source.go
@@ -13,6 +13,7 @@
 type source struct {
 	epoch, version uint64
 	prompts        uint64                     // position in the list of where prompts were sent
+	quarantine     uint64                     // position in the news of crashing requests
 	servers        map[string]*pb.FleetServer // by ID
 	hosts          map[string]*pb.FleetHost   // by ID
 }
@@ -26,7 +27,7 @@
 		*s = source{}
 		return false
 	}
-	s.epoch, s.version, s.prompts = v.Epoch, v.Version, v.PromptsNext
+	s.epoch, s.version, s.prompts, s.quarantine = v.Epoch, v.Version, v.PromptsNext, v.QuarantineNext
 	for _, id := range v.RemovedServers {
 		delete(s.servers, id)
 	}
--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -10,6 +10,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/controlhosts"
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/holders"
+	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
@@ -126,6 +127,33 @@
 	known    bool // the distance is
 	have     source
 	logged   controlSeen
+	// toldAll is set once the control host was told all that this host knows of crashing
+	// requests; told is the revision up to which it was.
+	toldAll bool
+	told    uint64
+}
+
+// maxRecords bounds the records of crashing requests in one message.
+const maxRecords = 128
+
+// crashRecords returns what a control host is to be told of crashing requests: all of it at
+// first, as it may have restarted, then what this host saw itself.
+func (g *Gateway) crashRecords(c *controlHost) (records []*pb.QuarantineRecord, next uint64) {
+	wanted := quarantine.Own
+	if !c.toldAll {
+		wanted = quarantine.All
+	}
+	return g.o.Crashes.Since(c.told, maxRecords, wanted)
+}
+
+// noteTold records that a control host took the records up to a revision.
+func (c *controlHost) noteTold(view *pb.FleetView, epochBefore, next uint64, more bool) {
+	if view.Epoch != epochBefore {
+		c.toldAll, c.told = false, 0
+		return
+	}
+	c.told = next
+	c.toldAll = c.toldAll || !more
 }
 
 func (g *Gateway) asks(d controlhosts.Distance) bool {
@@ -177,7 +205,9 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	req := g.request()
-	req.Body = &pb.Request_FleetSync{FleetSync: g.presentation(c, nearest)}
+	sync, next := g.presentation(c, nearest), c.told
+	sync.Quarantine, next = g.crashRecords(c)
+	req.Body = &pb.Request_FleetSync{FleetSync: sync}
 	resp, err := g.o.Peers.Call(ctx, c.addr, req)
 	if err != nil {
 		if ctx.Err() != nil && g.o.Drop != nil {
@@ -189,9 +219,11 @@
 	if view == nil {
 		return nil, failure.New(failure.PeerRefused, "", "the control host at %s gave no view", c.addr)
 	}
+	c.noteTold(view, c.have.epoch, next, len(sync.Quarantine) == maxRecords)
 	if !c.have.complete(view) {
 		return nil, failure.New(failure.PeerRefused, "", "the changes that the control host at %s tells do not fit what this host has", c.addr)
 	}
+	g.o.Crashes.Merge(view.Quarantine, c.addr)
 	g.takeView(view, dispatch.Scope{Loads: nearest, Fleet: g.noteHeard(c, view)})
 	if configstate.Newer(resp.Stamp, g.stamp()) && g.takesFrom(view) {
 		g.fetch(ctx, c.addr, resp.Stamp, fetchTimeout)
@@ -208,7 +240,7 @@
 			Id: g.o.Host, Peer: g.o.Peer, Caller: g.o.Caller, Region: g.o.Region, FailureDomain: g.o.FailureDomain,
 			Ready: g.config.Load() != nil && !g.draining.Load(),
 		},
-		HaveEpoch: c.have.epoch, HaveVersion: c.have.version, HavePrompts: c.have.prompts, WaitMs: uint32(syncWait.Milliseconds()),
+		HaveEpoch: c.have.epoch, HaveVersion: c.have.version, HavePrompts: c.have.prompts, HaveQuarantine: c.have.quarantine, WaitMs: uint32(syncWait.Milliseconds()),
 	}
 	if nearest {
 		g.mu.Lock()
@@ -229,4 +261,5 @@
 	close(g.viewed)
 	g.viewed = make(chan struct{})
 	g.budget.SetHosts(g.fleet.AllHosts())
+	g.tellWatch()
 }
--- a/internal/core/configstate/machine.go
+++ b/internal/core/configstate/machine.go
@@ -115,6 +115,10 @@
 		return m.setEvacuated(c.Evacuate, true)
 	case c.Restore != "":
 		return m.setEvacuated(c.Restore, false)
+	case c.Quarantine != nil:
+		return m.keepQuarantine(c.Quarantine, c.TimeMs)
+	case c.Lift != nil:
+		return m.keepQuarantine(c.Lift, c.TimeMs)
 	case c.DeclaredVersion > 0:
 		return m.applyDeclared(c)
 	}
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -31,6 +31,8 @@
 	Tried map[string]bool
 	// Forwarded is set when the request came from an entry host of another region.
 	Forwarded bool
+	// Ends is the number of servers that ended while they ran the request, as far as known.
+	Ends int
 	// ColdPerSecond is the rate that a cold server tolerates.
 	ColdPerSecond float64
 }
@@ -182,7 +184,7 @@
 	uncovered := math.Max(0, j.Prompt-covered)
 	k := f.costAt(s, j, uncovered, math.Max(0, shared-covered), now)
 	k.addCopy(j, copied)
-	k.loss += f.crossing(s, j) + share
+	k.loss += f.crossing(s, j) + share + f.endLoss(s, j)
 	late := !f.off(Deferral) && k.deferLate(s, j)
 	k.loss += f.o.Random() * tieBreak
 	c.Considered = append(c.Considered, Considered{s.ID, k.firstMS, ""})
@@ -270,7 +272,7 @@
 			continue
 		}
 		k, uncovered := f.costAway(r, j, now)
-		k.loss += prefer.beyond(name)
+		k.loss += prefer.beyond(name) + f.endLossAway(r, j)
 		c.Considered = append(c.Considered, Considered{name, k.firstMS, ""})
 		if k.loss < c.loss {
 			c.Server, c.Host, c.EstimateMS, c.loss, c.key = nil, h, k.firstMS, k.loss, key
--- a/internal/core/dispatch/mechanisms.go
+++ b/internal/core/dispatch/mechanisms.go
@@ -44,13 +44,15 @@
 	Shares
 	// ConfigFromSender takes a newer configuration from the host that sends a request.
 	ConfigFromSender
+	// Isolation keeps requests under which servers ended away from others.
+	Isolation
 )
 
 var mechanismNames = map[string]Mechanisms{
 	"deferral": Deferral, "learned-speeds": LearnedSpeeds, "start-waiting": StartWaiting, "pause-cost": PauseCost,
 	"busy-cost": BusyCost, "homes": Homes, "holders": Holders, "copies": Copies, "own-domain-first": OwnDomainFirst,
 	"silence": Silence, "health": Health, "other-regions": OtherRegions, "sampling": Sampling, "shares": Shares,
-	"config-from-sender": ConfigFromSender,
+	"config-from-sender": ConfigFromSender, "isolation": Isolation,
 }
 
 // ParseMechanisms returns the set of the mechanisms with the given names.
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -30,6 +30,7 @@
 		c.Server.cache.use(c.job.Parts, int(c.job.MemoryTokens), now)
 		c.Server.reading.add(c.Uncovered/f.speedOf(c.job.Service).Rate(), now)
 	}
+	c.Server.suspicion += suspicion(c.job.Ends)
 	if c.Server.cold(now) {
 		c.Server.coldAt = append(c.Server.coldAt, now)
 	}
@@ -94,7 +95,7 @@
 
 // Replaced reports whether the process to which the attempt was sent has ended for certain:
 // another one runs under its ID. No answer can come any more.
-func (f *Fleet) Replaced(c *Choice) bool { return c.Server != nil && c.Server.replaced }
+func (f *Fleet) Replaced(c *Choice) bool { return c.Server != nil && c.Server.Replaced() }
 
 // Outcome is how an attempt ended, as far as the server's health goes.
 type Outcome int
@@ -117,6 +118,7 @@
 		return
 	}
 	s := c.Server
+	s.suspicion = math.Max(0, s.suspicion-suspicion(c.job.Ends))
 	if c.Deferred && !c.read {
 		s.deferred--
 	} else {
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -17,6 +17,8 @@
 	Start   int64
 	Slots   int
 	Leaving bool
+	// Release is the version of the server's software; "" when it was not told.
+	Release string
 	// replaced is set when another process runs under the ID: requests under way are lost.
 	replaced    bool
 	starts      incarnation.History
@@ -41,8 +43,14 @@
 	// progressAt is when this host last got a byte from the server, or began to
 	// wait for one.
 	progressAt time.Time
+	// suspicion is how many of this host's requests at the server are likely to end it.
+	suspicion float64
 }
 
+// Replaced reports whether the server's process has ended for certain: another one runs under
+// its ID.
+func (s *Server) Replaced() bool { return s.replaced }
+
 // stalled reports whether the server sends nothing though requests are under way:
 // it may be dark, or the way to it cut, with connections that just stay silent.
 // Deferred requests wait long at a server that is well.
@@ -78,7 +86,7 @@
 	}
 	heard := now.Add(-ms(m.AgeMs))
 	s.Service, s.Address, s.FailureDomain = m.Service, m.Address, m.FailureDomain
-	s.Slots = int(m.Slots)
+	s.Slots, s.Release = int(m.Slots), m.Release
 	s.Leaving = s.Leaving || m.Leaving // never taken back within one start
 	if heard.After(s.ConfirmedAt) {
 		s.ConfirmedAt = heard
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -50,6 +50,7 @@
 	Start              int64
 	Sequence           uint64
 	Slots              int
+	Release            string // version of its software; "" when it was not told
 	Leaving, Gone      bool
 	FirstSeen, HeardAt time.Time
 	ColdUntil          time.Time
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -68,6 +68,8 @@
 	InvalidSettings   Code = "invalid-settings"
 	ChangeIDReused    Code = "change-id-reused"
 	EvidenceInvalid   Code = "evidence-invalid"
+	Quarantined       Code = "quarantined-request"
+	Suspected         Code = "suspected-request"
 	Internal          Code = "internal"
 )
 
@@ -112,6 +114,8 @@
 	InvalidSettings:   "The settings are invalid",
 	ChangeIDReused:    "The change_id was used for a different change",
 	EvidenceInvalid:   "The configuration carries no valid commit evidence",
+	Quarantined:       "The request crashed the servers that ran it",
+	Suspected:         "The request may have crashed servers and is being tried",
 	Internal:          "Internal error",
 }
 
