A request that crashes servers, on the product's own interface: reproduced, failing

Stand-ins end under a marked body (-crash-on) and are started again after a second; one caller repeats the request at random entry hosts. A chat is sent to up to four servers by the host's own repeats.

--- a/cmd/sesame-standin/main.go
+++ b/cmd/sesame-standin/main.go
@@ -21,12 +21,12 @@
 )
 
 type flags struct {
-	id, listen, kind, models, entries, key, faults string
-	slots, cacheBlocks                             int
-	prefill, gaps                                  float64
-	decode, work, lag, interval                    time.Duration
-	ignoreFence                                    bool
-	seed                                           int64
+	id, listen, kind, models, entries, key, faults, crashOn string
+	slots, cacheBlocks                                      int
+	prefill, gaps                                           float64
+	decode, work, lag, interval                             time.Duration
+	ignoreFence                                             bool
+	seed                                                    int64
 }
 
 func parse() flags {
@@ -47,6 +47,7 @@
 	flag.Float64Var(&f.gaps, "gaps", 0.02, "share of cache event batches that get lost")
 	flag.BoolVar(&f.ignoreFence, "ignore-fence", false, "ignore the fencing numbers of orders")
 	flag.StringVar(&f.faults, "faults", "", "faults, such as die=0.1,stall=0.02")
+	flag.StringVar(&f.crashOn, "crash-on", "", "end the process under a request whose body holds this text; empty for never")
 	flag.Int64Var(&f.seed, "seed", 1, "seed of the faults")
 	flag.Parse()
 	return f
@@ -80,7 +81,11 @@
 		fmt.Fprintf(os.Stderr, "kind %q is not engine, service or directory\n", f.kind)
 		os.Exit(daemon.ExitUsage)
 	}
-	if err := serve(f, router, ann); err != nil {
+	var handler http.Handler = router
+	if f.crashOn != "" {
+		handler = standin.CrashOn(f.crashOn, router)
+	}
+	if err := serve(f, handler, ann); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(daemon.ExitFailure)
 	}
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -68,7 +68,8 @@
 	enginesIn   func(domain int) int // engines of a failure domain; nil for engines each
 	slowControl bool                 // the default intervals, and no relays
 
-	snapshotEvery int // 50 when 0
+	snapshotEvery int    // 50 when 0
+	crashOn       string // text in a request's body that ends the stand-in that runs it
 }
 
 func (s shape) hostCount(domain int) int {
@@ -371,7 +372,7 @@
 		if f.s.slowControl {
 			interval = "1s"
 		}
-		common := []string{"-entries", strings.Join(entries, ","), "-key", backendKey, "-interval", interval, "-lag", "300ms"}
+		common := []string{"-entries", strings.Join(entries, ","), "-key", backendKey, "-interval", interval, "-lag", "300ms", "-crash-on", f.s.crashOn}
 		for k := range f.s.engineCount(n) {
 			id := fmt.Sprintf("%s-engine%d", d, k+1)
 			addr := fmt.Sprintf("127.%d.%d.%d:9000", f.s.net, n+1, 101+k)
