Requests that crash servers are recognised on the product's own interface too

What callers saw: the same fault on the other request path; a chat is sent to up to four servers by the host's own repeats, so that one request ended several servers. Cause and mend as on the platform's path, with one watch for both (app/crashwatch). Hosts of a failure domain tell each other what they saw at once; control hosts put together what different failure domains see, and each host asks one of them in turn every update interval. The refusal is the problem type quarantined-request (422): coming back does not help; while a request with two ends is being tried, its repeats get suspected-request (503) with a time to come back. With suspicion all servers are weighed by the work that their end would cost.

--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -18,12 +18,15 @@
 	"github.com/sesamefork/sesamefork/internal/adapter/callerhttp"
 	"github.com/sesamefork/sesamefork/internal/adapter/directory"
 	"github.com/sesamefork/sesamefork/internal/adapter/enginehttp"
+	"github.com/sesamefork/sesamefork/internal/adapter/listenprobe"
 	"github.com/sesamefork/sesamefork/internal/adapter/logging"
 	"github.com/sesamefork/sesamefork/internal/adapter/metrics"
 	"github.com/sesamefork/sesamefork/internal/adapter/peerlink"
 	"github.com/sesamefork/sesamefork/internal/adapter/settings"
 	"github.com/sesamefork/sesamefork/internal/adapter/tracing"
+	"github.com/sesamefork/sesamefork/internal/app/crashwatch"
 	"github.com/sesamefork/sesamefork/internal/app/entry"
+	"github.com/sesamefork/sesamefork/internal/core/registry"
 	"github.com/sesamefork/sesamefork/internal/daemon"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	"github.com/sesamefork/sesamefork/internal/port"
@@ -79,13 +82,14 @@
 }
 
 func newHost(s *settings.Entry, client *peerlink.Client, backends *enginehttp.Client, t *tracing.Tracer, m *metrics.Set, log logr.Logger) *entry.Host {
+	crashes := newWatch(s, ms(s.Timing.LeaseMS)/registry.MissedAnnouncements, m, log)
 	o := entry.Options{
 		ID: s.Host.ID, Region: s.Host.Region, FailureDomain: s.Host.FailureDomain,
 		Peer: s.Listen.Peer, Seeds: s.Link.Seeds, Control: s.Link.Control, VerifyKey: s.Link.PublicKey(),
 		Probe: ms(s.Timing.ProbeMS), Update: ms(s.Timing.UpdateMS), Summary: ms(s.Timing.SummaryMS),
 		Lease: ms(s.Timing.LeaseMS), Skew: ms(s.Timing.ClockSkewMS), StallTimeout: ms(s.Limits.StallTimeoutMS),
 		MaxBody: s.Limits.MaxBodyBytes, MaxExplained: s.Limits.MaxExplained,
-		Peers: client, Drop: client.Drop, Backends: backends, Clock: port.SystemClock{},
+		Peers: client, Drop: client.Drop, Backends: backends, Clock: port.SystemClock{}, Crashes: crashes,
 		Log: log, Metrics: m, Tracer: t,
 	}
 	if s.Directory.URL != "" {
@@ -94,6 +98,18 @@
 	return entry.New(o)
 }
 
+// newWatch returns what recognises requests that crash servers, which announce themselves at
+// an interval.
+func newWatch(s *settings.Entry, announceEvery time.Duration, m *metrics.Set, log logr.Logger) *crashwatch.Watch {
+	w := crashwatch.New(crashwatch.Options{
+		Quarantine: s.Quarantine.Options(s.Host.ID), AnnounceEvery: announceEvery,
+		Probe: listenprobe.Dialer{Local: daemon.HostIP(s.Listen.Peer)}, Clock: port.SystemClock{}, Log: log, Metrics: m,
+	})
+	m.Gauge("requests_under_suspicion", func() any { n, _ := w.Sizes(); return n })
+	m.Gauge("requests_refused_as_crashing", func() any { _, n := w.Sizes(); return n })
+	return w
+}
+
 // run serves until a signal, then drains. It returns the requests that were cut.
 func run(s *settings.Entry, log logr.Logger) ([]string, error) {
 	link, err := links(s)
--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -9,13 +9,11 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/sesamefork/sesamefork/internal/adapter/listenprobe"
 	"github.com/sesamefork/sesamefork/internal/adapter/logging"
 	"github.com/sesamefork/sesamefork/internal/adapter/metrics"
 	"github.com/sesamefork/sesamefork/internal/adapter/peerlink"
 	"github.com/sesamefork/sesamefork/internal/adapter/settings"
 	"github.com/sesamefork/sesamefork/internal/adapter/tracing"
-	"github.com/sesamefork/sesamefork/internal/app/crashwatch"
 	"github.com/sesamefork/sesamefork/internal/app/gateway"
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
@@ -51,10 +49,7 @@
 		return fault
 	}
 	servers := platform.NewServers(daemon.HostIP(s.Listen.Peer))
-	crashes := crashwatch.New(crashwatch.Options{
-		Quarantine: s.Quarantine.Options(s.Host.ID), AnnounceEvery: time.Duration(s.Fleet.HeartbeatMS) * time.Millisecond,
-		Probe: listenprobe.Dialer{Local: daemon.HostIP(s.Listen.Peer)}, Clock: port.SystemClock{}, Log: log, Metrics: m,
-	})
+	crashes := newWatch(s, time.Duration(s.Fleet.HeartbeatMS)*time.Millisecond, m, log)
 	g := gateway.New(gateway.Options{
 		Host: s.Host.ID, Region: s.Host.Region, FailureDomain: s.Host.FailureDomain,
 		Peer: s.Fleet.PeerAddress(s.Listen.Peer), Caller: s.Listen.Caller, Seeds: s.Fleet.PeerSeeds(),
@@ -66,8 +61,6 @@
 	m.Gauge("version", func() any { return g.Version() })
 	m.Gauge("config_staleness_ms", func() any { return g.ConfigStaleness().Milliseconds() })
 	m.Gauge("inflight", func() any { return g.Inflight() })
-	m.Gauge("requests_under_suspicion", func() any { n, _ := crashes.Sizes(); return n })
-	m.Gauge("requests_refused_as_crashing", func() any { _, n := crashes.Sizes(); return n })
 	m.Gauge("learned_speeds", func() any { return g.Speeds() })
 	return servePlatform(path, s, g, servers, link, log)
 }
--- a/internal/adapter/problem/status.go
+++ b/internal/adapter/problem/status.go
@@ -50,6 +50,8 @@
 	failure.InvalidSettings:   http.StatusInternalServerError,
 	failure.ChangeIDReused:    http.StatusUnprocessableEntity,
 	failure.EvidenceInvalid:   http.StatusInternalServerError,
+	failure.Quarantined:       http.StatusUnprocessableEntity,
+	failure.Suspected:         http.StatusServiceUnavailable,
 	failure.Internal:          http.StatusInternalServerError,
 }
 
--- a/internal/app/control/peer.go
+++ b/internal/app/control/peer.go
@@ -55,6 +55,8 @@
 		if !r.fleet.takeExchange(b.ControlExchange) {
 			return failure.New(failure.PeerRefused, "", "an entry host that is still there was never told here")
 		}
+	case *pb.Request_QuarantineUpdate:
+		resp.Body = &pb.Response_QuarantineUpdate{QuarantineUpdate: r.answerUpdate(b.QuarantineUpdate, req.From)}
 	case *pb.Request_StatusQuery:
 		st, err := r.Status(ctx)
 		if err != nil {
--- a/internal/app/control/replica.go
+++ b/internal/app/control/replica.go
@@ -122,7 +122,7 @@
 		senders:  map[senderKey]*sender{},
 		reports:  newReports(),
 		started:  o.Clock.Now(),
-		verdicts: newVerdicts(o.Quarantine),
+		verdicts: newVerdicts(o.Quarantine, uint64(o.Clock.Now().UnixNano())),
 	}
 	if err := r.load(); err != nil {
 		return nil, err
--- a/internal/app/control/verdicts.go
+++ b/internal/app/control/verdicts.go
@@ -27,12 +27,27 @@
 type verdicts struct {
 	mu    sync.Mutex
 	table *quarantine.Table
+	epoch uint64 // tells this process's revisions from an earlier one's
 	// inLog is the revision up to which the table's verdicts are in the log, as the leader
 	// knows.
 	inLog uint64
 }
 
-func newVerdicts(o quarantine.Options) *verdicts { return &verdicts{table: quarantine.New(o)} }
+func newVerdicts(o quarantine.Options, epoch uint64) *verdicts {
+	return &verdicts{table: quarantine.New(o), epoch: epoch}
+}
+
+// answerUpdate takes what an entry host tells, and returns what it needs of the others.
+func (r *Replica) answerUpdate(m *pb.QuarantineUpdate, from string) *pb.QuarantineUpdate {
+	r.mergeVerdicts(m.Records, from)
+	have := uint64(0)
+	if m.Epoch == r.verdicts.epoch {
+		have = m.Have
+	}
+	out := &pb.QuarantineUpdate{Epoch: r.verdicts.epoch}
+	out.Records, out.Next = r.verdictsSince(have, viewRecords, quarantine.Decisive)
+	return out
+}
 
 // merge takes what another host knows. It reports whether entry hosts must be told at once.
 func (r *Replica) mergeVerdicts(records []*pb.QuarantineRecord, from string) (decisive bool) {
--- a/internal/app/crashwatch/crashwatch.go
+++ b/internal/app/crashwatch/crashwatch.go
@@ -26,8 +26,6 @@
 	Clock   port.Clock
 	Log     logr.Logger
 	Metrics port.Metrics
-	// Changed is called after a verdict came or went by what happened here; nil for nothing.
-	Changed func()
 }
 
 // Times of a question whether a server's process has ended.
@@ -48,6 +46,7 @@
 	table  *quarantine.Table
 	breaks *quarantine.Breaks
 	checks map[quarantine.Start]*check
+	change func()
 }
 
 // check is one question whether a process listens, for all requests that a server broke off.
@@ -64,6 +63,14 @@
 	}
 }
 
+// OnChange sets what is called after evidence was found here, for the other hosts to be told
+// at once. It must not wait.
+func (w *Watch) OnChange(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.change = f
+}
+
 // Begin returns how an attempt of a request is to be treated, or its refusal. Finish follows
 // an attempt that was not refused.
 func (w *Watch) Begin(f quarantine.Fingerprint) (quarantine.Judgement, *failure.Error) {
@@ -192,20 +199,20 @@
 
 // countLocked counts evidence against the requests that it names.
 func (w *Watch) countLocked(list []quarantine.Evidence, proof string) {
-	now, decided := w.o.Clock.Now(), false
+	now, news := w.o.Clock.Now(), false
 	for _, e := range list {
 		j, counted := w.table.Ended(e, now)
 		if !counted {
 			continue
 		}
+		news = true
 		w.o.Metrics.Add("servers_ended_under_requests", 1)
 		if j.Ends > 1 {
-			decided = true
 			w.logVerdict(quarantine.Change{Fingerprint: e.Fingerprint, After: j, Team: e.Team, Service: e.Service, Release: e.Release}, "proof", proof, "server_key", e.Server)
 		}
 	}
-	if decided && w.o.Changed != nil {
-		w.o.Changed()
+	if news && w.change != nil {
+		w.change()
 	}
 }
 
--- a/internal/app/entry/execute.go
+++ b/internal/app/entry/execute.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/sesamefork/sesamefork/internal/core/placement"
+	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
@@ -32,6 +33,10 @@
 	explain    *Explanation
 	began      time.Time
 	lastToken  time.Time
+	// fingerprint is the same for each repeat of the request, judgement how it stood at the
+	// last attempt.
+	fingerprint quarantine.Fingerprint
+	judgement   quarantine.Judgement
 }
 
 // Execute carries out a request and passes its answer to sink. The failure
@@ -53,7 +58,7 @@
 	x := &execution{
 		r: r, view: v, permitted: permitted, sink: sink, avoid: map[string]bool{},
 		relayed: r.Resume, began: h.o.Clock.Now(),
-		explain: h.explained.start(r, h.o),
+		explain: h.explained.start(r, h.o), fingerprint: fingerprintOf(r),
 	}
 	if !r.Deadline.IsZero() {
 		var cancel context.CancelFunc
@@ -98,13 +103,18 @@
 	pause.InitialInterval = 10 * time.Millisecond
 	pause.MaxInterval = 500 * time.Millisecond
 	for {
+		if f := h.admit(x); f != nil {
+			return x.finalFailure(ctx, f)
+		}
 		p, f := h.acquire(ctx, x)
 		if f != nil {
+			h.o.Crashes.Finish(x.fingerprint, x.judgement)
 			return x.finalFailure(ctx, f)
 		}
 		x.attempts++
 		res := h.attempt(ctx, x, p)
 		h.release(p, res.connected)
+		h.o.Crashes.Finish(x.fingerprint, x.judgement)
 		x.explain.attempt(p, res, x.attempts)
 		if x.ended {
 			return nil // the last event was passed on: what follows it doesn't matter
@@ -152,6 +162,9 @@
 	if res.point == retry.Answered {
 		return true
 	}
+	if res.err != nil && (res.err.Code == failure.Quarantined || res.err.Code == failure.Suspected) {
+		return false // another failure domain refused it, for what holds everywhere
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.budget.Retry() {
@@ -200,7 +213,9 @@
 	defer stall.Stop()
 	var res result
 	if p.Server != nil {
+		served := h.breakOf(p)
 		res = h.attemptLocal(ctx, stall, x, p)
+		h.noteSurvival(ctx, x, served, res)
 	} else {
 		res = h.attemptForward(ctx, stall, x, p)
 	}
--- a/internal/app/entry/host.go
+++ b/internal/app/entry/host.go
@@ -18,6 +18,7 @@
 	"github.com/go-logr/logr"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/sesamefork/sesamefork/internal/app/crashwatch"
 	"github.com/sesamefork/sesamefork/internal/core/admission"
 	"github.com/sesamefork/sesamefork/internal/core/backend"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
@@ -48,6 +49,9 @@
 	MaxBody      int64
 	MaxExplained int
 
+	// Crashes recognises requests that crash servers; nil for one that asks no server whether
+	// it has ended.
+	Crashes   *crashwatch.Watch
 	Peers     port.Peers
 	Drop      func(addr string) // ends the link to a dead host; may be nil
 	Backends  port.Backends
@@ -97,6 +101,7 @@
 	versions  map[string]hostVersion // configuration in force on neighbours
 	wake      chan struct{}
 	sendNow   chan struct{}
+	crashes   *crashNews
 }
 
 type hostVersion struct {
@@ -131,7 +136,12 @@
 		versions:  map[string]hostVersion{},
 		wake:      make(chan struct{}, 1),
 		sendNow:   make(chan struct{}, 1),
+		crashes:   newCrashNews(),
 	}
+	if h.o.Crashes == nil {
+		h.o.Crashes = crashwatch.New(crashwatch.Options{AnnounceEvery: o.Lease, Clock: o.Clock, Log: o.Log, Metrics: o.Metrics})
+	}
+	h.o.Crashes.OnChange(func() { h.poke(h.crashes.wake) })
 	h.members = membership.New(membership.Options{
 		ID: o.ID, SuspectTimeout: suspectFactor * o.Probe, Seed: rand.Int64(),
 	}, h.incarnation)
@@ -149,6 +159,7 @@
 	h.every(ctx, housekeeping, h.housekeep)
 	h.every(ctx, h.ledger.interval(), h.ledger.tick)
 	h.every(ctx, time.Second, h.seek)
+	h.every(ctx, h.o.Update, h.tellCrashes)
 	h.wg.Add(1)
 	go func() {
 		defer h.wg.Done()
@@ -160,6 +171,8 @@
 				h.sendUpdates(ctx)
 			case <-h.wake:
 				h.dispatch()
+			case <-h.crashes.wake:
+				h.tellCrashes(ctx)
 			}
 		}
 	}()
@@ -200,6 +213,7 @@
 	h.members.Tick(now)
 	h.place.Table.Expire(now)
 	h.mu.Unlock()
+	h.watchServers()
 	h.memberEvents()
 	h.dispatch()
 }
--- a/internal/app/entry/peer.go
+++ b/internal/app/entry/peer.go
@@ -34,6 +34,8 @@
 		// The stamp in the head was taken in above.
 	case *pb.Request_Ledger:
 		resp.Body = &pb.Response_Ledger{Ledger: h.ledger.handle(b.Ledger)}
+	case *pb.Request_QuarantineUpdate:
+		h.o.Crashes.Merge(b.QuarantineUpdate.Records, req.From)
 	case *pb.Request_StatusQuery:
 		resp.Body = &pb.Response_Status{Status: h.status()}
 	default:
--- a/internal/core/dispatch/isolation.go
+++ b/internal/core/dispatch/isolation.go
@@ -11,21 +11,6 @@
 // others there their answers too. A request under which servers ended goes where few others
 // are, and others go elsewhere while it runs.
 
-// oneEndSuspicion is the chance that a request is the cause of a server's end: it was one of
-// some thirty there.
-const oneEndSuspicion = 1.0 / 30
-
-// suspicion is how likely a request ends the server that runs it, by the ends before.
-func suspicion(ends int) float64 {
-	switch ends {
-	case 0:
-		return 0
-	case 1:
-		return oneEndSuspicion
-	}
-	return 1 // no other request was at both servers
-}
-
 // endLoss is what the end of the server would cost: for a suspected request the answers of
 // all others there, for any other its own.
 func (f *Fleet) endLoss(s *Server, j *Job) float64 {
@@ -33,7 +18,7 @@
 		return 0
 	}
 	others := float64(s.own.requests + s.others.requests + s.deferred + s.othersDeferred)
-	return errorLoss * (suspicion(j.Ends)*others + math.Min(1, s.suspicion))
+	return errorLoss * (quarantine.Suspicion(j.Ends)*others + math.Min(1, s.suspicion))
 }
 
 // endLossAway is the same for another region's mean server.
@@ -41,7 +26,7 @@
 	if f.off(Isolation) || r.servers == 0 {
 		return 0
 	}
-	return errorLoss * suspicion(j.Ends) * r.requests / r.servers
+	return errorLoss * quarantine.Suspicion(j.Ends) * r.requests / r.servers
 }
 
 // Sightings returns the servers that are known, and the releases that the usable ones of each
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/speed"
 )
 
@@ -30,7 +31,7 @@
 		c.Server.cache.use(c.job.Parts, int(c.job.MemoryTokens), now)
 		c.Server.reading.add(c.Uncovered/f.speedOf(c.job.Service).Rate(), now)
 	}
-	c.Server.suspicion += suspicion(c.job.Ends)
+	c.Server.suspicion += quarantine.Suspicion(c.job.Ends)
 	if c.Server.cold(now) {
 		c.Server.coldAt = append(c.Server.coldAt, now)
 	}
@@ -118,7 +119,7 @@
 		return
 	}
 	s := c.Server
-	s.suspicion = math.Max(0, s.suspicion-suspicion(c.job.Ends))
+	s.suspicion = math.Max(0, s.suspicion-quarantine.Suspicion(c.job.Ends))
 	if c.Deferred && !c.read {
 		s.deferred--
 	} else {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -14,6 +14,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/admission"
 	"github.com/sesamefork/sesamefork/internal/core/backend"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
+	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/routing"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
@@ -33,6 +34,7 @@
 	Permitted []string        // regions
 	Forwarded bool            // came from another entry host: own servers only
 	Avoid     map[string]bool // servers and failure domains that failed
+	Ends      int             // servers that ended while they ran the request
 	Policy    configstate.Policy
 }
 
@@ -267,7 +269,7 @@
 		PriceMS: j.Policy.SendAwayPriceMS, Margin: j.Policy.SendAwayMargin, Ceiling: j.Policy.SendAwayCeiling,
 		CacheWeight: j.Policy.CacheWeight, QueuePerSlot: j.Policy.MaxQueuePerSlot,
 	}
-	q := routing.Query{Prefixes: j.Prefixes, PromptTokens: j.Tokens, Away: j.Forwarded}
+	q := routing.Query{Prefixes: j.Prefixes, PromptTokens: j.Tokens, Away: j.Forwarded, Suspicion: quarantine.Suspicion(j.Ends)}
 	return routing.Choose(q, s.localServers(j, now), s.remoteDomains(j, now), w, s.share.value(now), s.o.Random)
 }
 
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -24,6 +24,22 @@
 // or two may end by chance under the same request and its repeats.
 const Crashes = 3
 
+// oneEndSuspicion is the chance that a request is the cause of a server's end: it was one of
+// some thirty there.
+const oneEndSuspicion = 1.0 / 30
+
+// Suspicion is how likely a request ends the server that runs it, by the ends before. After
+// two it is all but sure: no other request was at both servers.
+func Suspicion(ends int) float64 {
+	switch ends {
+	case 0:
+		return 0
+	case 1:
+		return oneEndSuspicion
+	}
+	return 1
+}
+
 // maxEnds is how many ends are kept of a fingerprint: those that quarantine it and one of
 // each trial after that. With so many there is no further trial.
 const maxEnds = Crashes + 3
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -17,6 +17,8 @@
 	Prefixes     []uint64 // chain of prefix hashes, shortest first
 	PromptTokens float64
 	Away         bool // the request was forwarded: only own servers may take it
+	// Suspicion is the chance that the request ends the server that runs it.
+	Suspicion float64
 }
 
 // Server is a usable backend server of the own failure domain.
@@ -147,9 +149,12 @@
 		return nil
 	}
 	candidates := candidates(q, open, random)
+	if q.Suspicion > 0 {
+		candidates = all(open) // the emptiest of all, for what its end would cost
+	}
 	best := -1
 	for _, i := range candidates {
-		if best < 0 || Estimate(q, open[i], w.CacheWeight) < Estimate(q, open[best], w.CacheWeight) {
+		if best < 0 || placeCost(q, open[i], w.CacheWeight) < placeCost(q, open[best], w.CacheWeight) {
 			best = i
 		}
 	}
@@ -163,6 +168,20 @@
 	return &open[best]
 }
 
+// placeCost is the time to first token at a server with what the server's end would cost: the
+// work of the others there.
+func placeCost(q Query, s Server, cacheWeight float64) float64 {
+	return Estimate(q, s, cacheWeight) + q.Suspicion*s.Outstanding*s.ServiceMS
+}
+
+func all(open []Server) []int {
+	out := make([]int, len(open))
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
 func candidates(q Query, open []Server, random func() float64) []int {
 	seen := map[int]bool{}
 	var out []int
