Operators list requests that crash servers and lift a quarantine; own repeats do not quarantine

A lift goes through the group's log. Found by the test of the lift: a chat that was let through again ended three servers by the host's own repeats within one request, and was quarantined before its caller came back. After two ends under a request the system no longer repeats it by itself; its caller is told suspected-request with a time to come back (TestOwnRepeatsDoNotQuarantine).

The process test on the own interface restarts an entry host, lists and lifts.

--- a/cmd/sesame-control/platform.go
+++ b/cmd/sesame-control/platform.go
@@ -7,12 +7,14 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/gorilla/mux"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sesamefork/sesamefork/internal/adapter/enginehttp"
 	"github.com/sesamefork/sesamefork/internal/adapter/journal"
 	"github.com/sesamefork/sesamefork/internal/adapter/logging"
 	"github.com/sesamefork/sesamefork/internal/adapter/metrics"
+	"github.com/sesamefork/sesamefork/internal/adapter/operatorhttp"
 	"github.com/sesamefork/sesamefork/internal/adapter/peerlink"
 	"github.com/sesamefork/sesamefork/internal/adapter/settings"
 	"github.com/sesamefork/sesamefork/internal/app/control"
@@ -167,7 +169,10 @@
 		s.Listen.Directory: platform.NewDirectory(fleet),
 	}
 	if s.Listen.Debug != "" {
-		handlers[s.Listen.Debug] = daemon.DebugHandler()
+		router := mux.NewRouter()
+		operatorhttp.MountQuarantine(router, r, log)
+		router.NotFoundHandler = daemon.DebugHandler()
+		handlers[s.Listen.Debug] = router
 	}
 	for addr, h := range handlers {
 		srv, ln, err := daemon.NewHTTPServer(addr, h, nil)
--- /dev/null
+++ b/internal/adapter/operatorhttp/quarantine.go
@@ -0,0 +1,79 @@
+package operatorhttp
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gorilla/mux"
+
+	"github.com/sesamefork/sesamefork/internal/adapter/problem"
+	"github.com/sesamefork/sesamefork/internal/app/control"
+	"github.com/sesamefork/sesamefork/internal/core/quarantine"
+	"github.com/sesamefork/sesamefork/internal/failure"
+)
+
+// Suspect is the JSON form of a request under which servers ended.
+type Suspect struct {
+	Fingerprint string `json:"fingerprint"`
+	// Verdict is "quarantined" when the request is refused, "suspect" when it is tried where it
+	// does least harm.
+	Verdict string `json:"verdict"`
+	Team    string `json:"team"`
+	Service string `json:"service"`
+	Release string `json:"release,omitempty"` // of the server that ended last
+	Crashes int    `json:"crashes"`
+	// LastCrashMS is the age of the last crash, in ms.
+	LastCrashMS int64 `json:"last_crash_ms"`
+}
+
+// Paths of the calls on requests that crash servers.
+const (
+	quarantinePath = "/v1/quarantine"
+	suspectPath    = quarantinePath + "/{fingerprint:[0-9a-f]+}"
+)
+
+func (h *Handler) listQuarantine(w http.ResponseWriter, _ *http.Request, _ string) error {
+	return writeJSON(w, suspects(h.replica, time.Now()))
+}
+
+func suspects(r *control.Replica, now time.Time) []Suspect {
+	out := []Suspect{}
+	for _, e := range r.Quarantine() {
+		out = append(out, Suspect{
+			Fingerprint: e.Fingerprint.String(), Verdict: e.Verdict.String(), Team: e.Team, Service: e.Service, Release: e.Release,
+			Crashes: e.Crashes, LastCrashMS: max(0, now.Sub(e.LastCrash).Milliseconds()),
+		})
+	}
+	return out
+}
+
+func (h *Handler) liftQuarantine(w http.ResponseWriter, r *http.Request, operator string) error {
+	f, err := quarantine.ParseFingerprint(mux.Vars(r)["fingerprint"])
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), changeTimeout)
+	defer cancel()
+	if err := h.replica.Lift(ctx, f); err != nil {
+		return err
+	}
+	h.log.Info("quarantine lifted", "operator", operator, "fingerprint", f.String())
+	return writeJSON(w, map[string]string{"result": "lifted"})
+}
+
+// MountQuarantine adds the calls on requests that crash servers to a router that operators
+// reach without a key.
+func MountQuarantine(router *mux.Router, r *control.Replica, log logr.Logger) {
+	h := &Handler{replica: r, log: log}
+	open := func(f handlerFunc) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if err := f(w, r, "operator"); err != nil {
+				problem.Write(w, failure.As(err, failure.Unknown), "")
+			}
+		}
+	}
+	router.HandleFunc(quarantinePath, open(h.listQuarantine)).Methods(http.MethodGet)
+	router.HandleFunc(suspectPath, open(h.liftQuarantine)).Methods(http.MethodDelete)
+}
--- a/internal/app/crashwatch/crashwatch.go
+++ b/internal/app/crashwatch/crashwatch.go
@@ -71,12 +71,12 @@
 	w.change = f
 }
 
-// Begin returns how an attempt of a request is to be treated, or its refusal. Finish follows
-// an attempt that was not refused.
-func (w *Watch) Begin(f quarantine.Fingerprint) (quarantine.Judgement, *failure.Error) {
+// Begin returns how an attempt of a request is to be treated, or its refusal. again says that
+// the request has been at a server before. Finish follows an attempt that was not refused.
+func (w *Watch) Begin(f quarantine.Fingerprint, again bool) (quarantine.Judgement, *failure.Error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	j := w.table.Begin(f, w.o.Clock.Now())
+	j := w.table.Begin(f, again, w.o.Clock.Now())
 	switch j.Verdict {
 	case quarantine.Quarantined:
 		w.o.Metrics.Add("refused_quarantined", 1)
--- a/internal/app/entry/crashes.go
+++ b/internal/app/entry/crashes.go
@@ -18,7 +18,7 @@
 
 // admit returns the refusal of a request that crashes servers; nil when it may be tried.
 func (h *Host) admit(x *execution) *failure.Error {
-	j, f := h.o.Crashes.Begin(x.fingerprint)
+	j, f := h.o.Crashes.Begin(x.fingerprint, x.mayHaveRun)
 	x.judgement = j
 	if f != nil {
 		h.o.Log.Info("request refused as a crashing one", "request_id", x.r.ID, "fingerprint", x.fingerprint.String(), "verdict", j.Verdict.String(), "ends", j.Ends)
@@ -26,8 +26,8 @@
 	return f
 }
 
-// breakOf names the start of a place's server, with whether it was leaving.
-func (h *Host) breakOf(p *placement.Place) (b quarantine.Break) {
+// breakOf names the start of a place's server, as it is when the attempt begins.
+func (h *Host) breakOf(p *placement.Place) quarantine.Break {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return quarantine.Break{Start: quarantine.Start{ID: p.ServerID, Born: int64(p.Server.State.Incarnation)}, Address: p.Address}
--- a/internal/app/gateway/ended.go
+++ b/internal/app/gateway/ended.go
@@ -19,7 +19,7 @@
 
 // admit returns the refusal of a request that crashes servers; nil when it may be tried.
 func (g *Gateway) admit(x *execution) *failure.Error {
-	j, f := g.o.Crashes.Begin(x.fingerprint)
+	j, f := g.o.Crashes.Begin(x.fingerprint, x.mayHaveRun)
 	x.judgement = j
 	if f != nil {
 		g.o.Log.Info("request refused as a crashing one", "request_id", x.r.ID, "fingerprint", x.fingerprint.String(), "verdict", j.Verdict.String(), "ends", j.Ends)
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -81,7 +81,7 @@
 	Clear       Verdict = iota
 	Suspect             // servers ended under it: it runs where it can do least harm
 	Trial               // quarantined for long enough: it may run once
-	Busy                // it is a likely cause and runs already: not beside itself
+	Busy                // it is a likely cause, and runs already or has just run: not now
 	Quarantined         // refused
 )
 
@@ -158,15 +158,16 @@
 }
 
 // Begin returns how an attempt of the request is to be treated. Every Begin is followed by
-// one Finish with its verdict.
-func (t *Table) Begin(f Fingerprint, now time.Time) Judgement {
+// one Finish with its verdict. again says that the request has been at a server before: the
+// end that would quarantine it is not brought about by the system's own repeats.
+func (t *Table) Begin(f Fingerprint, again bool, now time.Time) Judgement {
 	r := t.get(f)
 	if r == nil {
 		return Judgement{}
 	}
 	j := t.judge(r, now)
 	if r.alone(j.Verdict) {
-		if r.running > 0 {
+		if r.running > 0 || again {
 			j.Verdict = Busy
 			return j
 		}
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -44,11 +44,11 @@
 		{"one server ended", func(t *Table) { t.endedAt(f, 1, start) }, 0, Suspect},
 		{"one start counts once", func(t *Table) { t.endedAt(f, 1, start); t.endedAt(f, 1, start); t.endedAt(f, 1, start) }, 0, Suspect},
 		{"two servers ended", func(t *Table) { t.endedAt(f, 1, start); t.endedAt(f, 2, start) }, 0, Suspect},
-		{"two servers ended, and it runs already", func(t *Table) { t.endedAt(f, 1, start); t.endedAt(f, 2, start); t.Begin(f, start) }, 0, Busy},
+		{"two servers ended, and it runs already", func(t *Table) { t.endedAt(f, 1, start); t.endedAt(f, 2, start); t.Begin(f, false, start) }, 0, Busy},
 		{"two servers ended, and it ran", func(t *Table) {
 			t.endedAt(f, 1, start)
 			t.endedAt(f, 2, start)
-			t.Finish(f, t.Begin(f, start))
+			t.Finish(f, t.Begin(f, false, start))
 		}, 0, Suspect},
 		{"three servers ended", three, 0, Quarantined},
 		{"three of another request", func(t *Table) {
@@ -72,7 +72,7 @@
 		{"two ended long ago, one now", func(t *Table) { t.endedAt(f, 1, start); t.endedAt(f, 2, start); t.endedAt(f, 3, at(time.Hour)) }, time.Hour, Suspect},
 		{"three ended, not long enough ago", three, hold - time.Second, Quarantined},
 		{"three ended long enough ago", three, hold + trialSpacing, Trial},
-		{"the trial runs", func(t *Table) { three(t); t.Begin(f, at(hold+trialSpacing)) }, hold + trialSpacing, Busy},
+		{"the trial runs", func(t *Table) { three(t); t.Begin(f, false, at(hold+trialSpacing)) }, hold + trialSpacing, Busy},
 		{"the trial ended a server", func(t *Table) { three(t); t.endedAt(f, 9, at(hold+trialSpacing)) }, 2*hold + trialSpacing, Quarantined},
 		{"long after the trial", func(t *Table) { three(t); t.endedAt(f, 9, at(hold)) }, 3*hold + trialSpacing, Trial},
 		{"after three trials", func(t *Table) {
@@ -94,13 +94,28 @@
 		t.Run(c.name, func(t *testing.T) {
 			table := newTable("host")
 			c.play(table)
-			if got := table.Begin(f, at(c.after)); got.Verdict != c.want {
+			if got := table.Begin(f, false, at(c.after)); got.Verdict != c.want {
 				t.Errorf("%s with %d ends, want %s", got.Verdict, got.Ends, c.want)
 			}
 		})
 	}
 }
 
+// TestOwnRepeatsDoNotQuarantine checks that a request which two servers ended under is not
+// sent to a third one by the system itself.
+func TestOwnRepeatsDoNotQuarantine(t *testing.T) {
+	f := request(1)
+	for ends, want := range []Verdict{Clear, Suspect, Busy, Quarantined} {
+		table := newTable("host")
+		for s := range ends {
+			table.endedAt(f, uint64(s), start)
+		}
+		if got := table.Begin(f, true, start).Verdict; got != want {
+			t.Errorf("after %d ends: %s, want %s", ends, got, want)
+		}
+	}
+}
+
 // TestTurnsAtATrial checks that two hosts of many hardly ever try at the same moment, and
 // that each comes to its turn.
 func TestTurnsAtATrial(t *testing.T) {
--- a/test/process/crashing_request_test.go
+++ b/test/process/crashing_request_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/adapter/operatorhttp"
 	"github.com/sesamefork/sesamefork/internal/standin"
 )
 
@@ -85,7 +86,7 @@
 				k.keep(ctx, f, d+"-shop")
 			}
 			answers := f.repeat(ctx, c.path, c.body, k)
-			cancel()
+			defer cancel()
 			ends := k.crashes()
 			if len(ends) < crashesNeeded {
 				t.Fatalf("%d stand-ins crashed: the test shows nothing; answers %v", len(ends), answers)
@@ -103,6 +104,7 @@
 			if answers["quarantined-request"] == 0 {
 				t.Error("no answer says that the request is quarantined")
 			}
+			f.checkRestartAndLift(c.path, c.body, k)
 		})
 	}
 }
@@ -155,3 +157,31 @@
 	}
 	return rest[:strings.IndexAny(rest, `"`)]
 }
+
+// checkRestartAndLift checks that an entry host that starts again refuses the request too, and
+// that it is let through once an operator has lifted its quarantine.
+func (f *fleet) checkRestartAndLift(path, body string, k *keeper) {
+	f.t.Helper()
+	h := f.hosts[0]
+	f.kill(h.id)
+	f.restart(h.id)
+	f.awaitHost(h)
+	f.await("the restarted host refuses", func() bool {
+		return f.ask(context.Background(), h.url()+path, body) == "quarantined-request"
+	})
+	var list []operatorhttp.Suspect
+	if err := f.ctl.Do(context.Background(), http.MethodGet, "/v1/quarantine", nil, &list); err != nil || len(list) != 1 {
+		f.t.Fatalf("listed: %+v, %v", list, err)
+	}
+	if s := list[0]; s.Verdict != "quarantined" || s.Crashes < crashesNeeded || s.Team != "free" {
+		f.t.Errorf("listed: %+v", s)
+	}
+	if err := f.ctl.Do(context.Background(), http.MethodDelete, "/v1/quarantine/"+list[0].Fingerprint, nil, nil); err != nil {
+		f.t.Fatal(err)
+	}
+	before := len(k.crashes())
+	f.await("the request is let through", func() bool {
+		f.ask(context.Background(), h.url()+path, body)
+		return len(k.crashes()) > before
+	})
+}
