--- /dev/null
+++ b/internal/app/gateway/crashes_test.go
@@ -0,0 +1,216 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/sesamefork/sesamefork/internal/app/crashwatch"
+	"github.com/sesamefork/sesamefork/internal/core/quarantine"
+	"github.com/sesamefork/sesamefork/internal/failure"
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+	"github.com/sesamefork/sesamefork/internal/port"
+)
+
+// fakeProbe answers every question the same way.
+type fakeProbe port.Listening
+
+func (p fakeProbe) Listening(context.Context, string) port.Listening { return port.Listening(p) }
+
+// newCrashFixture is a gateway whose servers answer a connection in one way, with enough of
+// them for each attempt to find another.
+func newCrashFixture(t *testing.T, answer port.Listening) *fixture {
+	f := newFixture(t)
+	f.g.o.Crashes = crashwatch.New(crashwatch.Options{
+		AnnounceEvery: time.Second, Probe: fakeProbe(answer), Clock: f.clock, Log: logr.Discard(), Metrics: noMetrics{},
+	})
+	f.view(sixDesks)
+	return f
+}
+
+// sixDesks is a view of six servers of the plain service, and of no other region.
+func sixDesks(v *pb.FleetView) {
+	v.Hosts, v.Regions = nil, nil
+	for _, n := range []string{"3", "4", "5", "6"} {
+		v.Servers = append(v.Servers, &pb.FleetServer{Id: "desk" + n, Service: "desk", Address: "10.1.1." + n + ":80", FailureDomain: "w1", Sequence: 1, Slots: 8})
+	}
+}
+
+// ends returns how many servers are held to have ended under a request.
+func (f *fixture) ends(path string) int {
+	records, _ := f.g.o.Crashes.Since(0, 100, quarantine.All)
+	want := fingerprintOf(f.request(path))
+	for _, r := range records {
+		if string(r.Fingerprint) == string(want[:]) {
+			return len(r.Server)
+		}
+	}
+	return 0
+}
+
+// TestWhatCountsAsAnEnd plays how one attempt can go for its server, and checks whether the
+// server is held to have ended under the request.
+func TestWhatCountsAsAnEnd(t *testing.T) {
+	reset := errors.New("connection reset")
+	for _, c := range []struct {
+		name   string
+		path   string
+		listen port.Listening
+		answer func() (*Answer, bool, error)
+		before func(f *fixture, cancel func())
+		want   int
+	}{
+		{"lost, no process listens", "/stock/1", port.Refuses, failed(true, reset), nil, 1},
+		{"broken off within the answer, no process listens", "/stock/1", port.Refuses,
+			func() (*Answer, bool, error) { return streamed("half", true), true, nil }, nil, 1},
+		{"lost, a process listens", "/stock/1", port.Accepts, failed(true, reset), nil, 0},
+		{"lost, the address does not answer", "/stock/1", port.NoAnswer, failed(true, reset), nil, 0},
+		{"never sent", "/stock/1", port.Refuses, failed(false, reset), nil, 0},
+		{"refused by the server", "/stock/1", port.Refuses, answered(notRunAnswer(NotRun)), nil, 0},
+		{"the server's own failure", "/stock/1", port.Refuses, answered(ran(500, "bad")), nil, 0},
+		{"an answer without the server's signature", "/stock/1", port.Refuses, answered(notRunAnswer(Foreign)), nil, 0},
+		{"the caller left", "/stock/1", port.Refuses, failed(true, reset), func(_ *fixture, cancel func()) { cancel() }, 0},
+		{"the server was leaving", "/stock/1", port.Refuses, failed(true, reset), func(f *fixture, _ func()) {
+			f.view(func(v *pb.FleetView) {
+				for _, s := range v.Servers {
+					s.Leaving = true
+				}
+			})
+		}, 0},
+		{"the server had left", "/stock/1", port.Refuses, failed(true, reset), func(f *fixture, _ func()) {
+			for _, id := range []string{"desk1", "desk2", "desk3", "desk4", "desk5", "desk6"} {
+				f.g.fleet.MarkGone(id, 0, f.clock.Now())
+			}
+		}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newCrashFixture(t, c.listen)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			f.backends.answer = func(n int, _ *Attempt) (*Answer, bool, error) {
+				if n > 1 {
+					return notRunAnswer(NotRun), true, nil
+				}
+				if c.before != nil {
+					c.before(f, cancel)
+				}
+				return c.answer()
+			}
+			f.g.Execute(ctx, f.request(c.path), &memorySink{})
+			if got := f.ends(c.path); got != c.want {
+				t.Errorf("%d ends, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// TestCrashingRequestIsRefused sends one request that ends each server again and again, with
+// new IDs, and checks that its callers are refused at once after three ends, truthfully and
+// with no time to come back, and that another caller's requests are served all the while.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	f := newCrashFixture(t, port.Refuses)
+	f.backends.answer = func(_ int, a *Attempt) (*Answer, bool, error) {
+		if string(a.Request.Body) == "crash" {
+			return nil, true, io.ErrUnexpectedEOF
+		}
+		return ran(200, "ok"), true, nil
+	}
+	crash := func() *failure.Error {
+		f.clock.advance(300 * time.Millisecond)
+		r := f.request("/stock/1")
+		r.Body = []byte("crash")
+		return f.g.Execute(context.Background(), r, &memorySink{})
+	}
+	if got := crash(); got == nil || got.Code != failure.BackendLost || got.Outcome != failure.Unknown {
+		t.Errorf("the first one ended with %v", got)
+	}
+	if got := len(f.backends.sent()); got != 2 {
+		t.Errorf("%d servers were reached by the first one, want 2", got)
+	}
+	if got := crash(); got == nil || got.Outcome != failure.Unknown {
+		t.Errorf("the second one ended with %v", got)
+	}
+	reached := len(f.backends.sent())
+	for range 5 {
+		got := crash()
+		if got == nil || got.Code != failure.Quarantined || got.Outcome != failure.NotRun || got.RetryAfter != 0 {
+			t.Fatalf("a repeat ended with %+v", got)
+		}
+	}
+	if got := len(f.backends.sent()); got != reached || reached != 3 {
+		t.Errorf("%d servers were reached, %d of them by repeats; want 3 and none", got, got-reached)
+	}
+	other := f.request("/stock/1")
+	other.Body = []byte("crash")
+	other.Header.Set("Authorization", "Bearer other")
+	f.backends.answer = func(int, *Attempt) (*Answer, bool, error) { return ran(200, "ok"), true, nil }
+	if got := f.g.Execute(context.Background(), other, &memorySink{}); got != nil {
+		t.Errorf("another caller's request ended with %v", got)
+	}
+}
+
+// TestRequestThatWasServedIsNoCause sends a request that many callers send, which is answered,
+// and was under way at three servers that ended at the same moment.
+func TestRequestThatWasServedIsNoCause(t *testing.T) {
+	f := newCrashFixture(t, port.Refuses)
+	f.backends.answer = func(int, *Attempt) (*Answer, bool, error) { return ran(200, "ok"), true, nil }
+	if got := f.g.Execute(context.Background(), f.request("/stock/1"), &memorySink{}); got != nil {
+		t.Fatal(got)
+	}
+	f.backends.answer = func(int, *Attempt) (*Answer, bool, error) { return nil, true, io.ErrUnexpectedEOF }
+	for range 3 {
+		f.g.Execute(context.Background(), f.request("/stock/1"), &memorySink{})
+	}
+	if got := f.ends("/stock/1"); got != 0 {
+		t.Errorf("%d ends are held against it", got)
+	}
+}
+
+// TestVerdictsOfOtherHosts takes verdicts with a control host's view, and tells what was seen
+// here with the next presentation: all of it to one that has just started.
+func TestVerdictsOfOtherHosts(t *testing.T) {
+	f := newCrashFixture(t, port.Refuses)
+	crashing := fingerprintOf(f.request("/stock/9"))
+	var told [][]*pb.QuarantineRecord
+	epoch := uint64(1)
+	f.peers.response = func(req *pb.Request) *pb.Response {
+		told = append(told, req.GetFleetSync().Quarantine)
+		v := &pb.FleetView{Epoch: epoch, Version: 1, HomeRegion: "west", HomeDomain: "w1", QuarantineNext: 5}
+		v.Quarantine = []*pb.QuarantineRecord{{Fingerprint: crashing[:], Server: []uint64{1, 2, 3}, AgeS: []uint32{0, 0, 0}, Service: "desk"}}
+		return &pb.Response{Body: &pb.Response_FleetView{FleetView: v}}
+	}
+	c := &controlHost{addr: "10.1.0.9:7"}
+	sync := func() {
+		if _, err := f.g.syncOnce(context.Background(), c, true); err != nil {
+			t.Fatal(err)
+		}
+	}
+	sync()
+	f.backends.answer = func(int, *Attempt) (*Answer, bool, error) { return ran(200, "ok"), true, nil }
+	if got := f.g.Execute(context.Background(), f.request("/stock/9"), &memorySink{}); got == nil || got.Code != failure.Quarantined {
+		t.Errorf("a request that other hosts quarantined ended with %v", got)
+	}
+	f.view(nil)
+	f.backends.answer = failedAlways
+	f.g.Execute(context.Background(), f.request("/stock/1"), &memorySink{})
+	sync()
+	if got := told[len(told)-1]; len(got) != 1 {
+		t.Errorf("%d records were told, want the one seen here", len(got))
+	}
+	sync()
+	if got := told[len(told)-1]; len(got) != 0 {
+		t.Errorf("%d records were told again", len(got))
+	}
+	epoch = 2 // the control host has started again
+	sync()
+	sync()
+	if got := told[len(told)-1]; len(got) != 2 {
+		t.Errorf("%d records were told to a control host that has started again, want all 2", len(got))
+	}
+}
+
+func failedAlways(int, *Attempt) (*Answer, bool, error) { return nil, true, io.ErrUnexpectedEOF }
--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -148,7 +148,7 @@
 
 // noteTold records that a control host took the records up to a revision.
 func (c *controlHost) noteTold(view *pb.FleetView, epochBefore, next uint64, more bool) {
-	if view.Epoch != epochBefore {
+	if epochBefore != 0 && view.Epoch != epochBefore {
 		c.toldAll, c.told = false, 0
 		return
 	}
