--- a/internal/app/control/verdicts.go
+++ b/internal/app/control/verdicts.go
@@ -49,7 +49,7 @@
 	return out
 }
 
-// merge takes what another host knows. It reports whether entry hosts must be told at once.
+// mergeVerdicts takes what another host knows. It reports whether entry hosts must be told at once.
 func (r *Replica) mergeVerdicts(records []*pb.QuarantineRecord, from string) (decisive bool) {
 	if len(records) == 0 {
 		return false
@@ -124,6 +124,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
+			r.forgetVerdicts()
 			if r.leading.Load() {
 				r.keepNew(ctx)
 			}
@@ -131,6 +132,13 @@
 	}
 }
 
+func (r *Replica) forgetVerdicts() {
+	r.verdicts.mu.Lock()
+	defer r.verdicts.mu.Unlock()
+	r.verdicts.table.Forget(r.o.Clock.Now())
+}
+
+// keepNew puts the verdicts that are not in the log yet into it, and the ends of those that are.
 func (r *Replica) keepNew(ctx context.Context) {
 	r.verdicts.mu.Lock()
 	from := r.verdicts.inLog
--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -205,9 +205,10 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	req := g.request()
-	sync, next := g.presentation(c, nearest), c.told
-	sync.Quarantine, next = g.crashRecords(c)
-	req.Body = &pb.Request_FleetSync{FleetSync: sync}
+	m := g.presentation(c, nearest)
+	records, next := g.crashRecords(c)
+	m.Quarantine = records
+	req.Body = &pb.Request_FleetSync{FleetSync: m}
 	resp, err := g.o.Peers.Call(ctx, c.addr, req)
 	if err != nil {
 		if ctx.Err() != nil && g.o.Drop != nil {
@@ -219,7 +220,7 @@
 	if view == nil {
 		return nil, failure.New(failure.PeerRefused, "", "the control host at %s gave no view", c.addr)
 	}
-	c.noteTold(view, c.have.epoch, next, len(sync.Quarantine) == maxRecords)
+	c.noteTold(view, c.have.epoch, next, len(records) == maxRecords)
 	if !c.have.complete(view) {
 		return nil, failure.New(failure.PeerRefused, "", "the changes that the control host at %s tells do not fit what this host has", c.addr)
 	}
--- a/internal/core/quarantine/exchange.go
+++ b/internal/core/quarantine/exchange.go
@@ -11,14 +11,14 @@
 // maxName bounds the names in a record that another host sent.
 const maxName = 128
 
-// Change is a verdict that another host's news brought about or ended.
+// Change is how another host's news changed how a request stands.
 type Change struct {
 	Fingerprint            Fingerprint
 	Before, After          Judgement
 	Team, Service, Release string
 }
 
-// Merge takes what another host knows, and returns the verdicts that it changed here. Of two
+// Merge takes what another host knows, and returns what it changed here. Of two
 // records of a fingerprint the one that was cleared more often holds; with the same number
 // their ends are put together. What was answered here moments ago is cleared again.
 func (t *Table) Merge(records []*pb.QuarantineRecord, now time.Time) []Change {
@@ -35,7 +35,7 @@
 		if t.served.lately(f, now) {
 			t.Served(f, now)
 		}
-		if after := t.Judge(f, now); after.Verdict != before.Verdict {
+		if after := t.Judge(f, now); after.Verdict != before.Verdict || after.Ends != before.Ends {
 			r := t.get(f)
 			out = append(out, Change{f, before, after, r.team, r.service, r.release})
 		}
