Evidence bears its names from the first end on

What operators saw: sesamectl quarantine list without team and service, where three hosts had seen one end each; a new release of the service would not have let such a request be tried. Cause: records with one end were told without names, to save bytes, and put together elsewhere. Some 30 bytes more an end, from entry to control hosts only.

--- a/internal/core/quarantine/exchange.go
+++ b/internal/core/quarantine/exchange.go
@@ -127,10 +127,12 @@
 // before returns a revision just before the record's last change.
 func before(e *list.Element) uint64 { return e.Value.(*record).changed - 1 }
 
-// message encodes a record. A fingerprint with one end bears no names: most of these are
-// bystanders.
+// message encodes a record. One with a single end bears its names too: three hosts may have
+// seen one end each.
 func (r *record) message(now time.Time) *pb.QuarantineRecord {
-	m := &pb.QuarantineRecord{Fingerprint: slices.Clone(r.fingerprint[:]), Cleared: r.cleared}
+	m := &pb.QuarantineRecord{
+		Fingerprint: slices.Clone(r.fingerprint[:]), Cleared: r.cleared, Team: cut(r.team), Service: cut(r.service), Release: cut(r.release),
+	}
 	anyAlive := slices.ContainsFunc(r.ends, func(e end) bool { return e.alive })
 	for _, e := range r.ends {
 		m.Server = append(m.Server, e.server)
@@ -139,9 +141,6 @@
 			m.Alive = append(m.Alive, e.alive)
 		}
 	}
-	if r.counted() > 1 {
-		m.Team, m.Service, m.Release = cut(r.team), cut(r.service), cut(r.release)
-	}
 	return m
 }
 
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -343,6 +343,22 @@
 	}
 }
 
+// TestNamesOfEndsSeenApart lets three hosts see one end each: what is put together names the
+// team and the service.
+func TestNamesOfEndsSeenApart(t *testing.T) {
+	together := newTable("control")
+	for s, host := range []string{"a", "b", "c"} {
+		table := newTable(host)
+		table.endedAt(request(1), uint64(s), start)
+		records, _ := table.Since(0, 9, Own, start)
+		together.Merge(records, start)
+	}
+	list := together.List(start)
+	if len(list) != 1 || list[0].Team != "team" || list[0].Service != "llm" || list[0].Release != "v1" || list[0].Crashes != 3 {
+		t.Errorf("listed: %+v", list)
+	}
+}
+
 // TestMergeRefusesWhatIsNoRecord gives a table records that no host makes.
 func TestMergeRefusesWhatIsNoRecord(t *testing.T) {
 	table := newTable("a")
