--- a/internal/core/quarantine/exchange.go
+++ b/internal/core/quarantine/exchange.go
@@ -95,8 +95,8 @@
 func All(*record, uint64) bool { return true }
 
 // Decisive are the records that an entry host needs of others: with one end alone a request
-// is treated as usual elsewhere, and most of these are bystanders.
-func Decisive(r *record, _ uint64) bool { return r.decisive }
+// is treated as usual elsewhere.
+func Decisive(r *record, _ uint64) bool { return r.cleared > 0 || r.counted() >= Crashes-1 }
 
 // Since returns records that changed after a revision, the first to change first, and the
 // revision to go on from.
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -120,7 +120,6 @@
 	changed    uint64 // revision of the last change
 	own        uint64 // revision of the last change by what was seen here
 	touched    time.Time
-	decisive   bool      // there were two ends at some time: other hosts heard of it
 	replacedAt time.Time // when no server of the release that ended was left; zero before
 	running    int       // attempts of this host that run beside nothing
 }
@@ -440,7 +439,6 @@
 func (t *Table) change(r *record, now time.Time) {
 	t.revision++
 	r.changed, r.touched = t.revision, now
-	r.decisive = r.decisive || r.counted() >= Crashes-1
 	t.order.MoveToBack(t.records[r.fingerprint])
 }
 
