--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -359,6 +359,28 @@
 	}
 }
 
+// TestEvidenceAfterAnAnswerElsewhere lets one host take back an end that only it knows of, and
+// another see three ends later: they count at the control hosts only if the second host was told
+// that the first end was taken back.
+func TestEvidenceAfterAnAnswerElsewhere(t *testing.T) {
+	first, second, control := newTable("a"), newTable("b"), newTable("control")
+	first.endedAt(request(1), 1, start)
+	first.Served(request(1), start)
+	records, _ := first.Since(0, 9, Own, start)
+	control.Merge(records, start)
+	records, _ = control.Since(0, 9, Decisive, start)
+	second.Merge(records, start)
+	later := start.Add(time.Minute)
+	for s := range uint64(3) {
+		second.endedAt(request(1), 10+s, later)
+	}
+	records, _ = second.Since(0, 9, Own, later)
+	control.Merge(records, later)
+	if got := control.Judge(request(1), later); got.Ends != 3 {
+		t.Errorf("%d ends are known to the control host, want 3", got.Ends)
+	}
+}
+
 // TestMergeRefusesWhatIsNoRecord gives a table records that no host makes.
 func TestMergeRefusesWhatIsNoRecord(t *testing.T) {
 	table := newTable("a")
