--- a/internal/app/crashwatch/crashwatch.go
+++ b/internal/app/crashwatch/crashwatch.go
@@ -71,22 +71,23 @@
 	w.change = f
 }
 
-// Begin returns how an attempt of a request is to be treated, or its refusal. again says that
+// Admit returns how an attempt of a request is to be treated, or its refusal. again says that
 // the request has been at a server before. Finish follows an attempt that was not refused.
-func (w *Watch) Begin(f quarantine.Fingerprint, again bool) (quarantine.Judgement, *failure.Error) {
+func (w *Watch) Admit(requestID string, f quarantine.Fingerprint, again bool) (quarantine.Judgement, *failure.Error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	j := w.table.Begin(f, again, w.o.Clock.Now())
-	switch j.Verdict {
-	case quarantine.Quarantined:
+	if j.Verdict != quarantine.Quarantined && j.Verdict != quarantine.Busy {
+		return j, nil
+	}
+	w.o.Log.Info("request refused as a crashing one", "request_id", requestID, "fingerprint", f.String(), "verdict", j.Verdict.String(), "ends", j.Ends)
+	if j.Verdict == quarantine.Quarantined {
 		w.o.Metrics.Add("refused_quarantined", 1)
 		return j, failure.New(failure.Quarantined, failure.NotRun, "%d servers ended while they ran it; fingerprint %s", j.Ends, f)
-	case quarantine.Busy:
-		w.o.Metrics.Add("refused_suspected", 1)
-		return j, failure.New(failure.Suspected, failure.NotRun, "%d servers ended while they ran it, and it is being tried; fingerprint %s", j.Ends, f).
-			WithRetryAfter(busyRetry)
 	}
-	return j, nil
+	w.o.Metrics.Add("refused_suspected", 1)
+	return j, failure.New(failure.Suspected, failure.NotRun, "%d servers ended while they ran it, and it is being tried; fingerprint %s", j.Ends, f).
+		WithRetryAfter(busyRetry)
 }
 
 // busyRetry is when a request comes back that is being tried: most are answered by then, or
--- a/internal/app/entry/crashes.go
+++ b/internal/app/entry/crashes.go
@@ -7,7 +7,6 @@
 	"github.com/sesamefork/sesamefork/internal/core/placement"
 	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
-	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
@@ -16,16 +15,6 @@
 	return quarantine.Identity{Caller: r.Team, Method: r.Method, Host: r.Target, Target: r.URI, Body: r.Body}.Fingerprint()
 }
 
-// admit returns the refusal of a request that crashes servers; nil when it may be tried.
-func (h *Host) admit(x *execution) *failure.Error {
-	j, f := h.o.Crashes.Begin(x.fingerprint, x.mayHaveRun)
-	x.judgement = j
-	if f != nil {
-		h.o.Log.Info("request refused as a crashing one", "request_id", x.r.ID, "fingerprint", x.fingerprint.String(), "verdict", j.Verdict.String(), "ends", j.Ends)
-	}
-	return f
-}
-
 // breakOf names the start of a place's server, as it is when the attempt begins.
 func (h *Host) breakOf(p *placement.Place) quarantine.Break {
 	h.mu.Lock()
--- a/internal/app/entry/execute.go
+++ b/internal/app/entry/execute.go
@@ -103,7 +103,8 @@
 	pause.InitialInterval = 10 * time.Millisecond
 	pause.MaxInterval = 500 * time.Millisecond
 	for {
-		if f := h.admit(x); f != nil {
+		var f *failure.Error
+		if x.judgement, f = h.o.Crashes.Admit(x.r.ID, x.fingerprint, x.mayHaveRun); f != nil {
 			return x.finalFailure(ctx, f)
 		}
 		p, f := h.acquire(ctx, x)
--- a/internal/app/gateway/ended.go
+++ b/internal/app/gateway/crashes.go
@@ -6,7 +6,6 @@
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
-	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
 // fingerprintOf identifies what the request asks a server to run. The caller is named by its
@@ -17,16 +16,6 @@
 	}.Fingerprint()
 }
 
-// admit returns the refusal of a request that crashes servers; nil when it may be tried.
-func (g *Gateway) admit(x *execution) *failure.Error {
-	j, f := g.o.Crashes.Begin(x.fingerprint, x.mayHaveRun)
-	x.judgement = j
-	if f != nil {
-		g.o.Log.Info("request refused as a crashing one", "request_id", x.r.ID, "fingerprint", x.fingerprint.String(), "verdict", j.Verdict.String(), "ends", j.Ends)
-	}
-	return f
-}
-
 // noteSurvival tells the watch how the attempt went for its server. Only an answer that came
 // to its end, and a connection that the server ended, say anything of it: not a caller that
 // left, a deadline, a server that was leaving, or another entry host.
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -148,7 +148,8 @@
 func (g *Gateway) run(ctx context.Context, x *execution) *failure.Error {
 	var fallback *kept
 	for {
-		if f := g.admit(x); f != nil {
+		var f *failure.Error
+		if x.judgement, f = g.o.Crashes.Admit(x.r.ID, x.fingerprint, x.mayHaveRun); f != nil {
 			return g.giveUp(ctx, x, fallback, f)
 		}
 		c, f := g.choose(ctx, x)
--- a/internal/core/dispatch/isolation.go
+++ b/internal/core/dispatch/isolation.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 )
@@ -28,16 +27,3 @@
 	}
 	return errorLoss * quarantine.Suspicion(j.Ends) * r.requests / r.servers
 }
-
-// Sightings returns the servers that are known, and the releases that the usable ones of each
-// service run.
-func (f *Fleet) Sightings() (servers []quarantine.Sighting, releases map[string][]string) {
-	releases = map[string][]string{}
-	for _, s := range f.servers {
-		servers = append(servers, quarantine.Sighting{Start: quarantine.Start{ID: s.ID, Born: s.Start}, Address: s.Address, HeardAt: s.ConfirmedAt})
-		if !s.Leaving && !f.missing(s) && !slices.Contains(releases[s.Service], s.Release) {
-			releases[s.Service] = append(releases[s.Service], s.Release)
-		}
-	}
-	return servers, releases
-}
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/incarnation"
+	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/registry"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
@@ -236,3 +237,16 @@
 	}
 	return ""
 }
+
+// Sightings returns the servers that are known, and the releases that the usable ones of each
+// service run.
+func (f *Fleet) Sightings() (servers []quarantine.Sighting, releases map[string][]string) {
+	releases = map[string][]string{}
+	for _, s := range f.servers {
+		servers = append(servers, quarantine.Sighting{Start: quarantine.Start{ID: s.ID, Born: s.Start}, Address: s.Address, HeardAt: s.ConfirmedAt})
+		if !s.Leaving && !f.missing(s) && !slices.Contains(releases[s.Service], s.Release) {
+			releases[s.Service] = append(releases[s.Service], s.Release)
+		}
+	}
+	return servers, releases
+}
