News of ends does not prolong the objection of a host that had an answer

Found by reading the change again. What callers would have seen: a request that was answered once and then crashes servers, after a new release say, is cleared again and again by the host that answered it: each news of an end was taken for an answer and renewed the ten seconds for which one speaks for a request. It would have gone on for as long as ends follow within ten seconds. TestObjectionsEnd failed before (clear on both hosts after ten ends, want quarantined).

--- a/internal/core/quarantine/exchange.go
+++ b/internal/core/quarantine/exchange.go
@@ -32,8 +32,8 @@
 		if !t.mergeOne(f, m, now) {
 			continue
 		}
-		if t.served.lately(f, now) {
-			t.Served(f, now)
+		if r := t.get(f); r.counted() > 0 && t.served.lately(f, now) {
+			t.clear(r, now) // news of ends is no answer: it does not prolong the objection
 		}
 		if after := t.Judge(f, now); after.Verdict != before.Verdict || after.Ends != before.Ends {
 			r := t.get(f)
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -140,6 +140,29 @@
 	}
 }
 
+// TestObjectionsEnd lets a request crash servers that one host has answered once: news of the ends
+// is no answer, so the host stops objecting some time after it, and the request is quarantined.
+func TestObjectionsEnd(t *testing.T) {
+	f := request(1)
+	answered, other := newTable("a"), newTable("b")
+	answered.Served(f, start)
+	now := start
+	for server := range uint64(10) {
+		now = now.Add(4 * time.Second)
+		other.endedAt(f, server, now)
+		records, _ := other.Since(0, 9, All, now)
+		answered.Merge(records, now)
+		records, _ = answered.Since(0, 9, Own, now)
+		other.Merge(records, now)
+	}
+	now = now.Add(objectionTime + time.Second)
+	for _, table := range []*Table{answered, other} {
+		if got := table.Judge(f, now); got.Verdict != Quarantined {
+			t.Errorf("%s with %d ends, want quarantined", got.Verdict, got.Ends)
+		}
+	}
+}
+
 // TestTurnsAtATrial checks that two hosts of many hardly ever try at the same moment, and
 // that each comes to its turn.
 func TestTurnsAtATrial(t *testing.T) {
