Teams: keys, homes and quotas, one model for both interfaces

What callers saw: keys were passed on to servers, unknown keys ran, homes of teams did not bind, nothing was counted. Cause: the teams of the users' configuration were not read at all; routed requests had no team.

Change: - platform/ decodes teams once into the record's teams. A key is hashed where it is read; records, entry hosts, forwards and logs have hashes. The operators' document, which holds keys, is sealed with a key derived from the group's signing key, and is in the control hosts' log and disks only as sealed. - A request's team is found when it comes and again before each attempt. A key that no team holds is refused after a control host has vouched, since the request came, that the configuration is the newest. Homes of route and team both bind. - Quotas (core/quota, app/access): each control host has a fixed part of what a team may send in a window, and gives out units in leases; units are there again a window after they were spent. Control hosts borrow from each other. What may be given out is stored ahead, so that a restart gives nothing out twice. - The identity of a crashing request is its team's; the soak's check named the host of the URL as team and now names the team. The end of a quarantine logs no time that was never set.

Found by the property test before it ran anywhere: units stored as coming back were given out a second time after a restart; a quota that was lowered and raised again hid what had been spent; an issuer with a wiped disk remembered too little after a second restart.

Tests: table and fuzz tests of the decoding; a property test of the bound over kills, wiped disks, cuts, losses, doubled messages and changes of the quota (4,500 cases by hand); the soak has two teams, checks the quota by what servers ran, and looks for keys in logs, data folders and all that passes between hosts.

--- a/cmd/sesame-control/main.go
+++ b/cmd/sesame-control/main.go
@@ -142,7 +142,8 @@
 		Generation: s.Group.Generation, Members: members(s), Signer: signer,
 		Tick: time.Duration(s.Group.TickMS) * time.Millisecond, SnapshotEvery: s.Store.SnapshotEvery,
 		MaxOrder: time.Duration(s.Orders.MaxOrderMS) * time.Millisecond, LoadsPerMin: s.Orders.LoadsPerMinute,
-		Seed: seed(), Quarantine: s.Quarantine.Options(s.Host.ID), Journal: j, State: state, Reopen: reopener(s), Peers: client, Engines: enginehttp.New(),
+		Seed: seed(), Quotas: s.Quotas.Bound(), QuotaStore: journal.Quotas{FS: journal.OS{}, Dir: s.Store.Dir},
+		FirstStart: state.Snapshot == nil && len(state.Entries) == 0, Quarantine: s.Quarantine.Options(s.Host.ID), Journal: j, State: state, Reopen: reopener(s), Peers: client, Engines: enginehttp.New(),
 		Clock: port.SystemClock{}, Log: log,
 	})
 	if err != nil {
--- a/cmd/sesame-control/platform.go
+++ b/cmd/sesame-control/platform.go
@@ -58,7 +58,8 @@
 		Generation: s.Group.Generation, Members: founders(state.Identity), Signer: signer,
 		Tick: time.Duration(s.Group.TickMS) * time.Millisecond, SnapshotEvery: s.Store.SnapshotEvery,
 		MaxOrder: time.Duration(s.Orders.MaxOrderMS) * time.Millisecond, LoadsPerMin: s.Orders.LoadsPerMinute,
-		Seed: seed(), NoOrders: true, Quarantine: s.Quarantine.Options(s.Host.ID), Journal: j, State: state, Reopen: reopener(s), Peers: client, Engines: enginehttp.New(),
+		Seed: seed(), NoOrders: true, Quotas: s.Quotas.Bound(), QuotaStore: journal.Quotas{FS: journal.OS{}, Dir: s.Store.Dir},
+		FirstStart: s.Fleet.Found && state.Snapshot == nil && len(state.Entries) == 0, Quarantine: s.Quarantine.Options(s.Host.ID), Journal: j, State: state, Reopen: reopener(s), Peers: client, Engines: enginehttp.New(),
 		Clock: port.SystemClock{}, Log: log,
 	})
 	if err != nil {
--- /dev/null
+++ b/internal/adapter/journal/quotas.go
@@ -0,0 +1,50 @@
+package journal
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"io/fs"
+	"path/filepath"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sesamefork/sesamefork/internal/failure"
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+)
+
+// quotasName is the file of what may have been given out of quotas. It is replaced whole, and
+// begins with a checksum of the rest.
+const quotasName = "quotas"
+
+// Quotas keeps what a control host may have given out of the teams' quotas, beside its journal.
+type Quotas struct {
+	FS  FS
+	Dir string
+}
+
+// Save implements port.QuotaStore.
+func (q Quotas) Save(s *pb.QuotaState) error {
+	data, err := proto.Marshal(s)
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "")
+	}
+	sum := binary.BigEndian.AppendUint32(nil, crc32.Checksum(data, castagnoli))
+	return (&Journal{fs: q.FS, dir: q.Dir}).writeFile(quotasName, append(sum, data...))
+}
+
+// Load implements port.QuotaStore.
+func (q Quotas) Load() (*pb.QuotaState, error) {
+	data, err := q.FS.ReadFile(filepath.Join(q.Dir, quotasName))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, failure.Wrap(err, failure.JournalFailed, "")
+	}
+	s := &pb.QuotaState{}
+	if len(data) < 4 || crc32.Checksum(data[4:], castagnoli) != binary.BigEndian.Uint32(data) || proto.Unmarshal(data[4:], s) != nil {
+		return nil, failure.New(failure.JournalCorrupt, "", "the file %s is damaged", quotasName)
+	}
+	return s, nil
+}
--- a/internal/adapter/settings/platform_test.go
+++ b/internal/adapter/settings/platform_test.go
@@ -4,6 +4,9 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/sesamefork/sesamefork/internal/core/quota"
 )
 
 // rendered fills a deploy template with the values of one host.
@@ -20,6 +23,8 @@
 		"{{internal_port_range.0}}", "7660", "{{listen.front}}", "10.1.0.35:8144", "{{listen.ready}}", "10.1.0.35:8140",
 		"{{listen.control}}", "10.1.0.35:8146", "{{listen.directory}}", "10.1.0.35:8143", "{{data_dir}}", "/data/x",
 		"{{limits.memory_mb}}", "284", "{{bounds.grace_s}}", "8", "{{bounds.retry_ratio}}", "0.2", "{{bounds.retry_slack}}", "58",
+		"{{#bounds.quota_window_s}}", "", "{{/bounds.quota_window_s}}", "",
+		"{{bounds.quota_window_s}}", "8", "{{bounds.quota_excess}}", "0.1", "{{bounds.quota_slack}}", "72000",
 		"{{bounds.retry_window_s}}", "10", "{{seeds|json}}", `["10.1.0.38:8146","10.2.0.31:8146"]`, "{{heartbeat_ms}}", "1200", "{{bootstrap}}", "true",
 	)...).Replace(string(data))
 	if strings.Contains(text, "{{") {
@@ -46,6 +51,26 @@
 	if !c.Fleet.Found || c.Store.Dir != "/data/x" {
 		t.Errorf("read as %+v", c)
 	}
+	if want := (quota.Bound{Window: 8 * time.Second, Excess: 0.1, Slack: 72000}); c.Quotas.Bound() != want {
+		t.Errorf("quotas read as %+v, want %+v", c.Quotas.Bound(), want)
+	}
+}
+
+// TestQuotasThatAreRefused names for each mistake the key at fault.
+func TestQuotasThatAreRefused(t *testing.T) {
+	cases := map[string]struct{ from, to, key string }{
+		"no window":       {"{{bounds.quota_window_s}}", "0", "quotas.window_s"},
+		"excess over one": {"{{bounds.quota_excess}}", "1.5", "quotas.excess"},
+		"negative slack":  {"{{bounds.quota_slack}}", "-1", "quotas.slack"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			err := Decode("control", rendered(t, "control.toml.tmpl", c.from, c.to), DefaultControl())
+			if err == nil || !strings.Contains(err.Error(), c.key) {
+				t.Errorf("got %v, want a fault that names %s", err, c.key)
+			}
+		})
+	}
 }
 
 // TestPlatformSettingsThatAreRefused names for each mistake the key at fault.
--- a/internal/adapter/settings/types.go
+++ b/internal/adapter/settings/types.go
@@ -12,6 +12,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/quarantine"
+	"github.com/sesamefork/sesamefork/internal/core/quota"
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
@@ -118,6 +119,29 @@
 	c.between("quarantine.hold_s", q.HoldS, 1, 7*24*3600)
 }
 
+// Quotas is by how much all hosts together may pass teams' quotas.
+type Quotas struct {
+	// WindowS is the time over which what was sent is summed, in s (default 10).
+	WindowS float64 `toml:"window_s"`
+	// Excess is a part of what a quota allows in the window (0 to 1, default 0.1).
+	Excess float64 `toml:"excess"`
+	// Slack is in units of the quotas, in each window.
+	Slack float64 `toml:"slack"`
+}
+
+func defaultQuotas() Quotas { return Quotas{WindowS: 10, Excess: 0.1} }
+
+// Bound returns the settings for a control host.
+func (q Quotas) Bound() quota.Bound {
+	return quota.Bound{Window: time.Duration(q.WindowS * float64(time.Second)), Excess: q.Excess, Slack: q.Slack}
+}
+
+func (c *collector) quotas(q Quotas) {
+	c.between("quotas.window_s", q.WindowS, 0.1, 3600)
+	c.between("quotas.excess", q.Excess, 0, 1)
+	c.between("quotas.slack", q.Slack, 0, 1e12)
+}
+
 // Experiments changes the policy for a measurement.
 type Experiments struct {
 	// Off names mechanisms to go without.
@@ -231,6 +255,8 @@
 		Peer     TLS `toml:"peer"`
 	} `toml:"tls"`
 	Orders Orders `toml:"orders"`
+	// Quotas is by how much teams' quotas may be passed.
+	Quotas Quotas `toml:"quotas"`
 	// Quarantine is about requests that crash the servers that run them.
 	Quarantine Quarantine `toml:"quarantine"`
 	Log        Log        `toml:"log"`
@@ -286,7 +312,7 @@
 		Store:  Store{SnapshotEvery: 256},
 		Group:  Group{Generation: 1, TickMS: 200},
 		Link:   Link{KeepAliveMS: 3000},
-		Orders: Orders{MaxOrderMS: 5000, LoadsPerMinute: 6}, Quarantine: defaultQuarantine(),
+		Orders: Orders{MaxOrderMS: 5000, LoadsPerMinute: 6}, Quarantine: defaultQuarantine(), Quotas: defaultQuotas(),
 		Trace: Trace{Exporter: "none", SampleRatio: 1},
 	}
 }
@@ -441,6 +467,7 @@
 	c.between("orders.loads_per_minute", s.Orders.LoadsPerMinute, 0, 10_000)
 	c.trace(s.Trace)
 	c.quarantine(s.Quarantine)
+	c.quotas(s.Quotas)
 	return c
 }
 
--- a/internal/app/control/peer.go
+++ b/internal/app/control/peer.go
@@ -57,6 +57,8 @@
 		}
 	case *pb.Request_QuarantineUpdate:
 		resp.Body = &pb.Response_QuarantineUpdate{QuarantineUpdate: r.answerUpdate(b.QuarantineUpdate, req.From)}
+	case *pb.Request_QuotaAsk:
+		resp.Body = &pb.Response_QuotaGrant{QuotaGrant: r.quotas.answer(req.From, b.QuotaAsk)}
 	case *pb.Request_StatusQuery:
 		st, err := r.Status(ctx)
 		if err != nil {
--- a/internal/app/control/publish.go
+++ b/internal/app/control/publish.go
@@ -61,6 +61,9 @@
 	if before == nil || before.QuarantineRevision != p.QuarantineRevision {
 		r.takeKept(p.Quarantined)
 	}
+	if p.Record != nil && (before == nil || before.Record != p.Record) {
+		r.quotas.setTeams(p.Record.Teams)
+	}
 	if r.fleet != nil {
 		r.fleet.configurationChanged()
 	}
--- a/internal/app/control/replica.go
+++ b/internal/app/control/replica.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/cipher"
 	"crypto/ed25519"
 	"slices"
 	"sync"
@@ -18,6 +19,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/consensus"
 	"github.com/sesamefork/sesamefork/internal/core/fencing"
 	"github.com/sesamefork/sesamefork/internal/core/quarantine"
+	"github.com/sesamefork/sesamefork/internal/core/quota"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 	"github.com/sesamefork/sesamefork/internal/port"
@@ -36,6 +38,12 @@
 	SnapshotEvery int
 	MaxOrder      time.Duration
 	LoadsPerMin   float64
+	// Quotas is by how much teams' quotas may be passed. QuotaStore keeps what may have been
+	// given out of them; FirstStart says that there was no control host in this one's place
+	// before.
+	Quotas     quota.Bound
+	QuotaStore port.QuotaStore
+	FirstStart bool
 	// Quarantine bounds what is remembered of requests that crash servers.
 	Quarantine quarantine.Options
 	Seed       int64
@@ -69,6 +77,8 @@
 	machine *configstate.Machine
 	gate    *fencing.Gate
 	loads   *bucket
+	sealer  cipher.AEAD
+	quotas  *quotas
 	inbox   chan func()
 	stopped chan struct{}
 	halted  atomic.Pointer[failure.Error]
@@ -78,18 +88,20 @@
 	nextRead uint64
 	lastTerm uint64 // last term in which this replica was seen as leader
 
-	senders     map[senderKey]*sender
-	published   atomic.Pointer[Published]
-	reports     *reports
-	wg          sync.WaitGroup
-	fleet       *Fleet // nil in a group whose record lists the hosts
-	verdicts    *verdicts
-	leading     atomic.Bool
-	members     atomic.Pointer[[]string]
-	started     time.Time
-	seen        roleSeen                  // as last logged
-	currentAt   atomic.Pointer[time.Time] // see Staleness; nil before the first time
-	currentTick uint64                    // the node's tick for currentAt
+	senders   map[senderKey]*sender
+	published atomic.Pointer[Published]
+	reports   *reports
+	wg        sync.WaitGroup
+	fleet     *Fleet // nil in a group whose record lists the hosts
+	verdicts  *verdicts
+	leading   atomic.Bool
+	members   atomic.Pointer[[]string]
+	// othersInGroup are the peer addresses of the members without this one.
+	othersInGroup atomic.Pointer[[]string]
+	started       time.Time
+	seen          roleSeen                  // as last logged
+	currentAt     atomic.Pointer[time.Time] // see Staleness; nil before the first time
+	currentTick   uint64                    // the node's tick for currentAt
 }
 
 // roleSeen is what a replica believes of the group's leader.
@@ -111,8 +123,14 @@
 
 // NewReplica restores the replica's state from its journal.
 func NewReplica(o Options) (*Replica, error) {
+	sealer, err := newSealer(o.Signer)
+	if err != nil {
+		return nil, err
+	}
 	r := &Replica{
 		o:        o,
+		sealer:   sealer,
+		quotas:   newQuotas(o),
 		gate:     fencing.NewGate(fencing.Limits{Lease: electionTicks * o.Tick, MaxOrder: o.MaxOrder}),
 		loads:    newBucket(o.LoadsPerMin),
 		inbox:    make(chan func(), 1024),
@@ -156,8 +174,10 @@
 	defer close(r.stopped)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r.wg.Add(2)
+	r.wg.Add(4)
 	go r.keepVerdicts(ctx)
+	go r.storeQuotas(ctx)
+	go r.shareQuotas(ctx)
 	if r.fleet != nil {
 		go r.repair(ctx)
 	} else {
@@ -347,10 +367,14 @@
 
 // publishMembers makes the members' addresses visible to other goroutines.
 func (r *Replica) publishMembers() {
-	var addrs []string
+	var addrs, others []string
 	for _, m := range r.node.Status().Members.GetMembers() {
 		addrs = append(addrs, m.Address)
+		if m.Id != r.o.Identity.Store {
+			others = append(others, m.Address)
+		}
 	}
+	r.othersInGroup.Store(&others)
 	if old := r.members.Load(); old == nil || !slices.Equal(*old, addrs) {
 		r.members.Store(&addrs)
 	}
--- a/internal/app/crashwatch/crashwatch.go
+++ b/internal/app/crashwatch/crashwatch.go
@@ -223,10 +223,15 @@
 	case c.After.Ends == 0:
 		event = "quarantine or suspicion lifted"
 	}
-	w.o.Log.Info(event, append([]any{
-		"fingerprint", c.Fingerprint.String(), "team", c.Team, "service", c.Service, "release", c.Release, "ends", c.After.Ends,
-		"since_ms", max(0, w.o.Clock.Now().Sub(c.After.Last).Milliseconds()),
-	}, kv...)...)
+	attrs := []any{"fingerprint", c.Fingerprint.String(), "team", c.Team, "service", c.Service, "release", c.Release, "ends", c.After.Ends}
+	last := c.After.Last
+	if c.After.Ends == 0 {
+		last = c.Before.Last // nothing is left after it
+	}
+	if !last.IsZero() {
+		attrs = append(attrs, "since_ms", max(0, w.o.Clock.Now().Sub(last).Milliseconds()))
+	}
+	w.o.Log.Info(event, append(attrs, kv...)...)
 }
 
 // Merge takes what another host knows.
--- a/internal/app/gateway/crashes.go
+++ b/internal/app/gateway/crashes.go
@@ -3,16 +3,21 @@
 import (
 	"context"
 
+	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
 )
 
-// fingerprintOf identifies what the request asks a server to run. The caller is named by its
-// credentials, where it has any.
-func fingerprintOf(r *Request) quarantine.Fingerprint {
+// fingerprintOf identifies what the request asks a server to run. The caller is its team, which
+// may change its keys; without one it is named by its credentials, where it has any.
+func fingerprintOf(r *Request, team *configstate.Team) quarantine.Fingerprint {
+	caller := r.Header.Get("Authorization")
+	if team != nil {
+		caller = team.Name
+	}
 	return quarantine.Identity{
-		Caller: r.Header.Get("Authorization"), Method: r.Method, Host: r.Host, Target: r.URI, Body: r.Body,
+		Caller: caller, Method: r.Method, Host: r.Host, Target: r.URI, Body: r.Body,
 	}.Fingerprint()
 }
 
@@ -34,7 +39,7 @@
 	g.mu.Lock()
 	replaced, left := s.Replaced(), g.fleet.IsGone(s) || s.Leaving
 	b := quarantine.Break{Start: quarantine.Start{ID: s.ID, Born: s.Start}, Address: s.Address}
-	e := quarantine.Evidence{Fingerprint: x.fingerprint, Team: x.r.Host, Service: x.service, Release: s.Release}
+	e := quarantine.Evidence{Fingerprint: x.fingerprint, Team: x.teamName(), Service: x.service, Release: s.Release}
 	g.mu.Unlock()
 	switch {
 	case replaced:
--- a/internal/app/gateway/crashes_test.go
+++ b/internal/app/gateway/crashes_test.go
@@ -43,7 +43,7 @@
 // ends returns how many servers are held to have ended under a request.
 func (f *fixture) ends(path string) int {
 	records, _ := f.g.o.Crashes.Since(0, 100, quarantine.All)
-	want := fingerprintOf(f.request(path))
+	want := fingerprintOf(f.request(path), nil)
 	for _, r := range records {
 		if string(r.Fingerprint) == string(want[:]) {
 			return len(r.Server)
@@ -178,7 +178,7 @@
 // here with the next presentation: all of it to one that has just started.
 func TestVerdictsOfOtherHosts(t *testing.T) {
 	f := newCrashFixture(t, port.Refuses)
-	crashing := fingerprintOf(f.request("/stock/9"))
+	crashing := fingerprintOf(f.request("/stock/9"), nil)
 	var told [][]*pb.QuarantineRecord
 	epoch := uint64(1)
 	f.peers.response = func(req *pb.Request) *pb.Response {
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -10,6 +10,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/quarantine"
+	"github.com/sesamefork/sesamefork/internal/core/quota"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
@@ -21,6 +22,9 @@
 	version  uint64
 	route    *configstate.Route
 	service  string
+	team     *configstate.Team   // nil for nobody's request
+	teamsOf  *configstate.Record // in which the team was found
+	charge   *quota.Charge       // of the present attempt
 	sink     Sink
 	deadline time.Time
 	// fingerprint is the same for each repeat of the request.
@@ -55,7 +59,7 @@
 	var x *execution
 	f := g.awaitStart(ctx, r)
 	if f == nil {
-		x, f = g.begin(r, sink)
+		x, f = g.begin(ctx, r, sink)
 	}
 	if f == nil {
 		var cancel context.CancelFunc
@@ -68,19 +72,15 @@
 	return f
 }
 
-// begin finds the request's route and deadline.
-func (g *Gateway) begin(r *Request, sink Sink) (*execution, *failure.Error) {
-	c := g.config.Load()
-	route, ok := c.Record.RouteFor(r.Host, r.Path)
-	if !ok {
-		if r.Origin != "" {
-			return nil, notRun(failure.PeerRefused, 0, "version %d has no route for host %q and path %q any more", c.Stamp.Version, r.Host, r.Path)
-		}
-		return nil, failure.New(failure.NotFound, failure.NotRun, "no route for host %q and path %q in version %d", r.Host, r.Path, c.Stamp.Version)
+// begin finds the request's route, team and deadline.
+func (g *Gateway) begin(ctx context.Context, r *Request, sink Sink) (*execution, *failure.Error) {
+	c, route, team, f := g.admit(ctx, r)
+	if f != nil {
+		return nil, f
 	}
 	x := &execution{
-		r: r, record: c.Record, version: c.Stamp.Version, route: route, sink: sink,
-		tried: map[string]bool{}, last: r.ResumeAfter, service: r.service, fingerprint: fingerprintOf(r),
+		r: r, record: c.Record, version: c.Stamp.Version, route: route, team: team, teamsOf: c.Record, sink: sink,
+		tried: map[string]bool{}, last: r.ResumeAfter, service: r.service, fingerprint: fingerprintOf(r, team),
 	}
 	switch {
 	case x.service == "":
@@ -148,17 +148,15 @@
 func (g *Gateway) run(ctx context.Context, x *execution) *failure.Error {
 	var fallback *kept
 	for {
-		var f *failure.Error
-		if x.judgement, f = g.o.Crashes.Admit(x.r.ID, x.fingerprint, x.mayHaveRun); f != nil {
-			return g.giveUp(ctx, x, fallback, f)
-		}
-		c, f := g.choose(ctx, x)
+		c, f := g.prepare(ctx, x)
 		if f != nil {
-			g.o.Crashes.Finish(x.fingerprint, x.judgement)
 			return g.giveUp(ctx, x, fallback, f)
 		}
 		res := g.attempt(ctx, x, c)
 		g.o.Crashes.Finish(x.fingerprint, x.judgement)
+		if res.point == retry.BeforeSend || res.point == retry.Refused {
+			g.refund(x)
+		}
 		if res.keep != nil {
 			fallback = res.keep
 		}
@@ -179,6 +177,28 @@
 	}
 }
 
+// prepare lets an attempt in: by the team's key, its quota, what the request did to servers,
+// and the places that can take it.
+func (g *Gateway) prepare(ctx context.Context, x *execution) (*dispatch.Choice, *failure.Error) {
+	if f := g.recheck(x); f != nil {
+		return nil, f
+	}
+	if f := g.take(ctx, x); f != nil {
+		return nil, f
+	}
+	var f *failure.Error
+	if x.judgement, f = g.o.Crashes.Admit(x.r.ID, x.fingerprint, x.mayHaveRun); f != nil {
+		g.refund(x)
+		return nil, f
+	}
+	c, f := g.choose(ctx, x)
+	if f != nil {
+		g.o.Crashes.Finish(x.fingerprint, x.judgement)
+		g.refund(x)
+	}
+	return c, f
+}
+
 // giveUp returns what the caller is told. A server's own failure goes before one
 // of this host; a request of which any attempt may have run is not "not run".
 func (g *Gateway) giveUp(ctx context.Context, x *execution, fallback *kept, f *failure.Error) *failure.Error {
@@ -189,7 +209,7 @@
 	if x.mayHaveRun {
 		out.Outcome = failure.Unknown
 	}
-	if out.Outcome == failure.NotRun && out.Code != failure.Overloaded && out.Code != failure.Quarantined && out.RetryAfter == 0 {
+	if out.Outcome == failure.NotRun && out.Code != failure.Overloaded && out.Code != failure.Quarantined && out.Code != failure.Unauthorized && out.RetryAfter == 0 {
 		out.RetryAfter = refusedRetry
 	}
 	if ctx.Err() == context.DeadlineExceeded {
@@ -249,7 +269,7 @@
 // job describes the request to the choice.
 func (x *execution) job(now time.Time) *dispatch.Job {
 	j := &dispatch.Job{
-		Service: x.service, Permits: x.route.Permits, Remaining: x.deadline.Sub(now), Tried: x.tried,
+		Service: x.service, Permits: x.permits, Remaining: x.deadline.Sub(now), Tried: x.tried,
 		Target: time.Duration(x.route.LatencyTargetMS) * time.Millisecond, Forwarded: x.r.Origin != "",
 		Ends: x.judgement.Ends,
 	}
--- a/internal/app/gateway/forward.go
+++ b/internal/app/gateway/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/app/access"
 	"github.com/sesamefork/sesamefork/internal/app/forward"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
@@ -42,6 +43,7 @@
 		RequestId: x.r.ID, Route: x.route.Name, Service: x.service, Method: x.r.Method, Uri: x.r.URI, Host: x.r.Host,
 		Body: x.r.Body, RemainingMs: x.deadline.Sub(now).Milliseconds(), OriginRegion: g.o.Region,
 		ResumeAfter: x.last, Attempts: uint32(max(1, left)), Headers: forward.Headers(x.r.Header),
+		Team: x.teamName(), KeyHash: x.r.Key.Hash,
 	}
 	return m
 }
@@ -148,7 +150,7 @@
 	r := &Request{
 		ID: f.RequestId, Method: f.Method, Host: f.Host, URI: f.Uri, Path: pathOf(f.Uri), Header: forward.ReadHeaders(f.Headers), Body: f.Body,
 		Arrived: g.o.Clock.Now(), Wait: max(time.Millisecond, time.Duration(f.RemainingMs)*time.Millisecond),
-		ResumeAfter: f.ResumeAfter, Origin: f.OriginRegion, attempts: int(f.Attempts), service: f.Service,
+		ResumeAfter: f.ResumeAfter, Origin: f.OriginRegion, attempts: int(f.Attempts), service: f.Service, team: f.Team, Key: access.Credential{Hash: f.KeyHash, Fault: "the sender found no key"},
 		traceparent: req.Traceparent,
 	}
 	if g.o.ReadPrompt != nil {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"github.com/sesamefork/sesamefork/internal/app/access"
 	"github.com/sesamefork/sesamefork/internal/app/crashwatch"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
@@ -68,6 +69,7 @@
 	viewed  chan struct{} // closed and replaced with each view
 
 	control controlList
+	access  *access.Gate
 }
 
 // New returns a gateway that knows no configuration and no servers yet.
@@ -89,7 +91,10 @@
 		known:   make(chan struct{}),
 		viewed:  make(chan struct{}),
 	}
-	g.control.seeds = o.Seeds
+	g.control.seeds, g.control.vouched = o.Seeds, make(chan struct{})
+	g.access = access.New(access.Options{
+		Host: o.Host, Peers: o.Peers, Request: g.request, Issuers: g.issuers, Clock: o.Clock, Log: o.Log, Metrics: o.Metrics,
+	})
 	return g
 }
 
--- a/internal/app/gateway/log.go
+++ b/internal/app/gateway/log.go
@@ -17,7 +17,7 @@
 		return
 	}
 	kv := []any{
-		"request_id", x.r.ID, "route", x.route.Name, "service", x.service, "attempt", x.sends + 1,
+		"request_id", x.r.ID, "route", x.route.Name, "team", x.teamName(), "service", x.service, "attempt", x.sends + 1,
 		"config_version", x.version, "config_staleness_ms", g.ConfigStaleness().Milliseconds(), "remaining_ms", x.deadline.Sub(now).Milliseconds(), "view_age_ms", g.fleet.ViewAge(now).Milliseconds(),
 	}
 	if t := c.Turn; t != nil {
@@ -88,7 +88,7 @@
 		"retry_after_ms", f.RetryAfter.Milliseconds(), "config_version", g.Version(),
 		"config_staleness_ms", g.ConfigStaleness().Milliseconds()}
 	if x != nil {
-		kv = append(kv, "route", x.route.Name, "attempts", x.sends, "answer_begun", x.headSent)
+		kv = append(kv, "route", x.route.Name, "team", x.teamName(), "attempts", x.sends, "answer_begun", x.headSent)
 	}
 	g.o.Log.Info("request failed", kv...)
 }
--- a/internal/app/gateway/request.go
+++ b/internal/app/gateway/request.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/app/access"
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
@@ -21,9 +22,13 @@
 	Method string
 	Host   string // without port
 	Path   string
-	URI    string // path and query, as they came
-	Header http.Header
+	URI    string      // path and query, as they came
+	Header http.Header // without the caller's key
 	Body   []byte
+	// Key shows whose request it is.
+	Key access.Credential
+	// Tokens is what the request states of its size; below 0 when it states nothing.
+	Tokens float64
 	// Arrived is when the request had been read.
 	Arrived time.Time
 	// Wait is how long the caller waits; 0 when it does not say.
@@ -38,8 +43,8 @@
 	attempts int
 	// traceparent is the span of the host that forwarded the request; "" for none.
 	traceparent string
-	// service was picked by the host where the request entered.
-	service string
+	// service was picked, and team found, by the host where the request entered.
+	service, team string
 }
 
 // Prompt describes what a request asks of a model engine.
@@ -74,6 +79,8 @@
 	// refuses it.
 	Server  string
 	Request *Request
+	// Team is whose request it is; "" for nobody's.
+	Team string
 	// Remaining is how long the server may work.
 	Remaining time.Duration
 	// ResumeAfter is the last event that the caller has.
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -29,7 +29,7 @@
 	defer cancel(nil)
 	g.watch(ctx, x, c, cancel)
 	answer, sent, err := g.o.Backends.Send(ctx, &Attempt{
-		Address: c.Server.Address, Server: c.Server.ID, Request: x.r,
+		Address: c.Server.Address, Server: c.Server.ID, Request: x.r, Team: x.teamName(),
 		Remaining: x.deadline.Sub(began), ResumeAfter: x.last, CopyFrom: c.CopyFrom, Deferred: c.Deferred,
 	})
 	if err != nil {
--- a/internal/app/gateway/staleness.go
+++ b/internal/app/gateway/staleness.go
@@ -66,6 +66,10 @@
 			return
 		}
 		if g.currentAt.CompareAndSwap(old, &at) {
+			g.control.mu.Lock()
+			defer g.control.mu.Unlock()
+			close(g.control.vouched)
+			g.control.vouched = make(chan struct{})
 			return
 		}
 	}
--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -37,6 +37,9 @@
 	seeds []string
 	named []string
 	heard controlhosts.Heard
+	// distances are those of the control hosts that were heard, by address.
+	distances map[string]controlhosts.Distance
+	vouched   chan struct{} // closed and replaced when a control host vouched for the configuration
 }
 
 func (g *Gateway) distance(v *pb.FleetView) controlhosts.Distance {
@@ -75,6 +78,11 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		_ = g.access.Run(ctx) // ends with ctx only
+	}()
 	running := map[string]bool{}
 	t := time.NewTicker(syncPause)
 	defer t.Stop()
@@ -183,6 +191,7 @@
 	g.control.mu.Lock()
 	defer g.control.mu.Unlock()
 	g.control.heard.Note(c.distance, staleness(view), now)
+	g.control.noteDistance(c.addr, c.distance)
 	return g.control.heard.KnowsFleet(staleness(view), now)
 }
 
--- a/internal/core/configstate/machine.go
+++ b/internal/core/configstate/machine.go
@@ -211,7 +211,7 @@
 	m.log.Accepted = append(m.log.Accepted, &pb.Accepted{
 		Version: version, SchemaVersion: c.SchemaVersion, Operator: c.Operator,
 		Reason: c.Reason, TimeMs: c.TimeMs, ChangeId: c.ChangeId,
-		Digest: Digest(c.Record), Record: c.Record,
+		Digest: Digest(c.Record), Record: c.Record, Source: c.Source,
 	})
 	if n := len(m.log.Accepted); n > MaxRecords {
 		old := m.log.Accepted[n-MaxRecords-1]
--- a/internal/core/configstate/record.go
+++ b/internal/core/configstate/record.go
@@ -52,11 +52,14 @@
 	RoutedServices []RoutedService `json:"routed_services,omitempty"`
 	// RequestLimits bounds what callers of routes may send.
 	RequestLimits RequestLimits `json:"request_limits"`
-	// Source is the document that the record was made from, for operators who
-	// read it back in their own format.
+	// KeysRequired says that requests on routes need a team's key, unless the route is public.
+	KeysRequired bool `json:"keys_required,omitempty"`
+	// Source is the document that the record was made from. Records hold it no more, as it may
+	// hold keys; see Command in the peers' messages.
 	Source json.RawMessage `json:"source,omitempty"`
 
 	routesByHost map[string][]int // indexes into Routes
+	teamsByKey   map[string]*Team // by the hashes of their keys
 }
 
 // Region is a set of failure domains close to each other.
@@ -92,6 +95,11 @@
 	// Models and Services name what the team may use; empty means all.
 	Models   []string `json:"models"`
 	Services []string `json:"services"`
+	// Homes lists the regions whose servers may run the team's requests on routes; empty
+	// means all. A route's own homes bind as well.
+	Homes []string `json:"homes,omitempty"`
+	// Quota bounds what all entry hosts together send of the team's requests; nil for no limit.
+	Quota *Quota `json:"quota,omitempty"`
 }
 
 // Model is a language model.
@@ -208,6 +216,7 @@
 		return nil, errs
 	}
 	r.indexRoutes()
+	r.indexTeams()
 	return r, nil
 }
 
--- a/internal/core/configstate/routes.go
+++ b/internal/core/configstate/routes.go
@@ -45,6 +45,8 @@
 	Resumable bool `json:"resumable"`
 	// Homes lists the regions whose servers may run the requests; empty means all.
 	Homes []string `json:"homes"`
+	// Public routes need no key.
+	Public bool `json:"public,omitempty"`
 }
 
 // RouteTarget is a service with its share of a route's requests.
--- a/internal/core/configstate/validate.go
+++ b/internal/core/configstate/validate.go
@@ -124,29 +124,33 @@
 	}
 }
 
-func (v *validator) checkKeyHashes(field string, hashes []string, seen map[string]bool) {
+// checkKeyHashes names faults of an owner's key hashes; seen tells whose each hash is.
+func (v *validator) checkKeyHashes(field, owner string, hashes []string, seen map[string]string) {
 	for _, h := range hashes {
 		if len(h) != keyHashLength || strings.Trim(h, "0123456789abcdef") != "" {
 			v.fail(field, "%.8q… is not a SHA-256 hash in lower-case hex", h)
 		}
-		if seen[h] {
-			v.fail(field, "the hash %.8s… is used twice", h)
+		if other, used := seen[h]; used {
+			v.fail(field, "the hash %.8s… is used twice, by %q and %q", h, other, owner)
 		}
-		seen[h] = true
+		seen[h] = owner
 	}
 }
 
 func (v *validator) checkTeams(r *Record) {
 	names := map[string]bool{}
-	hashes := map[string]bool{}
+	hashes := map[string]string{}
 	for i, t := range r.Teams {
 		field := fmt.Sprintf("teams[%d]", i)
 		if t.Name == "" || names[t.Name] {
 			v.fail(field+".name", "%q is empty or used twice", t.Name)
 		}
 		names[t.Name] = true
-		v.checkRegionList(field+".home", []string{t.Home})
-		v.checkKeyHashes(field+".key_hashes", t.KeyHashes, hashes)
+		if t.Home != "" || !r.OpenOperators {
+			v.checkRegionList(field+".home", []string{t.Home})
+		}
+		v.checkKeyHashes(field+".key_hashes", t.Name, t.KeyHashes, hashes)
+		v.checkQuota(field+".quota", t.Quota)
 		if t.Weight < 0 || t.Weight > 1000 {
 			v.fail(field+".weight", "%v is not between 0 and 1000", t.Weight)
 		}
@@ -244,10 +248,10 @@
 }
 
 func (v *validator) checkOperators(r *Record) {
-	hashes := map[string]bool{}
+	hashes := map[string]string{}
 	writers := 0
 	for i, o := range r.Operators {
-		v.checkKeyHashes(fmt.Sprintf("operators[%d].key_hashes", i), o.KeyHashes, hashes)
+		v.checkKeyHashes(fmt.Sprintf("operators[%d].key_hashes", i), o.Name, o.KeyHashes, hashes)
 		if !o.ReadOnly && len(o.KeyHashes) > 0 {
 			writers++
 		}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -70,6 +70,8 @@
 	EvidenceInvalid   Code = "evidence-invalid"
 	Quarantined       Code = "quarantined-request"
 	Suspected         Code = "suspected-request"
+	OverQuota         Code = "over-quota"
+	QuotaUnknown      Code = "quota-unknown"
 	Internal          Code = "internal"
 )
 
@@ -116,6 +118,8 @@
 	EvidenceInvalid:   "The configuration carries no valid commit evidence",
 	Quarantined:       "The request crashed the servers that ran it",
 	Suspected:         "The request may have crashed servers and is being tried",
+	OverQuota:         "The team's quota is used up",
+	QuotaUnknown:      "No control host in reach tells what is left of the team's quota",
 	Internal:          "Internal error",
 }
 
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -32,6 +32,14 @@
 	Close() error
 }
 
+// QuotaStore keeps what a control host may have given out of the teams' quotas.
+type QuotaStore interface {
+	// Save returns after the state is synced in the place of the one before.
+	Save(*pb.QuotaState) error
+	// Load returns what was last saved; nil when nothing was.
+	Load() (*pb.QuotaState, error)
+}
+
 // Identity names a store. It is written once, when the data folder is formatted.
 type Identity struct {
 	Format uint32 `json:"format"`
