How long requests keep an engine's slot is learned

What callers saw: on a peak of short chats (32 slots an engine, 300 tokens of answer) answers came late that the hosts had expected in time: median 0.8 s expected, 1.3 to 1.8 s seen. Cause: a slot counted as kept for one second (1.5 s for requests that wait behind all others), a figure of the earlier engines with 64 and 128 slots, where memory was short first. Ruled out: the rate of reading, which is learned and was right. Change: package speed keeps the mean time from an answer's first event to its end; the wait for a slot goes by it.

--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -73,6 +73,7 @@
 	job   *Job
 	key   regionKey
 	read  bool // the first byte has come
+	began time.Time
 }
 
 // Figures of the estimate.
@@ -185,7 +186,7 @@
 	k := f.costAt(s, j, uncovered, math.Max(0, shared-covered), now)
 	k.addCopy(j, copied)
 	k.loss += f.crossing(s, j) + share + f.endLoss(s, j)
-	late := !f.off(Deferral) && k.deferLate(s, j)
+	late := !f.off(Deferral) && k.deferLate(s, j, f.speedOf(j.Service).HoldMS())
 	k.loss += f.o.Random() * tieBreak
 	c.Considered = append(c.Considered, Considered{s.ID, k.firstMS, ""})
 	if k.loss < c.loss {
--- a/internal/core/dispatch/cost.go
+++ b/internal/core/dispatch/cost.go
@@ -64,7 +64,7 @@
 	read := uncovered / learned.Rate()
 	step := stepBase + stepPerRequest*e.requests
 	first := learned.BeginMS() + e.pendingMS + read + (e.pendingMS+read)/100*step + step
-	first += waitForRoom(e, uncovered+j.Output)
+	first += waitForRoom(e, uncovered+j.Output, learned.HoldMS())
 	own := shortLoss
 	if j.isLong() {
 		own = longLoss
@@ -85,28 +85,25 @@
 // time: it tells so, and adds the wait behind the others that are deferred already. In the
 // order of arrival an overloaded engine answers nearly all of them late
 // (TestOverloadServesSomeInTime).
-func (k *cost) deferLate(s *Server, j *Job) bool {
+func (k *cost) deferLate(s *Server, j *Job, holdMS float64) bool {
 	if !j.Engine || j.Target <= 0 || k.firstMS <= float64(j.Target.Milliseconds()) {
 		return false
 	}
-	wait := float64(s.deferred+s.othersDeferred) * deferredMS / math.Max(1, float64(s.Slots))
+	wait := float64(s.deferred+s.othersDeferred) * holdMS / math.Max(1, float64(s.Slots))
 	k.firstMS += wait
 	k.loss += wait / 1000 * delayLoss
 	return true
 }
 
-// deferredMS is how long a request that is deferred keeps a slot, in ms: half a chat's
-// answer at a full engine.
-const deferredMS = 1500.0
-
-// waitForRoom is the wait for a slot and for KV cache, in ms.
-func waitForRoom(e engineState, tokens float64) float64 {
+// waitForRoom is the wait for a slot and for KV cache, in ms, while requests keep a slot for
+// holdMS.
+func waitForRoom(e engineState, tokens, holdMS float64) float64 {
 	wait := 0.0
 	if over := e.memory + tokens - e.memoryCapacity; over > 0 && e.memoryCapacity > 0 {
 		wait += over / releasePerMS
 	}
 	if over := e.requests + 1 - e.slots; over > 0 {
-		wait += over * 1000 / e.slots
+		wait += over * holdMS / e.slots
 	}
 	return wait
 }
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -239,6 +239,7 @@
 	TokensPerMS float64 `json:"tokens_per_ms"` // of prompts read by an engine
 	BeginMS     float64 `json:"begin_ms"`      // time to an answer's first event without reading
 	AnswerMS    float64 `json:"answer_ms"`     // of a plain service
+	HoldMS      float64 `json:"hold_ms"`       // of an engine's slot, by one request
 	Samples     int     `json:"samples"`       // of long prompts, of which the rate is the median
 }
 
@@ -246,7 +247,7 @@
 func (f *Fleet) Speeds() map[string]Speed {
 	out := make(map[string]Speed, len(f.speeds))
 	for service, e := range f.speeds {
-		out[service] = Speed{e.Rate(), e.BeginMS(), e.AnswerMS(), e.Samples()}
+		out[service] = Speed{e.Rate(), e.BeginMS(), e.AnswerMS(), e.HoldMS(), e.Samples()}
 	}
 	return out
 }
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -11,6 +11,7 @@
 // Started records that the request was sent to the chosen place.
 func (f *Fleet) Started(c *Choice, now time.Time) {
 	l := c.load()
+	c.began = now
 	if c.Server == nil {
 		if r := f.regions[c.key]; r != nil {
 			r.sent.add(l)
@@ -129,6 +130,9 @@
 			s.own.prompt = math.Max(0, s.own.prompt-c.Uncovered)
 		}
 	}
+	if o == Served && c.job.Engine && c.read && !f.off(LearnedSpeeds) {
+		f.speedOf(c.job.Service).End(float64(now.Sub(c.began)-first) / float64(time.Millisecond))
+	}
 	switch o {
 	case Broke:
 		s.health.broke(now)
--- a/internal/core/speed/speed.go
+++ b/internal/core/speed/speed.go
@@ -1,6 +1,6 @@
 // Package speed learns from answers how fast the servers of a service work: how many tokens
 // of a prompt a model engine reads in a ms, how long an answer takes to begin without
-// reading, and how long a plain service takes. It does no I/O and reads no clock.
+// reading, how long a request keeps a slot, and how long a plain service takes. It does no I/O and reads no clock.
 //
 // The figures are medians of the newest samples, so that a few engines in trouble, or a few
 // prompts of which the engine held more or less than expected, don't move them.
@@ -17,7 +17,9 @@
 	maxRate     = 1000.0
 	startBegin  = 45.0 // ms
 	startAnswer = 40.0 // ms
+	startHold   = 1000.0
 	maxBegin    = 2000.0
+	maxHold     = 60_000.0
 )
 
 // Samples that are used.
@@ -53,6 +55,7 @@
 // Estimator holds the figures of one service. It is not safe for concurrent use.
 type Estimator struct {
 	reading, begin, answer median
+	hold                   mean
 }
 
 // New returns an estimator that begins with a rate of reading, in tokens per ms; 0 for the
@@ -64,6 +67,7 @@
 	return &Estimator{
 		reading: median{value: 1 / rate, enough: enough}, begin: median{value: startBegin, enough: enough},
 		answer: median{value: startAnswer, enough: enoughAnswers},
+		hold:   mean{value: startHold},
 	}
 }
 
@@ -76,6 +80,17 @@
 // AnswerMS returns the time of an answer of a plain service, in ms.
 func (e *Estimator) AnswerMS() float64 { return min(maxBegin, e.answer.value) }
 
+// HoldMS returns how long a request keeps a slot of an engine, from its answer's first event to
+// the last, in ms. It is a mean: the wait for a slot is the sum of what others take.
+func (e *Estimator) HoldMS() float64 { return min(maxHold, e.hold.value) }
+
+// End takes the time from the first to the last event of an engine's whole answer.
+func (e *Estimator) End(ms float64) {
+	if ms > 0 {
+		e.hold.add(min(ms, maxHold))
+	}
+}
+
 // Samples returns the number of samples of prompts, for logs and metrics.
 func (e *Estimator) Samples() int { return len(e.reading.samples) }
 
@@ -99,6 +114,11 @@
 	}
 }
 
+// mean is a moving mean of the newest samples.
+type mean struct{ value float64 }
+
+func (m *mean) add(v float64) { m.value += (v - m.value) / kept }
+
 // median keeps the newest samples and their median.
 type median struct {
 	samples []float64
--- a/internal/core/speed/speed_test.go
+++ b/internal/core/speed/speed_test.go
@@ -80,3 +80,23 @@
 		t.Errorf("%.1f ms", est.AnswerMS())
 	}
 }
+
+// TestHold follows how long requests keep their slots, from a start value and with one
+// answer that took very long.
+func TestHold(t *testing.T) {
+	e := New(0)
+	if got := e.HoldMS(); got != startHold {
+		t.Errorf("%v at first", got)
+	}
+	for range 200 {
+		e.End(2500)
+	}
+	if got := e.HoldMS(); got < 2400 || got > 2500 {
+		t.Errorf("%v after answers of 2,500 ms", got)
+	}
+	e.End(1e9)
+	if got := e.HoldMS(); got > 2500+maxHold/kept {
+		t.Errorf("%v after one that never ended", got)
+	}
+	e.End(-1)
+}
