What servers tell of their load corrects what is known of it

What callers saw: on the heaviest seconds answers came late at servers that the hosts took for half empty (expected 0.2 s, seen 1.0 to 1.6 s). Cause: an entry host knows of others' requests by control hosts; while these are cut from each other each tells of its own failure domain's hosts only. Evidence: the forecasts were right until the cut began and wrong in both regions of the split from the next quarter of a second on. Change: servers say with each answer how many requests they have. Tried and dropped: the same for other regions by the answers to forwards.

--- a/internal/app/gateway/request.go
+++ b/internal/app/gateway/request.go
@@ -108,6 +108,9 @@
 	Head
 	Verdict Verdict
 	Body    io.ReadCloser
+	// Requests is how many the server says it has, running and waiting; -1 when it does not
+	// say.
+	Requests int
 	// Cold is for how long the server says it is cold.
 	Cold time.Duration
 }
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -41,6 +41,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	g.noteCold(c.Server, answer.Cold)
+	g.noteLoad(c, answer.Requests)
 	switch answer.Verdict {
 	case NotRun:
 		return result{point: retry.Refused, outcome: dispatch.Refused,
@@ -71,6 +72,17 @@
 	s.SetCold(g.o.Clock.Now().Add(left))
 }
 
+// noteLoad takes how many requests the server has that answers an attempt; below 0 when it did
+// not say.
+func (g *Gateway) noteLoad(c *dispatch.Choice, requests int) {
+	if requests < 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.Observed(c, requests, g.o.Clock.Now())
+}
+
 func (g *Gateway) markGone(s *dispatch.Server) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -183,16 +183,17 @@
 	from, copied := f.copySource(s, j, keep, shared-covered, now)
 	covered += copied
 	uncovered := math.Max(0, j.Prompt-covered)
+	hidden := f.hidden(j.Service, now)
 	k := f.costAt(s, j, uncovered, math.Max(0, shared-covered), now)
 	k.addCopy(j, copied)
 	k.loss += f.crossing(s, j) + share + f.endLoss(s, j)
-	late := !f.off(Deferral) && k.deferLate(s, j, f.speedOf(j.Service).HoldMS())
+	late := !f.off(Deferral) && k.deferLate(float64(s.deferred)+hidden*float64(s.othersDeferred), s, j, f.speedOf(j.Service).HoldMS())
 	k.loss += f.o.Random() * tieBreak
 	c.Considered = append(c.Considered, Considered{s.ID, k.firstMS, ""})
 	if k.loss < c.loss {
 		c.Server, c.EstimateMS, c.loss, c.Uncovered, c.CopyFrom = s, k.firstMS, k.loss, uncovered, from
 		c.Deferred = late
-		c.ahead, c.crowd = s.own.prompt+s.others.prompt, crowd(float64(s.own.requests+s.others.requests), float64(max(1, s.Slots)))
+		c.ahead, c.crowd = s.own.prompt+hidden*s.others.prompt, crowd(f.requestsAt(s, now), float64(max(1, s.Slots)))
 	}
 }
 
@@ -210,7 +211,7 @@
 
 // costAt is the cost of the request at a server of the own region.
 func (f *Fleet) costAt(s *Server, j *Job, uncovered, reread float64, now time.Time) cost {
-	requests := float64(s.own.requests + s.others.requests)
+	requests, hidden := f.requestsAt(s, now), f.hidden(j.Service, now)
 	slots := float64(max(1, s.Slots))
 	unhealthy := s.health.errors.now(now) * errorLoss
 	excess := s.health.excess.now(now)
@@ -229,9 +230,9 @@
 		return cost{k.loss + unhealthy + excess/1000*delayLoss, k.firstMS + excess}
 	}
 	k := promptCost(engineState{
-		requests: requests, slots: slots, pendingMS: (s.own.prompt + s.others.prompt) / learned.Rate(),
-		busy:   (s.reading.now(now) + s.othersReading) / 1000,
-		memory: s.own.memory + s.others.memory, memoryCapacity: j.MemoryTokens, off: f.o.Off,
+		requests: requests, slots: slots, pendingMS: (s.own.prompt + hidden*s.others.prompt) / learned.Rate(),
+		busy:   (s.reading.now(now) + hidden*s.othersReading) / 1000,
+		memory: s.own.memory + hidden*s.others.memory, memoryCapacity: j.MemoryTokens, off: f.o.Off,
 	}, j, uncovered, reread, learned)
 	return cost{k.loss + unhealthy + shortLoss*lateRisk(k.firstMS+excess, j.Target) - shortLoss*lateRisk(k.firstMS, j.Target), k.firstMS}
 }
--- a/internal/core/dispatch/cost.go
+++ b/internal/core/dispatch/cost.go
@@ -85,11 +85,11 @@
 // time: it tells so, and adds the wait behind the others that are deferred already. In the
 // order of arrival an overloaded engine answers nearly all of them late
 // (TestOverloadServesSomeInTime).
-func (k *cost) deferLate(s *Server, j *Job, holdMS float64) bool {
+func (k *cost) deferLate(deferred float64, s *Server, j *Job, holdMS float64) bool {
 	if !j.Engine || j.Target <= 0 || k.firstMS <= float64(j.Target.Milliseconds()) {
 		return false
 	}
-	wait := float64(s.deferred+s.othersDeferred) * holdMS / math.Max(1, float64(s.Slots))
+	wait := deferred * holdMS / math.Max(1, float64(s.Slots))
 	k.firstMS += wait
 	k.loss += wait / 1000 * delayLoss
 	return true
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -68,7 +68,8 @@
 	speeds         map[string]*speed.Estimator // by service
 	byKey          map[uint32]*Server
 	holders        *holders.Table
-	sent           []holders.Place // not told to a control host yet
+	observed       map[string]*observed // by service
+	sent           []holders.Place      // not told to a control host yet
 }
 
 // New returns a fleet without servers.
@@ -79,7 +80,7 @@
 	return &Fleet{
 		o: o, servers: map[string]*Server{}, gone: map[string]departure{}, hosts: map[string][]*Host{},
 		regions: map[regionKey]*region{}, chains: map[string]chainRate{}, arrivals: map[string]*arrivals{}, holders: holders.NewTable(),
-		byKey: map[uint32]*Server{}, speeds: map[string]*speed.Estimator{},
+		byKey: map[uint32]*Server{}, speeds: map[string]*speed.Estimator{}, observed: map[string]*observed{},
 	}
 }
 
--- a/internal/core/dispatch/mechanisms.go
+++ b/internal/core/dispatch/mechanisms.go
@@ -46,13 +46,15 @@
 	ConfigFromSender
 	// Isolation keeps requests under which servers ended away from others.
 	Isolation
+	// LoadsObserved compares what servers tell of their requests with what is known.
+	LoadsObserved
 )
 
 var mechanismNames = map[string]Mechanisms{
 	"deferral": Deferral, "learned-speeds": LearnedSpeeds, "start-waiting": StartWaiting, "pause-cost": PauseCost,
 	"busy-cost": BusyCost, "homes": Homes, "holders": Holders, "copies": Copies, "own-domain-first": OwnDomainFirst,
 	"silence": Silence, "health": Health, "other-regions": OtherRegions, "sampling": Sampling, "shares": Shares,
-	"config-from-sender": ConfigFromSender, "isolation": Isolation,
+	"config-from-sender": ConfigFromSender, "isolation": Isolation, "loads-observed": LoadsObserved,
 }
 
 // ParseMechanisms returns the set of the mechanisms with the given names.
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -44,6 +44,8 @@
 	// progressAt is when this host last got a byte from the server, or began to
 	// wait for one.
 	progressAt time.Time
+	// weighed is the requests that the server was last taken to have.
+	weighed float64
 	// suspicion is how many of this host's requests at the server are likely to end it.
 	suspicion float64
 }
--- a/internal/core/dispatch/share.go
+++ b/internal/core/dispatch/share.go
@@ -108,6 +108,9 @@
 		return preference{}
 	}
 	servers := f.warmServers(j.Service, now)
+	for _, s := range servers {
+		s.weighed = f.requestsAt(s, now)
+	}
 	here := f.poolHere(j.Service, servers, now)
 	t := &Turn{f.o.Region, here.arrivals, here.capacity, here.waiting}
 	place := f.order(servers, here)
@@ -132,14 +135,14 @@
 func (f *Fleet) perSlot(service string) float64 { return 1000 / f.speedOf(service).AnswerMS() }
 
 func (f *Fleet) poolHere(service string, servers []*Server, now time.Time) pool {
-	slots, requests := 0, 0
+	slots, requests := 0, 0.0
 	for _, s := range servers {
 		slots += s.Slots
-		requests += s.own.requests + s.others.requests
+		requests += s.weighed
 	}
 	return pool{
 		region: f.o.Region, capacity: float64(slots) * f.perSlot(service), arrivals: f.arrivals[service].perSecond(now),
-		waiting: float64(max(0, requests-slots)),
+		waiting: math.Max(0, requests-float64(slots)),
 	}
 }
 
@@ -209,7 +212,7 @@
 const minLacks = 0.1
 
 // fill is the server's requests for each of its slots.
-func (s *Server) fill() float64 { return float64(s.own.requests+s.others.requests) / s.slots() }
+func (s *Server) fill() float64 { return s.weighed / s.slots() }
 
 func (s *Server) slots() float64 { return float64(max(1, s.Slots)) }
 
--- a/internal/core/dispatch/share_test.go
+++ b/internal/core/dispatch/share_test.go
@@ -73,7 +73,7 @@
 }
 
 func TestFillLevel(t *testing.T) {
-	server := func(requests int) *Server { return &Server{Slots: 10, own: load{requests: requests}} }
+	server := func(requests int) *Server { return &Server{Slots: 10, weighed: float64(requests)} }
 	for _, c := range []struct {
 		name     string
 		servers  []*Server
