Quotas on the product's own interface; waiters get what came for others; all issuers answer before a refusal

Own interface: a request takes its units where it entered, and gives them back when it did not run; keys are looked up by the same code, and a control host is asked before an unknown one is refused. 429 and 503 with their times to come back.

A quota of few requests a window could never be given out, as an eighth of it was less than one (TestQuotaOfARequest).

--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -21,6 +21,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/adapter/operatorhttp"
 	"github.com/sesamefork/sesamefork/internal/adapter/problem"
+	"github.com/sesamefork/sesamefork/internal/app/access"
 	"github.com/sesamefork/sesamefork/internal/app/entry"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/residency"
@@ -128,16 +129,10 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (h *Handler) team(r *http.Request) (configstate.Team, *failure.Error) {
-	hash, ok := operatorhttp.BearerHash(r)
-	if !ok {
-		return configstate.Team{}, failure.New(failure.Unauthorized, failure.NotRun, "a key is needed: Authorization: Bearer <key>")
-	}
-	t, ok := h.host.TeamByKey(hash)
-	if !ok {
-		return configstate.Team{}, failure.New(failure.Unauthorized, failure.NotRun, "the key belongs to no team")
-	}
-	return t, nil
+func (h *Handler) team(r *http.Request) (*configstate.Team, *failure.Error) {
+	c := access.Credential{Fault: "a key is needed: Authorization: Bearer <key>"}
+	c.Hash, _ = operatorhttp.BearerHash(r)
+	return h.host.Team(r.Context(), c)
 }
 
 // EntryHosts is the answer of GET /v1/entry-hosts.
--- a/internal/adapter/operatorhttp/operatorhttp.go
+++ b/internal/adapter/operatorhttp/operatorhttp.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"expvar"
 	"io"
@@ -20,6 +18,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/adapter/problem"
 	"github.com/sesamefork/sesamefork/internal/app/control"
+	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
@@ -88,8 +87,7 @@
 	if !ok || key == "" {
 		return "", false
 	}
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:]), true
+	return configstate.KeyHash(key), true
 }
 
 func (h *Handler) authenticate(r *http.Request, write bool) (string, error) {
--- a/internal/adapter/problem/status.go
+++ b/internal/adapter/problem/status.go
@@ -52,6 +52,8 @@
 	failure.EvidenceInvalid:   http.StatusInternalServerError,
 	failure.Quarantined:       http.StatusUnprocessableEntity,
 	failure.Suspected:         http.StatusServiceUnavailable,
+	failure.OverQuota:         http.StatusTooManyRequests,
+	failure.QuotaUnknown:      http.StatusServiceUnavailable,
 	failure.Internal:          http.StatusInternalServerError,
 }
 
--- a/internal/app/access/access.go
+++ b/internal/app/access/access.go
@@ -7,6 +7,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -96,10 +98,9 @@
 // waiting is the requests of one team that wait for units.
 type waiting struct {
 	queue []*waiter
-	// asked are the control hosts that the present waiters asked, and answers how many of
-	// them gave what they had.
+	// asked are the control hosts that the present waiters asked; the value says whether one
+	// has given what it had.
 	asked   map[string]bool
-	answers int
 	moreIn  time.Duration // until what is needed is expected to be there; 0 while nobody said
 	refused refusedUntil
 }
@@ -214,14 +215,14 @@
 func (g *Gate) askNext(q *waiting, most int, now time.Time) bool {
 	asked := 0
 	for _, is := range g.o.Issuers() {
-		if q.asked[is.Addr] || now.Before(g.issuer(is.Addr).silentUntil) {
+		if _, done := q.asked[is.Addr]; done || now.Before(g.issuer(is.Addr).silentUntil) {
 			continue
 		}
 		if asked == most {
 			break
 		}
 		asked++
-		q.asked[is.Addr] = true
+		q.asked[is.Addr] = false
 		g.start(is.Addr)
 	}
 	return asked > 0
@@ -247,7 +248,7 @@
 			return w.f
 		case <-hedge.C:
 			g.mu.Lock()
-			if q := g.teams[team]; q.answers == 0 {
+			if q := g.teams[team]; !q.answered() {
 				g.askNext(q, 1, g.o.Clock.Now())
 			}
 			g.mu.Unlock()
@@ -290,11 +291,27 @@
 	q.settled()
 }
 
+// asks reports whether waiters ask a control host. There may be none.
+func (q *waiting) asks(addr string) bool {
+	if q == nil {
+		return false
+	}
+	_, asked := q.asked[addr]
+	return asked
+}
+
+// answered reports whether any control host has answered the present waiters.
+func (q *waiting) answered() bool { return slices.Contains(slices.Collect(maps.Values(q.asked)), true) }
+
+func (q *waiting) answeredByAll() bool {
+	return !slices.Contains(slices.Collect(maps.Values(q.asked)), false)
+}
+
 // settled forgets the asks once nobody waits.
 func (q *waiting) settled() {
 	if len(q.queue) == 0 {
 		clear(q.asked)
-		q.answers, q.moreIn = 0, 0
+		q.moreIn = 0
 	}
 }
 
@@ -308,7 +325,7 @@
 	now := g.o.Clock.Now()
 	list := g.o.Issuers()
 	nearest := len(list) > 0 && list[0].Addr == addr
-	ask := g.holder.Compose(addr, nearest, func(team string) bool { q := g.teams[team]; return q != nil && q.asked[addr] }, now)
+	ask := g.holder.Compose(addr, nearest, func(team string) bool { return g.teams[team].asks(addr) }, now)
 	if ask == nil {
 		return
 	}
@@ -342,6 +359,7 @@
 	}
 	g.holder.Granted(addr, ask, grant, sentAt)
 	for i, p := range ask.Parts {
+		g.serve(p.Team, now)
 		if i < len(grant.Shares) && p.Needed > 0 {
 			g.answered(addr, p.Team, grant.Shares[i], now)
 		}
@@ -351,29 +369,37 @@
 	}
 }
 
-// answered serves a team's waiters after a control host answered. The gate is locked.
-func (g *Gate) answered(addr, team string, s *pb.QuotaShare, now time.Time) {
+// serve gives a team's waiters what there is, in the order in which they came: also what came
+// for requests that were only expected. The gate is locked.
+func (g *Gate) serve(team string, now time.Time) {
 	q := g.teams[team]
-	q.answers++
-	if more := time.Duration(min(s.MoreInMs, uint64(longestRetry.Milliseconds()))) * time.Millisecond; more > 0 && (q.moreIn == 0 || more < q.moreIn) {
-		q.moreIn = more
-	}
-	for len(q.queue) > 0 {
+	for q != nil && len(q.queue) > 0 {
 		w := q.queue[0]
 		c, ok := g.holder.Take(team, w.units, now)
 		if !ok {
-			break
+			return
 		}
 		w.charge = c
 		g.finish(team, w, nil)
 	}
-	switch {
-	case len(q.queue) == 0:
+}
+
+// answered goes on with a team's waiters after a control host told what it has for them: they
+// ask further ones, or are refused. The gate is locked.
+func (g *Gate) answered(addr, team string, s *pb.QuotaShare, now time.Time) {
+	q := g.teams[team]
+	if len(q.queue) == 0 {
 		return
+	}
+	q.asked[addr] = true
+	if more := time.Duration(min(s.MoreInMs, uint64(longestRetry.Milliseconds()))) * time.Millisecond; more > 0 && (q.moreIn == 0 || more < q.moreIn) {
+		q.moreIn = more
+	}
+	switch {
 	case s.MoreInMs == 0 && !s.Unknown:
 		g.issuer(addr).again = true // for those that came after the ask
 		return
-	case g.askNext(q, len(q.asked)*askMore, now), q.answers < len(q.asked):
+	case g.askNext(q, len(q.asked)*askMore, now), !q.answeredByAll():
 		return
 	}
 	f := g.refusal(team, q)
--- a/internal/app/entry/config.go
+++ b/internal/app/entry/config.go
@@ -121,12 +121,7 @@
 }
 
 func (h *Host) derive(in *configstate.Installed) *view {
-	v := &view{Installed: in, teams: map[string]configstate.Team{}, hosts: map[string]configstate.Host{}}
-	for _, t := range in.Record.Teams {
-		for _, k := range t.KeyHashes {
-			v.teams[k] = t
-		}
-	}
+	v := &view{Installed: in, hosts: map[string]configstate.Host{}}
 	for _, host := range in.Record.Hosts {
 		v.hosts[host.ID] = host
 		if host.FailureDomain == h.o.FailureDomain && host.ID != h.o.ID {
--- a/internal/app/entry/execute.go
+++ b/internal/app/entry/execute.go
@@ -68,15 +68,36 @@
 	h.mu.Lock()
 	h.budget.Request(h.o.Clock.Now())
 	h.mu.Unlock()
-	if r.Idempotent || r.forwarded() {
-		f = h.run(ctx, x)
-	} else {
-		f = h.runOnce(ctx, x)
-	}
+	f = h.charged(ctx, x, func() *failure.Error {
+		if r.Idempotent || r.forwarded() {
+			return h.run(ctx, x)
+		}
+		return h.runOnce(ctx, x)
+	})
 	h.account(x, f)
 	return f
 }
 
+// charged takes the request's units of its team's quota, at the host where it entered, and
+// gives them back when it did not run.
+func (h *Host) charged(ctx context.Context, x *execution, run func() *failure.Error) *failure.Error {
+	if x.r.forwarded() {
+		return run()
+	}
+	team, ok := x.view.Record.Team(x.r.Team)
+	if !ok {
+		return run() // the team's key was found in another version
+	}
+	c, f := h.access.Take(ctx, x.r.ID, &team, x.r.Tokens+x.r.MaxTokens)
+	if f != nil {
+		return f
+	}
+	if f = run(); f != nil && f.Outcome == failure.NotRun {
+		h.access.Refund(c)
+	}
+	return f
+}
+
 func (h *Host) account(x *execution, f *failure.Error) {
 	x.explain.finish(f, x.waited)
 	outcome := "done"
--- a/internal/app/entry/host.go
+++ b/internal/app/entry/host.go
@@ -5,19 +5,23 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"crypto/ed25519"
 	"encoding/hex"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	crand "crypto/rand"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/sesamefork/sesamefork/internal/app/access"
 	"github.com/sesamefork/sesamefork/internal/app/crashwatch"
 	"github.com/sesamefork/sesamefork/internal/core/admission"
 	"github.com/sesamefork/sesamefork/internal/core/backend"
@@ -102,6 +106,7 @@
 	wake      chan struct{}
 	sendNow   chan struct{}
 	crashes   *crashNews
+	access    *access.Gate
 }
 
 type hostVersion struct {
@@ -113,7 +118,6 @@
 // view is a configuration in force with what is derived from it.
 type view struct {
 	*configstate.Installed
-	teams map[string]configstate.Team // by key hash
 	hosts map[string]configstate.Host
 	peers []configstate.Host // other hosts of the failure domain
 }
@@ -146,6 +150,9 @@
 		ID: o.ID, SuspectTimeout: suspectFactor * o.Probe, Seed: rand.Int64(),
 	}, h.incarnation)
 	h.ledger = newLedgerHost(h)
+	h.access = access.New(access.Options{
+		Host: o.ID, Peers: o.Peers, Request: h.request, Issuers: h.issuers, Clock: o.Clock, Log: o.Log, Metrics: o.Metrics,
+	})
 	h.gauges()
 	return h
 }
@@ -160,7 +167,11 @@
 	h.every(ctx, h.ledger.interval(), h.ledger.tick)
 	h.every(ctx, time.Second, h.seek)
 	h.every(ctx, h.o.Update, h.tellCrashes)
-	h.wg.Add(1)
+	h.wg.Add(2)
+	go func() {
+		defer h.wg.Done()
+		_ = h.access.Run(ctx) // ends with ctx only
+	}()
 	go func() {
 		defer h.wg.Done()
 		for {
@@ -260,14 +271,36 @@
 	return nil
 }
 
-// TeamByKey returns the team with the key's hash.
-func (h *Host) TeamByKey(hash string) (configstate.Team, bool) {
-	v := h.config.Load()
-	if v == nil {
-		return configstate.Team{}, false
+// Team returns the team whose key a request bears. A key that no team holds is refused only
+// after a control host has been asked whether there is a newer configuration: it may just have
+// been added.
+func (h *Host) Team(ctx context.Context, c access.Credential) (*configstate.Team, *failure.Error) {
+	rec := h.Record()
+	if rec == nil {
+		return nil, failure.New(failure.NotReady, failure.NotRun, "the entry host has no configuration yet")
+	}
+	t, f := access.TeamOf(rec, c)
+	if f == nil || c.Hash == "" {
+		return t, f
 	}
-	t, ok := v.teams[hash]
-	return t, ok
+	for _, addr := range h.o.Control {
+		if h.fetchOne(ctx, addr) {
+			return access.TeamOf(h.Record(), c)
+		}
+	}
+	return nil, f
+}
+
+// issuers returns the control hosts, in another order on each host so that they share the asks.
+func (h *Host) issuers() []access.Issuer {
+	out := make([]access.Issuer, 0, len(h.o.Control))
+	for _, addr := range h.o.Control {
+		out = append(out, access.Issuer{Addr: addr})
+	}
+	slices.SortFunc(out, func(a, b access.Issuer) int {
+		return cmp.Compare(xxhash.Sum64String(h.o.ID+a.Addr), xxhash.Sum64String(h.o.ID+b.Addr))
+	})
+	return out
 }
 
 // Options returns the host's options.
--- a/internal/core/quota/issuer.go
+++ b/internal/core/quota/issuer.go
@@ -51,6 +51,8 @@
 	grants, loans allowance
 	restored      *pb.QuotaUnits // what an earlier process stored, until it is taken into account
 	demand        meter
+	// largest is the most that one ask needed.
+	largest float64
 	// promised is what refused requests needed that were told when to come back.
 	promised   float64
 	promisedAt time.Time
@@ -199,8 +201,12 @@
 
 // newPart returns the part of a quota that this process did not know.
 func (i *Issuer) newPart(team string, q configstate.Quota) *part {
+	largest := 0.0
+	if q.Unit == configstate.UnitRequests {
+		largest = 1
+	}
 	return &part{
-		quota: q, out: map[string]float64{}, until: map[string]time.Time{},
+		largest: largest, quota: q, out: map[string]float64{}, until: map[string]time.Time{},
 		lent: map[string]lent{}, borrowed: map[string]lent{}, restored: i.o.Restored.GetTeams()[team],
 	}
 }
@@ -310,6 +316,7 @@
 
 func (i *Issuer) grant(p *part, from string, m *pb.QuotaPart, now time.Time) *pb.QuotaShare {
 	needed, ahead := atLeast0(m.Needed), atLeast0(m.Ahead)
+	p.largest = max(p.largest, min(needed, p.size()))
 	has := i.usable(p, now)
 	given := min(needed, has)
 	s := &pb.QuotaShare{}
@@ -446,6 +453,7 @@
 const (
 	storeAheadFor = 800 * time.Millisecond // of what holders ask
 	storeAhead    = 1. / 8                 // of the part, besides
+	storeLargest  = 2                      // of the largest ask, besides
 	storeTooMuch  = 4                      // times what is gone, or soon may be
 )
 
@@ -460,7 +468,7 @@
 	for name, p := range i.parts {
 		i.settle(p, now)
 		spent, lends := p.spent(), sumOf(p.lent)
-		grants := max(0, min(p.demand.now(now)*storeAheadFor.Seconds()+storeAhead*p.size(), p.free))
+		grants := max(0, min(p.demand.now(now)*storeAheadFor.Seconds()+storeAhead*p.size()+storeLargest*p.largest, p.free))
 		loans := max(0, min(storeAhead*p.size(), p.free))
 		due = due || p.grants.due(grants, spent) || p.loans.due(loans, lends)
 		out.Teams[name] = &pb.QuotaUnits{Spent: spent + grants, Lent: lends + loans, Own: max(p.base, p.larger.units), Back: p.back.list(now)}
@@ -478,7 +486,7 @@
 
 // Stored takes what has been stored.
 func (i *Issuer) Stored(s *pb.QuotaState) {
-	for name, u := range s.Teams {
+	for name, u := range s.GetTeams() {
 		if p := i.parts[name]; p != nil {
 			p.grants.end(u.Spent)
 			p.loans.end(u.Lent)
