--- a/cmd/sesame-control/platform.go
+++ b/cmd/sesame-control/platform.go
@@ -172,6 +172,7 @@
 	if s.Listen.Debug != "" {
 		router := mux.NewRouter()
 		operatorhttp.MountQuarantine(router, r, log)
+		operatorhttp.MountQuotas(router, r)
 		router.NotFoundHandler = daemon.DebugHandler()
 		handlers[s.Listen.Debug] = router
 	}
--- a/internal/adapter/operatorhttp/operatorhttp.go
+++ b/internal/adapter/operatorhttp/operatorhttp.go
@@ -53,6 +53,7 @@
 	h.handle(http.MethodPut, "/v1/replicas/{id}", true, h.replaceReplica)
 	h.handle(http.MethodPost, "/v1/orders", true, h.order)
 	h.handle(http.MethodGet, quarantinePath, false, h.listQuarantine)
+	h.handle(http.MethodGet, quotasPath, false, h.listQuotas)
 	h.handle(http.MethodDelete, suspectPath, true, h.liftQuarantine)
 	h.handle(http.MethodGet, "/debug/vars", false, func(w http.ResponseWriter, r *http.Request, _ string) error {
 		expvar.Handler().ServeHTTP(w, r)
--- a/internal/adapter/operatorhttp/quarantine.go
+++ b/internal/adapter/operatorhttp/quarantine.go
@@ -63,17 +63,19 @@
 	return writeJSON(w, map[string]string{"result": "lifted"})
 }
 
+// open serves a call without asking for a key.
+func open(f handlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if err := f(w, r, "operator"); err != nil {
+			problem.Write(w, failure.As(err, failure.Unknown), "")
+		}
+	}
+}
+
 // MountQuarantine adds the calls on requests that crash servers to a router that operators
 // reach without a key.
 func MountQuarantine(router *mux.Router, r *control.Replica, log logr.Logger) {
 	h := &Handler{replica: r, log: log}
-	open := func(f handlerFunc) http.HandlerFunc {
-		return func(w http.ResponseWriter, r *http.Request) {
-			if err := f(w, r, "operator"); err != nil {
-				problem.Write(w, failure.As(err, failure.Unknown), "")
-			}
-		}
-	}
 	router.HandleFunc(quarantinePath, open(h.listQuarantine)).Methods(http.MethodGet)
 	router.HandleFunc(suspectPath, open(h.liftQuarantine)).Methods(http.MethodDelete)
 }
--- /dev/null
+++ b/internal/core/quota/bench_test.go
@@ -0,0 +1,74 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sesamefork/sesamefork/internal/core/configstate"
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+)
+
+func manyTeams(n int) []configstate.Team {
+	var out []configstate.Team
+	for i := range n {
+		out = append(out, configstate.Team{Name: fmt.Sprintf("team%04d", i), Quota: &configstate.Quota{Unit: configstate.UnitTokens, PerSecond: 1e5, Burst: 1e5}})
+	}
+	return out
+}
+
+// BenchmarkAsk is one ask of an entry host and its answer, with so many teams that asked
+// lately. It reports the bytes of both messages.
+func BenchmarkAsk(b *testing.B) {
+	for _, teams := range []int{1, 16, 200} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			i := NewIssuer(IssuerOptions{Bound: worldBound, Fresh: true}, now)
+			i.SetShare(1, true, now)
+			i.SetTeams(manyTeams(teams), now)
+			i.Stored(i.ToStore(now))
+			h := NewHolder()
+			var ask *pb.QuotaAsk
+			var grant *pb.QuotaGrant
+			for b.Loop() {
+				now = now.Add(200 * time.Millisecond)
+				for n := range teams {
+					h.Ask(fmt.Sprintf("team%04d", n), 1000, now)
+				}
+				ask = h.Compose("c", true, func(string) bool { return false }, now)
+				ask.Sequence = uint64(b.N) + uint64(now.UnixNano())
+				grant = i.Answer("h", ask, now)
+				h.Granted("c", ask, grant, now)
+			}
+			b.ReportMetric(float64(proto.Size(ask)+proto.Size(grant)), "B/ask")
+		})
+	}
+}
+
+// BenchmarkToStore looks what is to be stored of so many teams, each with something spent in
+// each tenth of a second of a window.
+func BenchmarkToStore(b *testing.B) {
+	for _, teams := range []int{16, 2000} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			i := NewIssuer(IssuerOptions{Bound: worldBound, Fresh: true}, now)
+			i.SetShare(1, true, now)
+			i.SetTeams(manyTeams(teams), now)
+			for range 80 {
+				now = now.Add(100 * time.Millisecond)
+				for _, p := range i.parts {
+					p.free -= 1000
+					i.spend(p, 1000, now)
+				}
+			}
+			var s *pb.QuotaState
+			for b.Loop() {
+				i.NotStored()
+				s = i.ToStore(now)
+			}
+			b.ReportMetric(float64(proto.Size(s)), "B/store")
+		})
+	}
+}
--- a/internal/core/quota/issuer.go
+++ b/internal/core/quota/issuer.go
@@ -51,6 +51,7 @@
 	grants, loans allowance
 	restored      *pb.QuotaUnits // what an earlier process stored, until it is taken into account
 	demand        meter
+	refused       float64 // units that were needed and not there, since the start
 	// largest is the most that one ask needed.
 	largest float64
 	// promised is what refused requests needed that were told when to come back.
@@ -323,6 +324,7 @@
 	if lacks := needed - given; lacks > 0 {
 		p.demand.add(lacks, now)
 		p.promised += lacks
+		p.refused += lacks
 		s.MoreInMs = i.moreIn(p, now)
 	}
 	s.Granted = given + min(ahead, aheadShare*(has-given))
@@ -510,6 +512,7 @@
 	Held            float64 // by entry hosts
 	Back            float64 // spent, until a window later
 	DemandPerSecond float64
+	Refused         float64 // needed and not there, since the start
 }
 
 // Level returns what the issuer has of a team's quota.
@@ -519,7 +522,7 @@
 		return Level{Team: team}
 	}
 	i.settle(p, now)
-	l := Level{Team: team, Size: p.base, Free: p.free, Borrowed: sumOf(p.borrowed), Lent: sumOf(p.lent), DemandPerSecond: p.demand.now(now)}
+	l := Level{Team: team, Size: p.base, Free: p.free, Borrowed: sumOf(p.borrowed), Lent: sumOf(p.lent), DemandPerSecond: p.demand.now(now), Refused: p.refused}
 	for _, units := range p.out {
 		l.Held += units
 	}
