--- /dev/null
+++ b/internal/adapter/journal/quotas_test.go
@@ -0,0 +1,48 @@
+package journal
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sesamefork/sesamefork/internal/failure"
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+)
+
+// TestQuotas reads back what was saved last; nothing of a file that is damaged.
+func TestQuotas(t *testing.T) {
+	dir := t.TempDir()
+	q := Quotas{FS: OS{}, Dir: dir}
+	if s, err := q.Load(); s != nil || err != nil {
+		t.Fatalf("read %v, %v before anything was saved", s, err)
+	}
+	var last *pb.QuotaState
+	for _, units := range []float64{10, 20} {
+		last = &pb.QuotaState{Teams: map[string]*pb.QuotaUnits{"hall": {Spent: units, Back: []*pb.QuotaBack{{Units: units, InMs: 3000}}}}}
+		if err := q.Save(last); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if s, err := q.Load(); err != nil || !proto.Equal(s, last) {
+		t.Errorf("read %v, %v, want %v", s, err, last)
+	}
+	path := filepath.Join(dir, quotasName)
+	info, err := os.Stat(path)
+	if err != nil || info.Mode().Perm() != fileMode {
+		t.Errorf("mode %v, %v", info.Mode(), err)
+	}
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, data := range map[string][]byte{"empty": {}, "cut": whole[:len(whole)-1], "turned": append(append([]byte{}, whole[:6]...), append([]byte{whole[6] ^ 1}, whole[7:]...)...)} {
+		if err := os.WriteFile(path, data, fileMode); err != nil {
+			t.Fatal(err)
+		}
+		if s, err := q.Load(); s != nil || !failure.Is(err, failure.JournalCorrupt) {
+			t.Errorf("%s: read %v, %v", name, s, err)
+		}
+	}
+}
