One order of control hosts for both interfaces; keys are hashed in one place

The gateway and the entry host each sorted the control hosts by distance before asking one of them for a key's verdict or a quota loan. The order now stands once, in access.Nearest, and both call it. sesamectl hashed a key by a copy of configstate.KeyHash; it calls that function now.

Gone, because nothing needed them: Issuer and Options.Host in package access, Charge.team in the quota holder. The two counts of answers in access are one. The issuer's wait for a lost lease uses backAfter as its neighbours do, and the result of quotas' election is named active.

Behaviour is as before; the tests keep their assertions, only the set-up of access_test.go follows the changed options.

--- a/internal/app/access/access.go
+++ b/internal/app/access/access.go
@@ -6,12 +6,13 @@
 package access
 
 import (
+	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
@@ -42,20 +43,24 @@
 	return t, nil
 }
 
-// Issuer is a control host that gives out units.
-type Issuer struct {
-	Addr string // for other hosts
-	// Distance orders control hosts, 0 is the nearest.
-	Distance int
+// Nearest sorts the addresses of control hosts: the nearest first, and those at one distance in
+// another order on each host, so that the hosts share them.
+func Nearest(host string, addrs []string, distance func(addr string) int) {
+	slices.SortFunc(addrs, func(a, b string) int {
+		return cmp.Or(
+			cmp.Compare(distance(a), distance(b)),
+			cmp.Compare(xxhash.Sum64String(host+a), xxhash.Sum64String(host+b)),
+		)
+	})
 }
 
 // Options configures a Gate.
 type Options struct {
-	Host    string
 	Peers   port.Peers
 	Request func() *pb.Request // the head of a message to another host
-	// Issuers returns the control hosts in reach, the nearest first.
-	Issuers func() []Issuer
+	// Issuers returns the addresses of the control hosts, which give out units, the nearest
+	// first; see Nearest.
+	Issuers func() []string
 	Clock   port.Clock
 	Log     logr.Logger
 	Metrics port.Metrics
@@ -214,16 +219,16 @@
 // many at most. It reports whether there is one. The gate is locked.
 func (g *Gate) askNext(q *waiting, most int, now time.Time) bool {
 	asked := 0
-	for _, is := range g.o.Issuers() {
-		if _, done := q.asked[is.Addr]; done || now.Before(g.issuer(is.Addr).silentUntil) {
+	for _, addr := range g.o.Issuers() {
+		if _, done := q.asked[addr]; done || now.Before(g.issuer(addr).silentUntil) {
 			continue
 		}
 		if asked == most {
 			break
 		}
 		asked++
-		q.asked[is.Addr] = false
-		g.start(is.Addr)
+		q.asked[addr] = false
+		g.start(addr)
 	}
 	return asked > 0
 }
@@ -248,7 +253,7 @@
 			return w.f
 		case <-hedge.C:
 			g.mu.Lock()
-			if q := g.teams[team]; !q.answered() {
+			if q := g.teams[team]; q.answers() == 0 {
 				g.askNext(q, 1, g.o.Clock.Now())
 			}
 			g.mu.Unlock()
@@ -300,11 +305,15 @@
 	return asked
 }
 
-// answered reports whether any control host has answered the present waiters.
-func (q *waiting) answered() bool { return slices.Contains(slices.Collect(maps.Values(q.asked)), true) }
-
-func (q *waiting) answeredByAll() bool {
-	return !slices.Contains(slices.Collect(maps.Values(q.asked)), false)
+// answers returns how many control hosts have answered the present waiters.
+func (q *waiting) answers() int {
+	n := 0
+	for _, answered := range q.asked {
+		if answered {
+			n++
+		}
+	}
+	return n
 }
 
 // settled forgets the asks once nobody waits.
@@ -324,7 +333,7 @@
 	}
 	now := g.o.Clock.Now()
 	list := g.o.Issuers()
-	nearest := len(list) > 0 && list[0].Addr == addr
+	nearest := len(list) > 0 && list[0] == addr
 	ask := g.holder.Compose(addr, nearest, func(team string) bool { return g.teams[team].asks(addr) }, now)
 	if ask == nil {
 		return
@@ -399,7 +408,7 @@
 	case s.MoreInMs == 0 && !s.Unknown:
 		g.issuer(addr).again = true // for those that came after the ask
 		return
-	case g.askNext(q, len(q.asked)*askMore, now), !q.answeredByAll():
+	case g.askNext(q, len(q.asked)*askMore, now), q.answers() < len(q.asked):
 		return
 	}
 	f := g.refusal(team, q)
@@ -436,12 +445,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.o.Clock.Now()
-	for i, is := range g.o.Issuers() {
-		if now.Before(g.issuer(is.Addr).silentUntil) {
+	for i, addr := range g.o.Issuers() {
+		if now.Before(g.issuer(addr).silentUntil) {
 			continue
 		}
-		if i == 0 || g.holder.Holds(is.Addr) {
-			g.start(is.Addr)
+		if i == 0 || g.holder.Holds(addr) {
+			g.start(addr)
 		}
 	}
 }
--- a/internal/app/access/access_test.go
+++ b/internal/app/access/access_test.go
@@ -76,13 +76,9 @@
 }
 
 func newGate(f *fakeIssuers, addrs ...string) *Gate {
-	var list []Issuer
-	for i, a := range addrs {
-		list = append(list, Issuer{Addr: a, Distance: i})
-	}
 	return New(Options{
-		Host: "h1", Peers: f, Request: func() *pb.Request { return &pb.Request{From: "h1"} },
-		Issuers: func() []Issuer { return list }, Clock: port.SystemClock{}, Log: logr.Discard(), Metrics: noMetrics{},
+		Peers: f, Request: func() *pb.Request { return &pb.Request{From: "h1"} },
+		Issuers: func() []string { return addrs }, Clock: port.SystemClock{}, Log: logr.Discard(), Metrics: noMetrics{},
 	})
 }
 
--- a/internal/app/control/quotas.go
+++ b/internal/app/control/quotas.go
@@ -178,7 +178,7 @@
 
 // quotaShare returns the part of all quotas that this control host gives out: an equal one for
 // each failure domain, or for each member where the record lists the hosts.
-func (r *Replica) quotaShare(now time.Time) (share float64, makes bool) {
+func (r *Replica) quotaShare(now time.Time) (share float64, active bool) {
 	if r.fleet == nil {
 		return 1 / float64(1+len(r.otherIssuers())), true
 	}
--- a/internal/app/entry/host.go
+++ b/internal/app/entry/host.go
@@ -5,7 +5,6 @@
 package entry
 
 import (
-	"cmp"
 	"context"
 	"crypto/ed25519"
 	"encoding/hex"
@@ -17,7 +16,6 @@
 
 	crand "crypto/rand"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"go.opentelemetry.io/otel/trace"
 
@@ -151,7 +149,7 @@
 	}, h.incarnation)
 	h.ledger = newLedgerHost(h)
 	h.access = access.New(access.Options{
-		Host: o.ID, Peers: o.Peers, Request: h.request, Issuers: h.issuers, Clock: o.Clock, Log: o.Log, Metrics: o.Metrics,
+		Peers: o.Peers, Request: h.request, Issuers: h.issuers, Clock: o.Clock, Log: o.Log, Metrics: o.Metrics,
 	})
 	h.gauges()
 	return h
@@ -291,15 +289,10 @@
 	return nil, f
 }
 
-// issuers returns the control hosts, in another order on each host so that they share the asks.
-func (h *Host) issuers() []access.Issuer {
-	out := make([]access.Issuer, 0, len(h.o.Control))
-	for _, addr := range h.o.Control {
-		out = append(out, access.Issuer{Addr: addr})
-	}
-	slices.SortFunc(out, func(a, b access.Issuer) int {
-		return cmp.Compare(xxhash.Sum64String(h.o.ID+a.Addr), xxhash.Sum64String(h.o.ID+b.Addr))
-	})
+// issuers returns the control hosts, all taken to be equally far.
+func (h *Host) issuers() []string {
+	out := slices.Clone(h.o.Control)
+	access.Nearest(h.o.ID, out, func(string) int { return 0 })
 	return out
 }
 
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -93,7 +93,7 @@
 	}
 	g.control.seeds, g.control.vouched = o.Seeds, make(chan struct{})
 	g.access = access.New(access.Options{
-		Host: o.Host, Peers: o.Peers, Request: g.request, Issuers: g.issuers, Clock: o.Clock, Log: o.Log, Metrics: o.Metrics,
+		Peers: o.Peers, Request: g.request, Issuers: g.issuers, Clock: o.Clock, Log: o.Log, Metrics: o.Metrics,
 	})
 	return g
 }
--- a/internal/app/gateway/teams.go
+++ b/internal/app/gateway/teams.go
@@ -1,13 +1,9 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/sesamefork/sesamefork/internal/app/access"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/controlhosts"
@@ -142,25 +138,16 @@
 }
 
 // issuers returns the control hosts, the nearest first, and those that were not heard yet as
-// far ones. Those at one distance are in another order on each host, so that they share the
-// asks.
-func (g *Gateway) issuers() []access.Issuer {
+// far ones.
+func (g *Gateway) issuers() []string {
 	all := g.control.all()
 	g.control.mu.Lock()
 	defer g.control.mu.Unlock()
-	out := make([]access.Issuer, 0, len(all))
-	for _, addr := range all {
-		d, known := g.control.distances[addr]
-		if !known {
-			d = controlhosts.OtherRegion
-		}
-		out = append(out, access.Issuer{Addr: addr, Distance: int(d)})
-	}
-	slices.SortFunc(out, func(a, b access.Issuer) int {
-		if a.Distance != b.Distance {
-			return a.Distance - b.Distance
+	access.Nearest(g.o.Host, all, func(addr string) int {
+		if d, known := g.control.distances[addr]; known {
+			return int(d)
 		}
-		return cmp.Compare(xxhash.Sum64String(g.o.Host+a.Addr), xxhash.Sum64String(g.o.Host+b.Addr))
+		return int(controlhosts.OtherRegion)
 	})
-	return out
+	return all
 }
--- a/internal/core/quota/holder.go
+++ b/internal/core/quota/holder.go
@@ -36,7 +36,6 @@
 
 // Charge is the units that one request took.
 type Charge struct {
-	team  string
 	units float64 // in all
 	parts []chargePart
 	at    time.Time
@@ -102,7 +101,7 @@
 	if h.Has(team, now) < units {
 		return nil, false
 	}
-	c := &Charge{team: team, units: units, at: now}
+	c := &Charge{units: units, at: now}
 	left := units
 	for _, g := range h.purse(team).by {
 		n := min(left, g.spendable(now))
--- a/internal/core/quota/issuer.go
+++ b/internal/core/quota/issuer.go
@@ -194,7 +194,7 @@
 		i.resize(p, now)
 	}
 	for name, p := range i.parts {
-		if !p.inForce && now.Sub(p.droppedAt) > i.o.Bound.Window+Lease+LoanLease+sendWithin {
+		if !p.inForce && now.Sub(p.droppedAt) > LoanLease+i.backAfter() {
 			delete(i.parts, name)
 		}
 	}
--- a/internal/ctl/keys.go
+++ b/internal/ctl/keys.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/ed25519"
 	"crypto/rand"
-	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
 	"io"
@@ -12,6 +11,8 @@
 	"strings"
 
 	"github.com/google/subcommands"
+
+	"github.com/sesamefork/sesamefork/internal/core/configstate"
 )
 
 func keygenCommand(e *Env) *command {
@@ -40,8 +41,7 @@
 			if err != nil {
 				return e.fail(err)
 			}
-			sum := sha256.Sum256([]byte(strings.TrimSpace(string(data))))
-			fmt.Fprintln(e.Stdout, hex.EncodeToString(sum[:]))
+			fmt.Fprintln(e.Stdout, configstate.KeyHash(strings.TrimSpace(string(data))))
 			return subcommands.ExitSuccess
 		},
 	}
