Voters are spread over regions and failure domains; stores join in one step

What would be seen: with four control hosts a failure domain, three of the five voters stand in one failure domain, and its loss ends the group, though the loss of any failure domain is to be borne. Cause: a learner was made a voter in the order in which stores had joined, which follows their addresses. With one control host a failure domain that order happens to spread them. Ruled out: that the founders crowd; they are the seeds, one of each region. Change: the learner of the region, then the failure domain, with the fewest voters is promoted; one that is better placed and still catching up is waited for while no voter is lost. All new stores join as learners in one step: learners change no quorum. TestVotersAreSpread fails with the old choice (3 voters in one region and in one failure domain) and passes now.

--- a/internal/app/control/repair.go
+++ b/internal/app/control/repair.go
@@ -77,11 +77,11 @@
 
 // liveStores returns the stores of all control hosts heard lately, this one included.
 func (r *Replica) liveStores() []consensus.LiveStore {
-	live := []consensus.LiveStore{{ID: r.o.Identity.Store, Address: r.fleet.o.Peer}}
+	live := []consensus.LiveStore{{ID: r.o.Identity.Store, Address: r.fleet.o.Peer, Region: r.o.Region, FailureDomain: r.o.FailureDomain}}
 	now := r.o.Clock.Now()
 	for _, c := range r.fleet.liveControls() {
 		if now.Sub(c.HeardAt) <= joinsWithin {
-			live = append(live, consensus.LiveStore{ID: c.Store, Address: c.Peer})
+			live = append(live, consensus.LiveStore{ID: c.Store, Address: c.Peer, Region: c.Region, FailureDomain: c.FailureDomain})
 		}
 	}
 	return live
--- a/internal/core/consensus/repair.go
+++ b/internal/core/consensus/repair.go
@@ -12,6 +12,8 @@
 type LiveStore struct {
 	ID      string
 	Address string
+	// Region and FailureDomain say where it is; "" for unknown.
+	Region, FailureDomain string
 }
 
 // RepairLimits bounds the repair of the group.
@@ -27,9 +29,11 @@
 // to a full set of voters, or nil when there is nothing to do. It makes one step
 // at a time and adds before it removes:
 //
-//   - a live store outside the group becomes a learner, and a learner that is gone leaves;
+//   - live stores outside the group become learners, all in one step, as learners change no
+//     quorum; a learner that is gone leaves;
 //   - a caught-up learner becomes a voter while voters are missing, or when a
-//     voter is lost;
+//     voter is lost: one of the region, then the failure domain, with the fewest voters, so
+//     that the loss of one takes no majority with it;
 //   - a lost voter is removed once there is a voter more than needed.
 //
 // A member is superseded when another live store has its address: its data folder
@@ -44,9 +48,11 @@
 	for _, s := range live {
 		if !g.member[s.ID] {
 			next.Members = append(next.Members, &pb.RaftMember{Id: s.ID, Address: s.Address, Learner: true})
-			return next
 		}
 	}
+	if len(next.Members) > len(st.Members.Members) {
+		return next
+	}
 	for i, m := range next.Members {
 		if m.Learner && (g.superseded[m.Id] || (g.lost[m.Id] && !g.live[m.Id])) {
 			next.Members = append(next.Members[:i], next.Members[i+1:]...)
@@ -79,15 +85,22 @@
 	member, live, superseded, lost map[string]bool
 	voters, target                 int
 	caughtUp                       map[string]bool
+	place                          map[string]LiveStore // of the stores heard lately, by ID
+	// inRegion and inDomain count the voters that are not lost.
+	inRegion, inDomain map[string]int
 }
 
 func newGroupView(st Status, live []LiveStore, silent map[string]time.Duration, l RepairLimits) *groupView {
-	g := &groupView{member: map[string]bool{}, live: map[string]bool{}, superseded: map[string]bool{}, lost: map[string]bool{}, caughtUp: map[string]bool{}}
+	g := &groupView{
+		member: map[string]bool{}, live: map[string]bool{}, superseded: map[string]bool{}, lost: map[string]bool{}, caughtUp: map[string]bool{},
+		place: map[string]LiveStore{}, inRegion: map[string]int{}, inDomain: map[string]int{},
+	}
 	at := map[string]string{}
 	addresses := map[string]bool{}
 	for _, s := range live {
 		at[s.Address] = s.ID
 		g.live[s.ID] = true
+		g.place[s.ID] = s
 		addresses[s.Address] = true
 	}
 	for _, m := range st.Members.Members {
@@ -100,6 +113,10 @@
 			g.voters++
 			addresses[m.Address] = true // also of a lost one: it may come back
 		}
+		if at, ok := g.place[m.Id]; ok && !m.Learner && !g.lost[m.Id] {
+			g.inRegion[at.Region]++
+			g.inDomain[at.FailureDomain]++
+		}
 	}
 	for _, r := range st.Replicas {
 		g.caughtUp[r.ID] = r.CaughtUp
@@ -124,7 +141,9 @@
 	return ""
 }
 
-// promotable returns a caught-up learner that the group needs as a voter.
+// promotable returns a caught-up learner that the group needs as a voter: one of the best
+// place. While no voter is lost, a better placed learner that is still catching up is waited
+// for: the group would keep the worse one.
 func (g *groupView) promotable(st Status) string {
 	lostVoter := false
 	for _, m := range st.Members.Members {
@@ -133,10 +152,34 @@
 	if g.voters >= g.target && !lostVoter {
 		return ""
 	}
+	best := ""
 	for _, m := range st.Members.Members {
-		if m.Learner && g.caughtUp[m.Id] && !g.lost[m.Id] {
-			return m.Id
+		if !m.Learner || g.lost[m.Id] || (lostVoter && !g.caughtUp[m.Id]) {
+			continue
+		}
+		if best == "" || g.better(m.Id, best) {
+			best = m.Id
 		}
 	}
-	return ""
+	if best != "" && !g.caughtUp[best] {
+		return ""
+	}
+	return best
+}
+
+// better reports whether a learner is the better voter than another: its place has fewer
+// voters; at equal places one that is caught up.
+func (g *groupView) better(id, than string) bool {
+	a, knownA := g.place[id]
+	b, knownB := g.place[than]
+	if knownA != knownB {
+		return knownA
+	}
+	if x, y := g.inRegion[a.Region], g.inRegion[b.Region]; x != y {
+		return x < y
+	}
+	if x, y := g.inDomain[a.FailureDomain], g.inDomain[b.FailureDomain]; x != y {
+		return x < y
+	}
+	return g.caughtUp[id] && !g.caughtUp[than]
 }
--- a/internal/core/consensus/repair_test.go
+++ b/internal/core/consensus/repair_test.go
@@ -53,6 +53,7 @@
 		{"complete", []string{"a.0", "b.0", "c.0"}, "a.0 b.0 c.0", "", "nothing"},
 		{"one is silent, nobody to replace it", []string{"a.0", "b.0", "c.0"}, "a.0 b.0", "c.0", "nothing"},
 		{"a store appears", []string{"a.0", "b.0", "c.0"}, "a.0 b.0 c.0 d.1", "", "a.0 b.0 c.0 d.1?"},
+		{"stores appear", []string{"a.0", "b.0", "c.0"}, "a.0 b.0 c.0 d.1 e.1", "", "a.0 b.0 c.0 d.1? e.1?"},
 		{"lost folder: the new store joins", []string{"a.0", "b.0", "c.0"}, "a.0 b.0 c.1", "", "a.0 b.0 c.0 c.1?"},
 		{"lost folder: not before it is caught up", []string{"a.0", "b.0", "c.0", "c.1?!"}, "a.0 b.0 c.1", "", "nothing"},
 		{"lost folder: add before remove", []string{"a.0", "b.0", "c.0", "c.1?"}, "a.0 b.0 c.1", "", "a.0 b.0 c.0 c.1"},
@@ -90,3 +91,88 @@
 		})
 	}
 }
+
+// placed is a store whose name says where it is: region, failure domain and number, as in
+// "A1x".
+func placed(name string) LiveStore {
+	return LiveStore{ID: name, Address: name, Region: name[:1], FailureDomain: name[:2]}
+}
+
+// TestVotersAreSpread lets a group grow from its founders, with several control hosts in each
+// failure domain. Voters were once made in the order in which stores had joined: three of five
+// stood in one failure domain, whose loss ended the group.
+func TestVotersAreSpread(t *testing.T) {
+	cases := []struct {
+		name, founders, others string
+		lost                   string // of the voters, once the group is complete
+		perRegion, perDomain   int    // most voters there may be
+	}{
+		{"four a failure domain", "A1a B1a C1a", "A1b A1c A1d A2a A2b A2c A2d B1b B1c B1d B2a B2b B2c B2d C1b C1c C1d C2a C2b C2c C2d", "", 2, 1},
+		{"one a failure domain", "A1a B1a C1a", "A2a B2a C2a", "", 2, 1},
+		{"a failure domain is lost", "A1a B1a C1a", "A1b A2a A2b B1b B2a B2b C1b C2a C2b", "A1", 2, 1},
+		{"one region", "A1a A2a A3a", "A1b A1c A2b A3b A4a A4b", "", 5, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var live []LiveStore
+			st := Status{ID: "C1a", Role: Leader, Members: &pb.RaftMembers{}}
+			for _, name := range strings.Fields(c.founders) {
+				st.Members.Members = append(st.Members.Members, &pb.RaftMember{Id: name, Address: name})
+				live = append(live, placed(name))
+			}
+			for _, name := range strings.Fields(c.others) {
+				live = append(live, placed(name))
+			}
+			st = grow(st, live, nil)
+			silent := map[string]time.Duration{}
+			if c.lost != "" {
+				kept := live[:0]
+				for _, s := range live {
+					if s.FailureDomain == c.lost {
+						silent[s.ID] = time.Minute
+					} else {
+						kept = append(kept, s)
+					}
+				}
+				st = grow(st, kept, silent)
+			}
+			regions, domains, voters := map[string]int{}, map[string]int{}, 0
+			for _, m := range st.Members.Members {
+				if !m.Learner {
+					voters++
+					regions[m.Id[:1]]++
+					domains[m.Id[:2]]++
+				}
+			}
+			if voters != 5 {
+				t.Errorf("%d voters", voters)
+			}
+			for name, n := range regions {
+				if n > c.perRegion {
+					t.Errorf("%d voters in region %s", n, name)
+				}
+			}
+			for name, n := range domains {
+				if n > c.perDomain {
+					t.Errorf("%d voters in failure domain %s", n, name)
+				}
+			}
+		})
+	}
+}
+
+// grow takes the steps of the repair until there is none left; learners catch up at once.
+func grow(st Status, live []LiveStore, silent map[string]time.Duration) Status {
+	for range 100 {
+		st.Replicas = nil
+		for _, m := range st.Members.Members {
+			st.Replicas = append(st.Replicas, ReplicaStatus{ID: m.Id, Learner: m.Learner, CaughtUp: true})
+		}
+		next := NextMembers(st, live, silent, RepairLimits{MaxVoters: 5, LostAfter: 8 * time.Second})
+		if next == nil {
+			break
+		}
+		st.Members = next
+	}
+	return st
+}
