Control hosts of a failure domain share its entry hosts and servers

What callers saw: nothing is served, as the whole fleet does not start. Cause: an entry host presented itself to every control host it had heard of until the first answer told how far that one was, then four times a second to each of its failure domain. 986 entry hosts and 24 control hosts are 23,664 links and first views in the first second, and four times the views after it. While the group has no leader all control hosts are out of date, and all were asked again. Ruled out: that entry hosts need more than one view; what a control host knows its neighbours know 0.3 s later. Change: control hosts are named with their failure domains, and an entry host goes by one in each: the first of its own order of them (highest random weight) that answers, is up to date and is named by the others. A server that announces itself elsewhere is sent to one of its failure domain's control hosts by the same order, no more to the first by address. With one control host a failure domain nothing changes. Goroutines that looked five times a second whether their control host was to be asked end instead.

--- a/internal/app/control/exchange.go
+++ b/internal/app/control/exchange.go
@@ -57,8 +57,8 @@
 		addrs[a] = true
 	}
 	f.mu.Lock()
-	for _, a := range f.reg.KnownControls() {
-		addrs[a] = true
+	for _, c := range f.reg.KnownControls() {
+		addrs[c.Peer] = true
 	}
 	f.mu.Unlock()
 	delete(addrs, f.o.Peer)
--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -10,7 +10,9 @@
 
 	"github.com/sesamefork/sesamefork/internal/core/holders"
 	"github.com/sesamefork/sesamefork/internal/core/registry"
+	"github.com/sesamefork/sesamefork/internal/core/rendezvous"
 	"github.com/sesamefork/sesamefork/internal/failure"
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 	"github.com/sesamefork/sesamefork/internal/port"
 )
 
@@ -60,6 +62,10 @@
 	seen    uint64          // version for which changed was last replaced
 	prompts holders.Log     // where the region's entry hosts sent prompts
 	told    map[string]told // by peer address of another control host
+	// controls is the list of control hosts as entry hosts are told it, and controlsAt the
+	// version at which it last changed.
+	controls   []*pb.ControlHost
+	controlsAt uint64
 }
 
 // told is what another control host was told, as far as it confirmed it.
@@ -80,6 +86,7 @@
 			ServerLease: o.ServerLease, HostLease: hostLease,
 		}),
 	}
+	f.refreshControlsLocked(o.Clock.Now())
 	f.seen = f.reg.Version()
 	r.fleet = f
 	return f
@@ -118,29 +125,32 @@
 		f.o.Log.Info("backend server announced", "server", s.ID, "start", s.Start, "service", s.Service, "address", s.Address,
 			"failure_domain", s.FailureDomain, "leaving", s.Leaving, "sequence", s.Sequence, "cold_ms", max(0, s.ColdUntil.Sub(now).Milliseconds()))
 	}
-	return f.sponsorLocked(s.FailureDomain, now), nil
+	return f.sponsorLocked(s.ID, s.FailureDomain, now), nil
 }
 
-// sponsorLocked returns the control host for a failure domain: one there, else
-// one of its region.
-func (f *Fleet) sponsorLocked(domain string, now time.Time) string {
+// sponsorLocked returns the control host for a server of a failure domain: one there, else
+// one of its region. Those of a failure domain share its servers.
+func (f *Fleet) sponsorLocked(server, domain string, now time.Time) string {
 	region := f.o.Regions[domain]
 	if domain == f.o.FailureDomain {
 		return f.o.Operator
 	}
-	near := ""
+	var there, near []string
 	if region == f.o.Region {
-		near = f.o.Operator
+		near = append(near, f.o.Operator)
 	}
 	for _, c := range f.reg.Controls(now) {
-		if c.FailureDomain == domain {
-			return c.Operator
-		}
-		if c.Region == region && near == "" {
-			near = c.Operator
+		switch {
+		case c.FailureDomain == domain:
+			there = append(there, c.Operator)
+		case c.Region == region && len(near) == 0:
+			near = append(near, c.Operator)
 		}
 	}
-	return near
+	if len(there) == 0 {
+		there = near
+	}
+	return rendezvous.First(server, there)
 }
 
 // Leave records that a start of a backend server is gone; 0 means the one that is known.
@@ -188,6 +198,7 @@
 			now := f.o.Clock.Now()
 			f.mu.Lock()
 			f.reg.Expire(last, now)
+			f.refreshControlsLocked(now)
 			f.wakeLocked()
 			f.mu.Unlock()
 			last = now
--- a/internal/app/control/view.go
+++ b/internal/app/control/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -50,7 +49,6 @@
 }
 
 func (f *Fleet) view(m *pb.FleetSync, host, region string) *pb.FleetView {
-	control := append(f.replica.MemberAddresses(), f.o.Peer)
 	evacuated, revision := f.replica.Evacuated()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -60,11 +58,8 @@
 		HomeRegion: f.o.Region, HomeDomain: f.o.FailureDomain, StalenessMs: uint64(f.replica.Staleness().Milliseconds()), Loads: serverload.Encode(f.reg.OtherLoads(host, now)),
 	}
 	for _, c := range f.reg.Controls(now) {
-		control = append(control, c.Peer)
 		v.Regions = append(v.Regions, aged(c.Loads, now.Sub(c.HeardAt))...)
 	}
-	slices.Sort(control)
-	v.Control = slices.Compact(control)
 	if region == f.o.Region {
 		var places []holders.Place
 		places, v.PromptsNext = f.prompts.For(host, m.HavePrompts)
@@ -73,6 +68,9 @@
 		v.Regions = append(v.Regions, f.reg.RegionLoads(f.replica.isEvacuated, now)...)
 	}
 	f.addLists(v, m, region, now)
+	if !v.Changes || f.controlsAt > m.HaveVersion {
+		v.ControlHosts = f.controls
+	}
 	known := uint64(0)
 	if m.HaveEpoch == f.epoch {
 		known = m.HaveQuarantine
--- /dev/null
+++ b/internal/app/gateway/controlhosts.go
@@ -0,0 +1,190 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sesamefork/sesamefork/internal/core/controlhosts"
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+)
+
+// controlList is what this host knows of the control hosts.
+type controlList struct {
+	mu     sync.Mutex
+	seeds  []string
+	listed []string                // by the control host that was heard last
+	known  map[string]*controlHost // by address
+	heard  controlhosts.Heard
+	// news is signalled when it may be another control host's turn to be asked.
+	news    chan struct{}
+	vouched chan struct{} // closed and replaced when a control host vouched for the configuration
+}
+
+// controlHost is what this host knows of one control host. The fields up to asked are
+// guarded by the list; the others belong to the goroutine that asks it.
+type controlHost struct {
+	addr       string
+	domain     string // its failure domain; "" while it is not known
+	named      bool   // other control hosts hear it
+	avoidUntil time.Time
+	asked      bool // a goroutine presents this host to it
+
+	have   source
+	logged controlSeen
+	// toldAll is set once the control host was told all that this host knows of crashing
+	// requests; told is the revision up to which it was.
+	toldAll bool
+	told    uint64
+}
+
+// all returns the addresses of all control hosts that this host has heard of.
+func (c *controlList) all() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.allLocked()
+}
+
+func (c *controlList) allLocked() []string {
+	out := append(slices.Clone(c.seeds), c.listed...)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+func (c *controlList) hostLocked(addr string) *controlHost {
+	h := c.known[addr]
+	if h == nil {
+		h = &controlHost{addr: addr}
+		c.known[addr] = h
+	}
+	return h
+}
+
+// take takes the list of a control host.
+func (c *controlList) take(list []*pb.ControlHost) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.known {
+		h.named = false
+	}
+	c.listed = c.listed[:0]
+	for _, m := range list {
+		c.listed = append(c.listed, m.Peer)
+		h := c.hostLocked(m.Peer)
+		h.named = m.Heard
+		if m.FailureDomain != "" {
+			h.domain = m.FailureDomain
+		}
+	}
+	c.signal()
+}
+
+// signal lets Run look again which control hosts are to be asked.
+func (c *controlList) signal() {
+	select {
+	case c.news <- struct{}{}:
+	default:
+	}
+}
+
+// SetSeeds replaces the seeds after the settings have changed.
+func (g *Gateway) SetSeeds(seeds []string) {
+	g.control.mu.Lock()
+	defer g.control.mu.Unlock()
+	g.control.seeds = seeds
+}
+
+// distance returns how far the control hosts of a failure domain are. Those whose failure
+// domain is not known count as far for what they are told, and as near for being asked.
+func (g *Gateway) distance(domain string) controlhosts.Distance {
+	switch {
+	case domain == g.o.FailureDomain:
+		return controlhosts.SameDomain
+	case g.o.Regions[domain] == g.o.Region:
+		return controlhosts.SameRegion
+	}
+	return controlhosts.OtherRegion
+}
+
+// wanted returns the control hosts that are to be asked now.
+func (g *Gateway) wanted() []*controlHost {
+	now := g.o.Clock.Now()
+	configured, age := g.config.Load() != nil, g.startup.Age(now)
+	c := &g.control
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var candidates []controlhosts.Candidate
+	for _, addr := range c.allLocked() {
+		h := c.hostLocked(addr)
+		d := g.distance(h.domain)
+		if h.domain != "" && !c.heard.Asks(d, configured, age, now) {
+			continue
+		}
+		candidates = append(candidates, controlhosts.Candidate{
+			Address: addr, Domain: h.domain, Distance: d, Named: h.named, AvoidUntil: h.avoidUntil,
+		})
+	}
+	var out []*controlHost
+	for _, chosen := range controlhosts.Choose(g.o.Host, candidates, now) {
+		out = append(out, c.known[chosen.Address])
+	}
+	return out
+}
+
+// begin reports whether the caller is to ask a control host: no other goroutine does.
+func (c *controlList) begin(h *controlHost) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h.asked {
+		return false
+	}
+	h.asked = true
+	return true
+}
+
+func (c *controlList) end(h *controlHost) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h.asked = false
+	c.signal()
+}
+
+// avoid lets the other control hosts of its failure domain go before one for a while.
+func (c *controlList) avoid(h *controlHost, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h.avoidUntil = now.Add(controlhosts.Avoid)
+}
+
+// asks reports whether control hosts at a distance are to be asked now.
+func (g *Gateway) asks(d controlhosts.Distance) bool {
+	now := g.o.Clock.Now()
+	configured, age := g.config.Load() != nil, g.startup.Age(now)
+	g.control.mu.Lock()
+	defer g.control.mu.Unlock()
+	return g.control.heard.Asks(d, configured, age, now)
+}
+
+// nearest reports whether a control host is one of the nearest that were heard lately.
+func (g *Gateway) nearest(h *controlHost) bool {
+	g.control.mu.Lock()
+	defer g.control.mu.Unlock()
+	return g.control.heard.Nearest(g.distance(h.domain), g.o.Clock.Now())
+}
+
+// noteHeard notes a control host's answer. It reports whether what it tells of the fleet
+// counts.
+func (g *Gateway) noteHeard(h *controlHost, view *pb.FleetView) bool {
+	now := g.o.Clock.Now()
+	g.control.mu.Lock()
+	defer g.control.mu.Unlock()
+	h.domain = view.HomeDomain
+	g.control.heard.Note(g.distance(h.domain), staleness(view), now)
+	counts := g.control.heard.KnowsFleet(staleness(view), now)
+	if counts {
+		h.avoidUntil = time.Time{}
+	} else {
+		h.avoidUntil = now.Add(controlhosts.Avoid)
+	}
+	return counts
+}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -27,6 +27,8 @@
 	Peer, Caller                string // own addresses
 	// Seeds are peer addresses of control hosts.
 	Seeds []string
+	// Regions maps each failure domain to its region.
+	Regions map[string]string
 	// Retries is the fleet's retry budget.
 	Retries retry.SharedOptions
 	// AnnounceEvery is the interval of the backend servers' announcements.
@@ -91,7 +93,8 @@
 		known:   make(chan struct{}),
 		viewed:  make(chan struct{}),
 	}
-	g.control.seeds, g.control.vouched = o.Seeds, make(chan struct{})
+	g.control.seeds, g.control.known = o.Seeds, map[string]*controlHost{}
+	g.control.news, g.control.vouched = make(chan struct{}, 1), make(chan struct{})
 	g.access = access.New(access.Options{
 		Peers: o.Peers, Request: g.request, Issuers: g.issuers, Clock: o.Clock, Log: o.Log, Metrics: o.Metrics,
 	})
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -183,6 +183,9 @@
 	}
 }
 
+// testRegions are the failure domains of tests and their regions.
+var testRegions = map[string]string{"w1": "west", "w2": "west", "e1": "east", "n1": "north"}
+
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	f := newStartingFixture(t)
@@ -197,7 +200,7 @@
 	t.Helper()
 	f := &fixture{t: t, clock: &fakeClock{now: time.Unix(1000, 0)}, backends: &fakeBackends{}, peers: &peers{}}
 	f.g = New(Options{
-		Host: "host-w", Region: "west", FailureDomain: "w1", Retries: retry.SharedOptions{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		Host: "host-w", Region: "west", FailureDomain: "w1", Regions: testRegions, Retries: retry.SharedOptions{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		VerifyKey: signer.Public().(ed25519.PublicKey), Peers: f.peers, Backends: f.backends,
 		Clock: f.clock, Random: func() float64 { return 0.5 }, Log: logr.Discard(), Metrics: noMetrics{},
 	})
--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -30,50 +30,6 @@
 	fetchTimeout = 2 * time.Second
 )
 
-// controlList is where control hosts are found: the seeds of the settings and
-// the addresses that control hosts named.
-type controlList struct {
-	mu    sync.Mutex
-	seeds []string
-	named []string
-	heard controlhosts.Heard
-	// distances are those of the control hosts that were heard, by address.
-	distances map[string]controlhosts.Distance
-	vouched   chan struct{} // closed and replaced when a control host vouched for the configuration
-}
-
-func (g *Gateway) distance(v *pb.FleetView) controlhosts.Distance {
-	switch {
-	case v.HomeDomain == g.o.FailureDomain:
-		return controlhosts.SameDomain
-	case v.HomeRegion == g.o.Region:
-		return controlhosts.SameRegion
-	}
-	return controlhosts.OtherRegion
-}
-
-func (c *controlList) all() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	out := append(slices.Clone(c.seeds), c.named...)
-	slices.Sort(out)
-	return slices.Compact(out)
-}
-
-// name takes the addresses that a control host names.
-func (c *controlList) name(addrs []string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.named = addrs
-}
-
-// SetSeeds replaces the seeds after the settings have changed.
-func (g *Gateway) SetSeeds(seeds []string) {
-	g.control.mu.Lock()
-	defer g.control.mu.Unlock()
-	g.control.seeds = seeds
-}
-
 // Run keeps the host in touch with the control hosts until ctx ends.
 func (g *Gateway) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
@@ -87,17 +43,16 @@
 		defer wg.Done()
 		g.askRegions(ctx)
 	}()
-	running := map[string]bool{}
 	t := time.NewTicker(syncPause)
 	defer t.Stop()
 	for {
-		for _, addr := range g.control.all() {
-			if !running[addr] {
-				running[addr] = true
+		for _, c := range g.wanted() {
+			if g.control.begin(c) {
 				wg.Add(1)
 				go func() {
 					defer wg.Done()
-					g.present(ctx, addr)
+					defer g.control.end(c)
+					g.present(ctx, c)
 				}()
 			}
 		}
@@ -105,25 +60,24 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
+		case <-g.control.news:
 		}
 	}
 }
 
-// present presents the host to one control host again and again, as package controlhosts
-// decides. How far the control host is, its first answer tells.
-func (g *Gateway) present(ctx context.Context, addr string) {
-	c := &controlHost{addr: addr, distance: controlhosts.SameDomain}
-	for ctx.Err() == nil {
-		if !g.asks(c.distance) {
-			pause(ctx, syncPause)
-			continue
-		}
+// present presents the host to one control host again and again, for as long as it is to be
+// asked.
+func (g *Gateway) present(ctx context.Context, c *controlHost) {
+	for ctx.Err() == nil && slices.Contains(g.wanted(), c) {
 		nearest := g.nearest(c)
 		view, err := g.syncOnce(ctx, c, nearest)
-		g.logControl(&c.logged, addr, view, err)
+		g.logControl(&c.logged, c.addr, view, err)
 		if err != nil {
 			g.o.Metrics.Add("sync_failures", 1)
-			pause(ctx, syncPause)
+			g.control.avoid(c, g.o.Clock.Now())
+			if slices.Contains(g.wanted(), c) {
+				pause(ctx, syncPause)
+			}
 			continue
 		}
 		if p := controlhosts.Pause(nearest, staleness(view)); p > 0 {
@@ -132,19 +86,6 @@
 	}
 }
 
-// controlHost is what this host knows of one control host.
-type controlHost struct {
-	addr     string
-	distance controlhosts.Distance
-	known    bool // the distance is
-	have     source
-	logged   controlSeen
-	// toldAll is set once the control host was told all that this host knows of crashing
-	// requests; told is the revision up to which it was.
-	toldAll bool
-	told    uint64
-}
-
 // maxRecords bounds the records of crashing requests in one message.
 const maxRecords = 128
 
@@ -168,37 +109,6 @@
 	c.toldAll = c.toldAll || !more
 }
 
-func (g *Gateway) asks(d controlhosts.Distance) bool {
-	now := g.o.Clock.Now()
-	configured, age := g.config.Load() != nil, g.startup.Age(now)
-	g.control.mu.Lock()
-	defer g.control.mu.Unlock()
-	return g.control.heard.Asks(d, configured, age, now)
-}
-
-// nearest reports whether a control host is one of the nearest that were heard lately.
-func (g *Gateway) nearest(c *controlHost) bool {
-	d := c.distance
-	if !c.known {
-		d = controlhosts.OtherRegion
-	}
-	g.control.mu.Lock()
-	defer g.control.mu.Unlock()
-	return g.control.heard.Nearest(d, g.o.Clock.Now())
-}
-
-// noteHeard notes a control host's answer. It reports whether what it tells of the fleet
-// counts.
-func (g *Gateway) noteHeard(c *controlHost, view *pb.FleetView) bool {
-	c.distance, c.known = g.distance(view), true
-	now := g.o.Clock.Now()
-	g.control.mu.Lock()
-	defer g.control.mu.Unlock()
-	g.control.heard.Note(c.distance, staleness(view), now)
-	g.control.noteDistance(c.addr, c.distance)
-	return g.control.heard.KnowsFleet(staleness(view), now)
-}
-
 func (g *Gateway) takesFrom(v *pb.FleetView) bool {
 	return controlhosts.Takes(staleness(v), g.config.Load() != nil, g.startup.Age(g.o.Clock.Now()))
 }
@@ -266,8 +176,8 @@
 }
 
 func (g *Gateway) takeView(v *pb.FleetView, scope dispatch.Scope) {
-	if scope.Fleet && len(v.Control) > 0 {
-		g.control.name(v.Control)
+	if scope.Fleet && len(v.ControlHosts) > 0 {
+		g.control.take(v.ControlHosts)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/app/gateway/teams.go
+++ b/internal/app/gateway/teams.go
@@ -129,14 +129,6 @@
 	x.charge = nil
 }
 
-// noteDistance notes how far a control host is.
-func (c *controlList) noteDistance(addr string, d controlhosts.Distance) {
-	if c.distances == nil {
-		c.distances = map[string]controlhosts.Distance{}
-	}
-	c.distances[addr] = d
-}
-
 // issuers returns the control hosts, the nearest first, and those that were not heard yet as
 // far ones.
 func (g *Gateway) issuers() []string {
@@ -144,8 +136,8 @@
 	g.control.mu.Lock()
 	defer g.control.mu.Unlock()
 	access.Nearest(g.o.Host, all, func(addr string) int {
-		if d, known := g.control.distances[addr]; known {
-			return int(d)
+		if h := g.control.known[addr]; h != nil {
+			return int(g.distance(h.domain))
 		}
 		return int(controlhosts.OtherRegion)
 	})
--- a/internal/core/registry/hosts.go
+++ b/internal/core/registry/hosts.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -124,7 +125,7 @@
 func (r *Registry) Controls(now time.Time) []*Control {
 	var out []*Control
 	for _, c := range r.controls {
-		if now.Sub(c.HeardAt) <= controlLease {
+		if c.Heard(now) {
 			out = append(out, c)
 		}
 	}
@@ -132,12 +133,12 @@
 	return out
 }
 
-// KnownControls returns the peer addresses of all other control hosts ever heard.
-func (r *Registry) KnownControls() []string {
-	var out []string
-	for addr := range r.controls {
-		out = append(out, addr)
-	}
-	sort.Strings(out)
+// KnownControls returns all other control hosts ever heard, sorted by peer address.
+func (r *Registry) KnownControls() []*Control {
+	out := slices.Collect(maps.Values(r.controls))
+	sort.Slice(out, func(i, j int) bool { return out[i].Peer < out[j].Peer })
 	return out
 }
+
+// Heard reports whether a control host was heard lately.
+func (c *Control) Heard(now time.Time) bool { return now.Sub(c.HeardAt) <= controlLease }
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -101,8 +101,11 @@
 // Version returns the number of the last change.
 func (r *Registry) Version() uint64 { return r.version }
 
-// Touch raises the version for a change outside the registry.
-func (r *Registry) Touch() { r.version++ }
+// Touch raises the version for a change outside the registry, and returns it.
+func (r *Registry) Touch() uint64 {
+	r.version++
+	return r.version
+}
 
 // Announce takes an announcement. It reports whether it was news; a late one
 // changes nothing.
