A change wakes the presentations that wait at a pace that they can be answered at

Cause: each change of the fleet closed one channel for which all waiting presentations of a control host waited. When everything starts there are as many changes as hosts and servers, so the views grow with their product: a million at 986 hosts. By the log of a founder its pre-vote was answered after 1.9 s instead of 0.16 s in these seconds. Ruled out: the votes' own queue (they have senders of their own); the lists in the views, which hold changes only. Change: the pause between two wakes is 0.5 ms for each presentation that waits; changes that come meanwhile are told together. 15 waiting hosts, as in the deployments so far, are woken at most every 7.5 ms, 41 every 20 ms.

--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -58,8 +58,8 @@
 
 	mu      sync.Mutex
 	reg     *registry.Registry
-	changed chan struct{}   // closed and replaced at each change
-	seen    uint64          // version for which changed was last replaced
+	waker   *waker
+	seen    uint64          // version for which presentations were last woken
 	prompts holders.Log     // where the region's entry hosts sent prompts
 	told    map[string]told // by peer address of another control host
 	// controls is the list of control hosts as entry hosts are told it, and controlsAt the
@@ -79,7 +79,7 @@
 // NewFleet returns the fleet's view of a replica's host.
 func NewFleet(o FleetOptions, r *Replica) *Fleet {
 	f := &Fleet{
-		o: o, replica: r, epoch: uint64(o.Clock.Now().UnixNano()), changed: make(chan struct{}),
+		o: o, replica: r, epoch: uint64(o.Clock.Now().UnixNano()), waker: newWaker(),
 		told: map[string]told{},
 		reg: registry.New(registry.Options{
 			Region: o.Region, FailureDomain: o.FailureDomain, Regions: o.Regions,
@@ -96,8 +96,7 @@
 func (f *Fleet) wakeLocked() {
 	if v := f.reg.Version(); v != f.seen {
 		f.seen = v
-		close(f.changed)
-		f.changed = make(chan struct{})
+		f.waker.wake(f.o.Clock.Now())
 	}
 }
 
--- a/internal/app/control/view.go
+++ b/internal/app/control/view.go
@@ -33,9 +33,10 @@
 		f.prompts.Add(h.GetId(), holders.Decode(m.Prompts))
 	}
 	f.wakeLocked()
-	changed := f.changed
 	current := m.HaveEpoch == f.epoch && m.HaveVersion == f.reg.Version()
+	changed := f.waker.enter()
 	f.mu.Unlock()
+	defer f.waker.leave()
 	if current {
 		wait := time.NewTimer(min(milliseconds(uint64(m.WaitMs)), maxSyncWait))
 		defer wait.Stop()
