--- a/internal/app/control/bench_test.go
+++ b/internal/app/control/bench_test.go
@@ -32,13 +32,13 @@
 			loads[holders.Key(id)] = serverload.Load{Requests: 1, PromptTokens: 500, MemoryTokens: 900}
 		}
 	}
-	epoch, version := uint64(0), uint64(0)
+	have := &pb.FleetView{}
 	present := func(i int) {
-		v := f.sync(context.Background(), &pb.FleetSync{
+		have = f.sync(context.Background(), &pb.FleetSync{
 			Host:      &pb.FleetHost{Id: fmt.Sprint("h", i%hosts), Region: "r", FailureDomain: "f", Ready: true},
-			HaveEpoch: epoch, HaveVersion: version, Loads: serverload.Encode(loads),
+			HaveEpoch: have.Epoch, HaveVersion: have.Version, HaveHeard: have.HeardNext, HaveLoads: have.LoadsNext,
+			Loads: serverload.Encode(loads), Primary: true,
 		})
-		epoch, version = v.Epoch, v.Version
 	}
 	for i := range hosts {
 		present(i)
--- a/internal/app/control/changes_test.go
+++ b/internal/app/control/changes_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"testing"
 
 	"github.com/sesamefork/sesamefork/internal/core/holders"
 	"github.com/sesamefork/sesamefork/internal/core/registry"
+	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
@@ -13,43 +15,87 @@
 // at first and to a host that knows another process's, else what changed.
 func TestViewLeavesOutWhatIsKnown(t *testing.T) {
 	g := newGroup(t)
-	g.mu.Lock()
-	m := g.up[founderAddresses[0]]
-	g.mu.Unlock()
-	announce := func(id, addr string) {
-		if _, err := m.f.Announce(registry.Server{ID: id, Service: "llm", Address: addr, FailureDomain: "f", Sequence: 1, Slots: 8}); err != nil {
+	host := g.member(founderAddresses[0])
+	await(t, "all control hosts hear each other", func() bool { return len(host.f.liveControls()) == 2 })
+	await(t, "and are listed", func() bool { return len(host.f.listedControls()) == 3 })
+	announce := func(id, addr string, sequence uint64) {
+		if _, err := host.f.Announce(registry.Server{ID: id, Service: "llm", Address: addr, FailureDomain: "f", Sequence: sequence, Slots: 8}); err != nil {
 			t.Fatal(err)
 		}
 	}
-	present := func(epoch, version uint64) *pb.FleetView {
+	present := func(have *pb.FleetView) *pb.FleetView {
 		req := presentation("h1", "r", 0, nil)
-		req.GetFleetSync().HaveEpoch, req.GetFleetSync().HaveVersion = epoch, version
-		return m.r.HandleRequest(context.Background(), req).GetFleetView()
+		m := req.GetFleetSync()
+		m.HaveEpoch, m.HaveVersion, m.HaveHeard, m.HaveLoads = have.Epoch, have.Version, have.HeardNext, have.LoadsNext
+		return host.r.HandleRequest(context.Background(), req).GetFleetView()
 	}
-	announce("a", "10.0.0.1:1")
-	first := present(0, 0)
-	if len(first.Servers) != 1 || len(first.Hosts) != 1 || first.Changes {
+	announce("a", "10.0.0.1:1", 1)
+	first := present(&pb.FleetView{})
+	if len(first.Servers) != 1 || len(first.Hosts) != 1 || first.Changes || len(first.ControlHosts) != 3 {
 		t.Fatalf("the first view is not whole: %v", first)
 	}
-	again := present(first.Epoch, first.Version)
-	if len(again.Servers) != 0 || len(again.Hosts) != 0 || !again.Changes || len(again.ServerAges) != 1 {
+	again := present(first)
+	if len(again.Servers) != 0 || len(again.Hosts) != 0 || !again.Changes || len(again.HeardServers) != 0 || len(again.ControlHosts) != 0 {
 		t.Errorf("nothing changed, and the view holds %v", again)
 	}
-	announce("b", "10.0.0.2:1")
-	changed := present(again.Epoch, again.Version)
-	if len(changed.Servers) != 1 || changed.Servers[0].Id != "b" || len(changed.ServerAges) != 2 || len(changed.Hosts) != 0 {
+	announce("a", "10.0.0.1:1", 2)
+	heard := present(again)
+	if len(heard.Servers) != 0 || len(heard.HeardServers) != 1 || heard.HeardServers[0] != holders.Key("a") || len(heard.HeardAges) != 1 {
+		t.Errorf("after an announcement the view holds %v", heard)
+	}
+	announce("b", "10.0.0.2:1", 1)
+	changed := present(heard)
+	if len(changed.Servers) != 1 || changed.Servers[0].Id != "b" || len(changed.HeardServers) != 1 || len(changed.Hosts) != 0 {
 		t.Errorf("after a change of the servers the view holds %v", changed)
 	}
-	m.f.Leave("a", 0)
-	left := present(changed.Epoch, changed.Version)
-	if len(left.Servers) != 1 || !left.Servers[0].Gone || len(left.ServerAges) != 1 {
+	host.f.Leave("a", 0)
+	left := present(changed)
+	if len(left.Servers) != 1 || !left.Servers[0].Gone || len(left.HeardServers) != 0 {
 		t.Errorf("after a server left the view holds %v", left)
 	}
-	if other := present(left.Epoch+1, left.Version); other.Changes || len(other.Servers) != 2 || len(other.Hosts) != 1 {
+	behind := present(&pb.FleetView{Epoch: left.Epoch, Version: left.Version, HeardNext: left.HeardNext + 1})
+	if len(behind.HeardServers) != 1 || behind.HeardServers[0] != holders.Key("b") {
+		t.Errorf("a host whose position in the announcements is not known is told %v", behind)
+	}
+	if other := present(&pb.FleetView{Epoch: left.Epoch + 1, Version: left.Version, LoadsNext: left.LoadsNext}); other.Changes || other.LoadChanges || len(other.Servers) != 2 || len(other.Hosts) != 1 {
 		t.Errorf("a host that knows an earlier process's view is told %v", other)
 	}
 }
 
+// TestViewTellsLoadsThatChanged lets entry hosts tell their work: the primary's views hold
+// what changed, with the receiver's own part; others' views hold none.
+func TestViewTellsLoadsThatChanged(t *testing.T) {
+	g := newGroup(t)
+	m := g.member(founderAddresses[0])
+	have := map[string]*pb.FleetView{"h1": {}, "h2": {}}
+	present := func(host string, primary bool, loads serverload.Loads) *pb.FleetView {
+		req := presentation(host, "r", 0, nil)
+		s, last := req.GetFleetSync(), have[host]
+		s.Primary, s.Loads, s.WaitMs = primary, serverload.Encode(loads), 0
+		s.HaveEpoch, s.HaveVersion, s.HaveHeard, s.HaveLoads = last.Epoch, last.Version, last.HeardNext, last.LoadsNext
+		have[host] = m.r.HandleRequest(context.Background(), req).GetFleetView()
+		return have[host]
+	}
+	one := func(n uint32) serverload.Loads { return serverload.Loads{7: {Requests: n}} }
+	if v := present("h1", true, one(1)); v.LoadChanges || !maps.Equal(serverload.Decode(v.Loads), one(1)) {
+		t.Errorf("told at first: %v", v.Loads)
+	}
+	if v := present("h1", true, one(1)); !v.LoadChanges || v.Loads != nil {
+		t.Errorf("nothing changed: %v", v.Loads)
+	}
+	present("h2", true, one(2))
+	if v := present("h1", true, one(1)); !v.LoadChanges || !maps.Equal(serverload.Decode(v.Loads), one(3)) {
+		t.Errorf("another host has work too: %v", v.Loads)
+	}
+	present("h2", true, nil)
+	if v := present("h1", true, nil); !v.LoadChanges || !maps.Equal(serverload.Decode(v.Loads), serverload.Loads{7: {}}) {
+		t.Errorf("no work any more: %v", v.Loads)
+	}
+	if v := present("h2", false, nil); v.Loads != nil || v.LoadsNext != 0 {
+		t.Errorf("a host that goes by another control host is told %v", v.Loads)
+	}
+}
+
 // TestExchangeTellsHostsOnce tells another control host of an entry host: whole at first,
 // then by its key, and whole again after an exchange that failed.
 func TestExchangeTellsHostsOnce(t *testing.T) {
@@ -104,3 +150,15 @@
 		t.Errorf("refused though it was told before: %v", resp.Refusal)
 	}
 }
+
+// listedControls returns the control hosts that entry hosts are told.
+func (f *Fleet) listedControls() (heard []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.controls {
+		if c.Heard {
+			heard = append(heard, c.Peer)
+		}
+	}
+	return heard
+}
--- a/internal/app/control/exchange.go
+++ b/internal/app/control/exchange.go
@@ -100,7 +100,7 @@
 	x = &pb.ControlExchange{
 		Store: f.replica.o.Identity.Store, Peer: f.o.Peer, Operator: f.o.Operator,
 		Region: f.o.Region, FailureDomain: f.o.FailureDomain, Known: known,
-		Loads: f.reg.RegionLoads(f.replica.isEvacuated, now),
+		Loads: f.regionLoadsLocked(now),
 	}
 	for _, h := range f.reg.Hosts(now) {
 		switch {
@@ -119,11 +119,11 @@
 	}
 	for _, c := range f.reg.Controls(now) {
 		if c.Peer == addr {
-			next.serversAt = now
-			for _, s := range f.reg.DirectServers(c.Region, now) {
-				if s.HeardAt.After(last.serversAt) {
-					x.Servers = append(x.Servers, serverMessage(s, now))
-				}
+			var servers []*registry.Server
+			servers, next.servers = f.serversSinceLocked(last, c.Region, now)
+			next.allServers = true
+			for _, s := range servers {
+				x.Servers = append(x.Servers, serverMessage(s, now))
 			}
 			if c.Region == f.o.Region {
 				x.ServerLoads = serverload.Encode(f.reg.DirectLoads())
@@ -140,6 +140,19 @@
 	return x, next
 }
 
+// serversSinceLocked returns the servers of a region that were heard here, or left, since
+// another control host was told of them, and the position to go on from.
+func (f *Fleet) serversSinceLocked(last told, region string, now time.Time) ([]*registry.Server, uint64) {
+	heard, next, complete := f.reg.HeardSince(last.servers)
+	if !complete || !last.allServers {
+		return f.reg.DirectServers(region, now), next
+	}
+	heard = slices.DeleteFunc(heard, func(s *registry.Server) bool {
+		return !s.Gone && (!s.HeardHere() || f.reg.RegionOf(s.FailureDomain) != region)
+	})
+	return heard, next
+}
+
 // takeExchange takes what another control host tells. It reports whether it knew all
 // entry hosts of which it heard that they are still there.
 func (f *Fleet) takeExchange(x *pb.ControlExchange) (complete bool) {
--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -66,14 +66,18 @@
 	// version at which it last changed.
 	controls   []*pb.ControlHost
 	controlsAt uint64
+	// regionLoads are those of the own region as of regionLoadsAt.
+	regionLoads   []*pb.RegionLoad
+	regionLoadsAt time.Time
 }
 
 // told is what another control host was told, as far as it confirmed it.
 type told struct {
-	prompts   uint64    // position in the log of prompts
-	verdicts  uint64    // revision of the records of crashing requests
-	hosts     uint64    // version at which it was told of all entry hosts; 0 for never
-	serversAt time.Time // when it was told of all servers; zero for never
+	prompts    uint64 // position in the log of prompts
+	verdicts   uint64 // revision of the records of crashing requests
+	hosts      uint64 // version at which it was told of all entry hosts; 0 for never
+	servers    uint64 // position in the log of announcements up to which it was told them
+	allServers bool   // it was told of all servers once
 }
 
 // NewFleet returns the fleet's view of a replica's host.
--- a/internal/app/control/return_bench_test.go
+++ b/internal/app/control/return_bench_test.go
@@ -57,6 +57,6 @@
 			Id: fmt.Sprintf("edge-kl-hall-a-%d", i), Peer: fmt.Sprint("10.1.0.1:", i), Caller: fmt.Sprint("10.1.0.1:", i),
 			Region: "r", FailureDomain: "f", Ready: true,
 		},
-		HaveEpoch: have.Epoch, HaveVersion: have.Version,
+		HaveEpoch: have.Epoch, HaveVersion: have.Version, HaveHeard: have.HeardNext, HaveLoads: have.LoadsNext, Primary: true,
 	}
 }
--- a/internal/app/control/view.go
+++ b/internal/app/control/view.go
@@ -56,7 +56,7 @@
 	now := f.o.Clock.Now()
 	v := &pb.FleetView{
 		Epoch: f.epoch, Version: f.reg.Version(), Evacuated: evacuated, EvacuationRevision: revision,
-		HomeRegion: f.o.Region, HomeDomain: f.o.FailureDomain, StalenessMs: uint64(f.replica.Staleness().Milliseconds()), Loads: serverload.Encode(f.reg.OtherLoads(host, now)),
+		HomeRegion: f.o.Region, HomeDomain: f.o.FailureDomain, StalenessMs: uint64(f.replica.Staleness().Milliseconds()),
 	}
 	for _, c := range f.reg.Controls(now) {
 		v.Regions = append(v.Regions, aged(c.Loads, now.Sub(c.HeardAt))...)
@@ -66,9 +66,10 @@
 		places, v.PromptsNext = f.prompts.For(host, m.HavePrompts)
 		v.Prompts = holders.Encode(places)
 	} else {
-		v.Regions = append(v.Regions, f.reg.RegionLoads(f.replica.isEvacuated, now)...)
+		v.Regions = append(v.Regions, f.regionLoadsLocked(now)...)
 	}
 	f.addLists(v, m, region, now)
+	f.addLoads(v, m, region)
 	if !v.Changes || f.controlsAt > m.HaveVersion {
 		v.ControlHosts = f.controls
 	}
@@ -80,35 +81,64 @@
 	return v
 }
 
+// regionLoadsAge is how old the region's loads may be when they are told: less than the way
+// to another region takes. Making them is a walk over the region's servers, and every other
+// control host and every entry host of another region is told them.
+const regionLoadsAge = 100 * time.Millisecond
+
+func (f *Fleet) regionLoadsLocked(now time.Time) []*pb.RegionLoad {
+	if f.regionLoads == nil || now.Sub(f.regionLoadsAt) >= regionLoadsAge {
+		f.regionLoads, f.regionLoadsAt = f.reg.RegionLoads(f.replica.isEvacuated, now), now
+	}
+	return f.regionLoads
+}
+
 // addLists adds the servers of the entry host's region and all entry hosts to its view:
-// what changed since the view that it has, and the ages of the servers' announcements.
-// Whole lists grow with the fleet, and each entry host has several views a second.
+// what changed since the view that it has, and which servers were heard since.
 func (f *Fleet) addLists(v *pb.FleetView, m *pb.FleetSync, region string, now time.Time) {
-	servers, hosts, complete := f.reg.Removed(m.HaveVersion)
-	since := uint64(0)
-	if v.Changes = complete && m.HaveEpoch == f.epoch; v.Changes {
-		since, v.RemovedServers, v.RemovedHosts = m.HaveVersion, servers, hosts
-	}
-	for _, s := range f.reg.List(region) {
-		if s.ChangedSince(since) {
-			v.Servers = append(v.Servers, serverMessage(s, now))
-		}
-		if v.Changes {
-			v.ServerAges = append(v.ServerAges, uint32(age(s.HeardAt, now)/registry.AgeUnitMS))
-		}
-	}
-	for _, s := range f.reg.Gone(region) {
-		if s.ChangedSince(since) {
-			v.Servers = append(v.Servers, serverMessage(s, now))
-		}
-	}
-	for _, h := range f.reg.Hosts(now) {
-		if h.ChangedSince(since) {
-			v.Hosts = append(v.Hosts, hostMessage(h, h.HeardAt, now))
+	changes, complete := f.reg.Since(m.HaveVersion, region, now)
+	if v.Changes = complete && m.HaveEpoch == f.epoch; !v.Changes {
+		changes = registry.Changes{Servers: append(f.reg.Gone(region), f.reg.List(region)...), Hosts: f.reg.Hosts(now)}
+	}
+	v.RemovedServers, v.RemovedHosts = changes.RemovedServers, changes.RemovedHosts
+	for _, s := range changes.Servers {
+		v.Servers = append(v.Servers, serverMessage(s, now))
+	}
+	for _, h := range changes.Hosts {
+		v.Hosts = append(v.Hosts, hostMessage(h, h.HeardAt, now))
+	}
+	heard, next, complete := f.reg.HeardSince(m.HaveHeard)
+	v.HeardNext = next
+	switch {
+	case !v.Changes:
+		return
+	case !complete:
+		heard = f.reg.List(region)
+	}
+	for _, s := range heard {
+		if f.reg.Listed(s, region) {
+			v.HeardServers = append(v.HeardServers, s.Key())
+			v.HeardAges = append(v.HeardAges, uint32(age(s.HeardAt, now)/registry.AgeUnitMS))
 		}
 	}
 }
 
+// addLoads adds the work of the region's entry hosts to the view of one that goes by this
+// control host.
+func (f *Fleet) addLoads(v *pb.FleetView, m *pb.FleetSync, region string) {
+	if !m.Primary || region != f.o.Region {
+		return
+	}
+	have := m.HaveLoads
+	if m.HaveEpoch != f.epoch {
+		have = 0
+	}
+	var loads serverload.Loads
+	loads, v.LoadsNext, v.LoadChanges = f.reg.LoadsSince(have)
+	v.LoadChanges = v.LoadChanges && have > 0
+	v.Loads = serverload.Encode(loads)
+}
+
 // aged returns copies of the loads with their age.
 func aged(loads []*pb.RegionLoad, age time.Duration) []*pb.RegionLoad {
 	out := make([]*pb.RegionLoad, 0, len(loads))
--- a/internal/app/gateway/controlhosts.go
+++ b/internal/app/gateway/controlhosts.go
@@ -16,6 +16,9 @@
 	listed []string                // by the control host that was heard last
 	known  map[string]*controlHost // by address
 	heard  controlhosts.Heard
+	// hostsOf is the control host whose list of entry hosts was last taken, at hostsAt.
+	hostsOf *controlHost
+	hostsAt time.Time
 	// news is signalled when it may be another control host's turn to be asked.
 	news    chan struct{}
 	vouched chan struct{} // closed and replaced when a control host vouched for the configuration
@@ -38,6 +41,22 @@
 	told    uint64
 }
 
+// hostsEvery is how often a list of entry hosts is taken though it has not changed: whether
+// those of a region that is not heard any more are kept depends on the time.
+const hostsEvery = time.Second
+
+// listsHosts reports whether a control host's list of entry hosts is to be taken: it changed,
+// or another one's was taken since.
+func (c *controlList) listsHosts(h *controlHost, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.hostsOf == h && !h.have.hostsChanged && now.Sub(c.hostsAt) < hostsEvery {
+		return false
+	}
+	c.hostsOf, c.hostsAt = h, now
+	return true
+}
+
 // all returns the addresses of all control hosts that this host has heard of.
 func (c *controlList) all() []string {
 	c.mu.Lock()
--- a/internal/app/gateway/fuzz_test.go
+++ b/internal/app/gateway/fuzz_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
+	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
@@ -57,8 +58,8 @@
 			if proto.Unmarshal(raw, v) != nil {
 				return
 			}
-			if src.complete(v) {
-				fx.g.takeView(v, dispatch.Everything)
+			if src.take(v) {
+				fx.g.takeView(v, dispatch.Scope{Loads: true, Others: src.others(serverload.Loads{1: {Requests: 1}}), Fleet: true})
 			}
 			fx.g.place(&execution{r: fx.request("/order/1"), record: fx.g.config.Load().Record, route: &fx.g.config.Load().Record.Routes[0], service: "llm", tried: map[string]bool{}, deadline: fx.clock.Now()})
 		}
--- a/internal/app/gateway/source.go
+++ b/internal/app/gateway/source.go
@@ -4,70 +4,51 @@
 	"maps"
 	"slices"
 
-	"github.com/sesamefork/sesamefork/internal/core/registry"
+	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
-// source is what this host has of one control host's view. Views hold only what changed
+// source is what this host has of one control host's views, which hold only what changed
 // since the one before.
 type source struct {
 	epoch, version uint64
-	prompts        uint64                     // position in the list of where prompts were sent
-	quarantine     uint64                     // position in the news of crashing requests
-	servers        map[string]*pb.FleetServer // by ID
-	hosts          map[string]*pb.FleetHost   // by ID
+	prompts        uint64                   // position in the list of where prompts were sent
+	quarantine     uint64                   // position in the news of crashing requests
+	heard          uint64                   // position in the announcements
+	loadsAt        uint64                   // version of loads
+	hosts          map[string]*pb.FleetHost // by ID
+	hostsChanged   bool                     // by the last view
+	loads          serverload.Loads         // of the region's entry hosts, this one included
 }
 
-// complete makes a view of changes whole, and remembers it. It reports whether that is
-// possible; if not, the next view is asked for whole.
-func (s *source) complete(v *pb.FleetView) bool {
+// take takes the changes of a view. It reports whether that is possible; if not, the next
+// view is asked for whole.
+func (s *source) take(v *pb.FleetView) bool {
 	if !v.Changes {
-		s.servers, s.hosts = map[string]*pb.FleetServer{}, map[string]*pb.FleetHost{}
-	} else if v.Epoch != s.epoch || s.servers == nil {
+		s.hosts = map[string]*pb.FleetHost{}
+	} else if v.Epoch != s.epoch || s.hosts == nil {
 		*s = source{}
 		return false
 	}
 	s.epoch, s.version, s.prompts, s.quarantine = v.Epoch, v.Version, v.PromptsNext, v.QuarantineNext
-	for _, id := range v.RemovedServers {
-		delete(s.servers, id)
-	}
+	s.heard, s.loadsAt = v.HeardNext, v.LoadsNext
 	for _, id := range v.RemovedHosts {
 		delete(s.hosts, id)
 	}
 	for _, h := range v.Hosts {
 		s.hosts[h.Id] = h
 	}
-	v.Hosts = slices.Collect(maps.Values(s.hosts))
-	return s.completeServers(v)
-}
-
-// completeServers adds the servers that a view leaves out. Those that are gone are told
-// once.
-func (s *source) completeServers(v *pb.FleetView) bool {
-	told := map[string]bool{}
-	for _, m := range v.Servers {
-		told[m.Id] = true
-		if m.Gone {
-			delete(s.servers, m.Id)
-		} else {
-			s.servers[m.Id] = m
-		}
-	}
-	if !v.Changes {
-		return true
-	}
-	if len(v.ServerAges) != len(s.servers) {
-		*s = source{}
-		return false
-	}
-	for i, id := range slices.Sorted(maps.Keys(s.servers)) {
-		if told[id] {
-			continue
-		}
-		m := s.servers[id]
-		// How long a server is cold was told with its change, from that time on.
-		m.AgeMs, m.ColdMs = uint64(v.ServerAges[i])*registry.AgeUnitMS, 0
-		v.Servers = append(v.Servers, m)
+	s.hostsChanged = !v.Changes || len(v.Hosts)+len(v.RemovedHosts) > 0
+	if !v.LoadChanges || s.loads == nil {
+		s.loads = serverload.Loads{}
 	}
+	s.loads.Take(serverload.Decode(v.Loads))
 	return true
 }
+
+// allHosts returns the live entry hosts.
+func (s *source) allHosts() []*pb.FleetHost { return slices.Collect(maps.Values(s.hosts)) }
+
+// others returns the work of the region's other entry hosts, with what this one told of its
+// own at that.
+func (s *source) others(own serverload.Loads) serverload.Loads { return s.loads.Without(own) }
--- a/internal/app/gateway/source_test.go
+++ b/internal/app/gateway/source_test.go
@@ -1,96 +1,105 @@
 package gateway
 
 import (
-	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
 
+	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
-// TestViewsAreCompleted plays the views of one control host, whole and with lists left
-// out, and checks what the gateway makes of them.
-func TestViewsAreCompleted(t *testing.T) {
-	server := func(id string) *pb.FleetServer { return &pb.FleetServer{Id: id, AgeMs: 10, ColdMs: 900} }
-	whole := func(epoch, version uint64, servers ...string) *pb.FleetView {
-		v := &pb.FleetView{Epoch: epoch, Version: version, Hosts: []*pb.FleetHost{{Id: "h"}}}
-		for _, id := range servers {
-			v.Servers = append(v.Servers, server(id))
+// TestViewsAreTaken plays the views of one control host, whole and of changes, and checks
+// what this host has then.
+func TestViewsAreTaken(t *testing.T) {
+	loads := func(requests ...uint32) *pb.ServerLoads {
+		l := &pb.ServerLoads{}
+		for i, n := range requests {
+			l.Server, l.Requests = append(l.Server, uint32(i)), append(l.Requests, n)
 		}
-		return v
+		return l
 	}
-	changes := func(epoch, version uint64, ages []uint32, servers ...*pb.FleetServer) *pb.FleetView {
-		return &pb.FleetView{Epoch: epoch, Version: version, Changes: true, ServerAges: ages, Servers: servers}
+	whole := func(epoch, version uint64, hosts ...string) *pb.FleetView {
+		v := &pb.FleetView{Epoch: epoch, Version: version, Loads: loads(1, 2), LoadsNext: 5, HeardNext: 9}
+		for _, id := range hosts {
+			v.Hosts = append(v.Hosts, &pb.FleetHost{Id: id})
+		}
+		return v
 	}
-	removed := func(v *pb.FleetView, ids ...string) *pb.FleetView {
-		v.RemovedServers = ids
+	changes := func(epoch, version uint64, edit func(v *pb.FleetView)) *pb.FleetView {
+		v := &pb.FleetView{Epoch: epoch, Version: version, Changes: true, LoadChanges: true}
+		if edit != nil {
+			edit(v)
+		}
 		return v
 	}
 	for _, c := range []struct {
-		name     string
-		views    []*pb.FleetView
-		complete bool   // the last one
-		want     string // servers of the last one with their ages in ms; cold ones end with *
+		name    string
+		views   []*pb.FleetView
+		taken   bool   // the last one
+		hosts   string // after it
+		changed bool   // the hosts, by it
+		loads   serverload.Loads
 	}{
-		{"whole", []*pb.FleetView{whole(1, 5, "a", "b")}, true, "a:10* b:10*"},
-		{"nothing changed", []*pb.FleetView{whole(1, 5, "b", "a"), changes(1, 6, []uint32{3, 20})}, true, "a:150 b:1000"},
-		{"nothing changed twice", []*pb.FleetView{whole(1, 5, "a"), changes(1, 6, []uint32{3}), changes(1, 7, []uint32{8})}, true, "a:400"},
-		{"one changed", []*pb.FleetView{whole(1, 5, "a", "b"), changes(1, 6, []uint32{3, 9}, server("b"))}, true, "a:150 b:10*"},
-		{"one new", []*pb.FleetView{whole(1, 5, "b"), changes(1, 6, []uint32{0, 9}, server("a"))}, true, "a:10* b:450"},
-		{"one removed", []*pb.FleetView{whole(1, 5, "a", "b"), removed(changes(1, 6, []uint32{4}), "a", "elsewhere")}, true, "b:200"},
-		{"one removed and back", []*pb.FleetView{whole(1, 5, "a", "b"), removed(changes(1, 6, []uint32{4, 5}, server("a")), "a")}, true, "a:10* b:250"},
-		{"one gone is told once", []*pb.FleetView{whole(1, 5, "a", "b"), changes(1, 6, []uint32{4}, &pb.FleetServer{Id: "a", Gone: true}), changes(1, 7, []uint32{4})}, true, "b:200"},
-		{"changes, but never whole", []*pb.FleetView{changes(1, 6, []uint32{3})}, false, ""},
-		{"changes of another process", []*pb.FleetView{whole(1, 5, "a"), changes(2, 6, []uint32{3})}, false, ""},
-		{"ages of another list", []*pb.FleetView{whole(1, 5, "a", "b"), changes(1, 6, []uint32{3})}, false, ""},
-		{"whole again after a refused one", []*pb.FleetView{whole(1, 5, "a", "b"), changes(1, 6, []uint32{3}), whole(1, 7, "a")}, true, "a:10*"},
+		{"whole", []*pb.FleetView{whole(1, 5, "a", "b")}, true, "a b", true, serverload.Loads{0: {Requests: 1}, 1: {Requests: 2}}},
+		{"nothing changed", []*pb.FleetView{whole(1, 5, "b", "a"), changes(1, 6, nil)}, true, "a b", false, serverload.Loads{0: {Requests: 1}, 1: {Requests: 2}}},
+		{"a host is new", []*pb.FleetView{whole(1, 5, "b"), changes(1, 6, func(v *pb.FleetView) { v.Hosts = []*pb.FleetHost{{Id: "a"}} })}, true, "a b", true, serverload.Loads{0: {Requests: 1}, 1: {Requests: 2}}},
+		{"a host is removed", []*pb.FleetView{whole(1, 5, "a", "b"), changes(1, 6, func(v *pb.FleetView) { v.RemovedHosts = []string{"a", "elsewhere"} })}, true, "b", true, serverload.Loads{0: {Requests: 1}, 1: {Requests: 2}}},
+		{"a host is removed and back", []*pb.FleetView{whole(1, 5, "a", "b"), changes(1, 6, func(v *pb.FleetView) {
+			v.RemovedHosts, v.Hosts = []string{"a"}, []*pb.FleetHost{{Id: "a"}}
+		})}, true, "a b", true, serverload.Loads{0: {Requests: 1}, 1: {Requests: 2}}},
+		{"work that changed, ended, began", []*pb.FleetView{whole(1, 5, "a"), changes(1, 6, func(v *pb.FleetView) { v.Loads = loads(4, 0, 3) })}, true, "a", false, serverload.Loads{0: {Requests: 4}, 2: {Requests: 3}}},
+		{"all work anew", []*pb.FleetView{whole(1, 5, "a"), changes(1, 6, func(v *pb.FleetView) { v.Loads, v.LoadChanges = loads(7), false })}, true, "a", false, serverload.Loads{0: {Requests: 7}}},
+		{"changes, but never whole", []*pb.FleetView{changes(1, 6, nil)}, false, "", false, nil},
+		{"changes of another process", []*pb.FleetView{whole(1, 5, "a"), changes(2, 6, nil)}, false, "", false, nil},
+		{"whole again after a refused one", []*pb.FleetView{whole(1, 5, "a", "b"), changes(2, 6, nil), whole(2, 7, "a")}, true, "a", true, serverload.Loads{0: {Requests: 1}, 1: {Requests: 2}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s, complete := &source{}, false
+			s, taken := &source{}, false
 			for _, v := range c.views {
-				complete = s.complete(v)
+				taken = s.take(v)
 			}
-			last := c.views[len(c.views)-1]
-			if complete != c.complete {
-				t.Fatalf("complete %v", complete)
+			if taken != c.taken {
+				t.Fatalf("taken %v", taken)
 			}
-			if !complete {
-				if s.version != 0 {
+			if !taken {
+				if s.version != 0 || s.epoch != 0 || s.heard != 0 || s.loadsAt != 0 {
 					t.Errorf("the next view is asked for from version %d, want a whole one", s.version)
 				}
 				return
 			}
-			if len(last.Hosts) != 1 {
-				t.Errorf("%d hosts", len(last.Hosts))
+			if got := strings.Join(slices.Sorted(maps.Keys(s.hosts)), " "); got != c.hosts || s.hostsChanged != c.changed {
+				t.Errorf("hosts %s, changed %v", got, s.hostsChanged)
 			}
-			var got []string
-			for _, m := range last.Servers {
-				text := fmt.Sprint(m.Id, ":", m.AgeMs)
-				if m.ColdMs > 0 {
-					text += "*"
-				}
-				got = append(got, text)
-			}
-			slices.Sort(got)
-			if text := strings.Join(got, " "); text != c.want {
-				t.Errorf("servers %s, want %s", text, c.want)
+			if !maps.Equal(s.loads, c.loads) {
+				t.Errorf("loads %v, want %v", s.loads, c.loads)
 			}
 		})
 	}
 }
 
-// TestHostsOfChanges adds and removes entry hosts.
+// TestHostsOfChanges adds, changes and removes entry hosts.
 func TestHostsOfChanges(t *testing.T) {
 	s := &source{}
-	s.complete(&pb.FleetView{Epoch: 1, Version: 1, Hosts: []*pb.FleetHost{{Id: "h1"}, {Id: "h2", Ready: true}}})
+	s.take(&pb.FleetView{Epoch: 1, Version: 1, Hosts: []*pb.FleetHost{{Id: "h1"}, {Id: "h2", Ready: true}}})
 	v := &pb.FleetView{Epoch: 1, Version: 2, Changes: true, RemovedHosts: []string{"h1"}, Hosts: []*pb.FleetHost{{Id: "h2"}, {Id: "h3"}}}
-	if !s.complete(v) || len(v.Hosts) != 2 {
-		t.Fatalf("hosts %v", v.Hosts)
+	if !s.take(v) || len(s.allHosts()) != 2 {
+		t.Fatalf("hosts %v", s.allHosts())
 	}
-	for _, h := range v.Hosts {
+	for _, h := range s.allHosts() {
 		if h.Id == "h1" || h.Ready {
 			t.Errorf("host %v", h)
 		}
 	}
 }
+
+// TestOwnWorkIsNotOthers: the control host's sum holds what this host told it, unless
+// another one has become its primary meanwhile.
+func TestOwnWorkIsNotOthers(t *testing.T) {
+	s := &source{loads: serverload.Loads{1: {Requests: 3}, 2: {Requests: 1}}}
+	got := s.others(serverload.Loads{1: {Requests: 1}, 2: {Requests: 2}, 3: {Requests: 5}})
+	if want := (serverload.Loads{1: {Requests: 2}}); !maps.Equal(got, want) {
+		t.Errorf("others have %v, want %v", got, want)
+	}
+}
--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -128,7 +128,7 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	req := g.request()
-	m := g.presentation(c, primary)
+	m, own := g.presentation(c, primary)
 	records, next := g.crashRecords(c)
 	m.Quarantine = records
 	req.Body = &pb.Request_FleetSync{FleetSync: m}
@@ -144,11 +144,12 @@
 		return nil, failure.New(failure.PeerRefused, "", "the control host at %s gave no view", c.addr)
 	}
 	c.noteTold(view, c.have.epoch, next, len(records) == maxRecords)
-	if !c.have.complete(view) {
+	if !c.have.take(view) {
 		return nil, failure.New(failure.PeerRefused, "", "the changes that the control host at %s tells do not fit what this host has", c.addr)
 	}
 	g.o.Crashes.Merge(view.Quarantine, c.addr)
-	g.takeView(view, dispatch.Scope{Loads: primary, Fleet: g.noteHeard(c, view)})
+	g.o.Metrics.Add("servers_lapsed", int64(len(view.RemovedServers)))
+	g.takeView(view, g.scope(c, view, primary, own))
 	if configstate.Newer(resp.Stamp, g.stamp()) && g.takesFrom(view) {
 		g.fetch(ctx, c.addr, resp.Stamp, fetchTimeout)
 	}
@@ -157,22 +158,40 @@
 	return view, nil
 }
 
-// presentation returns what a control host is told of this host.
-func (g *Gateway) presentation(c *controlHost, primary bool) *pb.FleetSync {
+// scope returns which parts of a control host's view count, and completes it by what this
+// host has of the ones before.
+func (g *Gateway) scope(c *controlHost, view *pb.FleetView, primary bool, own serverload.Loads) dispatch.Scope {
+	scope := dispatch.Scope{Loads: primary, Fleet: g.noteHeard(c, view)}
+	if primary {
+		scope.Others = c.have.others(own)
+	}
+	if scope.Fleet {
+		scope.SameHosts = !g.control.listsHosts(c, g.o.Clock.Now())
+	}
+	if scope.Fleet && !scope.SameHosts {
+		view.Hosts = c.have.allHosts()
+	}
+	return scope
+}
+
+// presentation returns what a control host is told of this host, and the loads in it.
+func (g *Gateway) presentation(c *controlHost, primary bool) (*pb.FleetSync, serverload.Loads) {
 	m := &pb.FleetSync{
 		Host: &pb.FleetHost{
 			Id: g.o.Host, Peer: g.o.Peer, Caller: g.o.Caller, Region: g.o.Region, FailureDomain: g.o.FailureDomain,
 			Ready: g.config.Load() != nil && !g.draining.Load(),
 		},
-		HaveEpoch: c.have.epoch, HaveVersion: c.have.version, HavePrompts: c.have.prompts, HaveQuarantine: c.have.quarantine, WaitMs: uint32(syncWait.Milliseconds()), Primary: primary,
+		HaveEpoch: c.have.epoch, HaveVersion: c.have.version, HavePrompts: c.have.prompts, HaveQuarantine: c.have.quarantine,
+		HaveHeard: c.have.heard, HaveLoads: c.have.loadsAt, WaitMs: uint32(syncWait.Milliseconds()), Primary: primary,
 	}
-	if primary {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		m.Loads = serverload.Encode(g.fleet.Loads(g.o.Clock.Now()))
-		m.Prompts = holders.Encode(g.fleet.TakeSent())
+	if !primary {
+		return m, nil
 	}
-	return m
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	own := g.fleet.Loads(g.o.Clock.Now())
+	m.Loads, m.Prompts = serverload.Encode(own), holders.Encode(g.fleet.TakeSent())
+	return m, own
 }
 
 func (g *Gateway) takeView(v *pb.FleetView, scope dispatch.Scope) {
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -273,3 +273,25 @@
 		t.Errorf("chose %+v", c)
 	}
 }
+
+// TestHeardServersStayInUse takes views that name only which servers were heard: one that is
+// not named falls silent when its announcements have lapsed, though it is on every list.
+func TestHeardServersStayInUse(t *testing.T) {
+	f := New(Options{Region: "west", FailureDomain: "w1", Random: func() float64 { return 0.5 }})
+	f.TakeView(testView(2), Everything, start)
+	heard, silent := f.servers["s0"], f.servers["s1"]
+	if heard == nil || silent == nil {
+		t.Fatal("the servers are not known")
+	}
+	now := start
+	for now.Sub(start) < 10*time.Second {
+		now = now.Add(time.Second)
+		f.TakeView(&pb.FleetView{HeardServers: []uint32{heard.key, 99}, HeardAges: []uint32{2}}, Scope{Fleet: true, SameHosts: true}, now)
+	}
+	if r := f.usable(heard, now); r != "" || now.Sub(heard.ConfirmedAt) != 100*time.Millisecond {
+		t.Errorf("the one that is heard: %q, confirmed %s ago", r, now.Sub(heard.ConfirmedAt))
+	}
+	if r := f.usable(silent, now); r != "silent" {
+		t.Errorf("the one that is not: %q", r)
+	}
+}
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/holders"
+	"github.com/sesamefork/sesamefork/internal/core/registry"
 	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	"github.com/sesamefork/sesamefork/internal/core/speed"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
@@ -64,6 +65,7 @@
 	evacuated      []string
 	revision       uint64
 	viewedAt       time.Time // last view from a control host
+	forgotAt       time.Time // see forget
 	chains         map[string]chainRate
 	arrivals       map[string]*arrivals        // by plain service
 	speeds         map[string]*speed.Estimator // by service
@@ -110,6 +112,8 @@
 	stalledAfter = time.Second
 	// forgetAfter is how long a silent server's state is kept.
 	forgetAfter = time.Minute
+	// forgetEvery is the pause between two looks for what is to be forgotten.
+	forgetEvery = time.Second
 	// goneFor is how long a server that left is remembered, for late views.
 	goneFor = 5 * time.Minute
 )
@@ -119,8 +123,12 @@
 type Scope struct {
 	// Loads: the work of the region's other entry hosts.
 	Loads bool
+	// Others, unless nil, is that work in the place of the view's loads.
+	Others serverload.Loads
 	// Fleet: the entry hosts, and the loads of other regions.
 	Fleet bool
+	// SameHosts: the entry hosts are those of the view before, and left out.
+	SameHosts bool
 }
 
 // Everything is the scope of the view of a control host that is near and up to date.
@@ -133,6 +141,39 @@
 	for _, m := range v.Servers {
 		f.takeServer(m, now)
 	}
+	f.takeHeard(v.HeardServers, v.HeardAges, now)
+	if now.Sub(f.forgotAt) >= forgetEvery {
+		f.forget(now)
+	}
+	for _, p := range holders.Decode(v.Prompts) {
+		f.holders.Note(p, now)
+	}
+	switch {
+	case scope.Loads && scope.Others != nil:
+		f.takeLoads(scope.Others, now)
+	case scope.Loads:
+		f.takeLoads(serverload.Decode(v.Loads), now)
+	}
+	if scope.Fleet && !scope.SameHosts {
+		f.takeHosts(v.Hosts, now)
+	}
+	if scope.Fleet {
+		f.takeRegions(v.Regions, now)
+	}
+}
+
+// takeHeard notes when servers that did not change last announced themselves.
+func (f *Fleet) takeHeard(keys, ages []uint32, now time.Time) {
+	for i, key := range keys {
+		if s := f.byKey[key]; s != nil && i < len(ages) {
+			s.confirm(now.Add(-ms(uint64(ages[i]) * registry.AgeUnitMS)))
+		}
+	}
+}
+
+// forget drops what is of no use any more.
+func (f *Fleet) forget(now time.Time) {
+	f.forgotAt = now
 	for _, s := range f.servers {
 		if s.underWay() == 0 && now.Sub(s.ConfirmedAt) > forgetAfter {
 			f.drop(s)
@@ -145,16 +186,6 @@
 	}
 	f.forgetChains(now)
 	f.holders.Forget(now)
-	for _, p := range holders.Decode(v.Prompts) {
-		f.holders.Note(p, now)
-	}
-	if scope.Loads {
-		f.takeLoads(serverload.Decode(v.Loads), now)
-	}
-	if scope.Fleet {
-		f.takeHosts(v.Hosts, now)
-		f.takeRegions(v.Regions, now)
-	}
 }
 
 // off reports whether an experiment goes without a mechanism.
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -91,12 +91,18 @@
 	s.Service, s.Address, s.FailureDomain = m.Service, m.Address, m.FailureDomain
 	s.Slots, s.Release = int(m.Slots), m.Release
 	s.Leaving = s.Leaving || m.Leaving // never taken back within one start
-	if heard.After(s.ConfirmedAt) {
-		s.ConfirmedAt = heard
-		if m.ColdMs > 0 {
-			s.SetCold(heard.Add(ms(m.ColdMs)))
-		}
+	if s.confirm(heard) && m.ColdMs > 0 {
+		s.SetCold(heard.Add(ms(m.ColdMs)))
+	}
+}
+
+// confirm notes an announcement. It reports whether it is the newest.
+func (s *Server) confirm(at time.Time) bool {
+	newest := at.After(s.ConfirmedAt)
+	if newest {
+		s.ConfirmedAt = at
 	}
+	return newest
 }
 
 // serverFor returns what is known of the start that a view tells of: nothing yet when it is
--- a/internal/core/registry/changes_test.go
+++ b/internal/core/registry/changes_test.go
@@ -11,61 +11,64 @@
 // and what is told of them after the version before each step.
 func TestListAndChanges(t *testing.T) {
 	r := newRegistry()
-	check := func(step string, since uint64, listed, changed, removed []string) {
+	check := func(step string, since uint64, now int, listed, changed, removed []string) {
 		t.Helper()
 		var l, c []string
 		for _, s := range r.List("west") {
-			if l = append(l, s.ID); s.ChangedSince(since) {
-				c = append(c, s.ID)
-			}
+			l = append(l, s.ID)
 		}
-		for _, s := range r.Gone("west") {
-			if s.ChangedSince(since) {
-				c = append(c, s.ID+" gone")
+		changes, complete := r.Since(since, "west", at(now))
+		for _, s := range changes.Servers {
+			id := s.ID
+			if s.Gone {
+				id += " gone"
 			}
+			c = append(c, id)
+		}
+		if !slices.Equal(l, listed) || !slices.Equal(c, changed) || !slices.Equal(changes.RemovedServers, removed) || !complete {
+			t.Errorf("%s: listed %v, changed %v, removed %v, complete %v", step, l, c, changes.RemovedServers, complete)
 		}
-		gone, _, complete := r.Removed(since)
-		if !slices.Equal(l, listed) || !slices.Equal(c, changed) || !slices.Equal(gone, removed) || !complete {
-			t.Errorf("%s: listed %v, changed %v, removed %v, complete %v", step, l, c, gone, complete)
+		if far, _ := r.Since(since, "east", at(now)); len(far.Servers) > 0 && far.Servers[0].FailureDomain != "" {
+			t.Errorf("%s: another region is told %v", step, far.Servers)
 		}
 	}
 	since := r.Version()
 	r.Announce(beat("a", "x", 1, 0), at(0))
 	r.Announce(beat("b", "y", 1, 1000), at(1000))
-	check("two announced", since, []string{"a", "b"}, []string{"a", "b"}, nil)
+	check("two announced", since, 1000, []string{"a", "b"}, []string{"a", "b"}, nil)
 	since = r.Version()
 	r.Announce(beat("b", "y", 2, 2000), at(2000))
-	check("no news", since, []string{"a", "b"}, nil, nil)
+	check("no news", since, 2000, []string{"a", "b"}, nil, nil)
 	r.Expire(at(3500), at(3700))
-	check("a lapsed", since, []string{"b"}, nil, []string{"a"})
+	check("a lapsed", since, 3700, []string{"b"}, nil, []string{"a"})
 	since = r.Version()
 	r.Expire(at(3700), at(3800))
-	check("told once", since, []string{"b"}, nil, nil)
+	check("told once", since, 3800, []string{"b"}, nil, nil)
 	r.Announce(beat("a", "x", 2, 3900), at(3900))
-	check("a is back", since, []string{"a", "b"}, []string{"a"}, nil)
+	check("a is back", since, 3900, []string{"a", "b"}, []string{"a"}, nil)
 	since = r.Version()
 	r.Leave("b", 0, at(4000))
-	check("b left", since, []string{"a"}, []string{"b gone"}, nil)
+	check("b left", since, 4000, []string{"a"}, []string{"b gone"}, nil)
 	since = r.Version()
 	r.Leave("never-heard", 0, at(4100))
-	check("one left that was never heard", since, []string{"a"}, []string{"never-heard gone"}, nil)
+	check("one left that was never heard", since, 4100, []string{"a"}, []string{"never-heard gone"}, nil)
 	since = r.Version()
 	r.Expire(at(4100), at(4100).Add(goneFor+time.Second))
-	check("forgotten", since, nil, nil, []string{"a"})
+	check("forgotten", since, 4100, nil, nil, []string{"a"})
 }
 
-// TestRemovedIsBounded: a host that missed too much gets whole lists.
-func TestRemovedIsBounded(t *testing.T) {
+// TestChangesAreBounded: a host that missed too much gets whole lists.
+func TestChangesAreBounded(t *testing.T) {
 	r := newRegistry()
 	start := r.Version()
-	for i := range removalsKept + 1 {
-		r.remove(false, fmt.Sprint("h", i))
+	for i := range changesKept + 1 {
+		r.note(false, fmt.Sprint("h", i))
 	}
-	if _, _, complete := r.Removed(start); complete {
-		t.Error("complete, though the first removal is forgotten")
+	if _, complete := r.Since(start, "west", at(0)); complete {
+		t.Error("complete, though the first change is forgotten")
 	}
-	if _, hosts, complete := r.Removed(start + 1); !complete || len(hosts) != removalsKept {
-		t.Errorf("%d removals, complete %v", len(hosts), complete)
+	if c, complete := r.Since(start+1, "west", at(0)); !complete || len(c.RemovedHosts) != changesKept {
+		t.Errorf("%d changes, complete %v", len(c.RemovedHosts), complete)
 	}
 }
 
@@ -75,14 +78,48 @@
 	r.HearHost(host("h", "west", "w1", true, 0), at(0))
 	since := r.Version()
 	r.Expire(at(1400), at(1600))
-	if _, hosts, _ := r.Removed(since); !slices.Equal(hosts, []string{"h"}) {
-		t.Errorf("removed %v", hosts)
+	if c, _ := r.Since(since, "west", at(1600)); !slices.Equal(c.RemovedHosts, []string{"h"}) {
+		t.Errorf("removed %v", c.RemovedHosts)
 	}
 	since = r.Version()
 	r.Expire(at(1600), at(1700))
 	r.HearHost(host("h", "west", "w1", true, 1800), at(1800))
-	if _, hosts, _ := r.Removed(since); len(hosts) != 0 || !r.Hosts(at(1800))[0].ChangedSince(since) {
-		t.Errorf("removed %v, or its return is not told", hosts)
+	if c, _ := r.Since(since, "west", at(1800)); len(c.RemovedHosts) != 0 || len(c.Hosts) != 1 {
+		t.Errorf("removed %v, or its return is not told", c.RemovedHosts)
+	}
+}
+
+// TestHeardSince reads the log of announcements from a position on: each server once, and
+// none from a position that is not remembered.
+func TestHeardSince(t *testing.T) {
+	r := newRegistry()
+	_, start, _ := r.HeardSince(0)
+	for i, id := range []string{"a", "b", "a"} {
+		r.Announce(beat(id, "x"+id, uint64(i+1), 100*i), at(100*i))
+	}
+	read := func(from uint64) (ids []string, next uint64, complete bool) {
+		servers, next, complete := r.HeardSince(from)
+		for _, s := range servers {
+			ids = append(ids, s.ID)
+		}
+		return ids, next, complete
+	}
+	ids, next, complete := read(start)
+	if !slices.Equal(ids, []string{"b", "a"}) || !complete {
+		t.Errorf("heard %v, complete %v", ids, complete)
+	}
+	r.Leave("b", 0, at(400))
+	if ids, next, _ = read(next); !slices.Equal(ids, []string{"b"}) {
+		t.Errorf("heard after that %v", ids)
+	}
+	if _, _, complete := read(next + 1); complete {
+		t.Error("a position of another process counts")
+	}
+	for i := range heardKept {
+		r.Announce(beat("a", "xa", uint64(i+10), 500+i), at(500+i))
+	}
+	if _, _, complete := read(next - 1); complete {
+		t.Error("complete, though the first announcement is forgotten")
 	}
 }
 
@@ -100,7 +137,7 @@
 	if !r.HearHostAgain(key, true, at(1400), at(1450)) || len(r.Hosts(at(2000))) != 1 {
 		t.Error("the host is not live, though heard again")
 	}
-	if r.Version() != version || r.Hosts(at(2000))[0].ChangedSince(version) {
+	if c, _ := r.Since(version, "west", at(2000)); r.Version() != version || len(c.Hosts) > 0 || r.Hosts(at(2000))[0].ChangedSince(version) {
 		t.Error("hearing it again changed the host")
 	}
 	if r.HearHostAgain(key, true, at(1000), at(2000)); len(r.Hosts(at(2800))) != 1 {
--- a/internal/core/registry/hosts.go
+++ b/internal/core/registry/hosts.go
@@ -25,9 +25,8 @@
 	// PresentedAt is when it last presented itself here; zero for never.
 	PresentedAt time.Time
 	Loads       serverload.Loads // while they are owned here
-	// changed is the version of the last change that others must learn.
-	changed uint64
-	owned   bool // here
+	changed     uint64           // version of its last change
+	owned       bool             // here
 }
 
 // Key returns the host's key in messages between hosts.
@@ -39,6 +38,8 @@
 	HeardAt                                      time.Time
 	Loads                                        []*pb.RegionLoad
 	ServerLoads                                  serverload.Loads
+
+	counted serverload.Loads // its part of Registry.region
 }
 
 // HearHost takes an entry host's presentation, to this control host or to another one. It
@@ -59,35 +60,37 @@
 	}
 	news := old.ID == "" || old.Ready != h.Ready || old.Peer != h.Peer || old.Caller != h.Caller || now.Sub(old.HeardAt) > r.o.HostLease
 	if news {
-		h.changed = r.Touch()
+		r.noteHost(&h)
 	} else {
 		h.changed = old.changed
 	}
+	before := old.Loads
 	if h.Direct {
-		r.disown(old)
-		h.PresentedAt = h.HeardAt
-		r.own(&h)
+		h.PresentedAt, h.owned = h.HeardAt, h.Primary && h.Region == r.o.Region
 	} else {
 		h.PresentedAt, h.owned, h.Loads = old.PresentedAt, old.owned, old.Loads
 	}
+	if !h.owned {
+		h.Loads = nil
+	}
+	r.count(before, h.Loads)
+	r.hostsDue = earlier(r.hostsDue, h.HeardAt.Add(r.o.HostLease))
 	*old = h
 	r.hostByKey[h.Key()] = old
 	return news
 }
 
-// own counts the figures of a host that presents itself here as its primary.
-func (r *Registry) own(h *Host) {
-	if h.owned = h.Primary && h.Region == r.o.Region; h.owned {
-		r.direct.Add(h.Loads)
-	} else {
-		h.Loads = nil
-	}
+// count puts the figures of an owned host in the place of what it told before.
+func (r *Registry) count(before, after serverload.Loads) {
+	r.direct.Sub(before)
+	r.direct.Add(after)
+	r.region.replace(before, after)
 }
 
 // disown ends the count of a host's figures.
 func (r *Registry) disown(h *Host) {
 	if h.owned {
-		r.direct.Sub(h.Loads)
+		r.count(h.Loads, nil)
 		h.owned, h.Loads = false, nil
 	}
 }
@@ -118,11 +121,13 @@
 // told it at a version.
 func (h *Host) ChangedSince(version uint64) bool { return h.changed > version }
 
+func (r *Registry) live(h *Host, now time.Time) bool { return now.Sub(h.HeardAt) <= r.o.HostLease }
+
 // Hosts returns the live entry hosts, sorted by ID.
 func (r *Registry) Hosts(now time.Time) []*Host {
 	out := make([]*Host, 0, len(r.hostIDs))
 	for _, id := range r.hostIDs {
-		if h := r.hosts[id]; now.Sub(h.HeardAt) <= r.o.HostLease {
+		if h := r.hosts[id]; r.live(h, now) {
 			out = append(out, h)
 		}
 	}
@@ -154,7 +159,17 @@
 }
 
 // HearControl takes what another control host tells of itself.
-func (r *Registry) HearControl(c Control) { r.controls[c.Peer] = &c }
+func (r *Registry) HearControl(c Control) {
+	var before serverload.Loads
+	if old := r.controls[c.Peer]; old != nil {
+		before = old.counted
+	}
+	if c.Region == r.o.Region {
+		c.counted = c.ServerLoads
+	}
+	r.region.replace(before, c.counted)
+	r.controls[c.Peer] = &c
+}
 
 // controlLease is how long another control host counts as live.
 const controlLease = 3 * time.Second
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -58,14 +58,14 @@
 	// Direct is set when this control host heard the server itself lately.
 	Direct time.Time
 
-	changed  uint64 // version of the last change that entry hosts must learn
+	changed  uint64 // version of its last change
+	heardAt  uint64 // position in the log of announcements
 	unlisted bool   // its lease ran out, and that was told
 	starts   incarnation.History
 }
 
-// ChangedSince reports whether entry hosts must be told the server again that were told
-// it at a version.
-func (s *Server) ChangedSince(version uint64) bool { return s.changed > version }
+// HeardHere reports whether the server's last announcement came to this control host.
+func (s *Server) HeardHere() bool { return s.Direct.Equal(s.HeardAt) }
 
 // Key returns the key of the server's start in messages between hosts.
 func (s *Server) Key() uint32 { return incarnation.Key(s.ID, s.Start) }
@@ -83,10 +83,16 @@
 	// lists holds the servers that List returns, until they change; direct is the sum of
 	// the figures of the entry hosts that this control host owns. Both are kept because
 	// every presentation asks for them.
-	lists     map[string][]*Server // by region
-	direct    serverload.Loads
-	removed   []removal
-	forgotten uint64 // version of the newest removal that is not remembered any more
+	lists  map[string][]*Server // by region
+	direct serverload.Loads
+	// region is direct and what the region's other control hosts tell of theirs.
+	region     *sums
+	changes    []change
+	forgotten  uint64 // version of the newest change that is not remembered any more
+	heard      []*Server
+	heardFirst uint64 // position of the first of them
+	// serversDue and hostsDue are before the next lease ends or entry is to be forgotten.
+	serversDue, hostsDue time.Time
 }
 
 // New returns an empty registry.
@@ -94,7 +100,7 @@
 	return &Registry{
 		o: o, servers: map[string]*Server{}, byAddress: map[string]string{},
 		hosts: map[string]*Host{}, hostByKey: map[uint32]*Host{}, controls: map[string]*Control{},
-		version: 1, lists: map[string][]*Server{}, direct: serverload.Loads{},
+		version: 1, lists: map[string][]*Server{}, direct: serverload.Loads{}, region: newSums(),
 	}
 }
 
@@ -175,19 +181,22 @@
 	s.changed, s.starts = known.changed, known.starts
 	s.starts.Advance(s.Start)
 	*known = s
+	r.noteHeard(known)
+	r.serversDue = earlier(r.serversDue, s.HeardAt.Add(r.o.ServerLease))
 	if !listed {
 		clear(r.lists)
 	}
 	if news {
-		r.changed(known)
+		r.noteServer(known)
 	}
 	return news
 }
 
-// changed lets the entry hosts learn a server's state at once.
-func (r *Registry) changed(s *Server) {
-	r.version++
-	s.changed = r.version
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // coldNews is by how much a server's cold phase must be longer than known before
@@ -203,7 +212,8 @@
 			s.Gone = true
 			s.HeardAt = now
 			r.servers[s.ID] = s
-			r.changed(s)
+			r.noteHeard(s)
+			r.noteServer(s)
 			return
 		}
 		r.retire(holder, now)
@@ -217,7 +227,8 @@
 	}
 	s.Gone, s.HeardAt = true, now
 	clear(r.lists)
-	r.changed(s)
+	r.noteHeard(s)
+	r.noteServer(s)
 }
 
 // Leave records that a start of a server has left for good; start 0 means the one that is
@@ -282,25 +293,55 @@
 // Expire forgets what is long gone, and raises the version when a lease ran out
 // since the last call.
 func (r *Registry) Expire(last, now time.Time) {
+	if now.After(r.serversDue) {
+		r.expireServers(now)
+	}
+	if now.After(r.hostsDue) {
+		r.expireHosts(last, now)
+	}
+	for _, c := range r.controls {
+		if c.counted != nil && now.Sub(c.HeardAt) > r.o.HostLease {
+			r.region.replace(c.counted, nil)
+			c.counted = nil
+		}
+	}
+}
+
+func (r *Registry) expireServers(now time.Time) {
+	r.serversDue = now.Add(goneFor)
 	for id, s := range r.servers {
-		if !s.Gone && !s.unlisted && r.lapsed(s, now) {
+		if s.listed() && r.lapsed(s, now) {
 			s.unlisted = true
 			clear(r.lists)
-			r.remove(true, id)
+			r.noteServer(s)
 		}
-		if now.Sub(s.HeardAt) > goneFor {
+		switch {
+		case now.Sub(s.HeardAt) > goneFor:
 			delete(r.servers, id)
 			if r.byAddress[s.Address] == id {
 				delete(r.byAddress, s.Address)
 			}
+		case s.listed():
+			r.serversDue = earlier(r.serversDue, s.HeardAt.Add(r.o.ServerLease))
+		default:
+			r.serversDue = earlier(r.serversDue, s.HeardAt.Add(goneFor))
 		}
 	}
+}
+
+func (r *Registry) expireHosts(last, now time.Time) {
+	r.hostsDue = now.Add(r.o.HostLease)
 	for id, h := range r.hosts {
-		if now.Sub(h.HeardAt) > r.o.HostLease && last.Sub(h.HeardAt) <= r.o.HostLease {
-			r.remove(false, id)
+		if !r.live(h, now) && last.Sub(h.HeardAt) <= r.o.HostLease {
+			r.noteHost(h)
 		}
 		if !r.PresentsItself(h, now) {
 			r.disown(h)
+		} else {
+			r.hostsDue = earlier(r.hostsDue, h.PresentedAt.Add(r.o.HostLease))
+		}
+		if r.live(h, now) {
+			r.hostsDue = earlier(r.hostsDue, h.HeardAt.Add(r.o.HostLease))
 		}
 		if now.Sub(h.HeardAt) > goneFor {
 			delete(r.hosts, id)
@@ -313,17 +354,22 @@
 // OtherLoads adds up the work that the region's other entry hosts have under way at each
 // backend server. What another control host told of its hosts holds as long as a host's
 // presentation: then its hosts have gone to another one, and would be counted twice.
-func (r *Registry) OtherLoads(host string, now time.Time) serverload.Loads {
-	sums := r.DirectLoads()
+func (r *Registry) OtherLoads(host string) serverload.Loads {
+	all := r.region.all()
 	if h := r.hosts[host]; h != nil && h.owned {
-		sums.Sub(h.Loads)
+		all.Sub(h.Loads)
 	}
-	for _, c := range r.Controls(now) {
-		if c.Region == r.o.Region && now.Sub(c.HeardAt) <= r.o.HostLease {
-			sums.Add(c.ServerLoads)
-		}
+	return all
+}
+
+// LoadsSince returns the work of the region's entry hosts at the servers where it changed
+// after a version, and the version to go on from. Where there is none any more it is zero.
+// Complete is false when all of it is returned instead.
+func (r *Registry) LoadsSince(version uint64) (loads serverload.Loads, next uint64, complete bool) {
+	if loads, complete = r.region.since(version); !complete {
+		loads = r.region.all()
 	}
-	return sums
+	return loads, r.region.version, complete
 }
 
 // DirectLoads adds up the work of the entry hosts whose figures this control host owns.
@@ -333,9 +379,9 @@
 // hosts that present themselves here have under way at them, for each service.
 func (r *Registry) RegionLoads(evacuated func(domain string) bool, now time.Time) []*pb.RegionLoad {
 	sums := map[string]*pb.RegionLoad{}
-	service := map[uint32]string{}
-	for _, s := range r.Servers(r.o.Region, now) {
-		if s.Gone || s.Leaving || evacuated(s.FailureDomain) || s.ColdUntil.After(now) {
+	loads := r.OtherLoads("")
+	for _, s := range r.List(r.o.Region) {
+		if s.Leaving || evacuated(s.FailureDomain) || s.ColdUntil.After(now) {
 			continue
 		}
 		l := sums[s.Service]
@@ -345,15 +391,10 @@
 		}
 		l.Servers++
 		l.Slots += uint32(s.Slots)
-		service[s.Key()] = s.Service
-	}
-	loads := r.OtherLoads("", now)
-	for key, load := range loads {
-		if l := sums[service[key]]; l != nil {
-			l.Requests += load.Requests
-			l.PromptTokens += load.PromptTokens
-			l.MemoryTokens += load.MemoryTokens
-		}
+		load := loads[s.Key()]
+		l.Requests += load.Requests
+		l.PromptTokens += load.PromptTokens
+		l.MemoryTokens += load.MemoryTokens
 	}
 	out := make([]*pb.RegionLoad, 0, len(sums))
 	for _, l := range sums {
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -171,7 +171,7 @@
 	r.HearHost(b, at(0))
 	r.HearControl(Control{Peer: "c2", Region: "west", HeardAt: at(0), ServerLoads: load("s1", 3)})
 	r.HearControl(Control{Peer: "c3", Region: "east", HeardAt: at(0), ServerLoads: load("s1", 9)})
-	others := r.OtherLoads("a", at(0))
+	others := r.OtherLoads("a")
 	if len(others) != 2 || others[s0].Requests != 5 || others[s1].Requests != 3 {
 		t.Errorf("others' work: %v", others)
 	}
@@ -201,7 +201,7 @@
 	r.HearHost(b, at(0))
 	r.HearControl(Control{Peer: "c2", Region: "west", HeardAt: at(0), ServerLoads: arrivals(7)})
 	r.HearControl(Control{Peer: "c3", Region: "east", HeardAt: at(0), ServerLoads: arrivals(900)})
-	if got := r.OtherLoads("a", at(0))[key].Requests; got != 27 {
+	if got := r.OtherLoads("a")[key].Requests; got != 27 {
 		t.Errorf("host a is told %d, want 27", got)
 	}
 	sum := r.RegionLoads(func(string) bool { return false }, at(0))
--- a/internal/core/serverload/serverload.go
+++ b/internal/core/serverload/serverload.go
@@ -24,32 +24,65 @@
 // Loads is work by the servers' keys.
 type Loads map[uint32]Load
 
+// Plus returns the sum of two loads.
+func (l Load) Plus(m Load) Load {
+	return Load{l.Requests + m.Requests, l.PromptTokens + m.PromptTokens, l.MemoryTokens + m.MemoryTokens, l.ReadingMS + m.ReadingMS, l.Deferred + m.Deferred}
+}
+
+// Minus returns what is left of a load. Of a smaller one it is a difference to be added
+// somewhere: the figures wrap around.
+func (l Load) Minus(m Load) Load {
+	return Load{l.Requests - m.Requests, l.PromptTokens - m.PromptTokens, l.MemoryTokens - m.MemoryTokens, l.ReadingMS - m.ReadingMS, l.Deferred - m.Deferred}
+}
+
 // Add adds the work of other hosts.
 func (l Loads) Add(more Loads) {
 	for key, m := range more {
-		s := l[key]
-		s.Requests += m.Requests
-		s.PromptTokens += m.PromptTokens
-		s.MemoryTokens += m.MemoryTokens
-		s.ReadingMS += m.ReadingMS
-		s.Deferred += m.Deferred
-		l[key] = s
+		l[key] = l[key].Plus(m)
 	}
 }
 
 // Sub takes away work that was added before.
 func (l Loads) Sub(less Loads) {
 	for key, m := range less {
-		s := l[key]
-		s.Requests -= m.Requests
-		s.PromptTokens -= m.PromptTokens
-		s.MemoryTokens -= m.MemoryTokens
-		s.ReadingMS -= m.ReadingMS
-		s.Deferred -= m.Deferred
-		if s == (Load{}) {
+		if left := l[key].Minus(m); left == (Load{}) {
+			delete(l, key)
+		} else {
+			l[key] = left
+		}
+	}
+}
+
+// Without returns the loads less a part of them. Where the part is not in them it counts as
+// nothing: whoever counts may have left it out.
+func (l Loads) Without(part Loads) Loads {
+	out := maps.Clone(l)
+	for key, p := range part {
+		m, ok := out[key]
+		if !ok {
+			continue
+		}
+		counted := Load{
+			min(m.Requests, p.Requests), min(m.PromptTokens, p.PromptTokens), min(m.MemoryTokens, p.MemoryTokens),
+			min(m.ReadingMS, p.ReadingMS), min(m.Deferred, p.Deferred),
+		}
+		if left := m.Minus(counted); left == (Load{}) {
+			delete(out, key)
+		} else {
+			out[key] = left
+		}
+	}
+	return out
+}
+
+// Take puts changed figures in the place of earlier ones. Where there is no work any more
+// the figure is zero.
+func (l Loads) Take(changed Loads) {
+	for key, m := range changed {
+		if m == (Load{}) {
 			delete(l, key)
 		} else {
-			l[key] = s
+			l[key] = m
 		}
 	}
 }
--- a/internal/core/serverload/serverload_test.go
+++ b/internal/core/serverload/serverload_test.go
@@ -54,3 +54,24 @@
 		t.Errorf("got %v, want %v", sum, a)
 	}
 }
+
+// TestWithout takes a part away that is in the loads in full, in part or not at all.
+func TestWithout(t *testing.T) {
+	all := Loads{1: {5, 10, 5, 3, 4}, 2: {Requests: 2}, 3: {Requests: 1}}
+	got := all.Without(Loads{1: {Requests: 2, MemoryTokens: 9}, 2: {Requests: 2}, 4: {Requests: 7}})
+	if want := (Loads{1: {3, 10, 0, 3, 4}, 3: {Requests: 1}}); !maps.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	if len(all) != 3 {
+		t.Error("the loads themselves changed")
+	}
+}
+
+// TestTake puts changes in the place of earlier figures.
+func TestTake(t *testing.T) {
+	l := Loads{1: {Requests: 5}, 2: {Requests: 2}}
+	l.Take(Loads{1: {Requests: 4}, 2: {}, 3: {Deferred: 1}, 9: {}})
+	if want := (Loads{1: {Requests: 4}, 3: {Deferred: 1}}); !maps.Equal(l, want) {
+		t.Errorf("got %v, want %v", l, want)
+	}
+}
