What an idle host costs: few links, few timers, short messages

Change: an entry host that does not know where a control host is asks just that and is told which others there are; the link to one that is not asked any more ends after 3 s; the accepting end asks an eighth as often whether the other one is there; a host looks four times in 3.6 s instead of 18 times which control hosts to ask while its own answers; regions are asked and quotas renewed once there are requests to do it for; one control host of a failure domain tells its region's loads.

--- a/internal/adapter/peerlink/client.go
+++ b/internal/adapter/peerlink/client.go
@@ -64,6 +64,17 @@
 // maxStreamWindow bounds the bytes a stream may have in flight unread.
 const maxStreamWindow = 512 << 10
 
+// serverKeepAlives is how many times seldomer the end that accepted a link asks whether the
+// other one is there. The dialing end, whose calls wait, finds a lost link; the other one only
+// frees what it holds.
+const serverKeepAlives = 8
+
+func (o *Options) serverConfig() *yamux.Config {
+	c := o.yamuxConfig()
+	c.KeepAliveInterval *= serverKeepAlives
+	return c
+}
+
 func (o *Options) yamuxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.KeepAliveInterval = o.KeepAlive
--- a/internal/adapter/peerlink/server.go
+++ b/internal/adapter/peerlink/server.go
@@ -146,7 +146,7 @@
 		s.log.Info("peer refused", "remote", conn.RemoteAddr().String(), "code", string(failure.PeerRefused), "reason", err.Error())
 		return
 	}
-	session, err := yamux.Server(conn, s.o.yamuxConfig())
+	session, err := yamux.Server(conn, s.o.serverConfig())
 	if err != nil {
 		return
 	}
--- a/internal/app/access/access.go
+++ b/internal/app/access/access.go
@@ -94,6 +94,9 @@
 	o     Options
 	epoch uint64
 
+	used     chan struct{} // closed with the first request of a team with a quota
+	firstUse sync.Once
+
 	mu      sync.Mutex
 	holder  *quota.Holder
 	teams   map[string]*waiting
@@ -134,7 +137,7 @@
 // New returns a gate without units.
 func New(o Options) *Gate {
 	return &Gate{
-		o: o, epoch: uint64(o.Clock.Now().UnixNano()), holder: quota.NewHolder(),
+		o: o, epoch: uint64(o.Clock.Now().UnixNano()), holder: quota.NewHolder(), used: make(chan struct{}),
 		teams: map[string]*waiting{}, issuers: map[string]*issuerState{},
 	}
 }
@@ -146,6 +149,7 @@
 	if t == nil || t.Quota == nil {
 		return nil, nil
 	}
+	g.firstUse.Do(func() { close(g.used) })
 	units := t.Quota.Cost(tokens)
 	began := g.o.Clock.Now()
 	g.mu.Lock()
@@ -425,8 +429,14 @@
 	g.leave(team, w)
 }
 
-// Run tells the control hosts what is held and expected until ctx ends.
+// Run tells the control hosts what is held and expected until ctx ends. A host that serves no
+// team with a quota has nothing to tell.
 func (g *Gate) Run(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-g.used:
+	}
 	t := time.NewTicker(renewEvery)
 	defer t.Stop()
 	for {
--- a/internal/app/control/changes_test.go
+++ b/internal/app/control/changes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"testing"
+	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/holders"
 	"github.com/sesamefork/sesamefork/internal/core/registry"
@@ -162,3 +163,47 @@
 	}
 	return heard
 }
+
+// TestOneTellsTheRegionsLoads: of the control hosts of a failure domain one tells the others
+// what the region has, and the next one when it is not heard any more.
+func TestOneTellsTheRegionsLoads(t *testing.T) {
+	clock := &handClock{now: time.Unix(1000, 0)}
+	g := newGroupWithClock(t, clock)
+	m := g.member(founderAddresses[1])
+	announce := func(sequence uint64) {
+		if _, err := m.f.Announce(registry.Server{ID: "a", Service: "llm", Address: "10.0.0.1:1", FailureDomain: "f", Sequence: sequence, Slots: 8}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	announce(1)
+	await(t, "all control hosts hear each other", func() bool { return len(m.f.liveControls()) == 2 })
+	if x, _ := m.f.exchangeFor(founderAddresses[2]); len(x.Loads) != 0 {
+		t.Errorf("the second one tells %v", x.Loads)
+	}
+	g.kill(founderAddresses[0])
+	clock.advance(5 * time.Second)
+	announce(2)
+	await(t, "the first is not heard any more", func() bool { return len(m.f.liveControls()) == 1 })
+	if x, _ := m.f.exchangeFor(founderAddresses[2]); len(x.Loads) != 1 {
+		t.Errorf("after the loss of the first one the second tells %v", x.Loads)
+	}
+}
+
+// TestIntroductionTellsOnlyWhoIsThere: an entry host that asks where a control host is counts
+// as present nowhere, and gets no lists.
+func TestIntroductionTellsOnlyWhoIsThere(t *testing.T) {
+	g := newGroup(t)
+	m := g.member(founderAddresses[0])
+	m.r.HandleRequest(context.Background(), presentation("h1", "r", 0, nil))
+	req := presentation("h2", "r", 0, nil)
+	req.GetFleetSync().Introduction = true
+	v := m.r.HandleRequest(context.Background(), req).GetFleetView()
+	if v.HomeDomain != "f" || v.HomeRegion != "r" || len(v.ControlHosts) == 0 || len(v.Hosts) != 0 {
+		t.Errorf("told %v", v)
+	}
+	m.f.mu.Lock()
+	defer m.f.mu.Unlock()
+	if hosts := m.f.reg.Hosts(m.f.o.Clock.Now()); len(hosts) != 1 || hosts[0].ID != "h1" {
+		t.Errorf("%d entry hosts are there", len(hosts))
+	}
+}
--- a/internal/app/control/exchange.go
+++ b/internal/app/control/exchange.go
@@ -91,7 +91,6 @@
 // changed and the servers that announced themselves since the last exchange, and of the
 // other entry hosts that they are still there. next is what it has been told then.
 func (f *Fleet) exchangeFor(addr string) (x *pb.ControlExchange, next told) {
-	known := f.replica.MemberAddresses()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.o.Clock.Now()
@@ -99,8 +98,10 @@
 	next = told{prompts: last.prompts, hosts: f.reg.Version()}
 	x = &pb.ControlExchange{
 		Store: f.replica.o.Identity.Store, Peer: f.o.Peer, Operator: f.o.Operator,
-		Region: f.o.Region, FailureDomain: f.o.FailureDomain, Known: known,
-		Loads: f.regionLoadsLocked(now),
+		Region: f.o.Region, FailureDomain: f.o.FailureDomain,
+	}
+	if f.tellsRegionLocked(now) {
+		x.Loads = f.regionLoadsLocked(now)
 	}
 	for _, h := range f.reg.Hosts(now) {
 		switch {
@@ -140,6 +141,15 @@
 	return x, next
 }
 
+// tellsRegionLocked reports whether this control host tells the others its region's loads: the
+// first of its failure domain by address that is heard. Each knows the whole region's, and
+// every entry host of another region hears all that is told.
+func (f *Fleet) tellsRegionLocked(now time.Time) bool {
+	return !slices.ContainsFunc(f.reg.Controls(now), func(c *registry.Control) bool {
+		return c.FailureDomain == f.o.FailureDomain && c.Peer < f.o.Peer
+	})
+}
+
 // serversSinceLocked returns the servers of a region that were heard here, or left, since
 // another control host was told of them, and the position to go on from.
 func (f *Fleet) serversSinceLocked(last told, region string, now time.Time) ([]*registry.Server, uint64) {
--- a/internal/app/control/view.go
+++ b/internal/app/control/view.go
@@ -16,6 +16,9 @@
 // sync answers an entry host's presentation: at once when something changed
 // since the view that it has, else after its wait.
 func (f *Fleet) sync(ctx context.Context, m *pb.FleetSync) *pb.FleetView {
+	if m.Introduction {
+		return f.introduce()
+	}
 	now := f.o.Clock.Now()
 	h := m.GetHost()
 	f.mu.Lock()
@@ -49,6 +52,17 @@
 	return f.view(m, h.GetId(), h.GetRegion())
 }
 
+// introduce tells an entry host where this control host is and which others there are. All
+// entry hosts begin with the same few control hosts, most of which are not the ones that they
+// go by afterwards.
+func (f *Fleet) introduce() *pb.FleetView {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &pb.FleetView{
+		HomeRegion: f.o.Region, HomeDomain: f.o.FailureDomain, StalenessMs: uint64(f.replica.Staleness().Milliseconds()), ControlHosts: f.controls,
+	}
+}
+
 func (f *Fleet) view(m *pb.FleetSync, host, region string) *pb.FleetView {
 	evacuated, revision := f.replica.Evacuated()
 	f.mu.Lock()
--- a/internal/app/control/wake.go
+++ b/internal/app/control/wake.go
@@ -19,10 +19,13 @@
 	changed chan struct{} // closed and replaced at each wake
 	waiting int
 	next    time.Time // no wake before it
-	due     *time.Timer
+	due     bool      // a wake follows at next
+	after   func(time.Duration, func())
 }
 
-func newWaker() *waker { return &waker{changed: make(chan struct{})} }
+func newWaker() *waker {
+	return &waker{changed: make(chan struct{}), after: func(d time.Duration, f func()) { time.AfterFunc(d, f) }}
+}
 
 // enter returns what is closed at the next wake. The caller must leave.
 func (w *waker) enter() <-chan struct{} {
@@ -43,9 +46,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch pause := w.next.Sub(now); {
-	case w.due != nil:
+	case w.due:
 	case pause > 0:
-		w.due = time.AfterFunc(pause, w.wakeDue)
+		w.due = true
+		w.after(pause, w.wakeDue)
 	default:
 		w.wakeLocked(now)
 	}
@@ -54,7 +58,7 @@
 func (w *waker) wakeDue() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.due = nil
+	w.due = false
 	w.wakeLocked(w.next)
 }
 
--- a/internal/app/control/wake_test.go
+++ b/internal/app/control/wake_test.go
@@ -12,6 +12,7 @@
 	for name, hosts := range map[string]int{"a failure domain": 15, "its share of a fleet": 41, "a whole fleet": 986} {
 		t.Run(name, func(t *testing.T) {
 			w, now := newWaker(), time.Unix(1000, 0)
+			w.after = func(time.Duration, func()) {} // the test wakes when it is due
 			var wait <-chan struct{}
 			for range hosts {
 				wait = w.enter()
@@ -30,15 +31,14 @@
 					}
 				default:
 				}
-				if w.due != nil && !now.Before(w.next) {
-					w.due.Stop()
+				if w.due && !now.Before(w.next) {
 					w.wakeDue()
 				}
 			}
 			if most := int(changes * every / wakeCost); views > most+2*hosts {
 				t.Errorf("%d views in %s, want %d at most", views, changes*every, most)
 			}
-			if w.due == nil && !now.Before(w.next) && views == 0 {
+			if !w.due && !now.Before(w.next) && views == 0 {
 				t.Error("nobody was ever woken")
 			}
 		})
--- a/internal/app/gateway/controlhosts.go
+++ b/internal/app/gateway/controlhosts.go
@@ -32,6 +32,8 @@
 	named      bool   // other control hosts hear it
 	avoidUntil time.Time
 	asked      bool // a goroutine presents this host to it
+	// idleSince is when it was last asked, unless its link was dropped since.
+	idleSince time.Time
 
 	have   source
 	logged controlSeen
@@ -81,6 +83,9 @@
 
 // take takes the list of a control host.
 func (c *controlList) take(list []*pb.ControlHost) {
+	if len(list) == 0 {
+		return // unchanged
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, h := range c.known {
@@ -161,13 +166,59 @@
 	return true
 }
 
-func (c *controlList) end(h *controlHost) {
+func (c *controlList) end(h *controlHost, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	h.asked = false
+	h.asked, h.idleSince = false, now
 	c.signal()
 }
 
+// located reports whether it is known where a control host is.
+func (c *controlList) located(h *controlHost) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return h.domain != ""
+}
+
+// linkKept is how long the link to a control host is kept that is not asked any more. Each
+// link costs both ends keep-alives, and every entry host begins with the same few.
+const linkKept = 3 * time.Second
+
+// dropIdleLinks ends the links to control hosts that are not asked any more.
+func (g *Gateway) dropIdleLinks() {
+	if g.o.Drop == nil {
+		return
+	}
+	now := g.o.Clock.Now()
+	var idle []string
+	g.control.mu.Lock()
+	for addr, h := range g.control.known {
+		if !h.asked && !h.idleSince.IsZero() && now.Sub(h.idleSince) >= linkKept {
+			h.idleSince = time.Time{}
+			idle = append(idle, addr)
+		}
+	}
+	g.control.mu.Unlock()
+	for _, addr := range idle {
+		g.o.Drop(addr)
+	}
+}
+
+// lookAgainIn returns when to look again which control hosts are to be asked, beside after
+// news: seldom while the nearest ones answer.
+func (g *Gateway) lookAgainIn() time.Duration {
+	g.control.mu.Lock()
+	defer g.control.mu.Unlock()
+	if g.control.heard.Calm(g.o.Clock.Now()) {
+		return calmPause
+	}
+	return syncPause
+}
+
+// calmPause with the age of an answer that is calm is less than the silence after which
+// farther control hosts are asked.
+const calmPause = 900 * time.Millisecond
+
 // avoid lets the other control hosts of its failure domain go before one for a while.
 func (c *controlList) avoid(h *controlHost, now time.Time) {
 	c.mu.Lock()
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -53,7 +53,12 @@
 // there is one, is what the caller is told; after the answer's head was passed on
 // the answer must be seen to be cut short.
 func (g *Gateway) Execute(ctx context.Context, r *Request, sink Sink) *failure.Error {
-	g.inflight.Add(1)
+	if g.inflight.Add(1) == 1 {
+		select {
+		case g.busy <- struct{}{}:
+		default:
+		}
+	}
 	defer g.inflight.Add(-1)
 	ctx, span := g.startRequest(ctx, r)
 	var x *execution
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -62,6 +62,7 @@
 	fetchFailed atomic.Int64
 	draining    atomic.Bool
 	inflight    atomic.Int64
+	busy        chan struct{} // signalled when a host without requests gets one
 
 	mu      sync.Mutex
 	fleet   *dispatch.Fleet
@@ -92,6 +93,7 @@
 		startup: dispatch.NewStartup(o.Clock.Now(), o.AnnounceEvery, o.Off),
 		known:   make(chan struct{}),
 		viewed:  make(chan struct{}),
+		busy:    make(chan struct{}, 1),
 	}
 	g.control.seeds, g.control.known = o.Seeds, map[string]*controlHost{}
 	g.control.news, g.control.vouched = make(chan struct{}, 1), make(chan struct{})
--- a/internal/app/gateway/regions.go
+++ b/internal/app/gateway/regions.go
@@ -20,14 +20,14 @@
 	t := time.NewTicker(askRegionsEvery)
 	defer t.Stop()
 	for {
+		if g.Inflight() == 0 && !g.awaitRequest(ctx) {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		if g.Inflight() == 0 {
-			continue
-		}
 		g.mu.Lock()
 		hosts := g.fleet.RegionsToAsk(g.o.Clock.Now())
 		g.mu.Unlock()
@@ -37,6 +37,16 @@
 	}
 }
 
+// awaitRequest waits until a request comes. It reports whether one came before ctx ended.
+func (g *Gateway) awaitRequest(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-g.busy:
+		return true
+	}
+}
+
 func (g *Gateway) askRegion(ctx context.Context, h *dispatch.Host) {
 	ctx, cancel := context.WithTimeout(ctx, askRegionTimeout)
 	defer cancel()
--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -43,7 +43,7 @@
 		defer wg.Done()
 		g.askRegions(ctx)
 	}()
-	t := time.NewTicker(syncPause)
+	t := time.NewTimer(syncPause)
 	defer t.Stop()
 	for {
 		for _, c := range g.wanted() {
@@ -51,11 +51,13 @@
 				wg.Add(1)
 				go func() {
 					defer wg.Done()
-					defer g.control.end(c)
 					g.present(ctx, c)
+					g.control.end(c, g.o.Clock.Now())
 				}()
 			}
 		}
+		g.dropIdleLinks()
+		t.Reset(g.lookAgainIn())
 		select {
 		case <-ctx.Done():
 			return nil
@@ -69,8 +71,15 @@
 // asked.
 func (g *Gateway) present(ctx context.Context, c *controlHost) {
 	for ctx.Err() == nil && slices.Contains(g.wanted(), c) {
-		primary := g.primary(c)
-		view, err := g.syncOnce(ctx, c, primary)
+		var view *pb.FleetView
+		var err error
+		primary := false
+		if g.control.located(c) {
+			primary = g.primary(c)
+			view, err = g.syncOnce(ctx, c, primary)
+		} else {
+			view, err = g.introduce(ctx, c)
+		}
 		g.logControl(&c.logged, c.addr, view, err)
 		if err != nil {
 			g.o.Metrics.Add("sync_failures", 1)
@@ -122,6 +131,38 @@
 	}
 }
 
+// introduce asks a control host where it is and which others there are.
+func (g *Gateway) introduce(ctx context.Context, c *controlHost) (*pb.FleetView, error) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	req := g.request()
+	req.Body = &pb.Request_FleetSync{FleetSync: &pb.FleetSync{Introduction: true}}
+	_, view, err := g.callControl(ctx, c, req)
+	if err != nil {
+		return nil, err
+	}
+	if g.noteHeard(c, view) {
+		g.control.take(view.ControlHosts)
+	}
+	return view, nil
+}
+
+// callControl sends a presentation to a control host.
+func (g *Gateway) callControl(ctx context.Context, c *controlHost, req *pb.Request) (*pb.Response, *pb.FleetView, error) {
+	resp, err := g.o.Peers.Call(ctx, c.addr, req)
+	if err != nil {
+		if ctx.Err() != nil && g.o.Drop != nil {
+			g.o.Drop(c.addr) // the link may be silent for good
+		}
+		return nil, nil, err
+	}
+	view := resp.GetFleetView()
+	if view == nil {
+		return nil, nil, failure.New(failure.PeerRefused, "", "the control host at %s gave no view", c.addr)
+	}
+	return resp, view, nil
+}
+
 // syncOnce presents the host to a control host and takes its view. Only the primary hears of
 // the host's own work, and tells of the work of others.
 func (g *Gateway) syncOnce(ctx context.Context, c *controlHost, primary bool) (*pb.FleetView, error) {
@@ -132,17 +173,10 @@
 	records, next := g.crashRecords(c)
 	m.Quarantine = records
 	req.Body = &pb.Request_FleetSync{FleetSync: m}
-	resp, err := g.o.Peers.Call(ctx, c.addr, req)
+	resp, view, err := g.callControl(ctx, c, req)
 	if err != nil {
-		if ctx.Err() != nil && g.o.Drop != nil {
-			g.o.Drop(c.addr) // the link may be silent for good
-		}
 		return nil, err
 	}
-	view := resp.GetFleetView()
-	if view == nil {
-		return nil, failure.New(failure.PeerRefused, "", "the control host at %s gave no view", c.addr)
-	}
 	c.noteTold(view, c.have.epoch, next, len(records) == maxRecords)
 	if !c.have.take(view) {
 		return nil, failure.New(failure.PeerRefused, "", "the changes that the control host at %s tells do not fit what this host has", c.addr)
@@ -195,7 +229,7 @@
 }
 
 func (g *Gateway) takeView(v *pb.FleetView, scope dispatch.Scope) {
-	if scope.Fleet && len(v.ControlHosts) > 0 {
+	if scope.Fleet {
 		g.control.take(v.ControlHosts)
 	}
 	g.mu.Lock()
--- a/internal/core/controlhosts/controlhosts.go
+++ b/internal/core/controlhosts/controlhosts.go
@@ -86,6 +86,12 @@
 	return true
 }
 
+// Calm reports whether a control host of the own failure domain has answered within half of
+// the silence after which farther ones are asked, and is up to date.
+func (h *Heard) Calm(now time.Time) bool {
+	return now.Sub(h.at[SameDomain]) < Lost/2 && now.Sub(h.asOf[SameDomain]) <= MaxStaleness/2
+}
+
 // Primary reports whether a control host owns the entry host's figures: the one that is told
 // of the work under way, and tells it to the others. It is one of the nearest that are heard,
 // up to date or not, and stays it while it is heard: figures that are told to two control
