--- a/internal/app/gateway/links_test.go
+++ b/internal/app/gateway/links_test.go
@@ -86,6 +86,9 @@
 	control.mu.Lock()
 	control.staleness = time.Minute
 	control.mu.Unlock()
+	// Until what was up to date is too old as well, the one that fell behind is avoided.
+	outOfDate := f.clock.Now().Add(controlhosts.MaxStaleness + controlhosts.Avoid)
+	f.await("none is up to date any more", func() bool { return f.clock.Now().After(outOfDate) })
 	control.mu.Lock()
 	clear(control.asked)
 	control.mu.Unlock()
