sesamectl fleet: who is there, who owns what, who lags

Operators see of one control host: the others as it hears them, and by failure domain the live entry hosts, those that take callers, present themselves here and are owned here, the servers and those announced here, and the oldest news of each.

--- a/cmd/sesame-control/platform.go
+++ b/cmd/sesame-control/platform.go
@@ -173,6 +173,7 @@
 		router := mux.NewRouter()
 		operatorhttp.MountQuarantine(router, r, log)
 		operatorhttp.MountQuotas(router, r)
+		operatorhttp.MountFleet(router, fleet)
 		router.NotFoundHandler = daemon.DebugHandler()
 		handlers[s.Listen.Debug] = router
 	}
--- /dev/null
+++ b/internal/core/registry/census.go
@@ -0,0 +1,65 @@
+package registry
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// DomainCensus counts what is there of a failure domain.
+type DomainCensus struct {
+	Name, Region                   string
+	Hosts, Ready, Presented, Owned int // live entry hosts
+	OldestHost                     *Host
+	Servers, HeardHere             int // listed ones
+	OldestServer                   *Server
+}
+
+// Census counts what is there of each failure domain, sorted by name.
+func (r *Registry) Census(now time.Time) []DomainCensus {
+	domains := map[string]*DomainCensus{}
+	for name, region := range r.o.Regions {
+		domains[name] = &DomainCensus{Name: name, Region: region}
+	}
+	for _, h := range r.Hosts(now) {
+		if d := domains[h.FailureDomain]; d != nil {
+			d.addHost(r, h, now)
+		}
+	}
+	for _, s := range r.servers {
+		if d := domains[s.FailureDomain]; d != nil && s.listed() {
+			d.addServer(s)
+		}
+	}
+	var out []DomainCensus
+	for _, name := range slices.Sorted(maps.Keys(domains)) {
+		out = append(out, *domains[name])
+	}
+	return out
+}
+
+func (d *DomainCensus) addHost(r *Registry, h *Host, now time.Time) {
+	d.Hosts++
+	if h.Ready {
+		d.Ready++
+	}
+	if r.PresentsItself(h, now) {
+		d.Presented++
+	}
+	if h.owned {
+		d.Owned++
+	}
+	if d.OldestHost == nil || h.HeardAt.Before(d.OldestHost.HeardAt) {
+		d.OldestHost = h
+	}
+}
+
+func (d *DomainCensus) addServer(s *Server) {
+	d.Servers++
+	if s.HeardHere() {
+		d.HeardHere++
+	}
+	if o := d.OldestServer; o == nil || s.HeardAt.Before(o.HeardAt) || (s.HeardAt.Equal(o.HeardAt) && s.ID < o.ID) {
+		d.OldestServer = s
+	}
+}
