One control host of each failure domain speaks to other regions

Cause: each of 24 control hosts told each other one three times a second: 552 messages, 384 of them between regions, for 18 entry hosts or for 986. Ruled out: rarer messages (entry hosts of other regions live by them); relays at both ends (two more intervals of age, of a lease of 1.5 s). Change: the first control host of a failure domain by address that is heard speaks for it: it tells control hosts of other regions the failure domain's entry hosts, its other control hosts, what was announced there for their region, where prompts went, and the region's loads. The next one speaks as well after a second without news of it. All tell each other within a region. Control hosts name each other those that they know; before, those that were no seeds found each other through the group's members only. With one control host a failure domain the messages are the same.

--- a/internal/adapter/operatorhttp/fleet.go
+++ b/internal/adapter/operatorhttp/fleet.go
@@ -60,6 +60,8 @@
 
 // MountFleet adds the call on who is there to a router that operators reach without a key.
 func MountFleet(router *mux.Router, f *control.Fleet) {
-	list := func(w http.ResponseWriter, _ *http.Request, _ string) error { return writeJSON(w, fleetState(f.Report())) }
+	list := func(w http.ResponseWriter, _ *http.Request, _ string) error {
+		return writeJSON(w, fleetState(f.Report()))
+	}
 	router.HandleFunc(fleetPath, open(list)).Methods(http.MethodGet)
 }
--- a/internal/app/control/exchange.go
+++ b/internal/app/control/exchange.go
@@ -47,8 +47,9 @@
 	delete(b.m, addr)
 }
 
-// others returns the peer addresses of the other control hosts: the seeds, the
-// group's members and those heard of.
+// others returns the peer addresses of the control hosts to tell: all of the own region, and
+// those of other regions if this one speaks for its failure domain; besides the seeds and the
+// group's members of which nothing was heard yet.
 func (f *Fleet) others() []string {
 	addrs := map[string]bool{}
 	for _, a := range f.o.Seeds {
@@ -58,14 +59,20 @@
 		addrs[a] = true
 	}
 	f.mu.Lock()
+	speaks := f.reg.Speaks(f.o.Peer, f.o.Clock.Now())
+	for addr, domain := range f.named {
+		addrs[addr] = speaks || f.o.Regions[domain] == f.o.Region
+	}
 	for _, c := range f.reg.KnownControls() {
-		addrs[c.Peer] = true
+		addrs[c.Peer] = speaks || c.Region == f.o.Region
 	}
 	f.mu.Unlock()
-	delete(addrs, f.o.Peer)
-	out := make([]string, 0, len(addrs))
-	for a := range addrs {
-		out = append(out, a)
+	addrs[f.o.Peer] = false
+	var out []string
+	for a, tell := range addrs {
+		if tell {
+			out = append(out, a)
+		}
 	}
 	slices.Sort(out)
 	return out
@@ -95,70 +102,91 @@
 	defer f.mu.Unlock()
 	now := f.o.Clock.Now()
 	last := f.told[addr]
-	next = told{prompts: last.prompts, hosts: f.reg.Version()}
+	next = told{prompts: last.prompts, hosts: f.reg.Version(), controls: f.controlsAt}
 	x = &pb.ControlExchange{
 		Store: f.replica.o.Identity.Store, Peer: f.o.Peer, Operator: f.o.Operator,
 		Region: f.o.Region, FailureDomain: f.o.FailureDomain,
 	}
-	if f.tellsRegionLocked(now) {
+	if f.reg.Speaks(f.o.Peer, now) {
 		x.Loads = f.regionLoadsLocked(now)
 	}
+	if last.controls != f.controlsAt {
+		x.ControlHosts = f.controls
+	}
+	to := f.reg.Control(addr)
+	far := to != nil && to.Region != f.o.Region
+	f.addHostsLocked(x, last, far, now)
+	if to == nil || !to.Heard(now) {
+		return x, next
+	}
+	var servers []*registry.Server
+	servers, next.servers = f.serversSinceLocked(last, to, now)
+	next.allServers = true
+	for _, s := range servers {
+		x.Servers = append(x.Servers, serverMessage(s, now))
+	}
+	var places []holders.Place
+	if far {
+		places, next.prompts = f.prompts.OfDomain(last.prompts)
+		places = holders.InRegion(f.o.Region, places)
+		f.addControlsLocked(x, now)
+	} else {
+		places, next.prompts = f.prompts.Direct(last.prompts)
+		x.ServerLoads = serverload.Encode(f.reg.DirectLoads())
+	}
+	x.Prompts = holders.Encode(places)
+	x.Quarantine, next.verdicts = f.replica.verdictsSince(last.verdicts, exchangeRecords, quarantine.All)
+	return x, next
+}
+
+// addHostsLocked adds the entry hosts of which this control host tells: those that present
+// themselves here, and for other regions those of the whole failure domain.
+func (f *Fleet) addHostsLocked(x *pb.ControlExchange, last told, far bool, now time.Time) {
 	for _, h := range f.reg.Hosts(now) {
+		heardAt := h.PresentedAt
 		switch {
+		case far && f.reg.HeardInDomain(h):
+			heardAt = h.HeardAt
 		case !f.reg.PresentsItself(h, now):
+			continue
+		}
+		switch {
 		case last.hosts == 0 || h.ChangedSince(last.hosts):
-			m := hostMessage(h, h.PresentedAt, now)
+			m := hostMessage(h, heardAt, now)
 			m.Primary = h.Owned()
 			x.Hosts = append(x.Hosts, m)
 		case h.Owned():
 			x.HeardHosts = append(x.HeardHosts, h.Key())
-			x.HeardAges = append(x.HeardAges, uint32(age(h.PresentedAt, now)))
+			x.HeardAges = append(x.HeardAges, uint32(age(heardAt, now)))
 		default:
 			x.SeenHosts = append(x.SeenHosts, h.Key())
-			x.SeenAges = append(x.SeenAges, uint32(age(h.PresentedAt, now)))
+			x.SeenAges = append(x.SeenAges, uint32(age(heardAt, now)))
 		}
 	}
+}
+
+// addControlsLocked adds the other control hosts of the failure domain.
+func (f *Fleet) addControlsLocked(x *pb.ControlExchange, now time.Time) {
 	for _, c := range f.reg.Controls(now) {
-		if c.Peer == addr {
-			var servers []*registry.Server
-			servers, next.servers = f.serversSinceLocked(last, c.Region, now)
-			next.allServers = true
-			for _, s := range servers {
-				x.Servers = append(x.Servers, serverMessage(s, now))
-			}
-			if c.Region == f.o.Region {
-				x.ServerLoads = serverload.Encode(f.reg.DirectLoads())
-			}
-			var places []holders.Place
-			places, next.prompts = f.prompts.Direct(last.prompts)
-			if c.Region != f.o.Region {
-				places = holders.InRegion(f.o.Region, places)
-			}
-			x.Prompts = holders.Encode(places)
-			x.Quarantine, next.verdicts = f.replica.verdictsSince(last.verdicts, exchangeRecords, quarantine.All)
+		if c.FailureDomain == f.o.FailureDomain {
+			x.Controls = append(x.Controls, &pb.ControlHeard{Store: c.Store, Peer: c.Peer, Operator: c.Operator, AgeMs: uint32(age(c.HeardAt, now))})
 		}
 	}
-	return x, next
-}
-
-// tellsRegionLocked reports whether this control host tells the others its region's loads: the
-// first of its failure domain by address that is heard. Each knows the whole region's, and
-// every entry host of another region hears all that is told.
-func (f *Fleet) tellsRegionLocked(now time.Time) bool {
-	return !slices.ContainsFunc(f.reg.Controls(now), func(c *registry.Control) bool {
-		return c.FailureDomain == f.o.FailureDomain && c.Peer < f.o.Peer
-	})
 }
 
-// serversSinceLocked returns the servers of a region that were heard here, or left, since
-// another control host was told of them, and the position to go on from.
-func (f *Fleet) serversSinceLocked(last told, region string, now time.Time) ([]*registry.Server, uint64) {
+// serversSinceLocked returns the servers that another control host is told: those that were
+// heard here, or left, since it was last told. One of the own failure domain is told those of
+// all regions, as it may speak for the failure domain; one of another region those of its own
+// that were heard anywhere in the failure domain.
+func (f *Fleet) serversSinceLocked(last told, to *registry.Control, now time.Time) ([]*registry.Server, uint64) {
 	heard, next, complete := f.reg.HeardSince(last.servers)
 	if !complete || !last.allServers {
-		return f.reg.DirectServers(region, now), next
+		return f.reg.DirectServers(to.Region, now), next
 	}
 	heard = slices.DeleteFunc(heard, func(s *registry.Server) bool {
-		return !s.Gone && (!s.HeardHere() || f.reg.RegionOf(s.FailureDomain) != region)
+		here := s.HeardHere() || (to.Region != f.o.Region && s.Via == f.o.FailureDomain)
+		concerns := to.FailureDomain == f.o.FailureDomain || f.reg.RegionOf(s.FailureDomain) == to.Region
+		return !s.Gone && !(here && concerns)
 	})
 	return heard, next
 }
@@ -171,20 +199,36 @@
 	defer f.mu.Unlock()
 	f.reg.HearControl(registry.Control{
 		Store: x.Store, Peer: x.Peer, Operator: x.Operator, Region: x.Region, FailureDomain: x.FailureDomain,
-		HeardAt: now, Loads: x.Loads, ServerLoads: serverload.Decode(x.ServerLoads),
+		HeardAt: now, Loads: x.Loads, LoadsAt: now, ServerLoads: serverload.Decode(x.ServerLoads),
 	})
-	f.prompts.Add("", holders.Decode(x.Prompts))
+	for _, c := range x.ControlHosts {
+		if c.FailureDomain != "" {
+			f.named[c.Peer] = c.FailureDomain
+		}
+	}
+	for _, c := range x.Controls {
+		if c.Peer != f.o.Peer {
+			f.reg.HearOfControl(registry.Control{
+				Store: c.Store, Peer: c.Peer, Operator: c.Operator, Region: x.Region, FailureDomain: x.FailureDomain, HeardAt: now.Add(-milliseconds(uint64(c.AgeMs))),
+			})
+		}
+	}
+	if x.FailureDomain == f.o.FailureDomain {
+		f.prompts.AddOfDomain(holders.Decode(x.Prompts))
+	} else {
+		f.prompts.Add("", holders.Decode(x.Prompts))
+	}
 	if f.replica.mergeVerdicts(x.Quarantine, x.Store) {
 		f.reg.Touch()
 	}
 	for _, h := range x.Hosts {
 		f.reg.HearHost(registry.Host{
-			ID: h.Id, Peer: h.Peer, Caller: h.Caller, Region: h.Region, FailureDomain: h.FailureDomain, Ready: h.Ready, Primary: h.Primary,
+			ID: h.Id, Peer: h.Peer, Caller: h.Caller, Region: h.Region, FailureDomain: h.FailureDomain, Ready: h.Ready, Primary: h.Primary, Via: x.FailureDomain,
 			HeardAt: now.Add(-milliseconds(h.AgeMs)),
 		}, now)
 	}
-	complete = f.hearAgainLocked(x.HeardHosts, x.HeardAges, true, now)
-	complete = f.hearAgainLocked(x.SeenHosts, x.SeenAges, false, now) && complete
+	complete = f.hearAgainLocked(x.HeardHosts, x.HeardAges, true, x.FailureDomain, now)
+	complete = f.hearAgainLocked(x.SeenHosts, x.SeenAges, false, x.FailureDomain, now) && complete
 	for _, s := range x.Servers {
 		if s.Gone {
 			f.reg.Leave(s.Id, s.Start, now)
@@ -194,7 +238,7 @@
 		f.reg.Announce(registry.Server{
 			ID: s.Id, Start: s.Start, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain, Sequence: s.Sequence,
 			Slots: int(s.Slots), Leaving: s.Leaving, Release: s.Release, HeardAt: heard, FirstSeen: now.Add(-milliseconds(s.FirstSeenMs)),
-			ColdUntil: heard.Add(milliseconds(s.ColdMs)),
+			ColdUntil: heard.Add(milliseconds(s.ColdMs)), Via: x.FailureDomain,
 		}, now)
 	}
 	f.wakeLocked()
@@ -203,11 +247,11 @@
 
 // hearAgainLocked takes the keys of entry hosts that are still there. It reports whether all
 // of them are known.
-func (f *Fleet) hearAgainLocked(keys, ages []uint32, owned bool, now time.Time) (complete bool) {
+func (f *Fleet) hearAgainLocked(keys, ages []uint32, owned bool, via string, now time.Time) (complete bool) {
 	complete = true
 	for i, key := range keys {
 		if i < len(ages) {
-			complete = f.reg.HearHostAgain(key, owned, now.Add(-milliseconds(uint64(ages[i]))), now) && complete
+			complete = f.reg.HearHostAgain(key, owned, via, now.Add(-milliseconds(uint64(ages[i]))), now) && complete
 		}
 	}
 	return complete
--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -66,6 +66,8 @@
 	// version at which it last changed.
 	controls   []*pb.ControlHost
 	controlsAt uint64
+	// named are the failure domains of control hosts that others named, by address.
+	named map[string]string
 	// regionLoads are those of the own region as of regionLoadsAt.
 	regionLoads   []*pb.RegionLoad
 	regionLoadsAt time.Time
@@ -78,13 +80,14 @@
 	hosts      uint64 // version at which it was told of all entry hosts; 0 for never
 	servers    uint64 // position in the log of announcements up to which it was told them
 	allServers bool   // it was told of all servers once
+	controls   uint64 // version of the list of control hosts that it was told
 }
 
 // NewFleet returns the fleet's view of a replica's host.
 func NewFleet(o FleetOptions, r *Replica) *Fleet {
 	f := &Fleet{
 		o: o, replica: r, epoch: uint64(o.Clock.Now().UnixNano()), waker: newWaker(),
-		told: map[string]told{},
+		told: map[string]told{}, named: map[string]string{},
 		reg: registry.New(registry.Options{
 			Region: o.Region, FailureDomain: o.FailureDomain, Regions: o.Regions,
 			ServerLease: o.ServerLease, HostLease: hostLease,
--- a/internal/app/control/view.go
+++ b/internal/app/control/view.go
@@ -73,7 +73,9 @@
 		HomeRegion: f.o.Region, HomeDomain: f.o.FailureDomain, StalenessMs: uint64(f.replica.Staleness().Milliseconds()),
 	}
 	for _, c := range f.reg.Controls(now) {
-		v.Regions = append(v.Regions, aged(c.Loads, now.Sub(c.HeardAt))...)
+		if age := now.Sub(c.LoadsAt); age <= registry.ControlLease {
+			v.Regions = append(v.Regions, aged(c.Loads, age)...)
+		}
 	}
 	if region == f.o.Region {
 		var places []holders.Place
--- a/internal/core/holders/holders.go
+++ b/internal/core/holders/holders.go
@@ -57,13 +57,20 @@
 type entry struct {
 	place  Place
 	origin string // the entry host that told it here; "" when another control host did
+	domain bool   // the other control host is of the own failure domain
 }
 
 // Add appends places. An origin names the entry host that told them; "" means that
 // another control host did.
-func (l *Log) Add(origin string, places []Place) {
+func (l *Log) Add(origin string, places []Place) { l.add(places, entry{origin: origin}) }
+
+// AddOfDomain appends places that another control host of the own failure domain told.
+func (l *Log) AddOfDomain(places []Place) { l.add(places, entry{domain: true}) }
+
+func (l *Log) add(places []Place, e entry) {
 	for _, p := range places {
-		l.entries = append(l.entries, entry{p, origin})
+		e.place = p
+		l.entries = append(l.entries, e)
 	}
 	if over := len(l.entries) - logLength; over > 0 {
 		l.entries = append([]entry(nil), l.entries[over:]...)
@@ -98,6 +105,12 @@
 	return l.from(from, func(e entry) bool { return e.origin != "" })
 }
 
+// OfDomain returns the places from a position on that entry hosts told here or to another
+// control host of the failure domain.
+func (l *Log) OfDomain(from uint64) ([]Place, uint64) {
+	return l.from(from, func(e entry) bool { return e.origin != "" || e.domain })
+}
+
 func (l *Log) from(position uint64, wanted func(entry) bool) ([]Place, uint64) {
 	next := l.first + uint64(len(l.entries))
 	if position > next {
--- a/internal/core/registry/census_test.go
+++ b/internal/core/registry/census_test.go
@@ -12,7 +12,7 @@
 	r.HearHost(host("gone", "west", "w1", true, -9000), at(0))
 	r.Announce(beat("s1", "x1", 1, 100), at(100))
 	second := beat("s2", "x2", 1, 50)
-	second.Direct = at(-1) // heard by another control host
+	second.Direct, second.Via = at(-1), "w2" // heard by another control host
 	r.Announce(second, at(100))
 	r.Announce(beat("s3", "x3", 1, 10), at(10))
 	r.Leave("s3", 0, at(20))
--- a/internal/core/registry/hosts.go
+++ b/internal/core/registry/hosts.go
@@ -22,6 +22,8 @@
 	Direct bool
 	// Primary says that the host goes by the control host that hears it.
 	Primary bool
+	// Via is the failure domain of the control host that heard it last; "" for this one.
+	Via string
 	// PresentedAt is when it last presented itself here; zero for never.
 	PresentedAt time.Time
 	Loads       serverload.Loads // while they are owned here
@@ -36,8 +38,10 @@
 type Control struct {
 	Store, Peer, Operator, Region, FailureDomain string
 	HeardAt                                      time.Time
-	Loads                                        []*pb.RegionLoad
-	ServerLoads                                  serverload.Loads
+	// Loads are those of its region, as told at LoadsAt.
+	Loads       []*pb.RegionLoad
+	LoadsAt     time.Time
+	ServerLoads serverload.Loads
 
 	counted serverload.Loads // its part of Registry.region
 }
@@ -106,13 +110,13 @@
 // HearHostAgain takes the news of another control host that an entry host which it told of
 // before is still there; owned says that the host's figures are its own. It reports whether
 // the host is known here.
-func (r *Registry) HearHostAgain(key uint32, owned bool, heardAt, now time.Time) bool {
+func (r *Registry) HearHostAgain(key uint32, owned bool, via string, heardAt, now time.Time) bool {
 	known := r.hostByKey[key]
 	if known == nil {
 		return false
 	}
 	h := *known
-	h.HeardAt, h.Direct, h.Primary = heardAt, false, owned
+	h.HeardAt, h.Direct, h.Primary, h.Via = heardAt, false, owned, via
 	r.HearHost(h, now)
 	return true
 }
@@ -171,8 +175,40 @@
 	r.controls[c.Peer] = &c
 }
 
-// controlLease is how long another control host counts as live.
-const controlLease = 3 * time.Second
+// HearOfControl takes what another control host of its failure domain tells of a control host
+// of another region.
+func (r *Registry) HearOfControl(c Control) {
+	old := r.controls[c.Peer]
+	if old == nil {
+		r.controls[c.Peer] = &c
+	} else if c.HeardAt.After(old.HeardAt) {
+		c.Loads, c.LoadsAt, c.ServerLoads, c.counted = old.Loads, old.LoadsAt, old.ServerLoads, old.counted
+		r.controls[c.Peer] = &c
+	}
+}
+
+// speakerSilence is after how long without news of a speaker the next control host of the
+// failure domain speaks as well: three exchanges. Two speakers for a while do no harm.
+const speakerSilence = time.Second
+
+// Speaks reports whether this control host, at its own address, speaks for its failure domain
+// to other regions: it is the first of those that are heard, by address. What crosses regions
+// then grows with the failure domains and not with the control hosts.
+func (r *Registry) Speaks(own string, now time.Time) bool {
+	for _, c := range r.controls {
+		if c.FailureDomain == r.o.FailureDomain && c.Peer < own && now.Sub(c.HeardAt) <= speakerSilence {
+			return false
+		}
+	}
+	return true
+}
+
+// HeardInDomain reports whether the control host that heard the host last is of the own
+// failure domain: this one or one that tells this one.
+func (r *Registry) HeardInDomain(h *Host) bool { return h.Via == "" || h.Via == r.o.FailureDomain }
+
+// ControlLease is how long another control host counts as live.
+const ControlLease = 3 * time.Second
 
 // Controls returns the other control hosts heard lately, sorted by peer address.
 func (r *Registry) Controls(now time.Time) []*Control {
@@ -186,6 +222,9 @@
 	return out
 }
 
+// Control returns what is known of the control host at an address, or nil.
+func (r *Registry) Control(peer string) *Control { return r.controls[peer] }
+
 // KnownControls returns all other control hosts ever heard, sorted by peer address.
 func (r *Registry) KnownControls() []*Control {
 	out := slices.Collect(maps.Values(r.controls))
@@ -194,4 +233,4 @@
 }
 
 // Heard reports whether a control host was heard lately.
-func (c *Control) Heard(now time.Time) bool { return now.Sub(c.HeardAt) <= controlLease }
+func (c *Control) Heard(now time.Time) bool { return now.Sub(c.HeardAt) <= ControlLease }
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -57,6 +57,9 @@
 	ColdUntil          time.Time
 	// Direct is set when this control host heard the server itself lately.
 	Direct time.Time
+	// Via is the failure domain of the control host that told of its last announcement; "" for
+	// this one.
+	Via string
 
 	changed  uint64 // version of its last change
 	heardAt  uint64 // position in the log of announcements
@@ -65,7 +68,7 @@
 }
 
 // HeardHere reports whether the server's last announcement came to this control host.
-func (s *Server) HeardHere() bool { return s.Direct.Equal(s.HeardAt) }
+func (s *Server) HeardHere() bool { return s.Via == "" }
 
 // Key returns the key of the server's start in messages between hosts.
 func (s *Server) Key() uint32 { return incarnation.Key(s.ID, s.Start) }
