--- a/internal/app/control/speakers_test.go
+++ b/internal/app/control/speakers_test.go
@@ -98,6 +98,10 @@
 
 func (w *wholeFleet) tell(f *Fleet, addr string) {
 	to := w.fleets[addr]
+	if to == nil {
+		f.exchangeFor(addr) // reached by nobody
+		return
+	}
 	w.told++
 	if to.o.Region != f.o.Region {
 		w.far++
