A stopping entry host is known as such whatever the order of the news

A request was forwarded at 10.08 s to an entry host of another region, ran there at 10.27 s and was cut at 10.37 s, with no trouble but a change of the configuration. Cause: that host got its SIGTERM at 3.00 s and cuts what is left 7.36 s later, at 10.36 s; the sender still took it for ready then. Its control host had been without power until 3.0 s. A record of an entry host is told once and kept alive by its key. Which of two records holds is decided by their ages, which leave out the way: a first message over a link that is being opened (up to half a second) can seem newer than the record that follows, which is passed over; after that only keys come, which prolong the older one for as long as the host is heard. Ruled out: dropped links (only to control hosts, and only those not asked); the list of entry hosts being skipped when it has not changed (taken again each second). Change: keys are told with whether the host is ready. TestStoppingHostIsKnownAfterADelay fails without it.

--- a/internal/app/control/exchange.go
+++ b/internal/app/control/exchange.go
@@ -157,14 +157,26 @@
 			x.Hosts = append(x.Hosts, m)
 		case h.Owned():
 			x.HeardHosts = append(x.HeardHosts, h.Key())
-			x.HeardAges = append(x.HeardAges, uint32(age(heardAt, now)))
+			x.HeardAges = append(x.HeardAges, ageAndReady(h, heardAt, now))
 		default:
 			x.SeenHosts = append(x.SeenHosts, h.Key())
-			x.SeenAges = append(x.SeenAges, uint32(age(heardAt, now)))
+			x.SeenAges = append(x.SeenAges, ageAndReady(h, heardAt, now))
 		}
 	}
 }
 
+// ageAndReady tells with each key whether the host is ready. The whole record may be passed
+// over: ages leave out the way, so that an earlier message which was long under way, as over
+// a link that was just opened, can seem to be the newer one. Without this bit a host that was
+// stopping would count as ready for as long as it was heard.
+func ageAndReady(h *registry.Host, heardAt, now time.Time) uint32 {
+	v := uint32(age(heardAt, now)) << 1
+	if h.Ready {
+		v++
+	}
+	return v
+}
+
 // addControlsLocked adds the other control hosts of the failure domain.
 func (f *Fleet) addControlsLocked(x *pb.ControlExchange, now time.Time) {
 	for _, c := range f.reg.Controls(now) {
@@ -251,7 +263,8 @@
 	complete = true
 	for i, key := range keys {
 		if i < len(ages) {
-			complete = f.reg.HearHostAgain(key, owned, via, now.Add(-milliseconds(uint64(ages[i]))), now) && complete
+			heardAt := now.Add(-milliseconds(uint64(ages[i] >> 1)))
+			complete = f.reg.HearHostAgain(key, owned, ages[i]&1 == 1, via, heardAt, now) && complete
 		}
 	}
 	return complete
--- a/internal/app/control/speakers_test.go
+++ b/internal/app/control/speakers_test.go
@@ -215,3 +215,46 @@
 		t.Errorf("in its own region prompts are at %v", places)
 	}
 }
+
+// TestStoppingHostIsKnownAfterADelay tells another control host of an entry host in a message
+// that is long under way, as over a link that is being opened, while the entry host begins to
+// stop. The delayed message seemed to be newer than the one that followed, whose record was
+// passed over; the host then counted as ready elsewhere until it was gone, was sent forwards
+// for seven seconds, and cut them when its time was over.
+func TestStoppingHostIsKnownAfterADelay(t *testing.T) {
+	w := newWholeFleet(t, 2, 1, 1, 1)
+	from, to := w.fleets["r0d0c0"], w.fleets["r1d0c0"]
+	h := proto.Clone(w.hosts[0]).(*pb.FleetHost)
+	for _, c := range w.hosts {
+		if c.FailureDomain == "r0d0" {
+			h = proto.Clone(c).(*pb.FleetHost)
+		}
+	}
+	present := func(ready bool) {
+		h.Ready = ready
+		from.sync(context.Background(), &pb.FleetSync{Host: h, Primary: true})
+	}
+	tell := func(delay time.Duration) {
+		x, next := from.exchangeFor("r1d0c0")
+		w.clock.advance(delay)
+		if !to.takeExchange(proto.Clone(x).(*pb.ControlExchange)) {
+			next = told{}
+		}
+		from.told["r1d0c0"] = next
+	}
+	present(true)
+	tell(500 * time.Millisecond)
+	w.clock.advance(-400 * time.Millisecond) // the next presentation came while it was under way
+	present(false)
+	tell(80 * time.Millisecond)
+	for range 4 {
+		w.clock.advance(250 * time.Millisecond)
+		present(false)
+		tell(80 * time.Millisecond)
+	}
+	for _, known := range to.reg.Hosts(w.clock.Now()) {
+		if known.ID == h.Id && known.Ready {
+			t.Error("a host that has been stopping for a second counts as ready")
+		}
+	}
+}
--- a/internal/core/registry/changes_test.go
+++ b/internal/core/registry/changes_test.go
@@ -129,18 +129,18 @@
 	far := host("h", "east", "e1", true, 0)
 	far.Direct = false
 	key := far.Key()
-	if r.HearHostAgain(key, true, "w1", at(0), at(0)) {
+	if r.HearHostAgain(key, true, true, "w1", at(0), at(0)) {
 		t.Error("a host that was never told of is known")
 	}
 	r.HearHost(far, at(0))
 	version := r.Version()
-	if !r.HearHostAgain(key, true, "w1", at(1400), at(1450)) || len(r.Hosts(at(2000))) != 1 {
+	if !r.HearHostAgain(key, true, true, "w1", at(1400), at(1450)) || len(r.Hosts(at(2000))) != 1 {
 		t.Error("the host is not live, though heard again")
 	}
 	if c, _ := r.Since(version, "west", at(2000)); r.Version() != version || len(c.Hosts) > 0 || r.Hosts(at(2000))[0].ChangedSince(version) {
 		t.Error("hearing it again changed the host")
 	}
-	if r.HearHostAgain(key, true, "w1", at(1000), at(2000)); len(r.Hosts(at(2800))) != 1 {
+	if r.HearHostAgain(key, true, true, "w1", at(1000), at(2000)); len(r.Hosts(at(2800))) != 1 {
 		t.Error("older news took the place of newer")
 	}
 }
--- a/internal/core/registry/hosts.go
+++ b/internal/core/registry/hosts.go
@@ -110,13 +110,13 @@
 // HearHostAgain takes the news of another control host that an entry host which it told of
 // before is still there; owned says that the host's figures are its own. It reports whether
 // the host is known here.
-func (r *Registry) HearHostAgain(key uint32, owned bool, via string, heardAt, now time.Time) bool {
+func (r *Registry) HearHostAgain(key uint32, owned, ready bool, via string, heardAt, now time.Time) bool {
 	known := r.hostByKey[key]
 	if known == nil {
 		return false
 	}
 	h := *known
-	h.HeardAt, h.Direct, h.Primary, h.Via = heardAt, false, owned, via
+	h.HeardAt, h.Direct, h.Primary, h.Ready, h.Via = heardAt, false, owned, ready, via
 	r.HearHost(h, now)
 	return true
 }
