Clean-up: one order of control hosts, one census, one way to show an answer; dead code out

Found reading the change again; no check, bound or expectation moves. - access.Nearest hashed host and address itself; it takes the order of package rendezvous, as the choice of control hosts does.

--- a/internal/app/access/access.go
+++ b/internal/app/access/access.go
@@ -12,11 +12,11 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/quota"
+	"github.com/sesamefork/sesamefork/internal/core/rendezvous"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 	"github.com/sesamefork/sesamefork/internal/port"
@@ -49,7 +49,7 @@
 	slices.SortFunc(addrs, func(a, b string) int {
 		return cmp.Or(
 			cmp.Compare(distance(a), distance(b)),
-			cmp.Compare(xxhash.Sum64String(host+a), xxhash.Sum64String(host+b)),
+			cmp.Compare(rendezvous.Weight(host, b), rendezvous.Weight(host, a)),
 		)
 	})
 }
--- a/internal/app/gateway/controlhosts.go
+++ b/internal/app/gateway/controlhosts.go
@@ -19,7 +19,7 @@
 	// hostsOf is the control host whose list of entry hosts was last taken, at hostsAt.
 	hostsOf *controlHost
 	hostsAt time.Time
-	// news is signalled when it may be another control host's turn to be asked.
+	// news is signalled, for Run, when it may be another control host's turn to be asked.
 	news    chan struct{}
 	vouched chan struct{} // closed and replaced when a control host vouched for the configuration
 }
@@ -100,13 +100,14 @@
 			h.domain = m.FailureDomain
 		}
 	}
-	c.signal()
+	signal(c.news)
 }
 
-// signal lets Run look again which control hosts are to be asked.
-func (c *controlList) signal() {
+// signal wakes the one that waits on a channel with room for one signal. A signal that is
+// not taken yet serves for all.
+func signal(c chan<- struct{}) {
 	select {
-	case c.news <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -140,13 +141,10 @@
 	var candidates []controlhosts.Candidate
 	for _, addr := range c.allLocked() {
 		h := c.hostLocked(addr)
-		d := g.distance(h.domain)
-		if h.domain != "" && !c.heard.Asks(d, configured, age, now) {
+		if h.domain != "" && !c.heard.Asks(g.distance(h.domain), configured, age, now) {
 			continue
 		}
-		candidates = append(candidates, controlhosts.Candidate{
-			Address: addr, Domain: h.domain, Distance: d, Named: h.named, AvoidUntil: h.avoidUntil,
-		})
+		candidates = append(candidates, controlhosts.Candidate{Address: addr, Domain: h.domain, Named: h.named, AvoidUntil: h.avoidUntil})
 	}
 	var out []*controlHost
 	for _, chosen := range controlhosts.Choose(g.o.Host, candidates, now) {
@@ -170,7 +168,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h.asked, h.idleSince = false, now
-	c.signal()
+	signal(c.news)
 }
 
 // located reports whether it is known where a control host is.
@@ -226,15 +224,6 @@
 	h.avoidUntil = now.Add(controlhosts.Avoid)
 }
 
-// asks reports whether control hosts at a distance are to be asked now.
-func (g *Gateway) asks(d controlhosts.Distance) bool {
-	now := g.o.Clock.Now()
-	configured, age := g.config.Load() != nil, g.startup.Age(now)
-	g.control.mu.Lock()
-	defer g.control.mu.Unlock()
-	return g.control.heard.Asks(d, configured, age, now)
-}
-
 // primary reports whether a control host owns this host's figures.
 func (g *Gateway) primary(h *controlHost) bool {
 	g.control.mu.Lock()
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -54,10 +54,7 @@
 // the answer must be seen to be cut short.
 func (g *Gateway) Execute(ctx context.Context, r *Request, sink Sink) *failure.Error {
 	if g.inflight.Add(1) == 1 {
-		select {
-		case g.busy <- struct{}{}:
-		default:
-		}
+		signal(g.busy)
 	}
 	defer g.inflight.Add(-1)
 	ctx, span := g.startRequest(ctx, r)
--- a/internal/app/gateway/startup_test.go
+++ b/internal/app/gateway/startup_test.go
@@ -99,3 +99,12 @@
 	defer g.mu.Unlock()
 	return g.startup.Waiting()
 }
+
+// asks reports whether control hosts at a distance are to be asked now.
+func (g *Gateway) asks(d controlhosts.Distance) bool {
+	now := g.o.Clock.Now()
+	configured, age := g.config.Load() != nil, g.startup.Age(now)
+	g.control.mu.Lock()
+	defer g.control.mu.Unlock()
+	return g.control.heard.Asks(d, configured, age, now)
+}
--- a/internal/core/controlhosts/choice.go
+++ b/internal/core/controlhosts/choice.go
@@ -10,9 +10,8 @@
 
 // Candidate is a control host that an entry host may present itself to.
 type Candidate struct {
-	Address  string
-	Domain   string // its failure domain; "" while it is not known
-	Distance Distance
+	Address string
+	Domain  string // its failure domain; "" while it is not known
 	// Named is set when the control hosts name it as one that they hear.
 	Named bool
 	// AvoidUntil is until when others of its failure domain go first; see Avoid.
--- a/internal/core/registry/census.go
+++ b/internal/core/registry/census.go
@@ -10,9 +10,10 @@
 type DomainCensus struct {
 	Name, Region                   string
 	Hosts, Ready, Presented, Owned int // live entry hosts
-	OldestHost                     *Host
 	Servers, HeardHere             int // listed ones
-	OldestServer                   *Server
+	// The live entry host and the listed server that were heard longest ago; "" for none.
+	OldestHost, OldestServer       string
+	OldestHostAge, OldestServerAge time.Duration
 }
 
 // Census counts what is there of each failure domain, sorted by name.
@@ -28,7 +29,7 @@
 	}
 	for _, s := range r.servers {
 		if d := domains[s.FailureDomain]; d != nil && s.listed() {
-			d.addServer(s)
+			d.addServer(s, now)
 		}
 	}
 	var out []DomainCensus
@@ -49,17 +50,17 @@
 	if h.owned {
 		d.Owned++
 	}
-	if d.OldestHost == nil || h.HeardAt.Before(d.OldestHost.HeardAt) {
-		d.OldestHost = h
+	if age := now.Sub(h.HeardAt); d.OldestHost == "" || age > d.OldestHostAge {
+		d.OldestHost, d.OldestHostAge = h.ID, age
 	}
 }
 
-func (d *DomainCensus) addServer(s *Server) {
+func (d *DomainCensus) addServer(s *Server, now time.Time) {
 	d.Servers++
 	if s.HeardHere() {
 		d.HeardHere++
 	}
-	if o := d.OldestServer; o == nil || s.HeardAt.Before(o.HeardAt) || (s.HeardAt.Equal(o.HeardAt) && s.ID < o.ID) {
-		d.OldestServer = s
+	if age := now.Sub(s.HeardAt); d.OldestServer == "" || age > d.OldestServerAge || (age == d.OldestServerAge && s.ID < d.OldestServer) {
+		d.OldestServer, d.OldestServerAge = s.ID, age
 	}
 }
--- a/internal/core/registry/hosts.go
+++ b/internal/core/registry/hosts.go
@@ -18,10 +18,9 @@
 	ID, Peer, Caller, Region, FailureDomain string
 	Ready                                   bool
 	HeardAt                                 time.Time // here or at another control host
-	// Direct says, of what HearHost takes, that the host presents itself to this control host.
-	Direct bool
-	// Primary says that the host goes by the control host that hears it.
-	Primary bool
+	// Direct is set by the caller of HearHost when the host presents itself to this control
+	// host, and Primary when it goes by the control host that hears it.
+	Direct, Primary bool
 	// Via is the failure domain of the control host that heard it last; "" for this one.
 	Via string
 	// PresentedAt is when it last presented itself here; zero for never.
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -35,8 +35,7 @@
 // lost: two announcements may be late or lost.
 const MissedAnnouncements = 3
 
-// AgeUnitMS is the unit of the announcements' ages in a view, in ms: one byte holds 6 s,
-// more than an announcement's lease.
+// AgeUnitMS is the unit of the announcements' ages in a view, in ms: one byte holds 6 s.
 const AgeUnitMS = 50
 
 // goneFor is how long the ID of a server that is gone is remembered: longer
@@ -85,7 +84,7 @@
 	version   uint64 // raised by each change that entry hosts must learn at once
 	// lists holds the servers that List returns, until they change; direct is the sum of
 	// the figures of the entry hosts that this control host owns. Both are kept because
-	// every presentation asks for them.
+	// presentations and exchanges ask for them several times a second.
 	lists  map[string][]*Server // by region
 	direct serverload.Loads
 	// region is direct and what the region's other control hosts tell of theirs.
@@ -264,18 +263,6 @@
 // RegionOf returns the region of a failure domain, or "".
 func (r *Registry) RegionOf(domain string) string { return r.o.Regions[domain] }
 
-// Servers returns the servers of a region, the gone ones included, sorted by ID.
-func (r *Registry) Servers(region string, now time.Time) []*Server {
-	var out []*Server
-	for _, s := range r.servers {
-		if s.Gone || (r.RegionOf(s.FailureDomain) == region && !r.lapsed(s, now)) {
-			out = append(out, s)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
-	return out
-}
-
 // DirectServers returns the servers of a region that announced themselves, or
 // left, at this control host within the lease.
 func (r *Registry) DirectServers(region string, now time.Time) []*Server {
@@ -354,20 +341,11 @@
 	}
 }
 
-// OtherLoads adds up the work that the region's other entry hosts have under way at each
-// backend server. What another control host told of its hosts holds as long as a host's
-// presentation: then its hosts have gone to another one, and would be counted twice.
-func (r *Registry) OtherLoads(host string) serverload.Loads {
-	all := r.region.all()
-	if h := r.hosts[host]; h != nil && h.owned {
-		all.Sub(h.Loads)
-	}
-	return all
-}
-
 // LoadsSince returns the work of the region's entry hosts at the servers where it changed
 // after a version, and the version to go on from. Where there is none any more it is zero.
-// Complete is false when all of it is returned instead.
+// Complete is false when all of it is returned instead. What another control host told of its
+// hosts holds as long as a host's presentation: then its hosts have gone to another one, and
+// would be counted twice.
 func (r *Registry) LoadsSince(version uint64) (loads serverload.Loads, next uint64, complete bool) {
 	if loads, complete = r.region.since(version); !complete {
 		loads = r.region.all()
@@ -382,7 +360,7 @@
 // hosts that present themselves here have under way at them, for each service.
 func (r *Registry) RegionLoads(evacuated func(domain string) bool, now time.Time) []*pb.RegionLoad {
 	sums := map[string]*pb.RegionLoad{}
-	loads := r.OtherLoads("")
+	loads := r.region.all()
 	for _, s := range r.List(r.o.Region) {
 		if s.Leaving || evacuated(s.FailureDomain) || s.ColdUntil.After(now) {
 			continue
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -20,6 +20,19 @@
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
+// answering returns the address of a control host that gives one answer, at one path, until
+// the test ends.
+func answering(t *testing.T, path string, answer any) string {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == path {
+			_ = json.NewEncoder(w).Encode(answer)
+		}
+	}))
+	t.Cleanup(srv.Close)
+	return srv.URL
+}
+
 // run executes a verb with its arguments.
 func run(env *Env, args ...string) (subcommands.ExitStatus, string, string) {
 	var out, errs bytes.Buffer
