Finding: quotas' parts add up to more than the whole where a failure domain has several control hosts

Cause, by the code and a test without processes: quotaShare divides a failure domain's part by the control hosts of it that are heard. Those that do not hear each other each give out all of it: parts of 4.00 in all before they have heard each other, 1.17 with one of 24 cut off. With one control host a failure domain the parts add up, and no deployment has teams and several.

--- a/internal/app/control/speakers_test.go
+++ b/internal/app/control/speakers_test.go
@@ -255,3 +255,30 @@
 		}
 	}
 }
+
+// TestQuotaPartsAddUp adds up the parts of all quotas that the control hosts give out: never
+// more than the whole. Several control hosts of a failure domain share its part by how many of
+// them they hear, so that each takes the whole of it while they do not hear each other.
+func TestQuotaPartsAddUp(t *testing.T) {
+	w := newWholeFleet(t, 3, 2, 4, 1)
+	check := func(when string) {
+		t.Helper()
+		sum := 0.0
+		for _, f := range w.fleets {
+			if share, active := f.replica.quotaShare(w.clock.Now()); active {
+				sum += share
+			}
+		}
+		if sum > 1.001 {
+			t.Errorf("%s: parts of %.2f in all", when, sum)
+		}
+	}
+	check("before they have heard each other")
+	w.settle()
+	check("all hear each other")
+	w.down["r0d0c1"] = true // cut off from the others, and still giving out
+	for range 20 {
+		w.round()
+	}
+	check("one is cut off for 6 s")
+}
