gateway: log what a host holds a server for, and by which announcement

A user's record of a flooded cold server could not tell whether the entry hosts held it for warm, by which announcement, or each for its own to send to. One line a change now names the reason, the sequence and age of the announcement and the control host that reported it; place chosen has the reason, and three counters sum them up. No decision changes.

--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -321,6 +321,9 @@
 	if c.Refused == "" {
 		g.fleet.Started(&c, now)
 	}
+	if c.Server != nil && c.Server.ColdReason(now) != "" {
+		g.o.Metrics.Add("sent_to_cold_servers", 1)
+	}
 	if !c.NoUsableServer || !g.startup.AwaitsServers(now) {
 		g.logChoice(x, &c, now)
 	}
--- a/internal/app/gateway/log.go
+++ b/internal/app/gateway/log.go
@@ -30,6 +30,9 @@
 		requests, prompt, memory := c.Server.Load()
 		kv = append(kv, "server_requests", requests, "server_prompt_tokens", int(prompt), "server_memory_tokens", int(memory))
 		kv = append(kv, "outcome", "server", "server", c.Server.ID, "address", c.Server.Address, "estimate_ms", int(c.EstimateMS), "uncovered_tokens", int(c.UncoveredTokens))
+		if reason := c.Server.ColdReason(now); reason != "" {
+			kv = append(kv, "cold", string(reason))
+		}
 		if c.Deferred {
 			kv = append(kv, "deferred", true)
 		}
@@ -42,6 +45,22 @@
 	g.o.Log.Info("place chosen", kv...)
 }
 
+// logColdChanges logs each server that has become cold or warm for this host, with the
+// announcement that decided it.
+func (g *Gateway) logColdChanges() {
+	now := g.o.Clock.Now()
+	for _, c := range g.fleet.ColdChanges(now) {
+		state := "warm"
+		if c.Reason != "" {
+			state = "cold"
+		}
+		g.o.Metrics.Add("servers_became_"+state, 1)
+		g.o.Log.Info("server treated as "+state, "server", c.Server.ID, "start", c.Server.Start, "failure_domain", c.Server.FailureDomain,
+			"reason", string(c.Reason), "cold_ms", c.Left.Milliseconds(), "sequence", c.Sequence, "announcement_age_ms", c.AnnouncementAge.Milliseconds(),
+			"control_host", c.Source)
+	}
+}
+
 // considered is a candidate in a log line.
 type considered struct {
 	Name     string `json:"name"`
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -70,6 +70,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s.SetCold(g.o.Clock.Now().Add(left))
+	g.logColdChanges()
 }
 
 // recordLoad records the number of requests that a server reported with its answer; negative if
--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -197,7 +197,7 @@
 // viewScope returns which parts of a control host's view are to be used, and completes the
 // view's entry hosts by those of its earlier views.
 func (g *Gateway) viewScope(c *controlHost, view *pb.FleetView, primary bool, own serverload.Loads) dispatch.ViewScope {
-	scope := dispatch.ViewScope{Loads: primary, Fleet: g.recordAnswer(c, view)}
+	scope := dispatch.ViewScope{Source: c.addr, Loads: primary, Fleet: g.recordAnswer(c, view)}
 	if primary {
 		scope.Others = c.state.otherLoads(own)
 	}
@@ -241,4 +241,5 @@
 	g.viewChanged = make(chan struct{})
 	g.budget.SetHosts(g.fleet.HostCount())
 	g.updateCrashWatch()
+	g.logColdChanges()
 }
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -126,6 +126,8 @@
 // ViewScope selects the parts of a view to apply besides its servers and evacuations, which are
 // always applied as each of them has a version or an age of its own.
 type ViewScope struct {
+	// Source is the control host that sent the view, for the log.
+	Source string
 	// Loads selects the loads of the region's other entry hosts.
 	Loads bool
 	// Others, unless nil, replaces the view's loads.
@@ -145,9 +147,9 @@
 	f.lastViewAt = now
 	f.applyEvacuated(v.Evacuated, v.EvacuationRevision, now)
 	for _, m := range v.Servers {
-		f.applyServer(m, now)
+		f.applyServer(m, scope.Source, now)
 	}
-	f.applyAnnouncementAges(v.HeardServers, v.HeardAges, now)
+	f.applyAnnouncementAges(v, scope.Source, now)
 	if now.Sub(f.lastSweepAt) >= sweepInterval {
 		f.sweep(now)
 	}
@@ -169,10 +171,10 @@
 }
 
 // applyAnnouncementAges records the last announcements of servers that have not changed otherwise.
-func (f *Fleet) applyAnnouncementAges(keys, ages []uint32, now time.Time) {
-	for i, key := range keys {
-		if s := f.serversByKey[key]; s != nil && i < len(ages) {
-			s.recordAnnouncement(now.Add(-ms(uint64(ages[i]) * registry.AgeUnitMS)))
+func (f *Fleet) applyAnnouncementAges(v *pb.FleetView, source string, now time.Time) {
+	for i, key := range v.HeardServers {
+		if s := f.serversByKey[key]; s != nil && i < len(v.HeardAges) {
+			s.recordAnnouncement(now.Add(-ms(uint64(v.HeardAges[i])*registry.AgeUnitMS)), source)
 		}
 	}
 }
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -26,10 +26,7 @@
 	starts      incarnation.History
 	AnnouncedAt time.Time // time of the server's last announcement
 	FirstSeen   time.Time
-	ColdUntil   time.Time
-	// restoredAt is the time at which the evacuation of the server's failure domain was last
-	// withdrawn.
-	restoredAt time.Time
+	coldState
 
 	own    load // requests of this host in flight
 	others load // those of the region's other entry hosts, as last reported
@@ -42,8 +39,7 @@
 	health                   health
 	prefill                  rate // prefill work sent by this host, in ms per second
 	cache                    *partCache
-	key                      uint32      // identifies the incarnation in messages between hosts
-	coldSends                []time.Time // times of this host's requests in the last second, while the server is cold
+	key                      uint32 // identifies the incarnation in messages between hosts
 	// progressAt is the time at which this host last received a byte from the server, or
 	// started to wait for one.
 	progressAt time.Time
@@ -83,7 +79,7 @@
 	starts incarnation.History
 }
 
-func (f *Fleet) applyServer(m *pb.FleetServer, now time.Time) {
+func (f *Fleet) applyServer(m *pb.FleetServer, source string, now time.Time) {
 	if m.Gone {
 		f.MarkGone(m.Id, m.Start, now)
 		return
@@ -96,17 +92,20 @@
 	s.Service, s.Address, s.FailureDomain = m.Service, m.Address, m.FailureDomain
 	s.Slots, s.Release = int(m.Slots), m.Release
 	s.Leaving = s.Leaving || m.Leaving // never reset within one incarnation
-	if s.recordAnnouncement(announcedAt) && m.ColdMs > 0 {
-		s.SetCold(announcedAt.Add(ms(m.ColdMs)))
+	if s.recordAnnouncement(announcedAt, source) {
+		s.sequence = m.Sequence
+		if m.ColdMs > 0 {
+			s.SetCold(announcedAt.Add(ms(m.ColdMs)))
+		}
 	}
 }
 
-// recordAnnouncement records the time of an announcement. It reports whether the announcement
-// is the latest one.
-func (s *Server) recordAnnouncement(at time.Time) bool {
+// recordAnnouncement records the time of an announcement and the control host that reported it.
+// It reports whether the announcement is the latest one.
+func (s *Server) recordAnnouncement(at time.Time, source string) bool {
 	newest := at.After(s.AnnouncedAt)
 	if newest {
-		s.AnnouncedAt = at
+		s.AnnouncedAt, s.announcementSource = at, source
 	}
 	return newest
 }
@@ -194,23 +193,6 @@
 	return s.replaced || ok
 }
 
-// SetCold records that the server is cold, with an empty cache, until the given time.
-func (s *Server) SetCold(until time.Time) {
-	if until.After(s.ColdUntil) {
-		s.ColdUntil = until
-		s.cache = newPartCache()
-	}
-}
-
-// cold reports whether the server tolerates only a low rate of requests. A server of a failure
-// domain that was evacuated may have become cold in the meantime, and its announcement of that
-// may be lost. It therefore counts as cold until it announces itself again, at most one
-// interval later. Otherwise an engine whose announcements did not reach the control hosts would
-// receive its full load as soon as its failure domain is restored, and fail.
-func (s *Server) cold(now time.Time) bool {
-	return now.Before(s.ColdUntil) || s.restoredAt.After(s.AnnouncedAt)
-}
-
 // applyEvacuated stores the list of evacuated failure domains, unless a later revision is
 // stored.
 func (f *Fleet) applyEvacuated(domains []string, revision uint64, now time.Time) {
