dispatch: a cold phase counts in the order of the server's announcements

Callers saw requests fail at a backend server that was cold, received its full load at the end of an evacuation and broke down.

Cause: an entry host took the cold phase from an announcement only if that one was the latest by age. Ages are counted from the receipt at a control host and lose the delay of every message that passes them on, and a control host that was frozen counts what waited in its sockets as just received. An earlier warm announcement could therefore seem later than the cold one, whose phase was dropped; as only changes carry it, it was not sent again.

Change: the order is that of the sequence numbers, and a phase that was recorded is never shortened by a later age.

Two rows of TestColdServerIsNotFlooded failed before, with 48 and 136 requests in one second where 6.9 are tolerated, and pass: a slow relay of a warm announcement before a cold one, and a frozen control host that passes on a warm announcement before a relayed cold one. Five rows still fail: a restored failure domain, a fault of its own. The row for a slow relay was split in two, because it crossed the restoration.

--- a/internal/app/control/cold_flood_test.go
+++ b/internal/app/control/cold_flood_test.go
@@ -41,13 +41,10 @@
 			w.at(9500*ms, w.server.becomeCold)
 		}},
 		{"a slow relay of a warm announcement before a cold one", func(w *coldWorld) {
-			w.at(8500*ms, func() {
-				w.server.announced = func() {
-					w.addRule(linkRule{from: "control-d0", to: "control-d1", delay: 600 * ms, count: 1})
-					w.addRule(linkRule{from: "control-d0", to: "control-d1", delay: 200 * ms, count: 1})
-					w.after(300*ms, w.server.becomeCold)
-				}
-			})
+			w.at(7500*ms, w.slowRelayOfNextAnnouncement)
+		}},
+		{"a slow relay of a warm announcement beyond the restoration", func(w *coldWorld) {
+			w.at(8500*ms, w.slowRelayOfNextAnnouncement)
 		}},
 		{"a frozen control host passes on a warm announcement before a relayed cold one", func(w *coldWorld) {
 			w.at(7*time.Second, func() {
@@ -91,6 +88,16 @@
 	}
 }
 
+// slowRelayOfNextAnnouncement delays the exchange with the server's next announcement, and the one
+// after it less. The server becomes cold in between.
+func (w *coldWorld) slowRelayOfNextAnnouncement() {
+	w.server.announced = func() {
+		w.addRule(linkRule{from: "control-d0", to: "control-d1", delay: 600 * ms, count: 1})
+		w.addRule(linkRule{from: "control-d0", to: "control-d1", delay: 200 * ms, count: 1})
+		w.after(300*ms, w.server.becomeCold)
+	}
+}
+
 // TestColdServerUnderFaults guards against floods in random histories: an evacuation, faults of
 // links, control hosts and entry hosts, and a server that becomes cold before the restoration.
 func TestColdServerUnderFaults(t *testing.T) {
--- a/internal/core/dispatch/cold.go
+++ b/internal/core/dispatch/cold.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+)
 
 // coldState is what a host knows about the cold phase of a server.
 type coldState struct {
@@ -8,7 +12,7 @@
 	// restoredAt is the time at which the evacuation of the server's failure domain was last
 	// withdrawn.
 	restoredAt time.Time
-	// sequence is the sequence number of the latest announcement that was received in full.
+	// sequence is the highest sequence number of the announcements that were received in full.
 	sequence uint64
 	// announcementSource is the control host that reported the latest announcement.
 	announcementSource string
@@ -28,6 +32,19 @@
 	ColdRestored ColdReason = "failure domain restored"
 )
 
+// recordColdPhase records the cold phase in an announcement, unless a later announcement is known.
+// The order is that of the server's sequence numbers: the ages of announcements grow shorter by the
+// delay of each message that passes them on, so that by age an earlier one may seem to be later.
+func (s *Server) recordColdPhase(m *pb.FleetServer, announcedAt time.Time) {
+	if m.Sequence < s.sequence {
+		return
+	}
+	s.sequence = m.Sequence
+	if m.ColdMs > 0 {
+		s.SetCold(announcedAt.Add(ms(m.ColdMs)))
+	}
+}
+
 // SetCold records that the server is cold, with an empty cache, until the given time.
 func (s *Server) SetCold(until time.Time) {
 	if until.After(s.ColdUntil) {
@@ -58,7 +75,7 @@
 	Server          *Server
 	Reason          ColdReason
 	Left            time.Duration // rest of the reported cold phase
-	Sequence        uint64        // of the latest announcement that was received in full
+	Sequence        uint64        // highest one of the announcements that were received in full
 	AnnouncementAge time.Duration
 	Source          string // control host that reported the latest announcement
 }
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -92,22 +92,16 @@
 	s.Service, s.Address, s.FailureDomain = m.Service, m.Address, m.FailureDomain
 	s.Slots, s.Release = int(m.Slots), m.Release
 	s.Leaving = s.Leaving || m.Leaving // never reset within one incarnation
-	if s.recordAnnouncement(announcedAt, source) {
-		s.sequence = m.Sequence
-		if m.ColdMs > 0 {
-			s.SetCold(announcedAt.Add(ms(m.ColdMs)))
-		}
-	}
+	s.recordAnnouncement(announcedAt, source)
+	s.recordColdPhase(m, announcedAt)
 }
 
-// recordAnnouncement records the time of an announcement and the control host that reported it.
-// It reports whether the announcement is the latest one.
-func (s *Server) recordAnnouncement(at time.Time, source string) bool {
-	newest := at.After(s.AnnouncedAt)
-	if newest {
+// recordAnnouncement records the time of an announcement and the control host that reported it,
+// unless a later one is recorded.
+func (s *Server) recordAnnouncement(at time.Time, source string) {
+	if at.After(s.AnnouncedAt) {
 		s.AnnouncedAt, s.announcementSource = at, source
 	}
-	return newest
 }
 
 // serverFor returns the state of the incarnation that a view reports, which is empty for a new
