registry, dispatch: servers of a restored failure domain are cold until confirmed

Callers saw requests fail at a backend server that had become cold during the evacuation of its failure domain: several entry hosts sent it their full load as soon as the evacuation was withdrawn.

Cause: each entry host alone had to see the evacuation end, and took any announcement received after that for news. An announcement may be on its way for seconds, in a relay or in the sockets of a frozen control host; an entry host that started later, or had no view in between, saw no end at all.

Change: control hosts record in the replicated state in which revision of the evacuation list a failure domain was restored, and for each server the highest revision that was applied before it sent an announcement. Receipt proves no such thing; two announcements with consecutive sequence numbers at one control host do, as a server sends the second there only after the first was acknowledged. Entry hosts merge both numbers by their maximum, so that neither order nor age nor the host's own start counts. Where a confirmation cannot come, a server is warm again once a cold phase of its service's configured length has ended. New fields only; a control host of an earlier version sends none, and the rule by ages stays in force for its views.

--- a/internal/app/control/cold_flood_test.go
+++ b/internal/app/control/cold_flood_test.go
@@ -88,6 +88,28 @@
 	}
 }
 
+// TestWarmServerIsInUseAfterRestoration guards against a warm server that is held for cold longer than
+// two announcement intervals after the restoration of its failure domain.
+func TestWarmServerIsInUseAfterRestoration(t *testing.T) {
+	const restored = 10 * time.Second
+	for seed := range int64(20) {
+		w := newColdWorld(t, seed)
+		w.at(5*time.Second, func() { w.commit(&pb.Command{Evacuate: "d0"}) })
+		w.at(restored, func() { w.commit(&pb.Command{Restore: "d0"}) })
+		servedIn := func(from time.Duration) int {
+			w.run(from)
+			w.served = nil
+			w.run(from + time.Second)
+			return len(w.served)
+		}
+		before := servedIn(3 * time.Second)
+		after := servedIn(restored + 2*worldAnnounceEvery + worldContact)
+		if before == 0 || float64(after) < 0.9*float64(before) {
+			t.Errorf("seed %d: %d requests reached the warm server in one second, %d before the evacuation", seed, after, before)
+		}
+	}
+}
+
 // slowRelayOfNextAnnouncement delays the exchange with the server's next announcement, and the one
 // after it less. The server becomes cold in between.
 func (w *coldWorld) slowRelayOfNextAnnouncement() {
@@ -105,6 +127,12 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newColdWorld(t, rapid.Int64().Draw(rt, "seed"))
 		w.rate = rapid.SampledFrom([]float64{1, 1.5, 2.6, 5.1}).Draw(rt, "rate")
+		if rapid.Bool().Draw(rt, "cold_duration_configured") {
+			w.coldDurations = map[string]time.Duration{"llm": worldColdFor}
+			for _, e := range w.entries {
+				e.fleet.SetColdDurations(w.coldDurations)
+			}
+		}
 		evacuated, restored := 5*time.Second, time.Duration(rapid.IntRange(9000, 11000).Draw(rt, "restored_ms"))*ms
 		cold := restored - time.Duration(rapid.IntRange(0, 1500).Draw(rt, "cold_before_ms"))*ms
 		w.at(evacuated, func() { w.commit(&pb.Command{Evacuate: "d0"}) })
--- a/internal/app/control/cold_world_test.go
+++ b/internal/app/control/cold_world_test.go
@@ -37,20 +37,22 @@
 // production code of views, exchanges and choices on a simulated clock and network, and counts
 // the requests that reach the server while it is cold.
 type coldWorld struct {
-	t        testing.TB
-	clock    *manualClock
-	begin    time.Time
-	rnd      *rand.Rand
-	rate     float64 // requests per second that the cold server tolerates
-	events   eventQueue
-	nextID   int
-	controls []*worldControl
-	entries  []*worldEntry
-	server   *worldServer
-	commands []*pb.Command // committed changes
-	arrivals []time.Time   // of requests at the server while it was cold
-	served   []time.Time   // of requests at the server while it was warm
-	rules    []*linkRule
+	t     testing.TB
+	clock *manualClock
+	begin time.Time
+	rnd   *rand.Rand
+	rate  float64 // requests per second that the cold server tolerates
+	// coldDurations are the configured durations of cold phases.
+	coldDurations map[string]time.Duration
+	events        eventQueue
+	nextID        int
+	controls      []*worldControl
+	entries       []*worldEntry
+	server        *worldServer
+	commands      []*pb.Command // committed changes
+	arrivals      []time.Time   // of requests at the server while it was cold
+	served        []time.Time   // of requests at the server while it was warm
+	rules         []*linkRule
 }
 
 // linkRule delays or loses messages between hosts. The first rule that matches a message applies.
@@ -309,6 +311,7 @@
 func (e *worldEntry) restart() {
 	e.starts++
 	e.fleet = dispatch.New(dispatch.Options{Host: e.id, Region: "r", FailureDomain: e.domain, Random: e.w.rnd.Float64, AnnounceEvery: worldAnnounceEvery})
+	e.fleet.SetColdDurations(e.w.coldDurations)
 	e.last, e.hosts, e.contacts = map[string]*pb.FleetView{}, map[string]map[string]*pb.FleetHost{}, controlhosts.Contacts{}
 }
 
@@ -395,7 +398,7 @@
 		if choice.Server == nil {
 			return
 		}
-		heldForCold := choice.Server.ColdReason(now) != ""
+		heldForCold := e.fleet.ColdReason(choice.Server, now) != ""
 		e.fleet.Started(&choice, now)
 		e.fleet.Ended(&choice, dispatch.Served, time.Millisecond, now)
 		e.w.server.recordArrival(now, now.Sub(e.answeredAt) < worldContact || heldForCold)
--- a/internal/app/control/exchange.go
+++ b/internal/app/control/exchange.go
@@ -253,7 +253,7 @@
 		f.reg.Announce(registry.Server{
 			ID: s.Id, Start: s.Start, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain, Sequence: s.Sequence,
 			Slots: int(s.Slots), Leaving: s.Leaving, Release: s.Release, LastSeen: lastSeen, FirstSeen: now.Add(-milliseconds(s.FirstSeenMs)),
-			ColdUntil: lastSeen.Add(milliseconds(s.ColdMs)), Via: x.FailureDomain,
+			ColdUntil: lastSeen.Add(milliseconds(s.ColdMs)), SentAfterRevision: s.SentAfterRevision, Via: x.FailureDomain,
 		}, now)
 	}
 	f.wakeLocked()
--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -61,6 +61,10 @@
 	wokenVersion uint64                    // version at which waiting sync requests were last woken
 	prompts      holders.Log               // places to which the region's entry hosts sent prompts
 	cursors      map[string]exchangeCursor // by peer address of another control host
+	// evacuations is the state of evacuations that views contain, and evacuationsVersion the version
+	// of its last change.
+	evacuations        *Published
+	evacuationsVersion uint64
 	// controls is the list of control hosts that is sent to entry hosts, and controlsVersion the
 	// version of its last change.
 	controls        []*pb.ControlHost
@@ -95,6 +99,7 @@
 		}),
 	}
 	f.refreshControlsLocked(o.Clock.Now())
+	f.refreshEvacuationsLocked()
 	f.wokenVersion = f.reg.Version()
 	r.fleet = f
 	return f
@@ -114,9 +119,22 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reg.BumpVersion()
+	f.refreshEvacuationsLocked()
 	f.wakeLocked()
 }
 
+// refreshEvacuationsLocked adopts the evacuations that the replica offers. Views and the registry
+// use this one copy, so that a view that no longer lists a failure domain as evacuated lists it as
+// restored.
+func (f *Fleet) refreshEvacuationsLocked() {
+	p := f.replica.offered()
+	if f.evacuations != nil && f.evacuations.EvacuationRevision == p.EvacuationRevision {
+		return
+	}
+	f.evacuations, f.evacuationsVersion = p, f.reg.BumpVersion()
+	f.reg.SetEvacuations(p.EvacuationRevision, p.Restored)
+}
+
 // Announce records a backend server's own announcement. It returns the operator address of the
 // control host that the server should announce itself to, or "" if none is known.
 func (f *Fleet) Announce(s registry.Server) (announceTo string, err error) {
@@ -131,7 +149,8 @@
 	f.wakeLocked()
 	if updated {
 		f.o.Log.Info("backend server announced", "server", s.ID, "start", s.Start, "service", s.Service, "address", s.Address,
-			"failure_domain", s.FailureDomain, "leaving", s.Leaving, "sequence", s.Sequence, "cold_ms", max(0, s.ColdUntil.Sub(now).Milliseconds()))
+			"failure_domain", s.FailureDomain, "leaving", s.Leaving, "sequence", s.Sequence, "cold_ms", max(0, s.ColdUntil.Sub(now).Milliseconds()),
+			"sent_after_revision", f.reg.Server(s.ID).SentAfterRevision, "evacuation_revision", f.evacuations.EvacuationRevision)
 	}
 	return f.announceTargetLocked(s.ID, s.FailureDomain, now), nil
 }
--- a/internal/app/control/publish.go
+++ b/internal/app/control/publish.go
@@ -37,6 +37,8 @@
 	// of the list.
 	Evacuated          []string
 	EvacuationRevision uint64
+	// Restored are the failure domains whose evacuation was withdrawn.
+	Restored []*pb.RestoredDomain
 	// Quarantined are the persisted verdicts on requests that crash servers, oldest first;
 	// QuarantineRevision numbers the versions of the list.
 	Quarantined        []*pb.KeptQuarantine
@@ -54,6 +56,7 @@
 		p.Recent = append([]*pb.Accepted(nil), r.machine.History()...)
 	}
 	p.Evacuated, p.EvacuationRevision = r.machine.Evacuated()
+	p.Restored = r.machine.Restored()
 	p.Quarantined, p.QuarantineRevision = r.machine.Quarantined()
 	if !r.mayPublish(p) {
 		return
--- a/internal/app/control/view.go
+++ b/internal/app/control/view.go
@@ -64,12 +64,12 @@
 }
 
 func (f *Fleet) buildView(m *pb.FleetSync, host, region string) *pb.FleetView {
-	evacuated, revision := f.replica.Evacuated()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.refreshEvacuationsLocked()
 	now := f.o.Clock.Now()
 	v := &pb.FleetView{
-		Epoch: f.epoch, Version: f.reg.Version(), Evacuated: evacuated, EvacuationRevision: revision,
+		Epoch: f.epoch, Version: f.reg.Version(), Evacuated: f.evacuations.Evacuated, EvacuationRevision: f.evacuations.EvacuationRevision,
 		HomeRegion: f.o.Region, HomeDomain: f.o.FailureDomain, StalenessMs: uint64(f.replica.Staleness().Milliseconds()),
 	}
 	for _, c := range f.reg.Controls(now) {
@@ -89,6 +89,9 @@
 	if !v.Changes || f.controlsVersion > m.HaveVersion {
 		v.ControlHosts = f.controls
 	}
+	if !v.Changes || f.evacuationsVersion > m.HaveVersion {
+		v.Restored = f.evacuations.Restored
+	}
 	haveQuarantine := uint64(0)
 	if m.HaveEpoch == f.epoch {
 		haveQuarantine = m.HaveQuarantine
@@ -180,6 +183,7 @@
 	m := &pb.FleetServer{
 		Id: s.ID, Start: s.Start, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain, Sequence: s.Sequence,
 		Slots: uint32(s.Slots), Leaving: s.Leaving, Release: s.Release, AgeMs: age(s.LastSeen, now), FirstSeenMs: age(s.FirstSeen, now),
+		SentAfterRevision: s.SentAfterRevision,
 	}
 	if s.ColdUntil.After(s.LastSeen) {
 		m.ColdMs = uint64(s.ColdUntil.Sub(s.LastSeen).Milliseconds())
--- a/internal/app/gateway/cold_log_test.go
+++ b/internal/app/gateway/cold_log_test.go
@@ -32,8 +32,8 @@
 	announce(4, 70, 0, []string{"w1"}, 1)
 	announce(4, 70, 0, nil, 2)
 	want := []string{
-		`"level"=0 "msg"="server treated as cold" "server"="llm1" "start"=0 "failure_domain"="w1" "reason"="reported" "cold_ms"=2950 "sequence"=2 "announcement_age_ms"=50 "control_host"="10.0.0.1:7"`,
-		`"level"=0 "msg"="server treated as warm" "server"="llm1" "start"=0 "failure_domain"="w1" "reason"="" "cold_ms"=0 "sequence"=4 "announcement_age_ms"=70 "control_host"="10.0.0.1:7"`,
+		`"level"=0 "msg"="server treated as cold" "server"="llm1" "start"=0 "failure_domain"="w1" "reason"="reported" "cold_ms"=2950 "sequence"=2 "announcement_age_ms"=50 "control_host"="10.0.0.1:7" "sent_after_revision"=0 "restored_revision"=0`,
+		`"level"=0 "msg"="server treated as warm" "server"="llm1" "start"=0 "failure_domain"="w1" "reason"="" "cold_ms"=0 "sequence"=4 "announcement_age_ms"=70 "control_host"="10.0.0.1:7" "sent_after_revision"=0 "restored_revision"=0`,
 	}
 	if len(lines) < len(want) || !slices.Equal(lines[:len(want)], want) {
 		t.Errorf("logged %q, want first %q", lines, want)
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -321,7 +321,7 @@
 	if c.Refused == "" {
 		g.fleet.Started(&c, now)
 	}
-	if c.Server != nil && c.Server.ColdReason(now) != "" {
+	if c.Server != nil && g.fleet.ColdReason(c.Server, now) != "" {
 		g.o.Metrics.Add("sent_to_cold_servers", 1)
 	}
 	if !c.NoUsableServer || !g.startup.AwaitsServers(now) {
--- a/internal/app/gateway/fetch.go
+++ b/internal/app/gateway/fetch.go
@@ -68,10 +68,24 @@
 		return
 	}
 	g.config.Store(next)
+	g.setColdDurations(next.Record)
 	g.o.Metrics.Add("config_installed", 1)
 	g.o.Log.Info("configuration in force", "version", next.Stamp.Version, "routes", len(next.Record.Routes), "from", hostPart(addr))
 }
 
+// setColdDurations passes on how long the servers of each service stay cold.
+func (g *Gateway) setColdDurations(r *configstate.Record) {
+	durations := map[string]time.Duration{}
+	for _, s := range r.RoutedServices {
+		if s.ColdSeconds > 0 || s.ColdPerSecond == 0 {
+			durations[s.Name] = time.Duration(s.ColdSeconds * float64(time.Second))
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.SetColdDurations(durations)
+}
+
 func hostPart(addr string) string {
 	h, _, _ := strings.Cut(addr, ":")
 	return h
--- a/internal/app/gateway/log.go
+++ b/internal/app/gateway/log.go
@@ -30,7 +30,7 @@
 		requests, prompt, memory := c.Server.Load()
 		kv = append(kv, "server_requests", requests, "server_prompt_tokens", int(prompt), "server_memory_tokens", int(memory))
 		kv = append(kv, "outcome", "server", "server", c.Server.ID, "address", c.Server.Address, "estimate_ms", int(c.EstimateMS), "uncovered_tokens", int(c.UncoveredTokens))
-		if reason := c.Server.ColdReason(now); reason != "" {
+		if reason := g.fleet.ColdReason(c.Server, now); reason != "" {
 			kv = append(kv, "cold", string(reason))
 		}
 		if c.Deferred {
@@ -57,7 +57,7 @@
 		g.o.Metrics.Add("servers_became_"+state, 1)
 		g.o.Log.Info("server treated as "+state, "server", c.Server.ID, "start", c.Server.Start, "failure_domain", c.Server.FailureDomain,
 			"reason", string(c.Reason), "cold_ms", c.Left.Milliseconds(), "sequence", c.Sequence, "announcement_age_ms", c.AnnouncementAge.Milliseconds(),
-			"control_host", c.Source)
+			"control_host", c.Source, "sent_after_revision", c.SentAfterRevision, "restored_revision", c.RestoredRevision)
 	}
 }
 
--- a/internal/core/configstate/machine.go
+++ b/internal/core/configstate/machine.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"slices"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -160,10 +161,31 @@
 		}
 		m.log.Evacuated = next
 		m.log.EvacuationRevision++
+		if !evacuated {
+			m.setRestored(domain)
+		}
 	}
 	return Result{Version: m.log.Version, Current: m.log.Version}
 }
 
+// setRestored records that the evacuation of a failure domain was withdrawn in the current revision
+// of the list.
+func (m *Machine) setRestored(domain string) {
+	entry := &pb.RestoredDomain{FailureDomain: domain, Revision: m.log.EvacuationRevision}
+	next := slices.Clone(m.log.Restored) // readers may still use the old slice
+	at, found := slices.BinarySearchFunc(next, domain, func(r *pb.RestoredDomain, d string) int { return strings.Compare(r.FailureDomain, d) })
+	if found {
+		next[at] = entry
+	} else {
+		next = slices.Insert(next, at, entry)
+	}
+	m.log.Restored = next
+}
+
+// Restored returns the failure domains whose evacuation was withdrawn, sorted, each with the
+// revision of the list at its last withdrawal. The caller must not modify the list.
+func (m *Machine) Restored() []*pb.RestoredDomain { return m.log.Restored }
+
 // Evacuated returns the evacuated failure domains, sorted, and the revision of
 // that list. The caller must not modify the list.
 func (m *Machine) Evacuated() (domains []string, revision uint64) {
--- a/internal/core/configstate/routes.go
+++ b/internal/core/configstate/routes.go
@@ -62,6 +62,9 @@
 	// ColdPerSecond is the request rate that a cold server sustains, per second; 0 when
 	// the service's servers need no warm-up.
 	ColdPerSecond float64 `json:"cold_per_second"`
+	// ColdSeconds is how long a server stays cold after it became cold, in seconds; 0 when
+	// that is not known.
+	ColdSeconds float64 `json:"cold_seconds,omitempty"`
 	// Engine describes the service's model engines; nil for other services.
 	Engine *EngineLimits `json:"engine,omitempty"`
 }
@@ -197,6 +200,9 @@
 		if s.ColdPerSecond < 0 {
 			v.addError(field+".cold_per_second", "%v is negative", s.ColdPerSecond)
 		}
+		if s.ColdSeconds < 0 {
+			v.addError(field+".cold_seconds", "%v is negative", s.ColdSeconds)
+		}
 	}
 	type hostAndPrefix struct{ host, prefix string }
 	taken := map[hostAndPrefix]string{}
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -170,7 +170,7 @@
 			c.Considered = append(c.Considered, Candidate{s.ID, 0, reason})
 			continue
 		}
-		if s.cold(now) {
+		if f.cold(s, now) {
 			cold = append(cold, s)
 			continue
 		}
--- a/internal/core/dispatch/cold.go
+++ b/internal/core/dispatch/cold.go
@@ -12,6 +12,9 @@
 	// restoredAt is the time at which the evacuation of the server's failure domain was last
 	// withdrawn.
 	restoredAt time.Time
+	// sentAfterRevision is the highest revision of the evacuation list that a control host had
+	// applied before the server sent one of its announcements.
+	sentAfterRevision uint64
 	// sequence is the highest sequence number of the announcements that were received in full.
 	sequence uint64
 	// announcementSource is the control host that reported the latest announcement.
@@ -27,8 +30,8 @@
 const (
 	// ColdReported is set if the server reported a cold phase that has not ended.
 	ColdReported ColdReason = "reported"
-	// ColdRestored is set if the server has not announced itself since the evacuation of its
-	// failure domain was withdrawn.
+	// ColdRestored is set if no announcement of the server is proved to have been sent after the
+	// evacuation of its failure domain was withdrawn.
 	ColdRestored ColdReason = "failure domain restored"
 )
 
@@ -36,6 +39,7 @@
 // The order is that of the server's sequence numbers: the ages of announcements grow shorter by the
 // delay of each message that passes them on, so that by age an earlier one may seem to be later.
 func (s *Server) recordColdPhase(m *pb.FleetServer, announcedAt time.Time) {
+	s.sentAfterRevision = max(s.sentAfterRevision, m.SentAfterRevision)
 	if m.Sequence < s.sequence {
 		return
 	}
@@ -53,22 +57,56 @@
 	}
 }
 
+// restoration is the withdrawal of a failure domain's evacuation.
+type restoration struct {
+	revision  uint64 // of the evacuation list
+	learnedAt time.Time
+}
+
+// applyRestored stores the restorations in a view that are later than those known.
+func (f *Fleet) applyRestored(list []*pb.RestoredDomain, now time.Time) {
+	for _, d := range list {
+		if d.Revision > f.restored[d.FailureDomain].revision {
+			f.restored[d.FailureDomain] = restoration{d.Revision, now}
+		}
+	}
+}
+
+// SetColdDurations sets how long a server of each service stays cold after the event that made it
+// cold, for the services for which that is known; 0 if they are never cold.
+func (f *Fleet) SetColdDurations(d map[string]time.Duration) { f.coldDurations = d }
+
 // ColdReason returns why the server is treated as cold, so that it receives only a low rate of
 // requests. A server of a failure domain that was evacuated may have become cold in the meantime,
-// and its announcement of that may be lost. It therefore counts as cold until it announces itself
-// again, at most one interval later. Otherwise an engine whose announcements did not reach the
-// control hosts would receive its full load as soon as its failure domain is restored, and fail.
-func (s *Server) ColdReason(now time.Time) ColdReason {
+// and its announcement of that may be lost or late. It therefore counts as cold until an
+// announcement proves its state after the restoration, or until a cold phase that began before it
+// has ended.
+func (f *Fleet) ColdReason(s *Server, now time.Time) ColdReason {
 	switch {
 	case now.Before(s.ColdUntil):
 		return ColdReported
-	case s.restoredAt.After(s.AnnouncedAt):
+	case f.awaitsConfirmation(s, now):
 		return ColdRestored
 	}
 	return ""
 }
 
-func (s *Server) cold(now time.Time) bool { return s.ColdReason(now) != "" }
+// awaitsConfirmation reports whether the server may have become cold before its failure domain was
+// restored. A control host of an earlier version sends no restorations; its next announcement age
+// then has to do.
+func (f *Fleet) awaitsConfirmation(s *Server, now time.Time) bool {
+	r := f.restored[s.FailureDomain]
+	learnedAt := r.learnedAt
+	if s.restoredAt.After(learnedAt) {
+		learnedAt = s.restoredAt
+	}
+	if d, known := f.coldDurations[s.Service]; known && now.Sub(learnedAt) >= d {
+		return false
+	}
+	return s.sentAfterRevision < r.revision || s.restoredAt.After(s.AnnouncedAt)
+}
+
+func (f *Fleet) cold(s *Server, now time.Time) bool { return f.ColdReason(s, now) != "" }
 
 // ColdChange is a change of whether a host treats a server as cold, for the log.
 type ColdChange struct {
@@ -78,18 +116,24 @@
 	Sequence        uint64        // highest one of the announcements that were received in full
 	AnnouncementAge time.Duration
 	Source          string // control host that reported the latest announcement
+	// SentAfterRevision and RestoredRevision are the revisions of the evacuation list that decide
+	// whether the server's state after the restoration of its failure domain is known.
+	SentAfterRevision, RestoredRevision uint64
 }
 
 // ColdChanges returns the servers that have become cold or warm since the last call.
 func (f *Fleet) ColdChanges(now time.Time) []ColdChange {
 	var out []ColdChange
 	for _, s := range f.servers {
-		reason := s.ColdReason(now)
+		reason := f.ColdReason(s, now)
 		if reason == s.reported {
 			continue
 		}
 		s.reported = reason
-		out = append(out, ColdChange{s, reason, max(0, s.ColdUntil.Sub(now)), s.sequence, now.Sub(s.AnnouncedAt), s.announcementSource})
+		out = append(out, ColdChange{
+			Server: s, Reason: reason, Left: max(0, s.ColdUntil.Sub(now)), Sequence: s.sequence, AnnouncementAge: now.Sub(s.AnnouncedAt),
+			Source: s.announcementSource, SentAfterRevision: s.sentAfterRevision, RestoredRevision: f.restored[s.FailureDomain].revision,
+		})
 	}
 	return out
 }
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -65,8 +65,10 @@
 	regions          map[regionKey]*region
 	evacuated        []string
 	revision         uint64
-	lastViewAt       time.Time // time of the last view from a control host
-	lastSweepAt      time.Time // time of the last sweep
+	restored         map[string]restoration   // by failure domain
+	coldDurations    map[string]time.Duration // by service
+	lastViewAt       time.Time                // time of the last view from a control host
+	lastSweepAt      time.Time                // time of the last sweep
 	chainRates       map[string]chainRate
 	arrivals         map[string]*arrivals        // by plain service
 	speeds           map[string]*speed.Estimator // by service
@@ -82,7 +84,7 @@
 		o.AnnounceEvery = defaultAnnounceEvery
 	}
 	return &Fleet{
-		o: o, servers: map[string]*Server{}, departures: map[string]departure{}, hosts: map[string][]*Host{},
+		o: o, servers: map[string]*Server{}, departures: map[string]departure{}, restored: map[string]restoration{}, hosts: map[string][]*Host{},
 		regions: map[regionKey]*region{}, chainRates: map[string]chainRate{}, arrivals: map[string]*arrivals{}, holders: holders.NewTable(),
 		serversByKey: map[uint32]*Server{}, speeds: map[string]*speed.Estimator{}, comparisons: map[string]*loadComparison{},
 	}
@@ -146,6 +148,7 @@
 func (f *Fleet) ApplyView(v *pb.FleetView, scope ViewScope, now time.Time) {
 	f.lastViewAt = now
 	f.applyEvacuated(v.Evacuated, v.EvacuationRevision, now)
+	f.applyRestored(v.Restored, now)
 	for _, m := range v.Servers {
 		f.applyServer(m, scope.Source, now)
 	}
--- a/internal/core/dispatch/homes.go
+++ b/internal/core/dispatch/homes.go
@@ -139,7 +139,7 @@
 	for _, s := range all {
 		if chosen[s] {
 			out = append(out, s)
-			usable = usable || (!j.Tried[s.ID] && f.usable(s, now) == "" && !s.cold(now))
+			usable = usable || (!j.Tried[s.ID] && f.usable(s, now) == "" && !f.cold(s, now))
 		}
 	}
 	if !usable {
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -33,7 +33,7 @@
 		c.Server.prefill.add(c.UncoveredTokens/f.speedOf(c.job.Service).PrefillTokensPerMS(), now)
 	}
 	c.Server.expectedCrashes += quarantine.CrashProbability(c.job.ServerCrashes)
-	if c.Server.cold(now) {
+	if f.cold(c.Server, now) {
 		c.Server.coldSends = append(c.Server.coldSends, now)
 	}
 }
--- a/internal/core/dispatch/regions.go
+++ b/internal/core/dispatch/regions.go
@@ -27,7 +27,7 @@
 func (f *Fleet) RegionLoads(now time.Time) []*pb.RegionLoad {
 	sums := map[string]*pb.RegionLoad{}
 	for _, s := range f.servers {
-		if f.usable(s, now) != "" || s.cold(now) {
+		if f.usable(s, now) != "" || f.cold(s, now) {
 			continue
 		}
 		l := sums[s.Service]
--- a/internal/core/dispatch/restored_test.go
+++ b/internal/core/dispatch/restored_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
 // TestRestoredDomainIsColdUntilHeard guards against full load on engines that became cold while
@@ -67,3 +69,41 @@
 	}
 	return sent
 }
+
+// TestRestoredDomainIsColdUntilConfirmed checks when the servers of a restored failure domain receive
+// their full load again. The announcement that confirms their state need not be the latest received.
+func TestRestoredDomainIsColdUntilConfirmed(t *testing.T) {
+	const rate = 2
+	duration := func(d time.Duration) map[string]time.Duration { return map[string]time.Duration{"llm": d} }
+	cases := []struct {
+		name      string
+		durations map[string]time.Duration
+		sentAfter uint64
+		coldMS    uint64
+		now       time.Duration // since the view with the restoration
+		want      int
+	}{
+		{"announced, not confirmed", nil, 0, 0, 0, rate},
+		{"announced, an earlier restoration confirmed", nil, 3, 0, 0, rate},
+		{"confirmed, warm", nil, 4, 0, 0, 10},
+		{"confirmed, cold", nil, 4, 3000, 0, rate},
+		{"confirmed, no longer cold", nil, 4, 300, time.Second, 10},
+		{"not confirmed for less than a cold phase", duration(3 * time.Second), 0, 0, 2900 * time.Millisecond, rate},
+		{"not confirmed for a cold phase", duration(3 * time.Second), 0, 0, 3 * time.Second, 10},
+		{"never cold", duration(0), 0, 0, 0, 10},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newTestFleet(1)
+			f.SetColdDurations(c.durations)
+			v := testView(1)
+			v.Regions, v.EvacuationRevision, v.Restored = nil, 5, []*pb.RestoredDomain{{FailureDomain: "w1", Revision: 4}}
+			v.Servers[0].Sequence, v.Servers[0].SentAfterRevision, v.Servers[0].ColdMs = 7, c.sentAfter, c.coldMS
+			viewAt := start.Add(10 * time.Second)
+			f.ApplyView(v, FullScope, viewAt)
+			if got := sendAll(f, 10, viewAt.Add(c.now)); got != c.want {
+				t.Errorf("%d of 10 requests were sent, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/core/dispatch/share.go
+++ b/internal/core/dispatch/share.go
@@ -173,7 +173,7 @@
 // warmServers returns the usable servers of a service in the own region that are not cold,
 // sorted by ID.
 func (f *Fleet) warmServers(service string, now time.Time) []*Server {
-	return slices.DeleteFunc(f.serversOf(service), func(s *Server) bool { return f.usable(s, now) != "" || s.cold(now) })
+	return slices.DeleteFunc(f.serversOf(service), func(s *Server) bool { return f.usable(s, now) != "" || f.cold(s, now) })
 }
 
 // rankServers draws a random order of preference of a plain service's servers in the own
--- /dev/null
+++ b/internal/core/registry/confirmation_test.go
@@ -0,0 +1,61 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+)
+
+// TestAnnouncementProvesRevision checks after which announcements a server of a restored failure
+// domain no longer awaits confirmation.
+func TestAnnouncementProvesRevision(t *testing.T) {
+	const lease = 3600 * time.Millisecond
+	type announcement struct {
+		sequence uint64
+		at       time.Duration // since the restoration was applied; negative for before
+		via      string
+		sent     uint64 // revision proved elsewhere
+	}
+	cases := []struct {
+		name  string
+		list  []announcement
+		waits bool
+	}{
+		{"none since", []announcement{{1, -1200, "", 0}}, true},
+		{"one since", []announcement{{1, -1200, "", 0}, {2, 100, "", 0}}, true},
+		{"two since", []announcement{{1, -1200, "", 0}, {2, 100, "", 0}, {3, 1300, "", 0}}, false},
+		{"two since, together", []announcement{{1, -1200, "", 0}, {2, 1300, "", 0}, {3, 1301, "", 0}}, true},
+		{"two together and a third", []announcement{{2, 1300, "", 0}, {3, 1301, "", 0}, {4, 2500, "", 0}}, false},
+		{"one between them to another control host", []announcement{{2, 100, "", 0}, {3, 1300, "d1", 0}, {4, 2500, "", 0}}, true},
+		{"one between them not received", []announcement{{2, 100, "", 0}, {4, 2500, "", 0}}, true},
+		{"the same one twice", []announcement{{2, 100, "", 0}, {2, 1300, "", 0}}, true},
+		{"an earlier one after a later one", []announcement{{3, 100, "", 0}, {2, 1300, "", 0}}, true},
+		{"two passed on", []announcement{{2, 100, "d1", 0}, {3, 1300, "d1", 0}}, true},
+		{"proved elsewhere", []announcement{{3, 100, "d1", 2}}, false},
+		{"proved elsewhere, an earlier restoration", []announcement{{3, 100, "d1", 1}}, true},
+		{"proved, then announced here", []announcement{{3, 100, "d1", 2}, {4, 1300, "", 0}}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := New(Options{Region: "r", FailureDomain: "d0", ServerLease: lease, Regions: map[string]string{"d0": "r", "d1": "r"}})
+			applied := time.Unix(1000, 0)
+			r.SetEvacuations(1, nil)
+			for _, a := range c.list {
+				if a.at >= 0 {
+					r.SetEvacuations(2, []*pb.RestoredDomain{{FailureDomain: "d0", Revision: 2}})
+				}
+				now := applied.Add(a.at * time.Millisecond)
+				s := Server{ID: "s", Service: "llm", Address: "a:1", FailureDomain: "d0", Sequence: a.sequence, Via: a.via, SentAfterRevision: a.sent, LastSeen: now}
+				if a.via == "" {
+					s.DirectAt = now
+				}
+				r.Announce(s, now)
+			}
+			r.SetEvacuations(2, []*pb.RestoredDomain{{FailureDomain: "d0", Revision: 2}})
+			if got := r.AwaitsConfirmation(r.Server("s")); got != c.waits {
+				t.Errorf("awaits confirmation: %t, want %t", got, c.waits)
+			}
+		})
+	}
+}
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -55,6 +55,9 @@
 	Leaving, Gone       bool
 	FirstSeen, LastSeen time.Time
 	ColdUntil           time.Time
+	// SentAfterRevision is the highest revision of the evacuation list that a control host had
+	// applied before the server sent one of its announcements; 0 if none is proved.
+	SentAfterRevision uint64
 	// DirectAt is when this control host last received an announcement from the server itself;
 	// zero for never.
 	DirectAt time.Time
@@ -62,10 +65,11 @@
 	// the server sent it here.
 	Via string
 
-	changedVersion uint64 // registry version of the last change
-	logPosition    uint64 // position in the log of announcements
-	unlisted       bool   // its lease ran out, and the change is recorded
-	starts         incarnation.History
+	appliedRevision uint64 // revision of the evacuation list when the last announcement was received here
+	changedVersion  uint64 // registry version of the last change
+	logPosition     uint64 // position in the log of announcements
+	unlisted        bool   // its lease ran out, and the change is recorded
+	starts          incarnation.History
 }
 
 // AnnouncedHere reports whether the server sent its last announcement to this control host.
@@ -87,8 +91,12 @@
 	// lists caches the results of List until they change; ownedSum is the sum of the loads of
 	// the entry hosts that this control host owns. Both are maintained incrementally because
 	// sync requests and exchanges read them several times a second.
-	lists    map[string][]*Server // by region
-	ownedSum serverload.Loads
+	lists map[string][]*Server // by region
+	// evacuationRevision is the revision of the evacuation list that this control host has applied,
+	// and restored the one of each failure domain's last restoration.
+	evacuationRevision uint64
+	restored           map[string]uint64
+	ownedSum           serverload.Loads
 	// regionSum is ownedSum plus the loads that the region's other control hosts sent of theirs.
 	regionSum            *versionedLoads
 	changes              []change
@@ -137,11 +145,13 @@
 		s.Start = old.Start
 	}
 	s.FirstSeen = old.FirstSeen
+	s.SentAfterRevision = max(old.SentAfterRevision, s.SentAfterRevision, r.provedRevision(old, &s))
 	if s.DirectAt.IsZero() {
 		s.DirectAt = old.DirectAt
 	}
 	changed := old.Leaving != s.Leaving || old.Service != s.Service || old.Slots != s.Slots || r.lapsed(old, now) ||
-		old.Start != s.Start || old.Address != s.Address || s.ColdUntil.After(old.ColdUntil.Add(coldChangeThreshold))
+		old.Start != s.Start || old.Address != s.Address || s.ColdUntil.After(old.ColdUntil.Add(coldChangeThreshold)) ||
+		(r.AwaitsConfirmation(old) && !r.AwaitsConfirmation(&s))
 	return r.store(old, s, changed)
 }
 
@@ -184,6 +194,7 @@
 func (r *Registry) store(known *Server, s Server, changed bool) bool {
 	listed := !s.unlisted && known.ID != "" && !known.unlisted && known.FailureDomain == s.FailureDomain
 	s.changedVersion, s.starts = known.changedVersion, known.starts
+	s.appliedRevision = r.evacuationRevision
 	s.starts.Advance(s.Start)
 	*known = s
 	r.recordAnnouncement(known)
