dispatch: a host sends to a cold server only under a lease on the host list

Cause: of all hosts of a region one sends to a cold server, the owner by the list of ready hosts. A host that no control host answers kept its last list and went on sending beside its successor, and beside that one's; control hosts that were cut off from each other listed only their own hosts, so that each failure domain had an owner. Two owners send up to twice the rate, which for more than six requests a second is over the bound of 1.5 times the rate plus three.

--- a/internal/app/control/cold_world_test.go
+++ b/internal/app/control/cold_world_test.go
@@ -310,7 +310,7 @@
 // restart starts the entry host's process without any state.
 func (e *worldEntry) restart() {
 	e.starts++
-	e.fleet = dispatch.New(dispatch.Options{Host: e.id, Region: "r", FailureDomain: e.domain, Random: e.w.rnd.Float64, AnnounceEvery: worldAnnounceEvery})
+	e.fleet = dispatch.New(dispatch.Options{Host: e.id, Region: "r", FailureDomain: e.domain, Regions: worldRegions, Random: e.w.rnd.Float64, AnnounceEvery: worldAnnounceEvery})
 	e.fleet.SetColdDurations(e.w.coldDurations)
 	e.last, e.hosts, e.contacts = map[string]*pb.FleetView{}, map[string]map[string]*pb.FleetHost{}, controlhosts.Contacts{}
 }
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -88,7 +88,7 @@
 	g := &Gateway{
 		o: o,
 		fleet: dispatch.New(dispatch.Options{
-			Host: o.Host, Region: o.Region, FailureDomain: o.FailureDomain, Random: o.Random,
+			Host: o.Host, Region: o.Region, FailureDomain: o.FailureDomain, Regions: o.Regions, Random: o.Random,
 			AnnounceEvery: o.AnnounceEvery, Off: o.Off,
 		}),
 		budget:      retry.NewSharedBudget(o.Retries, o.Clock.Now()),
--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -175,6 +175,7 @@
 	records, next := g.unsentCrashRecords(c)
 	m.Quarantine = records
 	req.Body = &pb.Request_FleetSync{FleetSync: m}
+	requestedAt := g.o.Clock.Now()
 	resp, view, err := g.callControl(ctx, c, req)
 	if err != nil {
 		return nil, err
@@ -185,7 +186,9 @@
 	}
 	g.o.CrashWatch.Merge(view.Quarantine, c.addr)
 	g.o.Metrics.Add("servers_lapsed", int64(len(view.RemovedServers)))
-	g.applyView(view, g.viewScope(c, view, primary, own))
+	scope := g.viewScope(c, view, primary, own)
+	scope.RequestedAt = requestedAt
+	g.applyView(view, scope)
 	if configstate.Newer(resp.Stamp, g.stamp()) && g.acceptsConfig(view) {
 		g.fetchConfig(ctx, c.addr, resp.Stamp, fetchTimeout)
 	}
--- a/internal/core/dispatch/cold_test.go
+++ b/internal/core/dispatch/cold_test.go
@@ -25,19 +25,28 @@
 	up    []time.Time // time from which a host is up; zero while it is down
 	views []coldView
 	sent  []time.Time
+	// cutOffSince is the time since which a host has no control host; zero while it has one. Cut-off
+	// hosts go on sending.
+	cutOffSince []time.Time
+	cutsOff     bool // hosts are cut off at random
+	// apartSince is the time since which the control hosts of the two failure domains do not reach
+	// each other; zero while they do.
+	apartSince time.Time
 }
 
-// coldView is a list of ready hosts that is to be delivered to a host at a time.
+// coldView is a list of ready hosts that a host requested, and that is delivered to it at a time.
 type coldView struct {
-	host int
-	at   time.Time
-	list []string
+	host            int
+	requestedAt, at time.Time
+	list            []int
 }
 
 const (
 	coldStep     = 20 * time.Millisecond
 	coldDuration = 8 * time.Second
 	viewInterval = 250 * time.Millisecond
+	// hostListLease is how long a control host lists a host after its last request.
+	hostListLease = 1500 * time.Millisecond
 )
 
 func newColdRegion(seed int64) *coldRegion {
@@ -47,25 +56,41 @@
 		r.names = append(r.names, fmt.Sprint("h", i))
 		r.up = append(r.up, start.Add(time.Duration(rnd.Intn(1000))*time.Millisecond))
 		r.hosts = append(r.hosts, r.newHost(i))
+		r.cutOffSince = append(r.cutOffSince, time.Time{})
 	}
 	return r
 }
 
 func (r *coldRegion) newHost(i int) *Fleet {
-	return New(Options{Host: r.names[i], Region: "west", FailureDomain: "w1", Random: r.rnd.Float64})
+	return New(Options{
+		Host: r.names[i], Region: "west", FailureDomain: domainOfHost(i), Random: r.rnd.Float64, Regions: map[string]string{"w1": "west", "w2": "west", "e1": "east"},
+	})
 }
 
-// live returns the hosts that are up at a time.
-func (r *coldRegion) live(now time.Time) []string {
-	var out []string
+func domainOfHost(i int) string { return fmt.Sprint("w", 1+i%2) }
+
+// live returns the hosts that the control host of a failure domain lists at a time.
+func (r *coldRegion) live(domain string, now time.Time) []int {
+	var out []int
 	for i, at := range r.up {
-		if !at.IsZero() && !at.After(now) {
-			out = append(out, r.names[i])
+		lost := !r.cutOffSince[i].IsZero() && now.Sub(r.cutOffSince[i]) > hostListLease
+		apart := !r.apartSince.IsZero() && now.Sub(r.apartSince) > hostListLease && domainOfHost(i) != domain
+		if !at.IsZero() && !at.After(now) && !lost && !apart {
+			out = append(out, i)
 		}
 	}
 	return out
 }
 
+// cutOffOrRejoin cuts off a random host from its control host, or ends that.
+func (r *coldRegion) cutOffOrRejoin(now time.Time) {
+	if i := r.rnd.Intn(len(r.hosts)); r.cutOffSince[i].IsZero() {
+		r.cutOffSince[i] = now
+	} else {
+		r.cutOffSince[i] = time.Time{}
+	}
+}
+
 func (r *coldRegion) step(now time.Time) {
 	if r.rnd.Intn(100) == 0 { // a host stops, or restarts without state
 		i := r.rnd.Intn(len(r.hosts))
@@ -75,10 +100,13 @@
 			r.up[i] = time.Time{}
 		}
 	}
+	if r.cutsOff && r.rnd.Intn(40) == 0 {
+		r.cutOffOrRejoin(now)
+	}
 	for i := range r.hosts {
-		if now.Sub(start)%viewInterval == 0 && !r.up[i].IsZero() && !r.up[i].After(now) {
+		if now.Sub(start)%viewInterval == 0 && !r.up[i].IsZero() && !r.up[i].After(now) && r.cutOffSince[i].IsZero() {
 			delay := time.Duration(r.rnd.Int63n(int64(maxViewDelay)))
-			r.views = append(r.views, coldView{i, now.Add(delay), r.live(now)})
+			r.views = append(r.views, coldView{i, now, now.Add(delay), r.live(domainOfHost(i), now)})
 		}
 	}
 	var later []coldView
@@ -104,10 +132,12 @@
 	view := &pb.FleetView{Version: 1, Servers: []*pb.FleetServer{{
 		Id: "s0", Service: "llm", Address: "a:1", FailureDomain: "w1", Slots: 128, ColdMs: uint64(2 * coldDuration.Milliseconds()),
 	}}}
-	for _, name := range v.list {
-		view.Hosts = append(view.Hosts, &pb.FleetHost{Id: name, Region: "west", Ready: true})
+	for _, i := range v.list {
+		view.Hosts = append(view.Hosts, &pb.FleetHost{Id: r.names[i], Region: "west", FailureDomain: domainOfHost(i), Ready: true})
 	}
-	r.hosts[v.host].ApplyView(view, FullScope, now)
+	scope := FullScope
+	scope.RequestedAt = v.requestedAt
+	r.hosts[v.host].ApplyView(view, scope, now)
 }
 
 func (r *coldRegion) send(f *Fleet, now time.Time) {
@@ -128,9 +158,26 @@
 // TestColdBoundAcrossHosts checks that all hosts of a region together send a cold server no
 // more requests in any second than it tolerates, over 150 random regions.
 func TestColdBoundAcrossHosts(t *testing.T) {
+	checkColdBound(t, func(*coldRegion) {})
+}
+
+// TestColdBoundWhileHostsAreCutOff guards against several hosts that each take themselves for the
+// sender, because control hosts do not answer some of them.
+func TestColdBoundWhileHostsAreCutOff(t *testing.T) {
+	checkColdBound(t, func(r *coldRegion) { r.cutsOff = true })
+}
+
+// TestColdBoundWhileControlHostsAreApart guards against one sender in each failure domain.
+func TestColdBoundWhileControlHostsAreApart(t *testing.T) {
+	checkColdBound(t, func(r *coldRegion) { r.apartSince = start.Add(time.Second) })
+}
+
+func checkColdBound(t *testing.T, setUp func(r *coldRegion)) {
+	t.Helper()
 	used := 0
 	for seed := range int64(150) {
 		r := newColdRegion(seed)
+		setUp(r)
 		for at := time.Duration(0); at < coldDuration; at += coldStep {
 			r.step(start.Add(at))
 		}
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -21,6 +21,8 @@
 // Options configures a Fleet.
 type Options struct {
 	Host, Region, FailureDomain string
+	// Regions maps each failure domain to its region.
+	Regions map[string]string
 	// Random returns a random number in [0, 1).
 	Random func() float64
 	// PrefillRate is the rate at which engines are assumed to prefill prompts until it has been
@@ -62,6 +64,8 @@
 	hosts            map[string][]*Host   // ready entry hosts of other regions, by region
 	neighbors        []string             // IDs of the ready entry hosts of the own region, this one included
 	neighborsSince   time.Time            // time of the last change of neighbors
+	neighborDomains  map[string]bool      // failure domains of neighbors
+	hostsRequestedAt time.Time            // when the last list of entry hosts was requested
 	regions          map[regionKey]*region
 	evacuated        []string
 	revision         uint64
@@ -130,6 +134,8 @@
 type ViewScope struct {
 	// Source is the control host that sent the view, for the log.
 	Source string
+	// RequestedAt is when the view was requested; zero for when it is applied.
+	RequestedAt time.Time
 	// Loads selects the loads of the region's other entry hosts.
 	Loads bool
 	// Others, unless nil, replaces the view's loads.
@@ -165,6 +171,9 @@
 	case scope.Loads:
 		f.applyLoads(serverload.Decode(v.Loads), now)
 	}
+	if scope.Fleet {
+		f.recordHostList(scope.RequestedAt, now)
+	}
 	if scope.Fleet && !scope.SameHosts {
 		f.applyHosts(v.Hosts, now)
 	}
@@ -211,6 +220,16 @@
 	f.applyArrivals(loads, now)
 }
 
+// recordHostList records when a list of entry hosts was requested, also one that is unchanged.
+func (f *Fleet) recordHostList(requestedAt, now time.Time) {
+	if requestedAt.IsZero() {
+		requestedAt = now
+	}
+	if requestedAt.After(f.hostsRequestedAt) {
+		f.hostsRequestedAt = requestedAt
+	}
+}
+
 func (f *Fleet) applyHosts(hosts []*pb.FleetHost, now time.Time) {
 	suspects := map[string]time.Time{}
 	for _, list := range f.hosts {
@@ -221,6 +240,7 @@
 	before := f.hosts
 	f.hosts = map[string][]*Host{}
 	neighbors := []string{f.o.Host}
+	f.neighborDomains = map[string]bool{f.o.FailureDomain: true}
 	for _, h := range hosts {
 		switch {
 		case !h.Ready:
@@ -228,6 +248,7 @@
 			f.hosts[h.Region] = append(f.hosts[h.Region], &Host{ID: h.Id, Peer: h.Peer, Region: h.Region, suspectUntil: suspects[h.Id]})
 		case h.Id != f.o.Host:
 			neighbors = append(neighbors, h.Id)
+			f.neighborDomains[h.FailureDomain] = true
 		}
 	}
 	for name, list := range before {
--- a/internal/core/dispatch/homes.go
+++ b/internal/core/dispatch/homes.go
@@ -169,38 +169,3 @@
 	}
 	return sum
 }
-
-// coldSettleTime is the time for which the list of ready entry hosts of the region must not
-// have changed before this host sends to cold servers. Within maxViewDelay all hosts connected
-// to the same control host have received the list, and one second later the requests of an
-// earlier sender are outside the window in which the rate is counted. Without the delay, hosts
-// that all start at the same time would each list only themselves at first, and each would
-// send.
-const coldSettleTime = maxViewDelay + time.Second
-
-// coldAllowed reports whether this host may send a request to a cold server: only one host of
-// the region does, at no more than the job's rate. If hosts are connected to different control
-// hosts that cannot reach each other, two hosts may both act as the sender: together they use
-// twice the rate, which is below the rate at which servers fail.
-func (f *Fleet) coldAllowed(s *Server, j *Job, now time.Time) bool {
-	if j.ColdPerSecond <= 0 {
-		return true
-	}
-	if now.Sub(f.neighborsSince) < coldSettleTime || f.coldServerOwner(s.ID) != f.o.Host {
-		return false
-	}
-	s.coldSends = slices.DeleteFunc(s.coldSends, func(at time.Time) bool { return now.Sub(at) >= time.Second })
-	return float64(len(s.coldSends)+1) <= math.Max(1, j.ColdPerSecond)
-}
-
-// coldServerOwner returns the ID of the one entry host of the region that sends to a server
-// while the server is cold.
-func (f *Fleet) coldServerOwner(server string) string {
-	best, bestRank := "", uint64(0)
-	for _, h := range f.neighbors {
-		if rank := xxhash.Sum64String(h + "\x00" + server); rank >= bestRank {
-			best, bestRank = h, rank
-		}
-	}
-	return best
-}
--- a/internal/core/dispatch/restored_test.go
+++ b/internal/core/dispatch/restored_test.go
@@ -101,6 +101,8 @@
 			v.Servers[0].Sequence, v.Servers[0].SentAfterRevision, v.Servers[0].ColdMs = 7, c.sentAfter, c.coldMS
 			viewAt := start.Add(10 * time.Second)
 			f.ApplyView(v, FullScope, viewAt)
+			v.Servers[0].AgeMs = uint64(c.now.Milliseconds())
+			f.ApplyView(v, FullScope, viewAt.Add(c.now))
 			if got := sendAll(f, 10, viewAt.Add(c.now)); got != c.want {
 				t.Errorf("%d of 10 requests were sent, want %d", got, c.want)
 			}
