dispatch: the rate of a cold server allows for unequal delays

Cause: the owner of a cold server counted its requests of the last second by the time at which it chose the server. A burst whose connections had to be opened could reach the server together with the burst of the next second: up to twice the rate, which is over the bound above six requests a second.

Change: the requests of one second are spread over 1.1 s.

--- a/internal/core/dispatch/cold.go
+++ b/internal/core/dispatch/cold.go
@@ -19,7 +19,7 @@
 	sequence uint64
 	// announcementSource is the control host that reported the latest announcement.
 	announcementSource string
-	coldSends          []time.Time // times of this host's requests in the last second, while the server is cold
+	coldSends          []time.Time // times of this host's requests in the last coldRateWindow, while the server is cold
 	reported           ColdReason  // reason that ColdChanges returned last
 }
 
--- a/internal/core/dispatch/cold_test.go
+++ b/internal/core/dispatch/cold_test.go
@@ -200,3 +200,43 @@
 		t.Error("no request was sent, so the bound was not tested")
 	}
 }
+
+// TestColdBoundWithUnequalDelays guards against a burst of requests that arrives together with the one
+// after it, because its connections were slow to open.
+func TestColdBoundWithUnequalDelays(t *testing.T) {
+	const rate, slowest = 10, 100 * time.Millisecond
+	f := newTestFleet(1)
+	v := testView(1)
+	v.Regions, v.Servers[0].ColdMs = nil, uint64(coldDuration.Milliseconds())
+	var arrivals []time.Time
+	for at := time.Duration(0); at < coldDuration; at += coldStep {
+		now := start.Add(at)
+		f.ApplyView(v, FullScope, now)
+		for {
+			j := shortJob()
+			j.ColdPerSecond = rate
+			c := f.Choose(j, now)
+			if c.Server == nil {
+				break
+			}
+			f.Started(&c, now)
+			f.Ended(&c, Served, time.Millisecond, now)
+			delay := slowest
+			if len(arrivals)/rate%2 == 1 {
+				delay = 0
+			}
+			arrivals = append(arrivals, now.Add(delay))
+		}
+	}
+	for _, first := range arrivals {
+		n := 0
+		for _, at := range arrivals {
+			if !at.Before(first) && at.Sub(first) < time.Second {
+				n++
+			}
+		}
+		if float64(n) > coldLimit(rate) {
+			t.Fatalf("%d requests in the second from %s, the server tolerates %.1f", n, first.Sub(start), coldLimit(rate))
+		}
+	}
+}
--- a/internal/core/dispatch/coldsender.go
+++ b/internal/core/dispatch/coldsender.go
@@ -22,6 +22,10 @@
 	// this host sends to cold servers. Control hosts list a host for longer after its last request,
 	// so that another one becomes the owner only after the lease has ended.
 	coldSendLease = 1200 * time.Millisecond
+	// coldRateWindow is the time in which a cold server is sent the requests of one second. The
+	// excess over a second allows for requests that reach the server later than those after them,
+	// because their connection had to be opened.
+	coldRateWindow = 1100 * time.Millisecond
 )
 
 // coldAllowed reports whether this host may send a request to a cold server.
@@ -33,7 +37,7 @@
 	if !settled || !leased || f.coldServerOwner(s.ID) != f.o.Host {
 		return false
 	}
-	s.coldSends = slices.DeleteFunc(s.coldSends, func(at time.Time) bool { return now.Sub(at) >= time.Second })
+	s.coldSends = slices.DeleteFunc(s.coldSends, func(at time.Time) bool { return now.Sub(at) >= coldRateWindow })
 	return float64(len(s.coldSends)+1) <= math.Max(1, j.ColdPerSecond/float64(1+f.unlistedDomains()))
 }
 
