peerlink: reads end as soon as their session begins to shut down

Cause: while a yamux session shuts down, a read of one of its streams neither blocks nor returns: it finds the session shutting down, tries again, and ends only when the session's receive loop has returned. That loop may wait for a write for up to the write timeout, 4 s at the dialing end and as long at the accepting one. The stack of such a process stands in that read.

--- a/internal/adapter/peerlink/session.go
+++ b/internal/adapter/peerlink/session.go
@@ -16,7 +16,7 @@
 	*yamux.Session
 
 	mu       sync.Mutex
-	stream   *yamux.Stream // opened by the first call
+	stream   *stream // opened by the first call
 	lastCall uint64
 	pending  map[uint64]chan *pb.Response
 	closeErr error
@@ -54,10 +54,12 @@
 		return nil, 0, failure.Wrap(s.closeErr, failure.PeerUnreachable, failure.NotRun)
 	}
 	if s.stream == nil {
-		if s.stream, err = s.OpenStream(); err != nil {
+		opened, err := s.OpenStream()
+		if err != nil {
 			s.closeLocked(err)
 			return nil, 0, failure.Wrap(err, failure.PeerUnreachable, failure.NotRun)
 		}
+		s.stream = newStream(s.Session, opened)
 		go s.receive(s.stream)
 	}
 	s.lastCall++
@@ -73,7 +75,7 @@
 }
 
 // receive passes responses to the waiting calls until the stream ends.
-func (s *session) receive(stream *yamux.Stream) {
+func (s *session) receive(stream *stream) {
 	for {
 		resp := new(pb.Response)
 		if err := ReadMessage(stream, resp); err != nil {
