registry: a confirmation that overtook its restoration is sent to entry hosts

Cause: a control host that learned from another one that a server was heard after a restoration, before it applied that restoration itself, had nothing left to announce as a change afterwards. Its entry hosts went on holding the server for cold until a cold phase had passed.

Change: when a restoration is applied, servers that are confirmed already are sent again. TestEarlyConfirmationIsSent failed before.

--- a/internal/core/dispatch/cold.go
+++ b/internal/core/dispatch/cold.go
@@ -9,8 +9,8 @@
 // coldState is what a host knows about the cold phase of a server.
 type coldState struct {
 	ColdUntil time.Time
-	// restoredAt is the time at which the evacuation of the server's failure domain was last
-	// withdrawn.
+	// restoredAt is the time from which lists of evacuations no longer name the server's failure
+	// domain.
 	restoredAt time.Time
 	// sentAfterRevision is the highest revision of the evacuation list that a control host had
 	// applied before the server sent one of its announcements.
@@ -39,7 +39,6 @@
 // The order is that of the server's sequence numbers: the ages of announcements grow shorter by the
 // delay of each message that passes them on, so that by age an earlier one may seem to be later.
 func (s *Server) recordColdPhase(m *pb.FleetServer, announcedAt time.Time) {
-	s.sentAfterRevision = max(s.sentAfterRevision, m.SentAfterRevision)
 	if m.Sequence < s.sequence {
 		return
 	}
@@ -92,8 +91,8 @@
 }
 
 // awaitsConfirmation reports whether the server may have become cold before its failure domain was
-// restored. A control host of an earlier version sends no restorations; its next announcement age
-// then has to do.
+// restored. Control hosts of an earlier version send neither restorations nor confirmations, so that
+// the server's next announcement also has to be received.
 func (f *Fleet) awaitsConfirmation(s *Server, now time.Time) bool {
 	r := f.restored[s.FailureDomain]
 	learnedAt := r.learnedAt
--- a/internal/core/dispatch/restored_test.go
+++ b/internal/core/dispatch/restored_test.go
@@ -43,6 +43,9 @@
 				v.Servers[0].AgeMs, v.Servers[0].ColdMs = uint64(now.Sub(announcedAt).Milliseconds()), coldMS
 				f.ApplyView(v, FullScope, now)
 			}
+			for at := start; at.Before(restored.Add(-time.Second)); at = at.Add(viewInterval) {
+				view(nil, 0, at, 0, at)
+			}
 			last := restored.Add(-2 * time.Second)
 			view([]string{"w1"}, 1, last, 0, restored.Add(-time.Second))
 			view(nil, 2, last, 0, restored)
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -93,6 +93,7 @@
 	s.Slots, s.Release = int(m.Slots), m.Release
 	s.Leaving = s.Leaving || m.Leaving // never reset within one incarnation
 	s.recordAnnouncement(announcedAt, source)
+	s.sentAfterRevision = max(s.sentAfterRevision, m.SentAfterRevision)
 	s.recordColdPhase(m, announcedAt)
 }
 
--- a/internal/core/registry/confirmation.go
+++ b/internal/core/registry/confirmation.go
@@ -3,12 +3,19 @@
 import pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 
 // SetEvacuations records the revision of the evacuation list that this control host has applied, and
-// the failure domains whose evacuation was withdrawn.
+// the failure domains whose evacuation was withdrawn. Servers of a failure domain restored since the
+// last call whose confirmation another control host passed on earlier are sent to entry hosts again.
 func (r *Registry) SetEvacuations(revision uint64, restored []*pb.RestoredDomain) {
+	before := r.restored
 	r.evacuationRevision, r.restored = revision, make(map[string]uint64, len(restored))
 	for _, d := range restored {
 		r.restored[d.FailureDomain] = d.Revision
 	}
+	for _, s := range r.servers {
+		if r.restored[s.FailureDomain] > before[s.FailureDomain] && s.listed() && !r.AwaitsConfirmation(s) {
+			r.recordServerChange(s)
+		}
+	}
 }
 
 // AwaitsConfirmation reports whether the server may have become cold, during an evacuation of its
--- a/internal/core/registry/confirmation_test.go
+++ b/internal/core/registry/confirmation_test.go
@@ -59,3 +59,17 @@
 		})
 	}
 }
+
+// TestEarlyConfirmationIsSent guards against entry hosts that never receive a confirmation, because it
+// reached their control host before the restoration did.
+func TestEarlyConfirmationIsSent(t *testing.T) {
+	r := New(Options{Region: "r", FailureDomain: "d1", ServerLease: time.Minute, Regions: map[string]string{"d0": "r", "d1": "r"}})
+	now := time.Unix(1000, 0)
+	r.Announce(Server{ID: "s", FailureDomain: "d0", Address: "a:1", Sequence: 1, Via: "d0", LastSeen: now}, now)
+	r.Announce(Server{ID: "s", FailureDomain: "d0", Address: "a:1", Sequence: 2, Via: "d0", LastSeen: now, SentAfterRevision: 2}, now)
+	version := r.Version()
+	r.SetEvacuations(2, []*pb.RestoredDomain{{FailureDomain: "d0", Revision: 2}})
+	if c, complete := r.ChangesSince(version, "r", now); !complete || len(c.Servers) != 1 || c.Servers[0].SentAfterRevision != 2 {
+		t.Errorf("sent after the restoration: %+v", c.Servers)
+	}
+}
