--- a/internal/app/control/cold_world_test.go
+++ b/internal/app/control/cold_world_test.go
@@ -141,11 +141,14 @@
 // at schedules an event at a time since the world's begin.
 func (w *coldWorld) at(d time.Duration, do func()) { w.after(d-w.clock.Now().Sub(w.begin), do) }
 
+// every schedules an event at a fixed interval from a random time within the first one on.
 func (w *coldWorld) every(d time.Duration, do func()) {
-	w.after(time.Duration(w.rnd.Int63n(int64(d))), func() {
+	var repeat func()
+	repeat = func() {
 		do()
-		w.after(d, func() { w.every(d, do) })
-	})
+		w.after(d, repeat)
+	}
+	w.after(time.Duration(w.rnd.Int63n(int64(d))), repeat)
 }
 
 // run runs the world until a time since its begin.
