control, soak: failing test of a server that starts again under its ID

Trace: its process had ended and started again under its ID at 17:16:19.008; five entry hosts sent to it as to the process before, with the ID that it expects, until its announcement reached them between 19.450 and 19.473. No request can be told from one that is meant for the process before, and no host can know of the start earlier.

--- a/internal/app/control/cold_flood_test.go
+++ b/internal/app/control/cold_flood_test.go
@@ -88,6 +88,17 @@
 	}
 }
 
+// TestServerStartedAgainUnderItsIDIsNotFlooded guards against full load on a new process that entry
+// hosts take for the warm one before it.
+func TestServerStartedAgainUnderItsIDIsNotFlooded(t *testing.T) {
+	w := newColdWorld(t, 1)
+	w.at(5*time.Second, w.server.startAgain)
+	w.run(9 * time.Second)
+	if n := w.flood(); float64(n) > w.limit() {
+		t.Errorf("the cold server received %d requests in one second, it tolerates %.1f", n, w.limit())
+	}
+}
+
 // TestWarmServerIsInUseAfterRestoration guards against a warm server that is held for cold longer than
 // two announcement intervals after the restoration of its failure domain.
 func TestWarmServerIsInUseAfterRestoration(t *testing.T) {
