peerlink: reads have ended before a session shuts down

Change: reads end before a shutdown begins. A gate counts the reads of a link; it sets their deadlines and waits for them before a connection's error reaches yamux and before a link is closed.

--- a/internal/adapter/peerlink/shutdown_test.go
+++ b/internal/adapter/peerlink/shutdown_test.go
@@ -45,17 +45,17 @@
 			_ = ReadMessage(stream, new(pb.Request))
 		}
 	}()
-	mux, err := yamux.Client(&stuckConn{near, released}, o.yamuxConfig())
+	l, err := newLink(&stuckConn{near, released}, o.yamuxConfig(), yamux.Client)
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := newSession(mux)
+	s := newSession(l)
 	answer, _, err := s.send(&pb.Request{})
 	if err != nil {
 		t.Fatal(err)
 	}
 	closed := make(chan struct{})
-	go func() { defer close(closed); _ = mux.Close() }()
+	go func() { defer close(closed); _ = s.Close() }()
 	select {
 	case <-answer:
 	case <-time.After(deadline):
