--- a/internal/core/dispatch/cold.go
+++ b/internal/core/dispatch/cold.go
@@ -95,14 +95,15 @@
 // the server's next announcement also has to be received.
 func (f *Fleet) awaitsConfirmation(s *Server, now time.Time) bool {
 	r := f.restored[s.FailureDomain]
+	if s.sentAfterRevision >= r.revision && !s.restoredAt.After(s.AnnouncedAt) {
+		return false
+	}
 	learnedAt := r.learnedAt
 	if s.restoredAt.After(learnedAt) {
 		learnedAt = s.restoredAt
 	}
-	if d, known := f.coldDurations[s.Service]; known && now.Sub(learnedAt) >= d {
-		return false
-	}
-	return s.sentAfterRevision < r.revision || s.restoredAt.After(s.AnnouncedAt)
+	duration, known := f.coldDurations[s.Service]
+	return !known || now.Sub(learnedAt) < duration
 }
 
 func (f *Fleet) cold(s *Server, now time.Time) bool { return f.ColdReason(s, now) != "" }
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -4,8 +4,9 @@
 //
 // Invariants: a start of a server that has left, or that another start has replaced under
 // its ID or at its address, is never listed again; of two announcements of a start, the one
-// with the higher sequence number takes effect, whichever arrives last; the loads of an entry
-// host are part of the sum of one control host, its owner.
+// with the higher sequence number takes effect, whichever arrives last; the revision after which a
+// start is proved to have sent an announcement never falls; the loads of an entry host are part of
+// the sum of one control host, its owner.
 package registry
 
 import (
