registry: an announcement received again renews no proof

Cause: an announcement arrived twice, the first time soon enough to be acknowledged, the second time late, after the restoration. The second receipt replaced the revision that had been applied at the first, and the next announcement, sent before the restoration and late as well, was taken for sent after it.

Change: the revision of the first receipt of a sequence number counts.

--- a/internal/core/registry/confirmation_test.go
+++ b/internal/core/registry/confirmation_test.go
@@ -30,6 +30,7 @@
 		{"one between them to another control host", []announcement{{2, 100, "", 0}, {3, 1300, "d1", 0}, {4, 2500, "", 0}}, true},
 		{"one between them not received", []announcement{{2, 100, "", 0}, {4, 2500, "", 0}}, true},
 		{"the same one twice", []announcement{{2, 100, "", 0}, {2, 1300, "", 0}}, true},
+		{"one from before again, and the next", []announcement{{1, -1200, "", 0}, {2, -100, "", 0}, {2, 100, "", 0}, {3, 1300, "", 0}}, true},
 		{"an earlier one after a later one", []announcement{{3, 100, "", 0}, {2, 1300, "", 0}}, true},
 		{"two passed on", []announcement{{2, 100, "d1", 0}, {3, 1300, "d1", 0}}, true},
 		{"proved elsewhere", []announcement{{3, 100, "d1", 2}}, false},
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -66,7 +66,7 @@
 	// the server sent it here.
 	Via string
 
-	appliedRevision uint64 // revision of the evacuation list when the last announcement was received here
+	appliedRevision uint64 // revision of the evacuation list when the last announcement was first received
 	changedVersion  uint64 // registry version of the last change
 	logPosition     uint64 // position in the log of announcements
 	unlisted        bool   // its lease ran out, and the change is recorded
@@ -196,6 +196,9 @@
 	listed := !s.unlisted && known.ID != "" && !known.unlisted && known.FailureDomain == s.FailureDomain
 	s.changedVersion, s.starts = known.changedVersion, known.starts
 	s.appliedRevision = r.evacuationRevision
+	if s.Sequence == known.Sequence {
+		s.appliedRevision = known.appliedRevision // the same announcement, received again
+	}
 	s.starts.Advance(s.Start)
 	*known = s
 	r.recordAnnouncement(known)
