peerlink: take back the gate of reads

Cause, as far as seen: with the change links no longer gave up opening a stream, and forwards on silent links were not ended before their deadlines (19.4 s).

--- a/internal/adapter/peerlink/frame.go
+++ b/internal/adapter/peerlink/frame.go
@@ -2,8 +2,6 @@
 // frames on yamux streams. Each forward has its own stream, so that its late or
 // repeated frames never reach another request and a slow reader delays only its own
 // stream. Calls to one host share one stream and are matched by call number.
-//
-// Invariant: no read of a stream is in progress when its session begins to shut down.
 package peerlink
 
 import (
--- a/internal/adapter/peerlink/server.go
+++ b/internal/adapter/peerlink/server.go
@@ -147,16 +147,17 @@
 		s.log.Info("peer refused", "remote", conn.RemoteAddr().String(), "code", string(failure.PeerRefused), "reason", err.Error())
 		return
 	}
-	session, err := newLink(conn, s.o.serverConfig(), yamux.Server)
+	session, err := yamux.Server(conn, s.o.serverConfig())
 	if err != nil {
 		return
 	}
 	defer func() { _ = session.Close() }()
 	for {
-		stream, err := session.acceptStream()
+		accepted, err := session.AcceptStream()
 		if err != nil {
 			return
 		}
+		stream := newStream(session, accepted)
 		s.wg.Add(1)
 		go func() {
 			defer s.wg.Done()
--- a/internal/adapter/peerlink/stream.go
+++ b/internal/adapter/peerlink/stream.go
@@ -1,36 +1,48 @@
 package peerlink
 
 import (
+	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
-
-	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
-// errLinkEnded is the error of reads on a link that is about to shut down.
-var errLinkEnded = failure.New(failure.PeerUnreachable, failure.Unknown, "the link ended")
-
-// stream is a stream of a link.
+// stream is a yamux stream whose reads end as soon as its session begins to shut down. yamux ends
+// them only when the session's receive loop has returned, which may wait for a write for seconds;
+// until then a read neither blocks nor returns and takes a whole core.
 type stream struct {
 	*yamux.Stream
-	gate *readGate
+
+	closeOnce sync.Once
+	closed    chan struct{}
+	mu        sync.Mutex
+	ended     bool // reads return at once, whatever deadline is set
 }
 
-// Read reads from the stream, unless the link has ended.
-func (s *stream) Read(p []byte) (int, error) {
-	if !s.gate.enter() {
-		return 0, errLinkEnded
-	}
-	defer s.gate.leave()
-	return s.Stream.Read(p)
+func newStream(mux *yamux.Session, s *yamux.Stream) *stream {
+	out := &stream{Stream: s, closed: make(chan struct{})}
+	go func() {
+		select {
+		case <-mux.CloseChan():
+			out.endReads()
+		case <-out.closed:
+		}
+	}()
+	return out
+}
+
+func (s *stream) endReads() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	_ = s.Stream.SetReadDeadline(time.Unix(1, 0)) // long past
 }
 
-// SetReadDeadline sets the deadline of reads, unless the link has ended.
+// SetReadDeadline sets the deadline of reads, unless they have ended.
 func (s *stream) SetReadDeadline(t time.Time) error {
-	s.gate.mu.Lock()
-	defer s.gate.mu.Unlock()
-	if s.gate.ended {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
 		return nil
 	}
 	return s.Stream.SetReadDeadline(t)
@@ -38,8 +50,6 @@
 
 // Close closes the stream.
 func (s *stream) Close() error {
-	s.gate.mu.Lock()
-	delete(s.gate.streams, s)
-	s.gate.mu.Unlock()
+	s.closeOnce.Do(func() { close(s.closed) })
 	return s.Stream.Close()
 }
