--- a/internal/adapter/peerlink/client.go
+++ b/internal/adapter/peerlink/client.go
@@ -245,7 +245,7 @@
 	return resp, nil
 }
 
-func (c *Client) openStream(ctx context.Context, addr string, req *pb.Request) (s *stream, sent bool, err error) {
+func (c *Client) openStream(ctx context.Context, addr string, req *pb.Request) (s *linkStream, sent bool, err error) {
 	session, err := c.session(ctx, addr)
 	if err != nil {
 		return nil, false, err
@@ -254,7 +254,7 @@
 	if err != nil {
 		return nil, false, failure.Wrap(err, failure.PeerUnreachable, failure.NotRun)
 	}
-	stream := newStream(session.Session, opened)
+	stream := newLinkStream(session.Session, opened)
 	if err := WriteMessage(stream, req); err != nil {
 		_ = stream.Close()
 		return nil, true, failure.Wrap(err, failure.PeerUnreachable, failure.Unknown)
@@ -286,7 +286,7 @@
 }
 
 type forwardStream struct {
-	stream *stream
+	stream *linkStream
 	stop   func() bool
 }
 
--- a/internal/adapter/peerlink/server.go
+++ b/internal/adapter/peerlink/server.go
@@ -18,7 +18,7 @@
 
 // incoming is the server's end of a forward's stream.
 type incoming struct {
-	s *stream
+	s *linkStream
 }
 
 // Body implements port.IncomingStream.
@@ -157,7 +157,7 @@
 		if err != nil {
 			return
 		}
-		stream := newStream(session, accepted)
+		stream := newLinkStream(session, accepted)
 		s.wg.Add(1)
 		go func() {
 			defer s.wg.Done()
@@ -171,7 +171,7 @@
 const requestTimeout = 10 * time.Second
 
 // serveStream serves one stream, which carries either one forward or any number of calls.
-func (s *Server) serveStream(ctx context.Context, stream *stream) {
+func (s *Server) serveStream(ctx context.Context, stream *linkStream) {
 	_ = stream.SetReadDeadline(time.Now().Add(requestTimeout))
 	req := new(pb.Request)
 	if err := ReadMessage(stream, req); err != nil {
@@ -188,7 +188,7 @@
 
 // serveCalls serves the calls on a stream concurrently and sends each response when it
 // is ready. The stream stays open as long as its session.
-func (s *Server) serveCalls(ctx context.Context, stream *stream, req *pb.Request) {
+func (s *Server) serveCalls(ctx context.Context, stream *linkStream, req *pb.Request) {
 	var writeMu sync.Mutex
 	var calls sync.WaitGroup
 	defer calls.Wait()
@@ -212,7 +212,7 @@
 }
 
 // sendRefusal reports an invalid frame to the other end, unless the stream has ended.
-func (s *Server) sendRefusal(stream *stream, err error) {
+func (s *Server) sendRefusal(stream *linkStream, err error) {
 	f := failure.As(err, failure.NotRun)
 	if f.Code == failure.Internal {
 		return // the stream ended
--- a/internal/adapter/peerlink/session.go
+++ b/internal/adapter/peerlink/session.go
@@ -16,7 +16,7 @@
 	*yamux.Session
 
 	mu       sync.Mutex
-	stream   *stream // opened by the first call
+	stream   *linkStream // opened by the first call
 	lastCall uint64
 	pending  map[uint64]chan *pb.Response
 	closeErr error
@@ -59,7 +59,7 @@
 			s.closeLocked(err)
 			return nil, 0, failure.Wrap(err, failure.PeerUnreachable, failure.NotRun)
 		}
-		s.stream = newStream(s.Session, opened)
+		s.stream = newLinkStream(s.Session, opened)
 		go s.receive(s.stream)
 	}
 	s.lastCall++
@@ -75,7 +75,7 @@
 }
 
 // receive passes responses to the waiting calls until the stream ends.
-func (s *session) receive(stream *stream) {
+func (s *session) receive(stream *linkStream) {
 	for {
 		resp := new(pb.Response)
 		if err := ReadMessage(stream, resp); err != nil {
--- a/internal/adapter/peerlink/shutdown_test.go
+++ b/internal/adapter/peerlink/shutdown_test.go
@@ -25,8 +25,7 @@
 	return n, err
 }
 
-// TestReadsEndWhileASessionShutsDown guards against reads that neither block nor return, and so take a
-// whole core, from the time at which their session begins to close until it has closed.
+// TestReadsEndWhileASessionShutsDown guards against reads that spin until their session has closed.
 func TestReadsEndWhileASessionShutsDown(t *testing.T) {
 	const deadline = 10 * time.Second
 	near, far := net.Pipe()
--- a/internal/adapter/peerlink/stream.go
+++ b/internal/adapter/peerlink/stream.go
@@ -7,10 +7,11 @@
 	"github.com/hashicorp/yamux"
 )
 
-// stream is a yamux stream whose reads end as soon as its session begins to shut down. yamux ends
+// linkStream is a yamux stream whose reads end soon after its session begins to shut down. yamux ends
 // them only when the session's receive loop has returned, which may wait for a write for seconds;
-// until then a read neither blocks nor returns and takes a whole core.
-type stream struct {
+// until then a read spins. On a single processor without preemption, a spinning read still keeps the
+// goroutine that ends it from running.
+type linkStream struct {
 	*yamux.Stream
 
 	closeOnce sync.Once
@@ -19,8 +20,8 @@
 	ended     bool // reads return at once, whatever deadline is set
 }
 
-func newStream(mux *yamux.Session, s *yamux.Stream) *stream {
-	out := &stream{Stream: s, closed: make(chan struct{})}
+func newLinkStream(mux *yamux.Session, s *yamux.Stream) *linkStream {
+	out := &linkStream{Stream: s, closed: make(chan struct{})}
 	go func() {
 		select {
 		case <-mux.CloseChan():
@@ -31,7 +32,7 @@
 	return out
 }
 
-func (s *stream) endReads() {
+func (s *linkStream) endReads() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ended = true
@@ -39,7 +40,7 @@
 }
 
 // SetReadDeadline sets the deadline of reads, unless they have ended.
-func (s *stream) SetReadDeadline(t time.Time) error {
+func (s *linkStream) SetReadDeadline(t time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended {
@@ -49,7 +50,7 @@
 }
 
 // Close closes the stream.
-func (s *stream) Close() error {
+func (s *linkStream) Close() error {
 	s.closeOnce.Do(func() { close(s.closed) })
 	return s.Stream.Close()
 }
--- a/internal/app/control/cold_flood_test.go
+++ b/internal/app/control/cold_flood_test.go
@@ -13,8 +13,7 @@
 
 const ms = time.Millisecond
 
-// TestColdServerIsNotFlooded guards against full load on a server that became cold during an
-// evacuation, in whatever order the news of it arrive.
+// TestColdServerIsNotFlooded guards against full load on a server that became cold in an evacuation.
 func TestColdServerIsNotFlooded(t *testing.T) {
 	announcementsLost := linkRule{from: "s0", to: "control", lost: true}
 	cases := []struct {
@@ -88,8 +87,7 @@
 	}
 }
 
-// TestServerStartedAgainUnderItsIDIsNotFlooded guards against full load on a new process that entry
-// hosts take for the warm one before it.
+// TestServerStartedAgainUnderItsIDIsNotFlooded guards against a new process taken for the warm one before.
 func TestServerStartedAgainUnderItsIDIsNotFlooded(t *testing.T) {
 	w := newColdWorld(t, 1)
 	w.at(5*time.Second, w.server.startAgain)
@@ -99,8 +97,7 @@
 	}
 }
 
-// TestWarmServerIsInUseAfterRestoration guards against a warm server that is held for cold longer than
-// two announcement intervals after the restoration of its failure domain.
+// TestWarmServerIsInUseAfterRestoration guards against a warm server treated as cold for over two intervals.
 func TestWarmServerIsInUseAfterRestoration(t *testing.T) {
 	const restored = 10 * time.Second
 	for seed := range int64(20) {
@@ -131,8 +128,7 @@
 	}
 }
 
-// TestColdServerUnderFaults guards against floods in random histories: an evacuation, faults of
-// links, control hosts and entry hosts, and a server that becomes cold before the restoration.
+// TestColdServerUnderFaults guards against floods under random faults around a restoration.
 func TestColdServerUnderFaults(t *testing.T) {
 	served, spared := 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -123,9 +123,8 @@
 	f.wakeLocked()
 }
 
-// refreshEvacuationsLocked adopts the evacuations that the replica offers. Views and the registry
-// use this one copy, so that a view that no longer lists a failure domain as evacuated lists it as
-// restored.
+// refreshEvacuationsLocked adopts the evacuations that the replica offers. Views take the evacuated and
+// the restored failure domains from this copy, so that the two lists are of one revision.
 func (f *Fleet) refreshEvacuationsLocked() {
 	p := f.replica.offered()
 	if f.evacuations != nil && f.evacuations.EvacuationRevision == p.EvacuationRevision {
--- a/internal/app/gateway/cold_log_test.go
+++ b/internal/app/gateway/cold_log_test.go
@@ -11,8 +11,7 @@
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
-// TestColdStateOfServersIsLogged checks that the log names the announcement by which a server is
-// treated as cold or warm, once for each change.
+// TestColdStateOfServersIsLogged guards against a flood that the log cannot trace to an announcement.
 func TestColdStateOfServersIsLogged(t *testing.T) {
 	f := newFixture(t)
 	var lines []string
--- a/internal/core/configstate/restored_test.go
+++ b/internal/core/configstate/restored_test.go
@@ -6,8 +6,7 @@
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
-// TestRestoredDomainsKeepTheirRevision checks the recorded revision of each restoration, also after
-// the state was restored from a snapshot.
+// TestRestoredDomainsKeepTheirRevision guards against restorations that a snapshot loses.
 func TestRestoredDomainsKeepTheirRevision(t *testing.T) {
 	m := NewMachine(1)
 	for _, c := range []*pb.Command{{Restore: "b"}, {Evacuate: "b"}, {Evacuate: "a"}, {Restore: "b"}, {Restore: "a"}, {Evacuate: "b"}, {Restore: "b"}, {Restore: "b"}} {
--- a/internal/core/dispatch/cold.go
+++ b/internal/core/dispatch/cold.go
@@ -9,13 +9,13 @@
 // coldState is what a host knows about the cold phase of a server.
 type coldState struct {
 	ColdUntil time.Time
-	// restoredAt is the time from which lists of evacuations no longer name the server's failure
-	// domain.
+	// restoredAt is when a list of evacuations first left out the server's failure domain after one
+	// had named it.
 	restoredAt time.Time
 	// sentAfterRevision is the highest revision of the evacuation list that a control host had
 	// applied before the server sent one of its announcements.
 	sentAfterRevision uint64
-	// sequence is the highest sequence number of the announcements that were received in full.
+	// sequence is the highest sequence number of an announcement received in full.
 	sequence uint64
 	// announcementSource is the control host that reported the latest announcement.
 	announcementSource string
@@ -35,9 +35,9 @@
 	ColdRestored ColdReason = "failure domain restored"
 )
 
-// recordColdPhase records the cold phase in an announcement, unless a later announcement is known.
-// The order is that of the server's sequence numbers: the ages of announcements grow shorter by the
-// delay of each message that passes them on, so that by age an earlier one may seem to be later.
+// recordColdPhase records the cold phase in an announcement, unless one with a higher sequence number
+// is known. Ages do not order announcements: each message that passes one on leaves its own delay out
+// of the age, so that the earlier of two may have the smaller age.
 func (s *Server) recordColdPhase(m *pb.FleetServer, announcedAt time.Time) {
 	if m.Sequence < s.sequence {
 		return
@@ -91,8 +91,8 @@
 }
 
 // awaitsConfirmation reports whether the server may have become cold before its failure domain was
-// restored. Control hosts of an earlier version send neither restorations nor confirmations, so that
-// the server's next announcement also has to be received.
+// restored. Its next announcement is awaited in any case, as control hosts of an earlier version send
+// neither restorations nor confirmations.
 func (f *Fleet) awaitsConfirmation(s *Server, now time.Time) bool {
 	r := f.restored[s.FailureDomain]
 	if s.sentAfterRevision >= r.revision && !s.restoredAt.After(s.AnnouncedAt) {
@@ -113,7 +113,7 @@
 	Server          *Server
 	Reason          ColdReason
 	Left            time.Duration // rest of the reported cold phase
-	Sequence        uint64        // highest one of the announcements that were received in full
+	Sequence        uint64        // highest sequence number of an announcement received in full
 	AnnouncementAge time.Duration
 	Source          string // control host that reported the latest announcement
 	// SentAfterRevision and RestoredRevision are the revisions of the evacuation list that decide
--- a/internal/core/dispatch/cold_test.go
+++ b/internal/core/dispatch/cold_test.go
@@ -161,8 +161,7 @@
 	checkColdBound(t, func(*coldRegion) {})
 }
 
-// TestColdBoundWhileHostsAreCutOff guards against several hosts that each take themselves for the
-// sender, because control hosts do not answer some of them.
+// TestColdBoundWhileHostsAreCutOff guards against senders that no control host answers.
 func TestColdBoundWhileHostsAreCutOff(t *testing.T) {
 	checkColdBound(t, func(r *coldRegion) { r.cutsOff = true })
 }
@@ -201,8 +200,7 @@
 	}
 }
 
-// TestColdBoundWithUnequalDelays guards against a burst of requests that arrives together with the one
-// after it, because its connections were slow to open.
+// TestColdBoundWithUnequalDelays guards against bursts of two seconds that arrive in one.
 func TestColdBoundWithUnequalDelays(t *testing.T) {
 	const rate, slowest = 10, 100 * time.Millisecond
 	f := newTestFleet(1)
--- a/internal/core/dispatch/coldsender.go
+++ b/internal/core/dispatch/coldsender.go
@@ -28,6 +28,20 @@
 	coldRateWindow = 1100 * time.Millisecond
 )
 
+// renewColdSendLease renews this host's lease on the list of entry hosts, which was requested at a time;
+// zero for now. After a lapse, other hosts may have used another list, and the list settles again.
+func (f *Fleet) renewColdSendLease(requestedAt, now time.Time) {
+	if requestedAt.IsZero() {
+		requestedAt = now
+	}
+	if now.Sub(f.hostsRequestedAt) > coldSendLease {
+		f.neighborsSince = now
+	}
+	if requestedAt.After(f.hostsRequestedAt) {
+		f.hostsRequestedAt = requestedAt
+	}
+}
+
 // coldAllowed reports whether this host may send a request to a cold server.
 func (f *Fleet) coldAllowed(s *Server, j *Job, now time.Time) bool {
 	if j.ColdPerSecond <= 0 {
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -172,7 +172,7 @@
 		f.applyLoads(serverload.Decode(v.Loads), now)
 	}
 	if scope.Fleet {
-		f.recordHostList(scope.RequestedAt, now)
+		f.renewColdSendLease(scope.RequestedAt, now)
 	}
 	if scope.Fleet && !scope.SameHosts {
 		f.applyHosts(v.Hosts, now)
@@ -220,20 +220,6 @@
 	f.applyArrivals(loads, now)
 }
 
-// recordHostList records when a list of entry hosts was requested, also one that is unchanged. After
-// a lapse of coldSendLease, other hosts may have had another list in the meantime.
-func (f *Fleet) recordHostList(requestedAt, now time.Time) {
-	if requestedAt.IsZero() {
-		requestedAt = now
-	}
-	if now.Sub(f.hostsRequestedAt) > coldSendLease {
-		f.neighborsSince = now
-	}
-	if requestedAt.After(f.hostsRequestedAt) {
-		f.hostsRequestedAt = requestedAt
-	}
-}
-
 func (f *Fleet) applyHosts(hosts []*pb.FleetHost, now time.Time) {
 	suspects := map[string]time.Time{}
 	for _, list := range f.hosts {
--- a/internal/core/dispatch/restored_test.go
+++ b/internal/core/dispatch/restored_test.go
@@ -73,8 +73,7 @@
 	return sent
 }
 
-// TestRestoredDomainIsColdUntilConfirmed checks when the servers of a restored failure domain receive
-// their full load again. The announcement that confirms their state need not be the latest received.
+// TestRestoredDomainIsColdUntilConfirmed guards against full load before a server's state is known.
 func TestRestoredDomainIsColdUntilConfirmed(t *testing.T) {
 	const rate = 2
 	duration := func(d time.Duration) map[string]time.Duration { return map[string]time.Duration{"llm": d} }
--- a/internal/core/registry/confirmation.go
+++ b/internal/core/registry/confirmation.go
@@ -3,8 +3,8 @@
 import pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 
 // SetEvacuations records the revision of the evacuation list that this control host has applied, and
-// the failure domains whose evacuation was withdrawn. Servers of a failure domain restored since the
-// last call whose confirmation another control host passed on earlier are sent to entry hosts again.
+// the failure domains whose evacuation was withdrawn. It marks the servers as changed whose
+// confirmation arrived from another control host before the restoration was applied here.
 func (r *Registry) SetEvacuations(revision uint64, restored []*pb.RestoredDomain) {
 	before := r.restored
 	r.evacuationRevision, r.restored = revision, make(map[string]uint64, len(restored))
@@ -18,18 +18,18 @@
 	}
 }
 
-// AwaitsConfirmation reports whether the server may have become cold, during an evacuation of its
-// failure domain that was withdrawn, without that having been received: none of its announcements
-// is proved to have been sent after the withdrawal.
+// AwaitsConfirmation reports whether the evacuation of the server's failure domain was withdrawn and
+// none of its announcements is proved to have been sent after that. It may then have become cold
+// without a control host knowing.
 func (r *Registry) AwaitsConfirmation(s *Server) bool {
 	return s.SentAfterRevision < r.restored[s.FailureDomain]
 }
 
 // provedRevision returns a revision of the evacuation list that was applied here before the server
-// sent its announcement s; 0 if none is proved. The receipt of s proves nothing, as s may have been
-// on its way for seconds. But a server sends its announcements one by one, and sends the next one to
-// the same control host only after the last one was acknowledged there: s was sent after the receipt
-// of old. Announcements that arrive together were held up together and prove nothing.
+// sent the announcement s; 0 if none is proved. The time of the receipt proves nothing, because s may
+// have been delayed for seconds. Two consecutive announcements do: a server sends the second to the
+// same control host only after that one has acknowledged the first, so after old was received.
+// Announcements received together may both have been delayed, and prove nothing.
 func (r *Registry) provedRevision(old, s *Server) uint64 {
 	consecutive := old.AnnouncedHere() && s.AnnouncedHere() && s.Sequence == old.Sequence+1
 	interval := r.o.ServerLease / MissedAnnouncements
--- a/internal/core/registry/confirmation_test.go
+++ b/internal/core/registry/confirmation_test.go
@@ -7,8 +7,7 @@
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
-// TestAnnouncementProvesRevision checks after which announcements a server of a restored failure
-// domain no longer awaits confirmation.
+// TestAnnouncementProvesRevision guards against delayed announcements that confirm a server's state.
 func TestAnnouncementProvesRevision(t *testing.T) {
 	const lease = 3600 * time.Millisecond
 	type announcement struct {
@@ -61,8 +60,7 @@
 	}
 }
 
-// TestEarlyConfirmationIsSent guards against entry hosts that never receive a confirmation, because it
-// reached their control host before the restoration did.
+// TestEarlyConfirmationIsSent guards against a confirmation that is lost because it precedes the restoration.
 func TestEarlyConfirmationIsSent(t *testing.T) {
 	r := New(Options{Region: "r", FailureDomain: "d1", ServerLease: time.Minute, Regions: map[string]string{"d0": "r", "d1": "r"}})
 	now := time.Unix(1000, 0)
