control: the control hosts' shares of quotas never add up to more than the whole

What callers saw: with several control hosts in a failure domain a team got up to 4 times its units, at the others' cost; the soak with two of them reported "120 requests of press ran in 4s, allowed 119".

Cause: each control host divided its failure domain's part by those that it heard at the moment. Those that do not hear each other, at a start or in a partition, each grant more than their share.

So the soak's line is this fault.

Change: the shares are a table in the replicated state (core/quotashare). The leader first lowers shares; what was lowered stays held until its control host has applied that and its units have returned, or can grant no more without contact to the group; only then others grow. Held shares add up to at most one, which the state machine checks. Heartbeat replies report the applied index. A control host grants nothing until its state was the newest since its start, and this is checked with each ask.

Why it works: all control hosts follow one divisor, and each may be one table behind only while the difference is held for it.

Measured: TestQuotaPartsAddUp passes. TestControlHostsGrantTheWhole: settled control hosts grant the whole, also after a restart and a join.

--- a/cmd/sesame-control/platform.go
+++ b/cmd/sesame-control/platform.go
@@ -59,7 +59,7 @@
 		Tick: time.Duration(s.Group.TickMS) * time.Millisecond, SnapshotEvery: s.Store.SnapshotEvery,
 		MaxOrderDuration: time.Duration(s.Orders.MaxOrderMS) * time.Millisecond, LoadsPerMinute: s.Orders.LoadsPerMinute,
 		Seed: randomSeed(), NoOrders: true, QuotaBound: s.Quotas.Bound(), QuotaStore: journal.QuotaStore{FS: journal.OS{}, Dir: s.Store.Dir},
-		FirstStart: s.Fleet.FormGroup && state.Snapshot == nil && len(state.Entries) == 0, Quarantine: s.Quarantine.Options(s.Host.ID), Journal: j, State: state, Reopen: reopener(s), Peers: client, Engines: enginehttp.New(),
+		FirstStart: state.Snapshot == nil && len(state.Entries) == 0, Quarantine: s.Quarantine.Options(s.Host.ID), Journal: j, State: state, Reopen: reopener(s), Peers: client, Engines: enginehttp.New(),
 		Clock: port.SystemClock{}, Log: log,
 	})
 	if err != nil {
--- a/internal/app/control/peer.go
+++ b/internal/app/control/peer.go
@@ -58,7 +58,7 @@
 	case *pb.Request_QuarantineUpdate:
 		resp.Body = &pb.Response_QuarantineUpdate{QuarantineUpdate: r.answerQuarantineUpdate(b.QuarantineUpdate, req.From)}
 	case *pb.Request_QuotaAsk:
-		resp.Body = &pb.Response_QuotaGrant{QuotaGrant: r.quotas.answerAsk(req.From, b.QuotaAsk)}
+		resp.Body = &pb.Response_QuotaGrant{QuotaGrant: r.answerQuotaAsk(req.From, b.QuotaAsk)}
 	case *pb.Request_StatusQuery:
 		st, err := r.Status(ctx)
 		if err != nil {
--- a/internal/app/control/quotas.go
+++ b/internal/app/control/quotas.go
@@ -33,7 +33,7 @@
 // as spent; if the stored state cannot be read, all units do.
 func newQuotas(o Options) *quotas {
 	q := &quotas{clock: o.Clock, log: o.Log, store: o.QuotaStore, epoch: uint64(o.Clock.Now().UnixNano()), shortageLoggedAt: map[string]time.Time{}}
-	io := quota.IssuerOptions{Bound: o.QuotaBound, FirstStart: o.FirstStart, SettlePeriod: issuerSettleTime}
+	io := quota.IssuerOptions{Bound: o.QuotaBound, FirstStart: o.FirstStart, SettlePeriod: issuerStalenessLimit}
 	if q.store != nil {
 		var err error
 		if io.Restored, err = q.store.Load(); err != nil {
@@ -96,10 +96,15 @@
 	clear(q.shortageLoggedAt)
 }
 
-func (q *quotas) answerAsk(from string, ask *pb.QuotaAsk) *pb.QuotaGrant {
+// answerQuotaAsk answers an ask. Whether this control host may grant units is determined anew: it
+// may have been suspended since the last update.
+func (r *Replica) answerQuotaAsk(from string, ask *pb.QuotaAsk) *pb.QuotaGrant {
+	q := r.quotas
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock.Now()
+	_, active := r.quotaShare(now)
+	q.issuer.SetActive(active)
 	grant := q.issuer.Answer(from, ask, now)
 	for i, s := range grant.Shares {
 		if s.MoreInMs > 0 {
@@ -144,11 +149,7 @@
 		case <-t.C:
 		}
 		others := r.otherIssuers()
-		now := r.o.Clock.Now()
-		share, active := r.quotaShare(now)
-		r.quotas.mu.Lock()
-		r.quotas.issuer.SetShare(share, active, now)
-		r.quotas.mu.Unlock()
+		r.updateQuotaShare()
 		for _, addr := range others {
 			if inFlight.tryStart(addr) {
 				go func() {
@@ -174,27 +175,6 @@
 	return out
 }
 
-// issuerSettleTime is how stale a control host's state may be while it still grants units of its
-// part, and how long a control host without a record of earlier grants waits before it does. A new
-// control host thus never grants units of a part that the host which it replaces still grants.
-const issuerSettleTime = 30 * time.Second
-
-// quotaShare returns the fraction of all quotas that this control host grants: an equal one per
-// failure domain, divided by the live control hosts there, or per group member if the record lists
-// the hosts.
-func (r *Replica) quotaShare(now time.Time) (share float64, active bool) {
-	if r.fleet == nil {
-		return 1 / float64(1+len(r.otherIssuers())), true
-	}
-	o, issuersInDomain := &r.fleet.o, 1
-	for _, c := range r.fleet.liveControls() {
-		if c.FailureDomain == o.FailureDomain {
-			issuersInDomain++
-		}
-	}
-	return 1 / float64(max(1, len(o.Regions))*issuersInDomain), r.Staleness() <= issuerSettleTime
-}
-
 // borrow sends another control host the units that this one keeps, returns and needs, and records
 // the answer.
 func (r *Replica) borrow(ctx context.Context, addr string, lenders int) {
--- a/internal/app/control/replica.go
+++ b/internal/app/control/replica.go
@@ -104,6 +104,8 @@
 	// was since the start. See Staleness.
 	currentAt   atomic.Pointer[time.Time]
 	currentTick uint64 // the node's tick for currentAt
+	shares      issuerShares
+	ownShare    atomic.Uint32 // of all quotas, in units of quotashare.Whole
 }
 
 // roleState is a replica's own role and its view of the group's leader.
@@ -162,6 +164,7 @@
 			return err
 		}
 	}
+	r.applyIssuerShares(snap.Index)
 	r.node = consensus.New(consensus.Options{
 		ID: r.o.Identity.Store, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Seed: r.o.Seed, NoLeases: r.o.NoOrders,
 		HardState: r.o.State.HardState, Snapshot: snap, Entries: r.o.State.Entries,
@@ -176,7 +179,8 @@
 	defer close(r.stopped)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r.wg.Add(4)
+	r.wg.Add(5)
+	go r.planIssuerShares(ctx)
 	go r.persistVerdicts(ctx)
 	go r.storeQuotas(ctx)
 	go r.maintainQuotaShare(ctx)
@@ -281,6 +285,7 @@
 			return err
 		}
 		r.publish()
+		r.applyIssuerShares(s.Index)
 	}
 	before := r.machine.Version()
 	_, evacuation := r.machine.Evacuated()
@@ -308,6 +313,9 @@
 		c := new(pb.Command)
 		if err := proto.Unmarshal(e.Data, c); err == nil {
 			res = r.machine.Apply(c)
+			if c.IssuerShares != nil {
+				r.applyIssuerShares(e.Index)
+			}
 		}
 	}
 	w, ok := r.waiters[e.Index]
--- a/internal/core/configstate/machine.go
+++ b/internal/core/configstate/machine.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/sesamefork/sesamefork/internal/core/quotashare"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
@@ -120,6 +121,8 @@
 		return m.applyQuarantine(c.Quarantine, false, c.TimeMs)
 	case c.Lift != nil:
 		return m.applyQuarantine(c.Lift, true, c.TimeMs)
+	case c.IssuerShares != nil:
+		return m.applyIssuerShares(c.IssuerShares)
 	case c.DeclaredVersion > 0:
 		return m.applyDeclared(c)
 	}
@@ -149,6 +152,21 @@
 	return Result{Version: c.DeclaredVersion, Current: c.DeclaredVersion}
 }
 
+// applyIssuerShares replaces the table of the control hosts' shares of all quotas. A table that was
+// planned from another one than the current is rejected.
+func (m *Machine) applyIssuerShares(next *pb.IssuerShares) Result {
+	if err := quotashare.Check(m.log.IssuerShares, next); err != nil {
+		f := failure.As(err, "")
+		return Result{Current: m.log.Version, Code: f.Code, Detail: f.Detail}
+	}
+	m.log.IssuerShares = next
+	return Result{Version: m.log.Version, Current: m.log.Version}
+}
+
+// IssuerShares returns the control hosts' shares of all quotas; nil if none were set. The caller
+// must not modify the table.
+func (m *Machine) IssuerShares() *pb.IssuerShares { return m.log.IssuerShares }
+
 // setEvacuated marks or unmarks a failure domain as evacuated. It is idempotent.
 func (m *Machine) setEvacuated(domain string, evacuated bool) Result {
 	at, found := slices.BinarySearch(m.log.Evacuated, domain)
--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -317,8 +317,9 @@
 	Address  string
 	Learner  bool
 	Match    uint64
-	Recent   bool // has answered within the election timeout
-	CaughtUp bool // recent, and at most catchUpLag entries behind the commit index
+	Applied  uint64 // index up to which it has reported its log as applied
+	Recent   bool   // has answered within the election timeout
+	CaughtUp bool   // recent, and at most catchUpLag entries behind the commit index
 }
 
 // Status returns the replica's state.
@@ -336,9 +337,9 @@
 	for _, m := range n.members.Members {
 		r := ReplicaStatus{ID: m.Id, Address: m.Address, Learner: m.Learner}
 		if p := n.progress[m.Id]; p != nil {
-			r.Match, r.Recent = p.match, n.isRecent(m.Id, p)
+			r.Match, r.Applied, r.Recent = p.match, p.applied, n.isRecent(m.Id, p)
 			if m.Id == n.o.ID {
-				r.Match = n.log.stable
+				r.Match, r.Applied = n.log.stable, n.log.applied
 			}
 			r.CaughtUp = r.Recent && r.Match+catchUpLag >= n.log.commit
 		}
--- a/internal/core/consensus/replicate.go
+++ b/internal/core/consensus/replicate.go
@@ -16,6 +16,7 @@
 	ackSentTick     uint64 // tick at which the latest answered heartbeat was sent
 	ackRound        uint64 // round of the latest answered heartbeat
 	sentRound       uint64 // latest heartbeat round when the last append was sent
+	applied         uint64 // index up to which it has reported its log as applied
 }
 
 // resendRounds is how many later heartbeat rounds may be answered before an unacknowledged
@@ -263,7 +264,7 @@
 	n.fresh.observe(m.LeaderCommit, n.log.applied, n.tick)
 	n.log.commit = max(n.log.commit, min(m.Commit, n.log.last()))
 	n.send(&pb.RaftMessage{
-		Type: uint32(MsgHeartbeatReply), To: m.From, Term: n.term, Context: m.Context, Index: n.log.last(),
+		Type: uint32(MsgHeartbeatReply), To: m.From, Term: n.term, Context: m.Context, Index: n.log.last(), Applied: n.log.applied,
 	})
 }
 
@@ -345,6 +346,7 @@
 		p.ackRound = m.Context
 		p.ackSentTick = n.roundTicks[m.Context]
 	}
+	p.applied = max(p.applied, m.Applied)
 	n.confirmReads()
 	if p.sendingSnapshot {
 		if !p.chunkAcked {
--- a/internal/core/quota/issuer.go
+++ b/internal/core/quota/issuer.go
@@ -146,6 +146,9 @@
 	}
 }
 
+// SetActive sets whether this issuer gives out units, without a change of its share.
+func (i *Issuer) SetActive(active bool) { i.active = active }
+
 // resize adjusts an allotment to its quota and the issuer's share.
 func (i *Issuer) resize(p *allotment, now time.Time) {
 	base := i.share * i.o.Bound.Allowed(p.quota)
@@ -176,6 +179,9 @@
 // maxReturnDelay returns the longest time until units that are given out now are free again.
 func (i *Issuer) maxReturnDelay() time.Duration { return Lease + i.o.Bound.Window + maxSendDelay }
 
+// ReturnDelay returns the longest time until units that an issuer has granted or lent are free again.
+func ReturnDelay(b Bound) time.Duration { return LoanLease + Lease + b.Window + maxSendDelay }
+
 // SetTeams sets the quotas in force.
 func (i *Issuer) SetTeams(teams []configstate.Team, now time.Time) {
 	for _, p := range i.allotments {
