dispatch: a server that may have started again is cold until it is heard

Cause: an ID was taken for a process. Until the announcement of the new process had reached them, entry hosts sent to it as to the one before.

Change: the pool of connections reports that a server may have ended (it refused or ended a connection and no other one is established); no request goes out on a new connection after the idle ones were closed early. The host treats the server as cold until an announcement received at least the delay of a view later. Only servers that report a start time are concerned; the others get a new ID with each process.

The simulated region of the test had no connections, so that no host could know within the second. They are added: a start ends those of all entry hosts. There, too, an announcement in flight took over the start of the next process; mended.

Why it works: the end of a process ends all its connections at once, before its successor can be reached.

--- a/internal/adapter/backendconn/backendconn.go
+++ b/internal/adapter/backendconn/backendconn.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,16 +42,25 @@
 	o    Options
 	mu   sync.Mutex
 	idle map[string][]*conn // most recently used last
+	// reusedAfter is the longest time after which an idle connection was still open, by address: a
+	// server that closes one earlier does so for another reason than its idle timeout.
+	reusedAfter map[string]time.Duration
+	// inUse is the number of connections that have carried a response and carry a request, by address.
+	inUse map[string]int
 }
 
 // New returns an empty pool.
-func New(o Options) *Pool { return &Pool{o: o, idle: map[string][]*conn{}} }
+func New(o Options) *Pool {
+	return &Pool{o: o, idle: map[string][]*conn{}, reusedAfter: map[string]time.Duration{}, inUse: map[string]int{}}
+}
 
 type conn struct {
 	net.Conn
-	addr    string
-	br      *bufio.Reader
-	expires time.Time // not reused from this time on
+	addr      string
+	br        *bufio.Reader
+	expires   time.Time // not reused from this time on
+	idleSince time.Time // zero until it has carried a response
+	inUse     bool      // counted in Pool.inUse
 }
 
 // Error describes a request without a response.
@@ -59,9 +69,16 @@
 	Sent bool
 	// DialFailed is set when no connection could be established.
 	DialFailed bool
+	// ServerLost is set when the server refused or ended a connection, and no other one to its address
+	// is established: its process may have ended.
+	ServerLost bool
 	Cause      error
 }
 
+// errIdleClosed is the cause of a request that was not sent because the server had closed all idle
+// connections.
+var errIdleClosed = errors.New("the server closed its idle connections before their timeout")
+
 // Error implements error.
 func (e *Error) Error() string { return e.Cause.Error() }
 
@@ -76,9 +93,28 @@
 // responses are skipped. The caller must close the response's body; after a body
 // read to its end, the connection is reused. Canceling ctx closes the connection.
 func (p *Pool) Do(ctx context.Context, addr string, req *http.Request, body []byte, matches func(*http.Response) bool) (*http.Response, error) {
-	c, err := p.get(ctx, addr)
-	if err != nil {
-		return nil, &Error{DialFailed: true, Cause: err}
+	c, _ := p.takeIdle(addr)
+	return p.do(ctx, c, addr, req, body, matches)
+}
+
+// DoSameProcess is like Do, but returns an error with ServerLost set instead of opening a connection if
+// the server closed its idle connections early: another process may listen at the address.
+func (p *Pool) DoSameProcess(ctx context.Context, addr string, req *http.Request, body []byte, matches func(*http.Response) bool) (*http.Response, error) {
+	c, closedEarly := p.takeIdle(addr)
+	if c == nil && closedEarly && !p.hasEstablished(addr) {
+		return nil, &Error{ServerLost: true, Cause: errIdleClosed}
+	}
+	return p.do(ctx, c, addr, req, body, matches)
+}
+
+// do sends the request on an idle connection, or on a new one if c is nil.
+func (p *Pool) do(ctx context.Context, c *conn, addr string, req *http.Request, body []byte, matches func(*http.Response) bool) (*http.Response, error) {
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx, addr); err != nil {
+			lost := errors.Is(err, syscall.ECONNREFUSED) || p.serverLost(addr, err)
+			return nil, &Error{DialFailed: true, ServerLost: lost, Cause: err}
+		}
 	}
 	x := &exchange{p: p, c: c, written: make(chan struct{})}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
@@ -88,15 +124,48 @@
 		x.stop()
 		_ = c.Conn.Close()
 		<-x.written
+		p.setInUse(c, false)
 		if ctx.Err() != nil {
-			err = context.Cause(ctx)
+			return nil, &Error{Sent: x.sent, Cause: context.Cause(ctx)}
 		}
-		return nil, &Error{Sent: x.sent, Cause: err}
+		return nil, &Error{Sent: x.sent, ServerLost: p.serverLost(addr, err), Cause: err}
 	}
-	resp.Body = &responseBody{x: x, resp: resp, body: resp.Body}
+	p.setInUse(c, true)
+	resp.Body = &responseBody{ctx: ctx, x: x, resp: resp, body: resp.Body}
 	return resp, nil
 }
 
+// serverLost reports whether an error means that the server ended a connection, and no other one to
+// its address is established.
+func (p *Pool) serverLost(addr string, err error) bool {
+	ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return ended && !p.hasEstablished(addr)
+}
+
+// hasEstablished reports whether a connection to the address that has carried a response is open.
+func (p *Pool) hasEstablished(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.inUse[addr] > 0 || slices.ContainsFunc(p.idle[addr], (*conn).reusable)
+}
+
+// setInUse records whether a connection that has carried a response carries a request.
+func (p *Pool) setInUse(c *conn, inUse bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case c.inUse == inUse:
+		return
+	case inUse:
+		p.inUse[c.addr]++
+	default:
+		if p.inUse[c.addr]--; p.inUse[c.addr] == 0 {
+			delete(p.inUse, c.addr)
+		}
+	}
+	c.inUse = inUse
+}
+
 // exchange is one request and its response on a connection.
 type exchange struct {
 	p        *Pool
@@ -162,6 +231,7 @@
 
 // responseBody returns the connection to the pool once the body was read to its end.
 type responseBody struct {
+	ctx  context.Context // of the request
 	x    *exchange
 	resp *http.Response
 	body io.ReadCloser
@@ -175,6 +245,9 @@
 		b.finish(true)
 	} else if err != nil && !b.done {
 		b.finish(false)
+		if b.ctx.Err() == nil {
+			err = &Error{Sent: true, ServerLost: b.x.p.serverLost(b.x.c.addr, err), Cause: err}
+		}
 	}
 	return n, err
 }
@@ -190,6 +263,7 @@
 func (b *responseBody) finish(complete bool) {
 	b.done = true
 	x := b.x
+	x.p.setInUse(x.c, false)
 	if !x.stop() || !complete || b.resp.Close || !selfDelimited(b.resp) || x.c.br.Buffered() > 0 {
 		_ = x.c.Conn.Close()
 		return
@@ -223,17 +297,26 @@
 	x.p.put(x.c, resp)
 }
 
-func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
+// takeIdle returns an open idle connection, or nil. closedEarly reports that the server closed one
+// after a shorter time than others stayed open.
+func (p *Pool) takeIdle(addr string) (c *conn, closedEarly bool) {
 	for {
 		c := p.pop(addr)
 		if c == nil {
-			break
+			return nil, closedEarly
 		}
-		if time.Now().Before(c.expires) && c.reusable() {
-			return c, nil
+		unexpired := time.Now().Before(c.expires)
+		if unexpired && c.reusable() {
+			p.recordReuse(c)
+			p.setInUse(c, true)
+			return c, closedEarly
 		}
+		closedEarly = closedEarly || (unexpired && p.reusableFor(addr) >= time.Since(c.idleSince))
 		_ = c.Conn.Close()
 	}
+}
+
+func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	d := net.Dialer{Timeout: p.o.DialTimeout}
 	if p.o.LocalIP != nil {
 		d.LocalAddr = &net.TCPAddr{IP: p.o.LocalIP}
@@ -245,6 +328,19 @@
 	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, 4<<10)}, nil
 }
 
+// recordReuse records that a connection was open at the end of its idle time.
+func (p *Pool) recordReuse(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reusedAfter[c.addr] = max(p.reusedAfter[c.addr], time.Since(c.idleSince))
+}
+
+func (p *Pool) reusableFor(addr string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reusedAfter[addr]
+}
+
 func (p *Pool) pop(addr string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -287,7 +383,8 @@
 		// this host received it.
 		idleTimeout = min(idleTimeout, s*3/4)
 	}
-	c.expires = time.Now().Add(idleTimeout)
+	c.idleSince = time.Now()
+	c.expires = c.idleSince.Add(idleTimeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[c.addr]
@@ -329,6 +426,7 @@
 		}
 		if len(kept) == 0 {
 			delete(p.idle, addr)
+			delete(p.reusedAfter, addr)
 			continue
 		}
 		p.idle[addr] = kept
--- a/internal/adapter/backendconn/backendconn_test.go
+++ b/internal/adapter/backendconn/backendconn_test.go
@@ -298,3 +298,147 @@
 	}
 	<-closed
 }
+
+// awaitIdle waits until the pool has a number of idle connections to the address.
+func (p *Pool) awaitIdle(addr string, n int) {
+	idle := func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return len(p.idle[addr])
+	}
+	for idle() < n {
+		runtime.Gosched()
+	}
+}
+
+// TestServerLost guards against a restarted server taken for the process before it, and against reset connections of a live one taken for a restart.
+func TestServerLost(t *testing.T) {
+	const answered, incomplete = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"
+	type exchange struct {
+		id, answer string
+		closeAfter bool
+	}
+	cases := []struct {
+		name string
+		// conns are the exchanges of each connection in turn.
+		conns [][]exchange
+		// openFirst is the number of requests that are answered at the same time, each on a connection
+		// of its own.
+		openFirst int
+		down      bool // the server does not listen when the last request is sent
+		want      bool
+		wantSent  bool
+	}{
+		{"a new connection is closed without an answer", [][]exchange{{{"b", "", true}}}, 0, false, true, true},
+		{"a new connection is closed while another one is open", [][]exchange{{{"a", answered, false}, {"c", "", false}}, {{"b", "", true}}}, 1, false, false, true},
+		{"a connection that carried an answer is closed during a request", [][]exchange{{{"a", answered, false}, {"b", "", true}}}, 1, false, true, true},
+		{"an answer breaks off", [][]exchange{{{"a", answered, false}, {"b", incomplete, true}}}, 1, false, true, true},
+		{"an answer breaks off while another connection is open", [][]exchange{{{"a", answered, false}, {"b", incomplete, true}}, {{"a", answered, false}, {"b", incomplete, true}}}, 2, false, false, true},
+		{"connections are refused", [][]exchange{{{"a", answered, false}}}, 1, true, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ready := make(chan struct{})
+			var arrived atomic.Int32
+			s := serve(t, func(s *server, n int, nc net.Conn, r *bufio.Reader) {
+				for _, x := range c.conns[n-1] {
+					if s.read(r) == "" {
+						return
+					}
+					if x.id == "a" && c.openFirst > 0 {
+						if int(arrived.Add(1)) == c.openFirst {
+							close(ready)
+						}
+						<-ready
+					}
+					write(nc, "%s", x.answer)
+					if x.closeAfter {
+						return
+					}
+				}
+			})
+			p := newPool(t)
+			send := func(id string) error {
+				req := &http.Request{Method: http.MethodPost, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{"Id": {id}}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+				resp, err := p.Do(context.Background(), s.ln.Addr().String(), req, nil, func(*http.Response) bool { return true })
+				if err != nil {
+					return err
+				}
+				_, err = io.ReadAll(resp.Body)
+				return err
+			}
+			first := make(chan error, c.openFirst)
+			for range c.openFirst {
+				go func() { first <- send("a") }()
+			}
+			for range c.openFirst {
+				if err := <-first; err != nil {
+					t.Fatal(err)
+				}
+			}
+			p.awaitIdle(s.ln.Addr().String(), c.openFirst)
+			if c.down {
+				_ = s.ln.Close()
+				p.Close()
+			}
+			if len(c.conns) > c.openFirst && c.openFirst > 0 {
+				held, _ := p.takeIdle(s.ln.Addr().String()) // as if it carried a request
+				defer func() { _ = held.Conn.Close() }()
+			}
+			var e *Error
+			if err := send("b"); !errors.As(err, &e) {
+				t.Fatalf("error %v, want one of type *Error", err)
+			}
+			if e.ServerLost != c.want || e.Sent != c.wantSent {
+				t.Errorf("server lost %t, sent %t, want %t and %t: %s", e.ServerLost, e.Sent, c.want, c.wantSent, e)
+			}
+		})
+	}
+}
+
+// TestIdleConnectionsClosedEarly guards against a request sent to a process that started while the connections were idle.
+func TestIdleConnectionsClosedEarly(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		reusedAfter time.Duration
+		want        bool
+	}{
+		{"earlier than connections stayed open before", time.Hour, true},
+		{"idle timeout not known", 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			closed := make(chan struct{})
+			s := serve(t, func(s *server, n int, nc net.Conn, r *bufio.Reader) {
+				s.read(r)
+				write(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nId: %d\r\n\r\nok", n)
+				if n == 1 {
+					_ = nc.Close()
+					close(closed)
+				}
+			})
+			p := newPool(t)
+			if _, err := roundTrip(p, s, "1", nil); err != nil {
+				t.Fatal(err)
+			}
+			<-closed
+			addr := s.ln.Addr().String()
+			p.awaitIdle(addr, 1)
+			for p.hasEstablished(addr) {
+				runtime.Gosched() // until the close has arrived
+			}
+			p.reusedAfter[addr] = c.reusedAfter
+			req := &http.Request{Method: http.MethodPost, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{"Id": {"2"}}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+			resp, err := p.DoSameProcess(context.Background(), addr, req, nil, func(*http.Response) bool { return true })
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			var e *Error
+			if lost := errors.As(err, &e) && e.ServerLost && !e.Sent; lost != c.want {
+				t.Errorf("server lost %t, want %t: %v", lost, c.want, err)
+			}
+			if n := s.requests.Load(); c.want && n != 1 {
+				t.Errorf("the server received %d requests, want 1", n)
+			}
+		})
+	}
+}
--- a/internal/app/control/cold_flood_test.go
+++ b/internal/app/control/cold_flood_test.go
@@ -186,3 +186,83 @@
 	names := slices.Sorted(maps.Keys(faults))
 	w.at(at, faults[rapid.SampledFrom(names).Draw(rt, "fault")])
 }
+
+// TestWarmServerIsInUseAfterResets guards against a server treated as cold after its connections were reset.
+func TestWarmServerIsInUseAfterResets(t *testing.T) {
+	const reset = 5 * time.Second
+	for seed := range int64(20) {
+		w := newColdWorld(t, seed)
+		w.at(reset, w.server.breakConnections)
+		servedIn := func(from time.Duration) int {
+			w.run(from)
+			w.served = nil
+			w.run(from + time.Second)
+			return len(w.served)
+		}
+		before := servedIn(3 * time.Second)
+		after := servedIn(reset + 2*worldAnnounceEvery + worldContact)
+		if before == 0 || float64(after) < 0.9*float64(before) {
+			t.Errorf("seed %d: %d requests reached the warm server in one second, %d before the resets", seed, after, before)
+		}
+	}
+}
+
+// TestRestartedServerUnderFaults guards against floods of a server that starts again while other faults delay its announcements.
+func TestRestartedServerUnderFaults(t *testing.T) {
+	spared := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newColdWorld(t, rapid.Int64().Draw(rt, "seed"))
+		started := time.Duration(rapid.IntRange(5000, 9000).Draw(rt, "started_ms")) * ms
+		w.at(started, w.server.startAgain)
+		switch rapid.SampledFrom([]string{"none", "started twice", "announcements lost", "control host frozen", "control hosts apart"}).Draw(rt, "fault") {
+		case "started twice":
+			w.at(started+time.Duration(rapid.IntRange(50, 2000).Draw(rt, "again_after_ms"))*ms, w.server.startAgain) // later ones: TestServerStartedTwiceIsNotFlooded
+		case "announcements lost":
+			w.at(started, func() { w.after(2*time.Second, w.addRule(linkRule{from: "s0", to: "control", lost: true})) })
+		case "control host frozen":
+			w.at(started, func() { w.controls[0].freeze(2 * time.Second) })
+		case "control hosts apart":
+			w.at(started, func() {
+				w.after(2*time.Second, w.addRule(linkRule{from: "control-d0", to: "control-", lost: true}))
+			})
+		}
+		w.run(started)
+		w.arrivals = nil
+		w.run(started + 8*time.Second)
+		if n := w.flood(); float64(n) > w.limit() {
+			rt.Fatalf("the cold server received %d requests in one second, it tolerates %.1f", n, w.limit())
+		}
+		spared += len(w.arrivals)
+	})
+	if spared == 0 {
+		t.Error("no request reached the cold server, so that nothing was tested")
+	}
+}
+
+// TestServerStartedTwiceIsNotFlooded guards against a second start, unheard at the end of the first one's cold phase, that is taken for warm.
+func TestServerStartedTwiceIsNotFlooded(t *testing.T) {
+	const started = 5 * time.Second
+	for _, c := range []struct {
+		name     string
+		again    time.Duration // after the first start
+		lostFrom time.Duration // announcements are lost for 2 s from then on; 0 for none
+	}{
+		{"within a view's delay of the end of the cold phase", 2641 * ms, 0},
+		{"while announcements are lost", 1809 * ms, started},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newColdWorld(t, 0)
+			w.at(started, w.server.startAgain)
+			w.at(started+c.again, w.server.startAgain)
+			if c.lostFrom > 0 {
+				w.at(c.lostFrom, func() { w.after(2*time.Second, w.addRule(linkRule{from: "s0", to: "control", lost: true})) })
+			}
+			w.run(started)
+			w.arrivals = nil
+			w.run(started + 8*time.Second)
+			if n := w.flood(); float64(n) > w.limit() {
+				t.Errorf("the cold server received %d requests in one second, it tolerates %.1f", n, w.limit())
+			}
+		})
+	}
+}
--- a/internal/app/control/cold_world_test.go
+++ b/internal/app/control/cold_world_test.go
@@ -308,6 +308,10 @@
 	hosts      map[string]map[string]*pb.FleetHost // ready hosts by control host and ID
 	contacts   controlhosts.Contacts
 	answeredAt time.Time // when a control host answered last
+	// connectedTo is the server to which this host has connections, and broken whether the server's
+	// process has ended since they were opened. The next request finds them closed and is not sent.
+	connectedTo *dispatch.Server
+	broken      bool
 }
 
 // restart starts the entry host's process without any state.
@@ -316,6 +320,7 @@
 	e.fleet = dispatch.New(dispatch.Options{Host: e.id, Region: "r", FailureDomain: e.domain, Regions: worldRegions, Random: e.w.rnd.Float64, AnnounceEvery: worldAnnounceEvery})
 	e.fleet.SetColdDurations(e.w.coldDurations)
 	e.last, e.hosts, e.contacts = map[string]*pb.FleetView{}, map[string]map[string]*pb.FleetHost{}, controlhosts.Contacts{}
+	e.connectedTo, e.broken = nil, false
 }
 
 func (e *worldEntry) distance(c *worldControl) controlhosts.Distance {
@@ -403,6 +408,13 @@
 		}
 		heldForCold := e.fleet.ColdReason(choice.Server, now) != ""
 		e.fleet.Started(&choice, now)
+		if e.broken {
+			e.fleet.RecordServerLost(e.connectedTo, now)
+			e.fleet.Ended(&choice, dispatch.ConnectionFailed, 0, now)
+			e.connectedTo, e.broken = nil, false
+			continue
+		}
+		e.connectedTo = choice.Server
 		e.fleet.Ended(&choice, dispatch.Served, time.Millisecond, now)
 		e.w.server.recordArrival(now, now.Sub(e.answeredAt) < worldContact || heldForCold)
 	}
@@ -447,13 +459,21 @@
 // startAgain starts another process of the server under its ID, which is cold.
 func (s *worldServer) startAgain() {
 	s.start, s.sequence, s.waiting = s.start+1, 0, 0
+	s.breakConnections()
 	s.becomeCold()
 }
 
+// breakConnections ends the connections of all entry hosts.
+func (s *worldServer) breakConnections() {
+	for _, e := range s.w.entries {
+		e.broken = e.connectedTo != nil
+	}
+}
+
 func (s *worldServer) announce() {
 	s.sequence++
 	s.scheduled++
-	sequence, left, to := s.sequence, max(0, s.coldUntil.Sub(s.w.clock.Now())), s.to
+	start, sequence, left, to := s.start, s.sequence, max(0, s.coldUntil.Sub(s.w.clock.Now())), s.to
 	s.waiting = sequence
 	if f := s.announced; f != nil {
 		s.announced = nil
@@ -461,7 +481,7 @@
 	}
 	deliver := func() {
 		to.receive(func() {
-			next, err := to.fleet.Announce(s.message(sequence, left))
+			next, err := to.fleet.Announce(s.message(start, sequence, left))
 			if err != nil {
 				s.w.t.Fatal(err)
 			}
@@ -481,8 +501,8 @@
 	})
 }
 
-func (s *worldServer) message(sequence uint64, left time.Duration) registry.Server {
-	m := registry.Server{ID: s.id, Start: s.start, Service: "llm", Address: "10.0.0.1:80", FailureDomain: "d0", Sequence: sequence, Slots: 128}
+func (s *worldServer) message(start int64, sequence uint64, left time.Duration) registry.Server {
+	m := registry.Server{ID: s.id, Start: start, Service: "llm", Address: "10.0.0.1:80", FailureDomain: "d0", Sequence: sequence, Slots: 128}
 	if left > 0 {
 		m.ColdUntil = s.w.clock.Now().Add(left)
 	}
--- a/internal/app/gateway/request.go
+++ b/internal/app/gateway/request.go
@@ -89,6 +89,9 @@
 	CopyFrom string
 	// Deferred queues the request behind all others at the server.
 	Deferred bool
+	// IDReused is set if another process may take over the server's ID. If all connections to the
+	// server have ended, the attempt then fails before anything is sent.
+	IDReused bool
 }
 
 // Verdict states whether the expected backend server ran a request, by its answer.
@@ -114,6 +117,16 @@
 	Cold time.Duration
 }
 
+// ServerLost is the error of an attempt, or of reading its answer, after which this host has no open
+// connection to the server: its process may have ended, and another one may have started.
+type ServerLost struct{ Cause error }
+
+// Error implements error.
+func (e *ServerLost) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ServerLost) Unwrap() error { return e.Cause }
+
 // Backends sends attempts to backend servers.
 type Backends interface {
 	// Send makes one attempt. If err is not nil, sent reports whether any byte of the request may
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -30,13 +31,14 @@
 	g.cancelIfLost(ctx, x, c, cancel)
 	answer, sent, err := g.o.Backends.Send(ctx, &Attempt{
 		Address: c.Server.Address, Server: c.Server.ID, Request: x.r, Team: x.teamName(),
-		Remaining: x.deadline.Sub(began), ResumeAfter: x.lastEvent, CopyFrom: c.CopyFrom, Deferred: c.Deferred,
+		Remaining: x.deadline.Sub(began), ResumeAfter: x.lastEvent, CopyFrom: c.CopyFrom, Deferred: c.Deferred, IDReused: c.Server.Start != 0,
 	})
 	if err != nil {
 		stage := retry.BeforeSend
 		if sent {
 			stage = retry.Sent
 		}
+		g.recordServerLost(c.Server, err)
 		return result{stage: stage, outcome: dispatch.ConnectionFailed, err: failure.New(failure.BackendLost, failure.Unknown, "%s", err)}
 	}
 	defer func() { _ = answer.Body.Close() }()
@@ -73,6 +75,18 @@
 	g.logColdChanges()
 }
 
+// recordServerLost records that the server's process may have ended, if the error says so.
+func (g *Gateway) recordServerLost(s *dispatch.Server, err error) {
+	var lost *ServerLost
+	if !errors.As(err, &lost) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.RecordServerLost(s, g.o.Clock.Now())
+	g.logColdChanges()
+}
+
 // recordLoad records the number of requests that a server reported with its answer; negative if
 // it reported none.
 func (g *Gateway) recordLoad(c *dispatch.Choice, requests int) {
@@ -99,6 +113,7 @@
 		err = failure.New(failure.Truncated, failure.Unknown, "the answer is over %d bytes", maxAnswerBytes)
 	}
 	if err != nil {
+		g.recordServerLost(c.Server, err)
 		res.stage, res.outcome = retry.MidAnswer, dispatch.ConnectionFailed
 		res.err = failure.New(failure.BackendLost, failure.Unknown, "the answer broke off: %s", err)
 		return
@@ -141,6 +156,7 @@
 			return
 		}
 		if err != nil {
+			g.recordServerLost(c.Server, err)
 			res.stage, res.outcome = retry.MidAnswer, dispatch.ConnectionFailed
 			res.err = failure.New(failure.BackendLost, failure.Unknown, "the stream broke off after event %d: %s", x.lastEvent, err)
 			return
--- a/internal/core/dispatch/cold.go
+++ b/internal/core/dispatch/cold.go
@@ -15,6 +15,8 @@
 	// sentAfterRevision is the highest revision of the evacuation list that a control host had
 	// applied before the server sent one of its announcements.
 	sentAfterRevision uint64
+	// lostAt is when this host last lost all connections to the server; zero for never.
+	lostAt time.Time
 	// sequence is the highest sequence number of an announcement received in full.
 	sequence uint64
 	// announcementSource is the control host that reported the latest announcement.
@@ -33,6 +35,9 @@
 	// ColdRestored is set if no announcement of the server is proved to have been sent after the
 	// evacuation of its failure domain was withdrawn.
 	ColdRestored ColdReason = "failure domain restored"
+	// ColdLost is set if this host lost its connections to the server, and no announcement of the
+	// server is proved to have been sent since: another process may run under its ID.
+	ColdLost ColdReason = "connections lost"
 )
 
 // recordColdPhase records the cold phase in an announcement, unless one with a higher sequence number
@@ -86,10 +91,33 @@
 		return ColdReported
 	case f.awaitsConfirmation(s, now):
 		return ColdRestored
+	case f.mayHaveRestarted(s, now):
+		return ColdLost
 	}
 	return ""
 }
 
+// RecordServerLost records that this host has lost all connections to the server, or that the server
+// refuses them. Servers that report no start time get a new ID with each process and reject requests
+// for an earlier one.
+func (f *Fleet) RecordServerLost(s *Server, now time.Time) {
+	if s.Start != 0 {
+		s.lostAt = now
+	}
+}
+
+// mayHaveRestarted reports whether another process may run under the server's ID that has not been
+// heard of. It is not known after an announcement that a control host received later than the loss by
+// the longest delay of a view, whose age omits delays, or once a process that started at the loss has
+// been warm for the time of the announcements that a server may miss.
+func (f *Fleet) mayHaveRestarted(s *Server, now time.Time) bool {
+	if s.lostAt.IsZero() || s.AnnouncedAt.After(s.lostAt.Add(maxViewDelay)) {
+		return false
+	}
+	duration, known := f.coldDurations[s.Service]
+	return !known || (duration > 0 && now.Sub(s.lostAt) < duration+f.announcementTTL())
+}
+
 // awaitsConfirmation reports whether the server may have become cold before its failure domain was
 // restored. Its next announcement is awaited in any case, as control hosts of an earlier version send
 // neither restorations nor confirmations.
