peerlink: reads have ended before a link shuts down, whatever ends it

Cause: while a yamux session shuts down its reads neither block nor return, and on one processor the goroutine that was to end them does not run. The first attempt to end reads before the shutdown lost chats: a stream closed during a read was taken off the list of streams whose reads end, and the closing of a silent link waited for that read for good, with all calls to the host behind it.

Change: an error is reported to yamux after the reads have returned; frames are passed on whole, as yamux holds a stream's lock within one; a failed write closes the connection; the link sends keep-alive messages itself and ends after silence.

--- a/internal/adapter/peerlink/client.go
+++ b/internal/adapter/peerlink/client.go
@@ -77,9 +77,9 @@
 
 func (o *Options) yamuxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
+	c.EnableKeepAlive, c.StreamOpenTimeout = false, 0 // see link
 	c.KeepAliveInterval = o.KeepAlive
 	c.ConnectionWriteTimeout = 2 * o.KeepAlive
-	c.StreamOpenTimeout = 2 * o.KeepAlive
 	c.MaxStreamWindowSize = maxStreamWindow
 	c.AcceptBacklog = 4096
 	c.LogOutput = io.Discard
@@ -206,12 +206,12 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	mux, err := yamux.Client(conn, c.o.yamuxConfig())
+	l, err := newLink(conn, c.o.yamuxConfig(), c.o.KeepAlive, yamux.Client)
 	if err != nil {
 		_ = conn.Close()
 		return nil, failure.Wrap(err, failure.PeerUnreachable, failure.NotRun)
 	}
-	return newSession(mux), nil
+	return newLinkSession(l), nil
 }
 
 // connect opens a TCP connection. It retries attempts that time out until ctx ends.
@@ -250,11 +250,10 @@
 	if err != nil {
 		return nil, false, err
 	}
-	opened, err := session.OpenStream()
+	stream, err := session.openStream()
 	if err != nil {
 		return nil, false, failure.Wrap(err, failure.PeerUnreachable, failure.NotRun)
 	}
-	stream := newLinkStream(session.Session, opened)
 	if err := WriteMessage(stream, req); err != nil {
 		_ = stream.Close()
 		return nil, true, failure.Wrap(err, failure.PeerUnreachable, failure.Unknown)
--- /dev/null
+++ b/internal/adapter/peerlink/frameconn.go
@@ -0,0 +1,120 @@
+package peerlink
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Fields of a yamux frame's header.
+const (
+	headerSize   = 12
+	typeOffset   = 1
+	lengthOffset = 8
+	typeData     = 0
+)
+
+// frameConn is the connection of a session. It passes frames on whole, as yamux holds a stream's lock
+// while it reads a frame's data, and reports an error of the connection only after the reads of the
+// session's streams have ended. After an error of a write it discards what is written until the
+// receive loop has reported the end.
+type frameConn struct {
+	net.Conn
+	gate  *readGate
+	br    *bufio.Reader
+	frame []byte // rest of the frame being passed on
+	buf   []byte // holds frame
+
+	mu           sync.Mutex
+	failed       bool      // a write failed
+	waitingSince time.Time // when the first bytes were sent after which none was received; zero for none
+}
+
+// readBufferSize holds several frames of calls.
+const readBufferSize = 16 << 10
+
+func newFrameConn(conn net.Conn, gate *readGate) *frameConn {
+	return &frameConn{Conn: conn, gate: gate, br: bufio.NewReaderSize(conn, readBufferSize), buf: make([]byte, headerSize)}
+}
+
+// Read implements io.Reader.
+func (c *frameConn) Read(p []byte) (int, error) {
+	if len(c.frame) == 0 {
+		if err := c.readFrame(); err != nil {
+			_ = c.Conn.Close() // a write that blocks would keep reads from returning
+			c.gate.end()
+			return 0, err
+		}
+	}
+	n := copy(p, c.frame)
+	c.frame = c.frame[n:]
+	return n, nil
+}
+
+// readFrame reads the next frame. It leaves out the data of a frame that is longer than a stream's
+// window, which yamux rejects by its header.
+func (c *frameConn) readFrame() error {
+	header := c.buf[:headerSize]
+	if _, err := io.ReadFull(c.br, header); err != nil {
+		return err
+	}
+	c.recordReceived()
+	c.frame = header
+	size := binary.BigEndian.Uint32(header[lengthOffset:])
+	if header[typeOffset] != typeData || size > maxStreamWindow {
+		return nil
+	}
+	total := headerSize + int(size)
+	if cap(c.buf) < total {
+		grown := make([]byte, total)
+		copy(grown, header)
+		c.buf = grown
+	}
+	c.frame = c.buf[:total]
+	_, err := io.ReadFull(c.br, c.frame[headerSize:])
+	return err
+}
+
+// Write implements io.Writer.
+func (c *frameConn) Write(p []byte) (int, error) {
+	if c.recordSent() {
+		return len(p), nil
+	}
+	if _, err := c.Conn.Write(p); err != nil {
+		c.mu.Lock()
+		c.failed = true
+		c.mu.Unlock()
+		_ = c.Conn.Close()
+	}
+	return len(p), nil
+}
+
+// recordSent records that bytes are sent. It reports whether a write has failed before.
+func (c *frameConn) recordSent() (failed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waitingSince.IsZero() {
+		c.waitingSince = time.Now()
+	}
+	return c.failed
+}
+
+func (c *frameConn) recordReceived() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waitingSince = time.Time{}
+}
+
+// silence returns for how long nothing has been received after something was sent; 0 if nothing is
+// awaited.
+func (c *frameConn) silence(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waitingSince.IsZero() {
+		return 0
+	}
+	return now.Sub(c.waitingSince)
+}
--- /dev/null
+++ b/internal/adapter/peerlink/link.go
@@ -0,0 +1,91 @@
+package peerlink
+
+import (
+	"io"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+// link is a yamux session whose reads have ended before it shuts down, whatever ends it: an error of
+// its connection, silence of the other end, or Close. From the beginning of a shutdown until the
+// session's receive loop has returned, a read in yamux neither blocks nor returns; on a single
+// processor without preemption nothing else runs then.
+//
+// yamux must not shut down by itself while reads are in progress. So the link sends its own keep-alive
+// messages, and hides errors of the connection until the reads have ended.
+type link struct {
+	*yamux.Session
+	gate *readGate
+	conn *frameConn
+}
+
+// openSession opens a session over a connection; it is yamux.Client or yamux.Server.
+type openSession func(conn io.ReadWriteCloser, config *yamux.Config) (*yamux.Session, error)
+
+// newLink returns a link over a connection. It ends when the other end sends nothing for a keep-alive
+// interval of the config and the given time after something was sent to it.
+func newLink(conn net.Conn, config *yamux.Config, answerTime time.Duration, open openSession) (*link, error) {
+	gate := newReadGate()
+	framed := newFrameConn(conn, gate)
+	mux, err := open(framed, config)
+	if err != nil {
+		return nil, err
+	}
+	l := &link{mux, gate, framed}
+	go l.keepAlive(config.KeepAliveInterval, config.KeepAliveInterval+answerTime)
+	return l, nil
+}
+
+// silenceChecks is the number of checks for silence per keep-alive interval.
+const silenceChecks = 2
+
+// keepAlive sends a keep-alive message per interval and closes the link after silence.
+func (l *link) keepAlive(interval, maxSilence time.Duration) {
+	t := time.NewTicker(interval / silenceChecks)
+	defer t.Stop()
+	for n := 1; ; n++ {
+		select {
+		case <-l.CloseChan():
+			l.gate.end()
+			return
+		case now := <-t.C:
+			if l.conn.silence(now) >= maxSilence {
+				_ = l.Close()
+				return
+			}
+		}
+		if n%silenceChecks == 0 {
+			go func() { _, _ = l.Ping() }() // the silence of an unanswered one ends the link
+		}
+	}
+}
+
+// Close ends the reads and closes the session.
+func (l *link) Close() error {
+	_ = l.conn.Conn.Close() // a write that blocks would keep reads from returning
+	l.gate.end()
+	return l.Session.Close()
+}
+
+// IsClosed reports whether the link has ended or is about to.
+func (l *link) IsClosed() bool { return l.gate.hasEnded() || l.Session.IsClosed() }
+
+// openStream opens a stream.
+func (l *link) openStream() (*linkStream, error) {
+	s, err := l.Session.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+	return l.gate.add(s), nil
+}
+
+// acceptStream waits for a stream that the other end opens.
+func (l *link) acceptStream() (*linkStream, error) {
+	s, err := l.Session.AcceptStream()
+	if err != nil {
+		return nil, err
+	}
+	return l.gate.add(s), nil
+}
--- a/internal/adapter/peerlink/server.go
+++ b/internal/adapter/peerlink/server.go
@@ -147,17 +147,16 @@
 		s.log.Info("peer refused", "remote", conn.RemoteAddr().String(), "code", string(failure.PeerRefused), "reason", err.Error())
 		return
 	}
-	session, err := yamux.Server(conn, s.o.serverConfig())
+	session, err := newLink(conn, s.o.serverConfig(), s.o.KeepAlive, yamux.Server)
 	if err != nil {
 		return
 	}
 	defer func() { _ = session.Close() }()
 	for {
-		accepted, err := session.AcceptStream()
+		stream, err := session.acceptStream()
 		if err != nil {
 			return
 		}
-		stream := newLinkStream(session, accepted)
 		s.wg.Add(1)
 		go func() {
 			defer s.wg.Done()
--- a/internal/adapter/peerlink/session.go
+++ b/internal/adapter/peerlink/session.go
@@ -4,16 +4,14 @@
 	"context"
 	"sync"
 
-	"github.com/hashicorp/yamux"
-
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
-// session is a yamux session with the stream that its calls share. A separate stream
-// per call would cost five more small frames.
+// session is a link with the stream that its calls share. A separate stream per call would cost five
+// more small frames.
 type session struct {
-	*yamux.Session
+	*link
 
 	mu       sync.Mutex
 	stream   *linkStream // opened by the first call
@@ -22,8 +20,8 @@
 	closeErr error
 }
 
-func newSession(mux *yamux.Session) *session {
-	return &session{Session: mux, pending: map[uint64]chan *pb.Response{}}
+func newLinkSession(l *link) *session {
+	return &session{link: l, pending: map[uint64]chan *pb.Response{}}
 }
 
 // call sends a request on the shared stream and waits for its response.
@@ -54,12 +52,10 @@
 		return nil, 0, failure.Wrap(s.closeErr, failure.PeerUnreachable, failure.NotRun)
 	}
 	if s.stream == nil {
-		opened, err := s.OpenStream()
-		if err != nil {
+		if s.stream, err = s.openStream(); err != nil {
 			s.closeLocked(err)
 			return nil, 0, failure.Wrap(err, failure.PeerUnreachable, failure.NotRun)
 		}
-		s.stream = newLinkStream(s.Session, opened)
 		go s.receive(s.stream)
 	}
 	s.lastCall++
--- a/internal/adapter/peerlink/stream.go
+++ b/internal/adapter/peerlink/stream.go
@@ -5,45 +5,110 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+
+	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
-// linkStream is a yamux stream whose reads end soon after its session begins to shut down. yamux ends
-// them only when the session's receive loop has returned, which may wait for a write for seconds;
-// until then a read spins. On a single processor without preemption, a spinning read still keeps the
-// goroutine that ends it from running.
-type linkStream struct {
-	*yamux.Stream
+// errLinkEnded is the error of reads on a link that is about to shut down.
+var errLinkEnded = failure.New(failure.PeerUnreachable, failure.Unknown, "the link ended")
 
-	closeOnce sync.Once
-	closed    chan struct{}
-	mu        sync.Mutex
-	ended     bool // reads return at once, whatever deadline is set
+// readGate counts the reads of a link's streams, and ends them.
+type readGate struct {
+	mu      sync.Mutex
+	left    *sync.Cond // signaled when a read has returned
+	streams map[*linkStream]bool
+	reads   int // in progress
+	ended   bool
 }
 
-func newLinkStream(mux *yamux.Session, s *yamux.Stream) *linkStream {
-	out := &linkStream{Stream: s, closed: make(chan struct{})}
-	go func() {
-		select {
-		case <-mux.CloseChan():
-			out.endReads()
-		case <-out.closed:
+func newReadGate() *readGate {
+	g := &readGate{streams: map[*linkStream]bool{}}
+	g.left = sync.NewCond(&g.mu)
+	return g
+}
+
+// end makes all reads return, and waits until they have. Nothing that a read needs to return may wait
+// for the caller: not the session's receive loop within a frame, and not its send loop.
+func (g *readGate) end() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.ended {
+		g.ended = true
+		for s := range g.streams {
+			_ = s.Stream.SetReadDeadline(time.Unix(1, 0)) // long past
 		}
-	}()
+	}
+	for g.reads > 0 {
+		g.left.Wait()
+	}
+}
+
+func (g *readGate) hasEnded() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ended
+}
+
+// enter begins a read of a stream. It reports false if reads have ended.
+func (g *readGate) enter(s *linkStream) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ended {
+		return false
+	}
+	g.reads++
+	s.reads++
+	return true
+}
+
+func (g *readGate) leave(s *linkStream) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s.reads--
+	g.forgetIfDone(s)
+	if g.reads--; g.reads == 0 {
+		g.left.Broadcast()
+	}
+}
+
+// forgetIfDone removes a stream that was closed and has no read in progress. g.mu must be held.
+func (g *readGate) forgetIfDone(s *linkStream) {
+	if s.closed && s.reads == 0 {
+		delete(g.streams, s)
+	}
+}
+
+func (g *readGate) add(s *yamux.Stream) *linkStream {
+	out := &linkStream{Stream: s, gate: g}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.streams[out] = true
 	return out
 }
 
-func (s *linkStream) endReads() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ended = true
-	_ = s.Stream.SetReadDeadline(time.Unix(1, 0)) // long past
+// linkStream is a stream of a link.
+type linkStream struct {
+	*yamux.Stream
+	gate *readGate
+	// Guarded by gate.mu.
+	reads  int // in progress; they go on after Close until the other end closes the stream
+	closed bool
+}
+
+// Read reads from the stream, unless the link has ended.
+func (s *linkStream) Read(p []byte) (int, error) {
+	if !s.gate.enter(s) {
+		return 0, errLinkEnded
+	}
+	defer s.gate.leave(s)
+	return s.Stream.Read(p)
 }
 
-// SetReadDeadline sets the deadline of reads, unless they have ended.
+// SetReadDeadline sets the deadline of reads, unless the link has ended.
 func (s *linkStream) SetReadDeadline(t time.Time) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.ended {
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	if s.gate.ended {
 		return nil
 	}
 	return s.Stream.SetReadDeadline(t)
@@ -51,6 +116,9 @@
 
 // Close closes the stream.
 func (s *linkStream) Close() error {
-	s.closeOnce.Do(func() { close(s.closed) })
+	s.gate.mu.Lock()
+	s.closed = true
+	s.gate.forgetIfDone(s)
+	s.gate.mu.Unlock()
 	return s.Stream.Close()
 }
