gateway: log the limits that servers advertise, and the answer that named them

Each change is logged with its source, an answer with its request or a control host, and each choice names the limit in force.

No choice depends on a limit yet.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -72,6 +72,8 @@
 	startup     *dispatch.Startup
 	initialized chan struct{} // closed once a configuration is in force and a view has been applied
 	viewChanged chan struct{} // closed and replaced after each view
+	// invalidLimitLoggedAt is when a limit that cannot be decoded was last logged.
+	invalidLimitLoggedAt time.Time
 
 	control controlList
 	access  *access.Limiter
--- a/internal/app/gateway/log.go
+++ b/internal/app/gateway/log.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
+	"github.com/sesamefork/sesamefork/internal/core/serverlimit"
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
@@ -33,6 +34,9 @@
 		if reason := g.fleet.ColdReason(c.Server, now); reason != "" {
 			kv = append(kv, "cold", string(reason))
 		}
+		if l := g.fleet.Limit(c.Server); l.InForce() {
+			kv = append(kv, "limit_per_s", l.PerSecond, "limit_revision", l.Revision)
+		}
 		if c.Deferred {
 			kv = append(kv, "deferred", true)
 		}
@@ -61,6 +65,27 @@
 	}
 }
 
+// logLimit logs that a server's limit has another rate for this host. source is "answer" or the control
+// host that reported it, and requestID the request that was answered.
+func (g *Gateway) logLimit(s *dispatch.Server, before serverlimit.Limit, source, requestID string) {
+	l := g.fleet.Limit(s)
+	g.o.Metrics.Add("server_limits_changed", 1)
+	g.o.Log.Info("server limit changed", "server", s.ID, "start", s.Start, "service", s.Service, "address", s.Address, "failure_domain", s.FailureDomain,
+		"limit_per_s", l.PerSecond, "limit_before_per_s", before.PerSecond, "limit_revision", l.Revision, "source", source, "request_id", requestID)
+}
+
+// invalidLimitLogInterval is the shortest time between two log lines about limits that cannot be decoded.
+const invalidLimitLogInterval = 5 * time.Second
+
+func (g *Gateway) logInvalidLimit(x *execution, s *dispatch.Server, text string, now time.Time) {
+	g.o.Metrics.Add("server_limits_invalid", 1)
+	if now.Sub(g.invalidLimitLoggedAt) < invalidLimitLogInterval {
+		return
+	}
+	g.invalidLimitLoggedAt = now
+	g.o.Log.Info("server limit ignored", "server", s.ID, "request_id", x.r.ID, "reason", "the limit is no decimal number", "limit", text)
+}
+
 // considered is a candidate in a log line.
 type considered struct {
 	Name     string `json:"name"`
--- a/internal/app/gateway/request.go
+++ b/internal/app/gateway/request.go
@@ -12,6 +12,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/app/access"
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
+	"github.com/sesamefork/sesamefork/internal/core/serverlimit"
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
@@ -115,6 +116,8 @@
 	Requests int
 	// Cold is the time for which the server reports that it is still cold.
 	Cold time.Duration
+	// Limit is what the answer says about the limit that the server advertises.
+	Limit serverlimit.Advertisement
 }
 
 // ServerLost is the error of an attempt, or of reading its answer, after which this host has no open
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -44,6 +44,7 @@
 	defer func() { _ = answer.Body.Close() }()
 	g.recordCold(c.Server, answer.Cold)
 	g.recordLoad(c, answer.Requests)
+	g.recordLimit(x, c, answer)
 	switch answer.Verdict {
 	case NotRun:
 		return result{stage: retry.Refused, outcome: dispatch.Refused,
@@ -98,6 +99,23 @@
 	g.fleet.RecordReportedRequests(c, requests, g.o.Clock.Now())
 }
 
+// recordLimit records the limit that an answer advertises or withdraws. An answer of another server is
+// ignored, and one to a request that did not run withdraws nothing.
+func (g *Gateway) recordLimit(x *execution, c *dispatch.Choice, a *Answer) {
+	if a.Verdict != Ran && a.Verdict != NotRun {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.o.Clock.Now()
+	if a.Limit.Invalid != "" {
+		g.logInvalidLimit(x, c.Server, a.Limit.Invalid, now)
+	}
+	if before, changed := g.fleet.RecordLimit(c, a.Limit, a.Verdict == Ran, now); changed {
+		g.logLimit(c.Server, before, "answer", x.r.ID)
+	}
+}
+
 func (g *Gateway) markGone(s *dispatch.Server) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -81,6 +81,7 @@
 	key           regionKey
 	firstByteSeen bool // the first byte of the answer has arrived
 	startedAt     time.Time
+	limitRevision uint64 // revision of the server's limit that was known when the request was sent
 }
 
 // Parameters of the estimate. A loss is in the unit described in cost.go.
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -13,6 +13,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/core/holders"
 	"github.com/sesamefork/sesamefork/internal/core/registry"
+	"github.com/sesamefork/sesamefork/internal/core/serverlimit"
 	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	"github.com/sesamefork/sesamefork/internal/core/speed"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
@@ -81,6 +82,7 @@
 	holders          *holders.Table
 	comparisons      map[string]*loadComparison // by service
 	unreportedPlaces []holders.Place            // not yet reported to a control host
+	limits           *serverlimit.Table         // limits that servers advertise, by server key
 }
 
 // New returns a Fleet without servers.
@@ -92,6 +94,7 @@
 		o: o, servers: map[string]*Server{}, departures: map[string]departure{}, restored: map[string]restoration{}, hosts: map[string][]*Host{},
 		regions: map[regionKey]*region{}, chainRates: map[string]chainRate{}, arrivals: map[string]*arrivals{}, holders: holders.NewTable(),
 		serversByKey: map[uint32]*Server{}, speeds: map[string]*speed.Estimator{}, comparisons: map[string]*loadComparison{},
+		limits: serverlimit.NewTable(),
 	}
 }
 
@@ -207,6 +210,7 @@
 	}
 	f.sweepChains(now)
 	f.holders.Expire(now)
+	f.limits.Expire(func(key uint32) bool { return f.serversByKey[key] != nil }, now)
 }
 
 // disabled reports whether an experiment disables a mechanism.
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -18,6 +18,7 @@
 		}
 		return
 	}
+	c.limitRevision = f.Limit(c.Server).Revision
 	if c.Server.inFlight() == 0 {
 		c.Server.progressAt = now
 	}
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -137,8 +137,10 @@
 // setMissingStart sets the start time of a server that was first reported without one.
 func (f *Fleet) setMissingStart(s *Server, start int64) {
 	if s.Start == 0 && start != 0 {
-		delete(f.serversByKey, s.key)
+		before := s.key
+		delete(f.serversByKey, before)
 		f.setStart(s, start)
+		f.limits.Rekey(before, s.key)
 	}
 }
 
--- a/test/architecture/architecture_test.go
+++ b/test/architecture/architecture_test.go
@@ -144,7 +144,7 @@
 // platformNames are names of the users' platform. Only the platform package may contain them.
 var platformNames = []string{
 	"X-Request-Id", "X-Deadline-Ms", "X-Server-Stamp", "X-Prompt-Prefix", "X-Token-Count", "X-Expect-Instance",
-	"X-Not-Run", "X-Cold-Ms", "Kv-From", "/v1/instances", "/v1/resolve", "/v1/readyz", "heartbeat_addr",
+	"X-Not-Run", "X-Cold-Ms", "Kv-From", "/v1/instances", "/v1/resolve", "/v1/readyz", "heartbeat_addr", "Server-Limit",
 }
 
 // TestPlatformNamesStayInTheAdapter checks the source code of all other packages.
