--- a/internal/app/gateway/log.go
+++ b/internal/app/gateway/log.go
@@ -21,6 +21,9 @@
 		"request_id", x.r.ID, "route", x.route.Name, "team", x.teamName(), "service", x.service, "attempt", x.sends + 1,
 		"config_version", x.version, "config_staleness_ms", g.ConfigStaleness().Milliseconds(), "remaining_ms", x.deadline.Sub(now).Milliseconds(), "view_age_ms", g.fleet.ViewAge(now).Milliseconds(),
 	}
+	if x.lastEvent > 0 {
+		kv = append(kv, "resume_after", x.lastEvent, "resumes", x.r.Resumes)
+	}
 	if t := c.RegionDraw; t != nil {
 		kv = append(kv, "turn", t.Region, "asked_per_s", int(t.ArrivalsPerSecond), "can_run_per_s", int(t.CapacityPerSecond), "waiting", int(t.Waiting))
 	}
@@ -30,7 +33,7 @@
 	case c.Server != nil:
 		requests, prompt, memory := c.Server.Load()
 		kv = append(kv, "server_requests", requests, "server_prompt_tokens", int(prompt), "server_memory_tokens", int(memory))
-		kv = append(kv, "outcome", "server", "server", c.Server.ID, "address", c.Server.Address, "estimate_ms", int(c.EstimateMS), "uncovered_tokens", int(c.UncoveredTokens))
+		kv = append(kv, "outcome", "server", "server", c.Server.ID, "address", c.Server.Address, "release", c.Server.Release, "estimate_ms", int(c.EstimateMS), "uncovered_tokens", int(c.UncoveredTokens))
 		if reason := g.fleet.ColdReason(c.Server, now); reason != "" {
 			kv = append(kv, "cold", string(reason))
 		}
--- a/internal/app/gateway/request.go
+++ b/internal/app/gateway/request.go
@@ -37,6 +37,9 @@
 	Prompt *Prompt
 	// ResumeAfter is the ID of the last stream event that the caller has received.
 	ResumeAfter uint64
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream that this
+	// request takes up after ResumeAfter; "" if it takes up none or does not name it.
+	Resumes string
 	// Origin is the region that forwarded the request; "" if it came from a caller.
 	Origin string
 	// attempts bounds the servers that may still be tried, if the request was forwarded.
