gateway: a stream goes on only at the release that began it

Cause: the release was known but part of no decision, and Resumes was not read. Class: state of one process taken for that of its service.

Change: the first event binds a stream to its server's release; attempts and forwards that go on name it. Hosts report the origins (service, release) of the streams that they begin with their sync requests, control hosts pass them on, and a host at which a caller takes a stream up asks them for 0.7 s at most. What nobody knows is refused as not run. Regions' figures name releases while a service runs several.

Why it works: an origin is a fact, so that messages may be late, lost or doubled; every host asks the same records and none guesses.

--- a/internal/app/control/exchange.go
+++ b/internal/app/control/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/registry"
 	"github.com/sesamefork/sesamefork/internal/core/serverload"
+	"github.com/sesamefork/sesamefork/internal/core/streamorigin"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
@@ -89,7 +90,8 @@
 	defer f.mu.Unlock()
 	if err != nil {
 		f.o.Log.V(1).Info("control host not reached", "peer", addr, "reason", err.Error())
-		next = exchangeCursor{prompts: f.cursors[addr].prompts} // the receiver may have restarted and lost its state
+		// The receiver may have restarted and lost its state.
+		next = exchangeCursor{prompts: f.cursors[addr].prompts, streams: f.cursors[addr].streams}
 	}
 	f.cursors[addr] = next
 }
@@ -103,7 +105,7 @@
 	defer f.mu.Unlock()
 	now := f.o.Clock.Now()
 	last := f.cursors[addr]
-	next = exchangeCursor{prompts: last.prompts, hosts: f.reg.Version(), controls: f.controlsVersion}
+	next = exchangeCursor{prompts: last.prompts, streams: last.streams, hosts: f.reg.Version(), controls: f.controlsVersion}
 	x = &pb.ControlExchange{
 		Store: f.replica.o.Identity.Store, Peer: f.o.Peer, Operator: f.o.Operator,
 		Region: f.o.Region, FailureDomain: f.o.FailureDomain,
@@ -130,8 +132,10 @@
 	if crossRegion {
 		places, next.prompts = f.prompts.FromDomain(last.prompts)
 		places = holders.InRegion(f.o.Region, places)
+		x.Streams, next.streams = f.streams.Since(last.streams, streamorigin.FromFailureDomain)
 		f.addControlsLocked(x, now)
 	} else {
+		x.Streams, next.streams = f.streams.Since(last.streams, streamorigin.FromEntryHost)
 		places, next.prompts = f.prompts.FromEntryHosts(last.prompts)
 		x.ServerLoads = serverload.Encode(f.reg.OwnedLoads())
 		x.Limits, next.limits = f.reg.LimitsSince(last.limits)
@@ -234,8 +238,10 @@
 	}
 	if x.FailureDomain == f.o.FailureDomain {
 		f.prompts.AddFromDomain(holders.Decode(x.Prompts))
+		f.streams.Merge(x.Streams, streamorigin.FromFailureDomain, now)
 	} else {
 		f.prompts.Add("", holders.Decode(x.Prompts))
+		f.streams.Merge(x.Streams, streamorigin.FromElsewhere, now)
 	}
 	if f.replica.mergeVerdicts(x.Quarantine, x.Store) {
 		f.reg.BumpVersion()
--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/holders"
 	"github.com/sesamefork/sesamefork/internal/core/registry"
 	"github.com/sesamefork/sesamefork/internal/core/rendezvous"
+	"github.com/sesamefork/sesamefork/internal/core/streamorigin"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 	"github.com/sesamefork/sesamefork/internal/port"
@@ -60,6 +61,7 @@
 	waker        *waker
 	wokenVersion uint64                    // version at which waiting sync requests were last woken
 	prompts      holders.Log               // places to which the region's entry hosts sent prompts
+	streams      *streamorigin.Log         // origins of streams that entry hosts reported
 	cursors      map[string]exchangeCursor // by peer address of another control host
 	// evacuations is the state of evacuations that views contain, and evacuationsVersion the version
 	// of its last change.
@@ -87,13 +89,14 @@
 	sentAllServers bool   // whether the full set of servers was sent once
 	controls       uint64 // version of the list of control hosts
 	limits         uint64 // version of the limits that servers advertise
+	streams        uint64 // position in the log of streams' origins
 }
 
 // NewFleet returns the Fleet of a replica's host and attaches it to the replica.
 func NewFleet(o FleetOptions, r *Replica) *Fleet {
 	f := &Fleet{
 		o: o, replica: r, epoch: uint64(o.Clock.Now().UnixNano()), waker: newWaker(),
-		cursors: map[string]exchangeCursor{}, controlDomains: map[string]string{},
+		streams: streamorigin.NewLog(), cursors: map[string]exchangeCursor{}, controlDomains: map[string]string{},
 		reg: registry.New(registry.Options{
 			Region: o.Region, FailureDomain: o.FailureDomain, Regions: o.Regions,
 			ServerLease: o.ServerLease, HostLease: hostLease,
@@ -226,6 +229,7 @@
 			f.mu.Lock()
 			f.reg.Expire(last, now)
 			f.refreshControlsLocked(now)
+			f.streams.Expire(f.streamRetention(), now)
 			f.wakeLocked()
 			f.mu.Unlock()
 			last = now
@@ -236,6 +240,28 @@
 	}
 }
 
+// defaultStreamRetention applies until a configuration has been accepted.
+const defaultStreamRetention = time.Minute
+
+// streamRetention returns how long the origins of streams are kept.
+func (f *Fleet) streamRetention() time.Duration {
+	if rec := f.replica.Accepted().Record; rec != nil {
+		return rec.StreamRetention()
+	}
+	return defaultStreamRetention
+}
+
+// originOf returns the origin of a stream; an empty message if it is not known.
+func (f *Fleet) originOf(q *pb.StreamQuery) *pb.StreamOrigins {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	o, ok := f.streams.Origin(q.Stream)
+	if !ok {
+		return &pb.StreamOrigins{}
+	}
+	return &pb.StreamOrigins{Stream: []uint64{q.Stream}, Origin: []uint32{0}, Service: []string{o.Service}, Release: []string{o.Release}}
+}
+
 // liveControls returns the other control hosts from which a message was received within
 // registry.ControlLease.
 func (f *Fleet) liveControls() []*registry.Control {
--- a/internal/app/control/peer.go
+++ b/internal/app/control/peer.go
@@ -48,6 +48,11 @@
 		}
 		resp.Body = &pb.Response_FleetView{FleetView: r.fleet.handleSync(ctx, b.FleetSync)}
 		resp.Stamp = r.offered().Stamp
+	case *pb.Request_StreamQuery:
+		if r.fleet == nil {
+			return errNoFleet
+		}
+		resp.Body = &pb.Response_StreamOrigins{StreamOrigins: r.fleet.originOf(b.StreamQuery)}
 	case *pb.Request_ControlExchange:
 		if r.fleet == nil {
 			return errNoFleet
--- a/internal/app/control/view.go
+++ b/internal/app/control/view.go
@@ -10,6 +10,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/registry"
 	"github.com/sesamefork/sesamefork/internal/core/serverload"
+	"github.com/sesamefork/sesamefork/internal/core/streamorigin"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
@@ -29,6 +30,7 @@
 	if updated {
 		f.o.Log.Info("entry host added or changed", "host_id", h.GetId(), "caller", h.GetCaller(), "ready", h.GetReady())
 	}
+	f.streams.Merge(m.Streams, streamorigin.FromEntryHost, now)
 	if f.replica.mergeVerdicts(m.Quarantine, h.GetId()) {
 		f.reg.BumpVersion()
 	}
@@ -84,8 +86,9 @@
 		v.Prompts = holders.Encode(places)
 		v.Limits, v.LimitsNext = f.reg.LimitsSince(f.positionOf(m, m.HaveLimits))
 	} else {
-		v.Regions = append(v.Regions, f.regionLoadsLocked(now)...)
+		v.Regions = append(v.Regions, withAge(f.regionLoadsLocked(now), 0)...)
 	}
+	f.omitSingleReleasesLocked(v.Regions, now)
 	f.addLists(v, m, region, now)
 	f.addLoads(v, m, region)
 	if !v.Changes || f.controlsVersion > m.HaveVersion {
@@ -119,6 +122,29 @@
 	return f.regionLoads
 }
 
+// omitSingleReleasesLocked removes the releases of services of which a single one is known in all regions.
+func (f *Fleet) omitSingleReleasesLocked(loads []*pb.RegionLoad, now time.Time) {
+	known := map[string]string{} // release by service
+	several := map[string]bool{}
+	count := func(list []*pb.RegionLoad) {
+		for _, l := range list {
+			for _, release := range l.Releases {
+				if first, ok := known[l.Service]; ok && first != release {
+					several[l.Service] = true
+				}
+				known[l.Service] = release
+			}
+		}
+	}
+	count(loads)
+	count(f.regionLoadsLocked(now))
+	for _, l := range loads {
+		if !several[l.Service] {
+			l.Releases = nil
+		}
+	}
+}
+
 // addLists adds the servers of the entry host's region and all entry hosts to its view: the changes
 // since the version that the host has, and the servers that announced themselves since.
 func (f *Fleet) addLists(v *pb.FleetView, m *pb.FleetSync, region string, now time.Time) {
--- a/internal/app/gateway/controlhosts.go
+++ b/internal/app/gateway/controlhosts.go
@@ -44,6 +44,8 @@
 	sentRevision uint64
 	// sentLimits is the version of this host's limits of servers up to which it has them; 0 for none.
 	sentLimits uint64
+	// sentStreams is the position in this host's log of streams' origins up to which it has them.
+	sentStreams uint64
 }
 
 // hostListInterval is the interval at which an unchanged list of entry hosts is applied again:
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -36,6 +36,10 @@
 	ran       int // attempts that may have run
 	headSent  bool
 	lastEvent uint64 // ID of the last event sent to the caller
+	// release is the software version of the server that wrote the stream's first event; nil before it.
+	release *string
+	// releaseUnknown is set if the stream has begun at a release that is not known, so that it cannot go on.
+	releaseUnknown bool
 	// mayHaveRun is set once an attempt has ended without proof that it did not run.
 	mayHaveRun bool
 }
@@ -82,13 +86,7 @@
 	}
 	x := &execution{
 		r: r, record: c.Record, version: c.Stamp.Version, route: route, team: team, teamRecord: c.Record, sink: sink,
-		tried: map[string]bool{}, lastEvent: r.ResumeAfter, service: r.service, fingerprint: fingerprintOf(r, team),
-	}
-	switch {
-	case x.service == "":
-		x.service = route.Service(hashFraction(r.ID))
-	case !routesTo(route, x.service):
-		return nil, notRun(failure.PeerRefused, 0, "version %d does not send route %q to service %q", c.Stamp.Version, route.Name, x.service)
+		tried: map[string]bool{}, lastEvent: r.ResumeAfter, service: r.service, release: r.release, fingerprint: fingerprintOf(r, team),
 	}
 	x.deadline = r.Arrived.Add(time.Duration(route.TimeoutMS) * time.Millisecond)
 	if r.Wait > 0 {
@@ -96,6 +94,21 @@
 			x.deadline = d
 		}
 	}
+	if x.takesUpStream() {
+		if f := g.takeUp(ctx, x); f != nil {
+			return nil, f
+		}
+	}
+	switch {
+	case x.service == "":
+		x.service = route.Service(hashFraction(r.ID))
+	case !routesTo(route, x.service) && x.takesUpStream():
+		return nil, notRun(failure.StreamMoved, 0, "the stream began at service %q, to which version %d does not send route %q", x.service, c.Stamp.Version, route.Name)
+	case r.Origin != "" && r.ResumeAfter > 0 && r.release == nil:
+		return nil, notRun(failure.PeerRefused, 0, "the forward goes on with a stream and does not name its release")
+	case !routesTo(route, x.service):
+		return nil, notRun(failure.PeerRefused, 0, "version %d does not send route %q to service %q", c.Stamp.Version, route.Name, x.service)
+	}
 	if r.Origin == "" {
 		g.recordArrival(x)
 	}
@@ -240,7 +253,7 @@
 // mayRetry reports whether the route, the deadline and the retry budget that all entry hosts
 // share allow another attempt.
 func (g *Gateway) mayRetry(ctx context.Context, x *execution, res result) bool {
-	if ctx.Err() != nil || x.deadline.Sub(g.o.Clock.Now()) < minAttemptTime || res.stage == retry.Answered {
+	if ctx.Err() != nil || x.deadline.Sub(g.o.Clock.Now()) < minAttemptTime || res.stage == retry.Answered || x.releaseUnknown {
 		return false
 	}
 	if res.err != nil && (res.err.Code == failure.Quarantined || res.err.Code == failure.Suspected) {
@@ -274,7 +287,7 @@
 	j := &dispatch.Job{
 		Service: x.service, Permits: x.permits, Remaining: x.deadline.Sub(now), Tried: x.tried,
 		Target: time.Duration(x.route.LatencyTargetMS) * time.Millisecond, Forwarded: x.r.Origin != "",
-		ServerCrashes: x.judgement.ServerCrashes, Priority: x.route.Priority,
+		ServerCrashes: x.judgement.ServerCrashes, Priority: x.route.Priority, Release: x.release,
 	}
 	s, ok := x.record.RoutedService(x.service)
 	if !ok {
--- a/internal/app/gateway/forward.go
+++ b/internal/app/gateway/forward.go
@@ -43,7 +43,7 @@
 		RequestId: x.r.ID, Route: x.route.Name, Service: x.service, Method: x.r.Method, Uri: x.r.URI, Host: x.r.Host,
 		Body: x.r.Body, RemainingMs: x.deadline.Sub(now).Milliseconds(), OriginRegion: g.o.Region,
 		ResumeAfter: x.lastEvent, Attempts: uint32(max(1, left)), Headers: forward.Headers(x.r.Header),
-		Team: x.teamName(), KeyHash: x.r.Key.Hash,
+		Team: x.teamName(), KeyHash: x.r.Key.Hash, Release: x.release,
 	}
 	return m
 }
@@ -74,6 +74,7 @@
 				body = append(body, f.Chunk...)
 				continue
 			}
+			g.bindToRelease(x, hd)
 			if f := x.sendEvent(hd, f.Chunk); f != nil {
 				res.stage, res.outcome, res.err = retry.MidAnswer, dispatch.CallerEnded, f
 				return
@@ -112,7 +113,7 @@
 }
 
 func headOf(m *pb.ForwardHead) Head {
-	return Head{Status: int(m.Status), Header: forward.ReadHeaders(m.Headers), Length: m.Length}
+	return Head{Status: int(m.Status), Header: forward.ReadHeaders(m.Headers), Length: m.Length, Release: m.Release}
 }
 
 // streamSink writes an answer to the stream of a forward.
@@ -122,7 +123,7 @@
 
 // Head implements Sink.
 func (s *streamSink) Head(hd Head) error {
-	m := &pb.ForwardHead{Status: uint32(hd.Status), Length: hd.Length, Headers: forward.Headers(hd.Header)}
+	m := &pb.ForwardHead{Status: uint32(hd.Status), Length: hd.Length, Headers: forward.Headers(hd.Header), Release: hd.Release}
 	return s.s.Send(&pb.ForwardFrame{Frame: &pb.ForwardFrame_Head{Head: m}})
 }
 
@@ -150,7 +151,7 @@
 	r := &Request{
 		ID: f.RequestId, Method: f.Method, Host: f.Host, URI: f.Uri, Path: pathOf(f.Uri), Header: forward.ReadHeaders(f.Headers), Body: f.Body,
 		Arrived: g.o.Clock.Now(), Wait: max(time.Millisecond, time.Duration(f.RemainingMs)*time.Millisecond),
-		ResumeAfter: f.ResumeAfter, Origin: f.OriginRegion, attempts: int(f.Attempts), service: f.Service, team: f.Team, Key: access.Credential{Hash: f.KeyHash, Fault: "the request was forwarded without a key"},
+		ResumeAfter: f.ResumeAfter, Origin: f.OriginRegion, attempts: int(f.Attempts), service: f.Service, release: f.Release, team: f.Team, Key: access.Credential{Hash: f.KeyHash, Fault: "the request was forwarded without a key"},
 		traceparent: req.Traceparent,
 	}
 	if g.o.ReadPrompt != nil {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
+	"github.com/sesamefork/sesamefork/internal/core/streamorigin"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 	"github.com/sesamefork/sesamefork/internal/port"
@@ -75,6 +76,7 @@
 	// invalidLimitLoggedAt is when a limit that cannot be decoded was last logged.
 	invalidLimitLoggedAt time.Time
 
+	streams streamLog
 	control controlList
 	access  *access.Limiter
 }
@@ -99,6 +101,7 @@
 		viewChanged: make(chan struct{}),
 		becameBusy:  make(chan struct{}, 1),
 	}
+	g.streams.log = streamorigin.NewLog()
 	g.control.seeds, g.control.byAddr = o.Seeds, map[string]*controlHost{}
 	g.control.changed, g.control.configConfirmed = make(chan struct{}, 1), make(chan struct{})
 	g.access = access.New(access.Options{
--- a/internal/app/gateway/request.go
+++ b/internal/app/gateway/request.go
@@ -48,6 +48,8 @@
 	traceparent string
 	// service and team were determined by the host that forwarded the request; "" otherwise.
 	service, team string
+	// release is set if the host that forwarded the request goes on with a stream of that release.
+	release *string
 }
 
 // Prompt describes a request to a model engine.
@@ -65,6 +67,8 @@
 	Header http.Header
 	// Length is the length of the body in bytes; -1 if unknown.
 	Length int64
+	// Release is the software version of the server; nil if another entry host did not state it.
+	Release *string
 }
 
 // Sink receives an answer for the caller.
--- a/internal/app/gateway/resume_test.go
+++ b/internal/app/gateway/resume_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 
+	"github.com/sesamefork/sesamefork/internal/core/configstate"
+	"github.com/sesamefork/sesamefork/internal/core/streamorigin"
+	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
@@ -50,3 +54,114 @@
 		}
 	}
 }
+
+// TestStreamIsTakenUpAtItsRelease guards against take-ups at another release or service, and against refusals
+// of streams that can go on.
+func TestStreamIsTakenUpAtItsRelease(t *testing.T) {
+	releases := func(first, second string) func(*pb.FleetView) {
+		return func(v *pb.FleetView) { setReleases(v, "llm1", [2]string{first, second}) }
+	}
+	for name, c := range map[string]struct {
+		view    func(*pb.FleetView)
+		resumes string
+		origin  *streamorigin.Origin // that the control host knows
+		split   bool                 // the route sends most streams to another service
+		server  string               // that goes on; "" for none
+		code    failure.Code
+	}{
+		"its release serves":                   {releases("v1", "v1.1"), "a1", &streamorigin.Origin{Service: "llm", Release: "v1.1"}, false, "llm2", ""},
+		"the other one of two releases":        {releases("v1", "v1.1"), "a1", &streamorigin.Origin{Service: "llm", Release: "v1"}, false, "llm1", ""},
+		"no server of its release is left":     {releases("v1.1", "v1.2"), "a1", &streamorigin.Origin{Service: "llm", Release: "v1"}, false, "", failure.NoServer},
+		"nobody knows the stream":              {releases("v1", "v1"), "a1", nil, false, "", failure.StreamUnknown},
+		"a split route sends it nowhere else":  {releases("v1", "v1"), "a1", &streamorigin.Origin{Service: "llm", Release: "v1"}, true, "llm", ""},
+		"its service is none of the route's":   {releases("v1", "v1"), "a1", &streamorigin.Origin{Service: "other", Release: "v1"}, false, "", failure.StreamMoved},
+		"no first attempt named, one release":  {releases("v1", "v1"), "", nil, false, "llm", ""},
+		"no first attempt named, two releases": {releases("v1", "v1.1"), "", nil, false, "", failure.StreamUnknown},
+		"servers that state no release":        {releases("", "v1"), "a1", &streamorigin.Origin{Service: "llm"}, false, "llm1", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			if c.split {
+				rec := baseRecord()
+				rec.Routes[0].Targets = []configstate.RouteTarget{{Service: "desk", Weight: 1000}, {Service: "llm", Weight: 0.001}}
+				f.install(8, rec)
+			}
+			f.g.control.seeds = []string{"10.0.0.1:7"}
+			f.peers.response = func(req *pb.Request) *pb.Response {
+				f.clock.advance(maxOriginWait) // each query takes as long as all of them may
+				m := &pb.StreamOrigins{}
+				if q := req.GetStreamQuery(); c.origin != nil && q.GetStream() == streamorigin.Key("a1") {
+					m = &pb.StreamOrigins{Stream: []uint64{q.Stream}, Origin: []uint32{0}, Service: []string{c.origin.Service}, Release: []string{c.origin.Release}}
+				}
+				return &pb.Response{Body: &pb.Response_StreamOrigins{StreamOrigins: m}}
+			}
+			f.view(c.view)
+			f.backends.answer = func(int, *Attempt) (*Answer, bool, error) { return streamAnswer(event3, false), true, nil }
+			r := f.request("/match/1")
+			r.ID, r.ResumeAfter, r.Resumes = "a2", 2, c.resumes
+			fail := f.g.Execute(context.Background(), r, &memorySink{})
+			sent := f.backends.sent()
+			switch {
+			case c.server == "" && len(sent) > 0:
+				t.Errorf("sent to %s", sent[0].Server)
+			case c.server == "" && (fail == nil || fail.Code != c.code || fail.Outcome != failure.NotRun):
+				t.Errorf("ended with %v, want %s", fail, c.code)
+			case c.server != "" && (len(sent) != 1 || !strings.HasPrefix(sent[0].Server, c.server) || sent[0].ResumeAfter != 2):
+				t.Errorf("sent %+v, want once to %s after event 2; %v", sent, c.server, fail)
+			}
+		})
+	}
+}
+
+// TestOriginOfABegunStreamIsReported guards against take-ups at hosts that cannot know the release.
+func TestOriginOfABegunStreamIsReported(t *testing.T) {
+	f := newFixture(t)
+	f.view(func(v *pb.FleetView) { setReleases(v, "llm1", [2]string{"v2", "v2"}) })
+	f.backends.answer = func(int, *Attempt) (*Answer, bool, error) { return streamAnswer(event1, false), true, nil }
+	_ = f.g.Execute(context.Background(), f.request("/match/1"), &memorySink{})
+	_ = f.g.Execute(context.Background(), f.request("/chat/1"), &memorySink{}) // cannot be resumed
+	m, c := &pb.FleetSync{}, &controlHost{}
+	position := f.g.addStreams(m, c, true)
+	if s := m.Streams; len(s.GetStream()) != 1 || s.Stream[0] != streamorigin.Key("r1") || s.Service[0] != "llm" || s.Release[0] != "v2" {
+		t.Fatalf("reported %v", s)
+	}
+	c.recordStreamsSent(&pb.FleetView{Epoch: 1}, 1, position)
+	again := &pb.FleetSync{}
+	c.recordStreamsSent(&pb.FleetView{Epoch: 2}, 1, f.g.addStreams(again, c, true)) // the control host has restarted
+	if again.Streams != nil {
+		t.Errorf("reported again: %v", again.Streams)
+	}
+	if f.g.addStreams(again, c, true); len(again.Streams.GetStream()) != 1 {
+		t.Errorf("after the control host's restart reported %v", again.Streams)
+	}
+}
+
+// TestForwardedStreamStaysAtItsRelease guards against a region that goes on at another release than the one
+// that began the stream.
+func TestForwardedStreamStaysAtItsRelease(t *testing.T) {
+	v1 := "v1"
+	for name, c := range map[string]struct {
+		m     *pb.RoutedForward
+		sends int
+	}{
+		"goes on at its release":                {&pb.RoutedForward{ResumeAfter: 1, Release: &v1}, 1},
+		"goes on, the release is not stated":    {&pb.RoutedForward{ResumeAfter: 1}, 0},
+		"begins":                                {&pb.RoutedForward{}, 1},
+		"goes on at a release that is not here": {&pb.RoutedForward{ResumeAfter: 1, Release: new(string)}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.view(func(v *pb.FleetView) { setReleases(v, "llm1", [2]string{v1, v1}) })
+			f.backends.answer = func(int, *Attempt) (*Answer, bool, error) { return streamAnswer(event2, false), true, nil }
+			c.m.RequestId, c.m.Host, c.m.Uri, c.m.Service, c.m.Method, c.m.RemainingMs, c.m.OriginRegion, c.m.Attempts = "r1", "h", "/match/1", "llm", "POST", 3000, "east", 1
+			sink := &memorySink{}
+			fail := f.g.receive(context.Background(), &pb.Request{Stamp: f.g.stamp(), Body: &pb.Request_RoutedForward{RoutedForward: c.m}}, sink)
+			if n := len(f.backends.sent()); n != c.sends {
+				t.Errorf("sent %d times, want %d: %v", n, c.sends, fail)
+			}
+			if c.sends > 0 && (sink.head == nil || sink.head.Release == nil || *sink.head.Release != v1) {
+				t.Errorf("the answer's head %+v does not name the release", sink.head)
+			}
+		})
+	}
+}
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -58,6 +58,7 @@
 			err: failure.New(failure.BackendLost, failure.Unknown, "the answer does not carry the server's signature")}
 	}
 	res := result{}
+	answer.Release = g.releaseOf(c.Server)
 	if x.route.Kind == configstate.KindStream && answer.Status == http.StatusOK {
 		g.relayStream(x, c, answer, &res, began)
 		return res
@@ -116,6 +117,17 @@
 	}
 }
 
+// releaseOf returns a server's release; nil if another process may run under the server's ID.
+func (g *Gateway) releaseOf(s *dispatch.Server) *string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !s.ReleaseConfirmed() {
+		return nil
+	}
+	release := s.Release
+	return &release
+}
+
 func (g *Gateway) markGone(s *dispatch.Server) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -180,6 +192,7 @@
 			return
 		}
 		g.recordProgress(c, res, began)
+		g.bindToRelease(x, a.Head)
 		if f := x.sendEvent(a.Head, event); f != nil {
 			res.stage, res.outcome, res.err = retry.MidAnswer, dispatch.CallerEnded, f
 			if f.Code == failure.BackendLost {
--- /dev/null
+++ b/internal/app/gateway/streams.go
@@ -0,0 +1,195 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sesamefork/sesamefork/internal/core/configstate"
+	"github.com/sesamefork/sesamefork/internal/core/controlhosts"
+	"github.com/sesamefork/sesamefork/internal/core/streamorigin"
+	"github.com/sesamefork/sesamefork/internal/failure"
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+)
+
+// Times of the search for the origin of a stream that a caller takes up.
+const (
+	// maxOriginWait is the longest time for which the origin is searched. An origin reaches a control
+	// host with the next sync request of the host that recorded it, and other regions within a message
+	// delay.
+	maxOriginWait = 700 * time.Millisecond
+	// originRetryInterval is the pause between two queries.
+	originRetryInterval = 150 * time.Millisecond
+	// originQueryTimeout exceeds a round trip to another region.
+	originQueryTimeout = 400 * time.Millisecond
+	// originRetryAfter is the time after which a caller should try again to take up a stream whose origin
+	// is not known.
+	originRetryAfter = 500 * time.Millisecond
+)
+
+// streamLog holds the origins of the streams that this host began or took up.
+type streamLog struct {
+	mu  sync.Mutex
+	log *streamorigin.Log
+}
+
+func (l *streamLog) record(stream uint64, o streamorigin.Origin, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.log.Record(stream, o, streamorigin.FromEntryHost, now)
+}
+
+func (l *streamLog) origin(stream uint64) (streamorigin.Origin, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.log.Origin(stream)
+}
+
+// addStreams adds the origins of streams that the primary has not received, and returns the position that
+// it has with them.
+func (g *Gateway) addStreams(m *pb.FleetSync, c *controlHost, primary bool) (position uint64) {
+	config := g.config.Load()
+	if !primary || config == nil {
+		return 0
+	}
+	l := &g.streams
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.log.Expire(config.Record.StreamRetention(), g.o.Clock.Now())
+	m.Streams, position = l.log.Since(c.sentStreams, streamorigin.FromEntryHost)
+	return position
+}
+
+// recordStreamsSent records that a control host received the origins up to a position. If the view's epoch
+// has changed, the control host has restarted, and all origins are to be sent again.
+func (c *controlHost) recordStreamsSent(view *pb.FleetView, epochBefore, position uint64) {
+	c.sentStreams = position
+	if epochBefore != 0 && view.Epoch != epochBefore {
+		c.sentStreams = 0
+	}
+}
+
+// takesUpStream reports whether a caller takes up a stream that an earlier attempt of it began.
+func (x *execution) takesUpStream() bool {
+	return x.r.Origin == "" && x.r.ResumeAfter > 0 && x.route.Kind == configstate.KindStream
+}
+
+// takeUp binds a request that takes up a stream to the stream's service and release. It refuses the request
+// if these are not known.
+func (g *Gateway) takeUp(ctx context.Context, x *execution) *failure.Error {
+	if x.r.Resumes == "" {
+		return g.bindToOnlyRelease(x)
+	}
+	began := g.o.Clock.Now()
+	stream := streamorigin.Key(x.r.Resumes)
+	o, source := g.findOrigin(ctx, stream, min(maxOriginWait, x.deadline.Sub(began)/3))
+	now := g.o.Clock.Now()
+	if source == "" {
+		g.o.Metrics.Add("streams_of_unknown_origin", 1)
+		g.o.Log.Info("stream not taken up", "request_id", x.r.ID, "resumes", x.r.Resumes, "resume_after", x.r.ResumeAfter, "waited_ms", now.Sub(began).Milliseconds())
+		return notRun(failure.StreamUnknown, originRetryAfter, "no control host in reach knows the stream that attempt %q began", x.r.Resumes)
+	}
+	g.o.Metrics.Add("streams_taken_up", 1)
+	g.o.Log.Info("stream taken up", "request_id", x.r.ID, "resumes", x.r.Resumes, "resume_after", x.r.ResumeAfter, "service", o.Service, "release", o.Release,
+		"source", source, "waited_ms", now.Sub(began).Milliseconds())
+	g.streams.record(stream, o, now)
+	x.service, x.release = o.Service, &o.Release
+	return nil
+}
+
+// bindToOnlyRelease binds a stream whose first attempt is not named to the release of its service, if this
+// host knows a single one.
+func (g *Gateway) bindToOnlyRelease(x *execution) *failure.Error {
+	service := x.route.Service(hashFraction(x.r.ID))
+	g.mu.Lock()
+	release, only := g.fleet.OnlyRelease(service)
+	g.mu.Unlock()
+	if !only {
+		return notRun(failure.StreamUnknown, 0, "the request does not name the attempt that began the stream, and service %q runs several releases", service)
+	}
+	x.service, x.release = service, &release
+	return nil
+}
+
+// findOrigin returns the origin of a stream and the control host that knows it, or "this host"; "" if none
+// does within a time.
+func (g *Gateway) findOrigin(ctx context.Context, stream uint64, within time.Duration) (o streamorigin.Origin, source string) {
+	deadline := g.o.Clock.Now().Add(within)
+	for {
+		if o, ok := g.streams.origin(stream); ok {
+			return o, "this host"
+		}
+		near, far := g.controlHostsByDistance()
+		if o, source = g.queryOrigin(ctx, near, stream); source == "" {
+			o, source = g.queryOrigin(ctx, far, stream)
+		}
+		if source != "" || ctx.Err() != nil || g.o.Clock.Now().Add(originRetryInterval).After(deadline) {
+			return o, source
+		}
+		sleep(ctx, originRetryInterval)
+	}
+}
+
+// controlHostsByDistance returns the addresses of the control hosts of the own region and of the others.
+func (g *Gateway) controlHostsByDistance() (near, far []string) {
+	now := g.o.Clock.Now()
+	c := &g.control
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, addr := range c.allLocked() {
+		h := c.hostLocked(addr)
+		if g.distance(h.domain) != controlhosts.OtherRegion {
+			near = append(near, addr)
+			continue
+		}
+		far = append(far, addr)
+		if !h.syncing {
+			h.idleSince = now // the link that a query opens is closed after idleLinkTimeout
+		}
+	}
+	return near, far
+}
+
+// queryOrigin asks control hosts for the origin of a stream and returns the first one that is found.
+func (g *Gateway) queryOrigin(ctx context.Context, addrs []string, stream uint64) (streamorigin.Origin, string) {
+	ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
+	defer cancel()
+	type answer struct {
+		m    *pb.StreamOrigins
+		addr string
+	}
+	answers := make(chan answer, len(addrs))
+	for _, addr := range addrs {
+		go func() {
+			req := g.newPeerRequest()
+			req.Body = &pb.Request_StreamQuery{StreamQuery: &pb.StreamQuery{Stream: stream}}
+			resp, err := g.o.Peers.Call(ctx, addr, req)
+			if err != nil {
+				resp = nil
+			}
+			answers <- answer{resp.GetStreamOrigins(), addr}
+		}()
+	}
+	for range addrs {
+		if a := <-answers; len(a.m.GetService()) == 1 && len(a.m.GetRelease()) == 1 {
+			return streamorigin.Origin{Service: a.m.Service[0], Release: a.m.Release[0]}, a.addr
+		}
+	}
+	return streamorigin.Origin{}, ""
+}
+
+// bindToRelease binds a stream to the release of the server that wrote its first event, and records that for
+// callers who take the stream up at another entry host.
+func (g *Gateway) bindToRelease(x *execution, hd Head) {
+	switch {
+	case x.release != nil || x.releaseUnknown:
+		return
+	case hd.Release == nil:
+		x.releaseUnknown = true
+		return
+	}
+	x.release = hd.Release
+	if x.route.Resumable {
+		g.streams.record(streamorigin.Key(x.r.ID), streamorigin.Origin{Service: x.service, Release: *hd.Release}, g.o.Clock.Now())
+	}
+}
--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -200,6 +200,7 @@
 	req := g.newPeerRequest()
 	m, own := g.newSync(c, primary)
 	limits := g.addLimits(m, c)
+	streams := g.addStreams(m, c, primary)
 	records, next := g.unsentCrashRecords(c)
 	m.Quarantine = records
 	req.Body = &pb.Request_FleetSync{FleetSync: m}
@@ -210,6 +211,7 @@
 	}
 	c.recordSent(view, c.state.epoch, next, len(records) == maxCrashRecords)
 	c.recordLimitsSent(view, c.state.epoch, limits)
+	c.recordStreamsSent(view, c.state.epoch, streams)
 	if !c.state.apply(view) {
 		return nil, failure.New(failure.PeerRefused, "", "the changes sent by the control host at %s do not follow the last view applied here", c.addr)
 	}
--- a/internal/core/configstate/routes.go
+++ b/internal/core/configstate/routes.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 )
 
 // RouteKind states how often a route's requests may run and how they are answered.
@@ -148,6 +149,21 @@
 	return best, best != nil
 }
 
+// StreamRetention returns how long the origins of streams are kept: callers may take up a stream until the
+// route's timeout has passed after it began, and again after that.
+func (r *Record) StreamRetention() time.Duration {
+	longest := int64(0)
+	for i := range r.Routes {
+		if r.Routes[i].Kind == KindStream {
+			longest = max(longest, r.Routes[i].TimeoutMS)
+		}
+	}
+	return min(2*time.Duration(longest)*time.Millisecond, maxStreamRetention)
+}
+
+// maxStreamRetention bounds the retention of origins for routes with a very long timeout.
+const maxStreamRetention = 10 * time.Minute
+
 // HasRoutes reports whether any route has the host.
 func (r *Record) HasRoutes(host string) bool { return len(r.routesByHost[host]) > 0 }
 
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -36,6 +36,9 @@
 	// ServerCrashes is the number of server processes recorded as crashed while running the
 	// request.
 	ServerCrashes int
+	// Release is set if the request goes on with a stream that a server of this software version began. Only
+	// servers of that version may run it.
+	Release *string
 	// Priority is the urgency of the request: 0 is the most urgent.
 	Priority int
 	// ColdPerSecond is the rate of requests that a cold server tolerates, per second; 0 for no
@@ -135,7 +138,7 @@
 		return c
 	}
 	if c.Server == nil && c.Host == nil {
-		c.Refused, c.RetryAfter, c.NoUsableServer = "no backend server in reach", f.retryAfterNoServer(j, now), true
+		c.Refused, c.RetryAfter, c.NoUsableServer = j.noServerReason(), f.retryAfterNoServer(j, now), true
 		return c
 	}
 	if wait := time.Duration(c.EstimateMS * float64(time.Millisecond)); wait > j.Remaining {
@@ -145,6 +148,14 @@
 	return c
 }
 
+// noServerReason returns why a request is refused for which no server is usable.
+func (j *Job) noServerReason() string {
+	if j.Release != nil {
+		return "no backend server of the stream's release in reach"
+	}
+	return "no backend server in reach"
+}
+
 // retryAfterNoServer returns the time after which to retry if no server is usable: the earliest
 // moment at which a cold server has warmed up or the back-off of a failing one has ended, at
 // most defaultRetryAfter. A server that is unusable for missed announcements counts as usable
@@ -174,7 +185,11 @@
 		if j.Tried[s.ID] {
 			continue
 		}
-		if reason := f.usable(s, now); reason != "" {
+		reason := f.usable(s, now)
+		if reason == "" {
+			reason = releaseMismatch(s, j)
+		}
+		if reason != "" {
 			c.Considered = append(c.Considered, Candidate{s.ID, 0, reason})
 			continue
 		}
@@ -202,6 +217,20 @@
 	}
 }
 
+// releaseMismatch returns why a server may not go on with the job's stream; "" if it may. A process that may
+// have replaced the server's under its ID may run any release.
+func releaseMismatch(s *Server, j *Job) string {
+	switch {
+	case j.Release == nil:
+		return ""
+	case s.Release != *j.Release:
+		return "other release"
+	case s.awaitsAnnouncement():
+		return "release not confirmed"
+	}
+	return ""
+}
+
 // evaluate computes the loss of sending the request to a server, and makes the server the
 // choice if that is the lowest so far. extraLoss is added to the server's own loss.
 func (f *Fleet) evaluate(s *Server, j *Job, c *Choice, locations chainLocations, extraLoss float64, now time.Time) {
@@ -296,6 +325,10 @@
 			c.Considered = append(c.Considered, Candidate{name, 0, "not heard lately"})
 			continue
 		}
+		if j.Release != nil && len(r.releases) > 0 && !slices.Contains(r.releases, *j.Release) {
+			c.Considered = append(c.Considered, Candidate{name, 0, "other release"})
+			continue
+		}
 		h := f.pickHost(name, j, now)
 		if h == nil {
 			c.Considered = append(c.Considered, Candidate{name, 0, "no entry host in reach"})
--- a/internal/core/dispatch/cold.go
+++ b/internal/core/dispatch/cold.go
@@ -111,13 +111,19 @@
 // the longest delay of a view, whose age omits delays, or once a process that started at the loss has
 // been warm for the time of the announcements that a server may miss.
 func (f *Fleet) mayHaveRestarted(s *Server, now time.Time) bool {
-	if s.lostAt.IsZero() || s.AnnouncedAt.After(s.lostAt.Add(maxViewDelay)) {
+	if !s.awaitsAnnouncement() {
 		return false
 	}
 	duration, known := f.coldDurations[s.Service]
 	return !known || (duration > 0 && now.Sub(s.lostAt) < duration+f.announcementTTL())
 }
 
+// awaitsAnnouncement reports whether no announcement is proved to have been sent since this host lost its
+// connections to the server.
+func (s *Server) awaitsAnnouncement() bool {
+	return !s.lostAt.IsZero() && !s.AnnouncedAt.After(s.lostAt.Add(maxViewDelay))
+}
+
 // awaitsConfirmation reports whether the server may have become cold before its failure domain was
 // restored. Its next announcement is awaited in any case, as control hosts of an earlier version send
 // neither restorations nor confirmations.
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -55,6 +55,7 @@
 	// limitedServers, limitedSlots and limitedPerSecond are of the servers that advertise a limit, which
 	// are not part of servers and slots.
 	limitedServers, limitedSlots, limitedPerSecond float64
+	releases                                       []string // of its servers; empty if unknown
 }
 
 type regionKey struct{ region, service string }
@@ -292,6 +293,7 @@
 		prompt: float64(l.PromptTokens), memory: float64(l.MemoryTokens),
 		arrivals: float64(l.Arrivals) / arrivalsReportWindow.Seconds(), asOf: at, key: holders.Key(l.Region),
 		limitedServers: float64(l.LimitedServers), limitedSlots: float64(l.LimitedSlots), limitedPerSecond: l.LimitedPerSecond,
+		releases: l.Releases,
 	}
 }
 
--- a/internal/core/dispatch/homes.go
+++ b/internal/core/dispatch/homes.go
@@ -121,6 +121,9 @@
 	if f.Neighbors() <= maxHostsUnsampled || len(all) <= sampleSize+len(locations.homes) || f.disabled(Sampling) {
 		return all
 	}
+	if j.Release != nil {
+		all = slices.DeleteFunc(all, func(s *Server) bool { return s.Release != *j.Release })
+	}
 	chosen := map[*Server]bool{}
 	for _, id := range locations.homes {
 		if s := f.servers[id]; s != nil {
--- a/internal/core/dispatch/regions.go
+++ b/internal/core/dispatch/regions.go
@@ -37,6 +37,9 @@
 		}
 		factor := f.unreportedFactor(s.Service, now)
 		f.Limit(s).CountIn(l, s.Slots)
+		if !slices.Contains(l.Releases, s.Release) {
+			l.Releases = append(l.Releases, s.Release)
+		}
 		l.Requests += uint32(f.requestsAt(s, now))
 		l.PromptTokens += uint32(max(0, s.own.prompt+factor*s.others.prompt))
 		l.MemoryTokens += uint32(max(0, s.own.memory+factor*s.others.memory))
--- /dev/null
+++ b/internal/core/dispatch/release_test.go
@@ -0,0 +1,64 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+)
+
+// TestStreamGoesToItsRelease guards against choices that know a server's ID or region but not its release.
+func TestStreamGoesToItsRelease(t *testing.T) {
+	v1 := "v1"
+	for name, c := range map[string]struct {
+		releases  []string // of the own region's servers
+		elsewhere []string // of the other region's servers, as reported
+		lost      bool     // this host has lost its connections to the first server
+		server    string   // "" for none
+		region    bool     // the request goes to the other region
+	}{
+		"its release here":                        {[]string{"v1", "v2"}, nil, false, "s0", false},
+		"its release elsewhere":                   {[]string{"v2", "v2"}, []string{"v1", "v2"}, false, "", true},
+		"elsewhere, where releases are not named": {[]string{"v2", "v2"}, nil, false, "", true},
+		"nowhere":                           {[]string{"v2", "v2"}, []string{"v2"}, false, "", false},
+		"its server may have been replaced": {[]string{"v1", "v2"}, []string{"v2"}, true, "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(1)
+			v := testView(len(c.releases))
+			for i, release := range c.releases {
+				v.Servers[i].Release, v.Servers[i].Start = release, 1
+			}
+			for _, l := range v.Regions {
+				l.Releases = c.elsewhere
+			}
+			f.ApplyView(v, FullScope, start)
+			now := start.Add(time.Second)
+			if c.lost {
+				f.RecordServerLost(f.servers["s0"], now)
+			}
+			j := shortJob()
+			j.Release = &v1
+			choice := f.Choose(j, now)
+			if (choice.Server != nil) != (c.server != "") || (choice.Server != nil && choice.Server.ID != c.server) || (choice.Host != nil) != c.region {
+				t.Errorf("server %v, host %v, refused %q", choice.Server, choice.Host, choice.Refused)
+			}
+		})
+	}
+}
+
+// TestOnlyRelease checks when streams of an unnamed attempt may go on.
+func TestOnlyRelease(t *testing.T) {
+	f := newTestFleet(1)
+	v := testView(2)
+	v.Servers[0].Release, v.Servers[1].Release = "v1", "v1"
+	f.ApplyView(v, FullScope, start)
+	if release, only := f.OnlyRelease(v.Servers[0].Service); !only || release != "v1" {
+		t.Errorf("release %q, only %v", release, only)
+	}
+	v.Regions = []*pb.RegionLoad{{Region: "east", Service: v.Servers[0].Service, Servers: 1, Releases: []string{"v2"}}}
+	f.ApplyView(v, FullScope, start)
+	if release, only := f.OnlyRelease(v.Servers[0].Service); only {
+		t.Errorf("release %q is taken for the only one", release)
+	}
+}
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -60,6 +60,9 @@
 // under its ID.
 func (s *Server) Replaced() bool { return s.replaced }
 
+// ReleaseConfirmed reports whether the server's release is that of the process that answers under its ID.
+func (s *Server) ReleaseConfirmed() bool { return !s.awaitsAnnouncement() && !s.replaced }
+
 // stalled reports whether the server has sent nothing for stalledAfter though requests are in
 // flight. It may be down, or the network path to it cut without its connections being closed.
 // Deferred requests are not counted, as they wait long at a healthy server.
@@ -239,6 +242,31 @@
 	return ""
 }
 
+// OnlyRelease returns the release of a service, if all its servers that this host knows run the same one.
+func (f *Fleet) OnlyRelease(service string) (release string, only bool) {
+	known := false
+	see := func(r string) bool {
+		if known && r != release {
+			return false
+		}
+		release, known = r, true
+		return true
+	}
+	for _, s := range f.servers {
+		if s.Service == service && !see(s.Release) {
+			return "", false
+		}
+	}
+	for key, r := range f.regions {
+		for _, name := range r.releases {
+			if key.service == service && !see(name) {
+				return "", false
+			}
+		}
+	}
+	return release, known
+}
+
 // LastAnnouncements returns the last announcement of each recorded server, and the releases that each
 // service's servers run. The releases leave out servers that are leaving or have missed their
 // announcements.
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -154,7 +154,7 @@
 		s.DirectAt = old.DirectAt
 	}
 	changed := old.Leaving != s.Leaving || old.Service != s.Service || old.Slots != s.Slots || r.lapsed(old, now) ||
-		old.Start != s.Start || old.Address != s.Address || s.ColdUntil.After(old.ColdUntil.Add(coldChangeThreshold)) ||
+		old.Start != s.Start || old.Address != s.Address || old.Release != s.Release || s.ColdUntil.After(old.ColdUntil.Add(coldChangeThreshold)) ||
 		(r.AwaitsConfirmation(old) && !r.AwaitsConfirmation(&s))
 	return r.store(old, s, changed)
 }
@@ -414,6 +414,9 @@
 			sums[s.Service] = l
 		}
 		r.limits.Get(s.Key()).CountIn(l, s.Slots)
+		if !slices.Contains(l.Releases, s.Release) {
+			l.Releases = append(l.Releases, s.Release)
+		}
 		load := loads[s.Key()]
 		l.Requests += load.Requests
 		l.PromptTokens += load.PromptTokens
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -71,6 +71,8 @@
 	Suspected         Code = "suspected-request"
 	OverQuota         Code = "over-quota"
 	QuotaUnknown      Code = "quota-unknown"
+	StreamUnknown     Code = "stream-unknown"
+	StreamMoved       Code = "stream-moved"
 	Internal          Code = "internal"
 )
 
@@ -119,6 +121,8 @@
 	Suspected:         "The request may have crashed servers and is being tried",
 	OverQuota:         "The team's quota is used up",
 	QuotaUnknown:      "No control host in reach tells what is left of the team's quota",
+	StreamUnknown:     "The release at which the stream began is not known",
+	StreamMoved:       "The route of the stream goes to another service now",
 	Internal:          "Internal error",
 }
 
