gateway: a stream goes on at a reused server ID only over an open connection

Cause: a host takes a process for the one before under its ID until the new start is heard. Hosts that lose connections to it know better, but one without any does not, and dials the new process. Traced: the process ended at 11.40 s, the new one announced itself at 11.79, entry-d2-1 sent to it at 11.95 and heard it at 12.05.

Change: servers whose IDs may be used again go on with a stream only over a connection to the known process, or over a new one while such a connection is open (backendconn.DoConnected); otherwise nothing is sent and another server is chosen. Servers with an ID for each process are not affected.

Tried and taken back: requiring a connection that is older than the last announcement.

--- a/internal/adapter/backendconn/backendconn.go
+++ b/internal/adapter/backendconn/backendconn.go
@@ -101,12 +101,33 @@
 // the server closed its idle connections early: another process may listen at the address.
 func (p *Pool) DoSameProcess(ctx context.Context, addr string, req *http.Request, body []byte, matches func(*http.Response) bool) (*http.Response, error) {
 	c, closedEarly := p.takeIdle(addr)
-	if c == nil && closedEarly && !p.hasEstablished(addr) {
+	if c == nil && closedEarly && !p.Connected(addr) {
 		return nil, &Error{ServerLost: true, Cause: errIdleClosed}
 	}
 	return p.do(ctx, c, addr, req, body, matches)
 }
 
+// DoConnected is like Do, but sends the request only while another connection to the address is open, or on
+// one that has carried a response. Otherwise it returns an error with ServerLost set.
+func (p *Pool) DoConnected(ctx context.Context, addr string, req *http.Request, body []byte, matches func(*http.Response) bool) (*http.Response, error) {
+	c, _ := p.takeIdle(addr)
+	if c != nil {
+		return p.do(ctx, c, addr, req, body, matches)
+	}
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return nil, &Error{DialFailed: true, Cause: err}
+	}
+	if !p.Connected(addr) { // since before the connection was opened
+		_ = c.Conn.Close()
+		return nil, &Error{ServerLost: true, Cause: errNotConnected}
+	}
+	return p.do(ctx, c, addr, req, body, matches)
+}
+
+// errNotConnected is the cause of a request that was not sent because another process may listen at the address.
+var errNotConnected = errors.New("no connection to the server is open")
+
 // do sends the request on an idle connection, or on a new one if c is nil.
 func (p *Pool) do(ctx context.Context, c *conn, addr string, req *http.Request, body []byte, matches func(*http.Response) bool) (*http.Response, error) {
 	if c == nil {
@@ -139,11 +160,11 @@
 // its address is established.
 func (p *Pool) serverLost(addr string, err error) bool {
 	ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-	return ended && !p.hasEstablished(addr)
+	return ended && !p.Connected(addr)
 }
 
-// hasEstablished reports whether a connection to the address that has carried a response is open.
-func (p *Pool) hasEstablished(addr string) bool {
+// Connected reports whether a connection to the address that has carried a response is open.
+func (p *Pool) Connected(addr string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.inUse[addr] > 0 || slices.ContainsFunc(p.idle[addr], (*conn).reusable)
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -283,11 +283,11 @@
 }
 
 // job describes the request for the choice of a server or region.
-func (x *execution) job(now time.Time) *dispatch.Job {
+func (g *Gateway) job(x *execution, now time.Time) *dispatch.Job {
 	j := &dispatch.Job{
 		Service: x.service, Permits: x.permits, Remaining: x.deadline.Sub(now), Tried: x.tried,
 		Target: time.Duration(x.route.LatencyTargetMS) * time.Millisecond, Forwarded: x.r.Origin != "",
-		ServerCrashes: x.judgement.ServerCrashes, Priority: x.route.Priority, Release: x.release,
+		ServerCrashes: x.judgement.ServerCrashes, Priority: x.route.Priority, Release: x.release, Connected: g.o.Backends.Connected,
 	}
 	s, ok := x.record.RoutedService(x.service)
 	if !ok {
@@ -330,7 +330,7 @@
 	now := g.o.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := g.fleet.Choose(x.job(now), now)
+	c := g.fleet.Choose(g.job(x, now), now)
 	if c.Refused == "" {
 		g.fleet.Started(&c, now)
 	}
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -43,9 +43,10 @@
 
 // fakeBackends answers attempts with a function of the test and records them.
 type fakeBackends struct {
-	mu       sync.Mutex
-	attempts []Attempt
-	answer   func(n int, a *Attempt) (*Answer, bool, error)
+	mu           sync.Mutex
+	attempts     []Attempt
+	answer       func(n int, a *Attempt) (*Answer, bool, error)
+	notConnected bool // no connection to a server is open
 }
 
 func (b *fakeBackends) Send(_ context.Context, a *Attempt) (*Answer, bool, error) {
@@ -56,6 +57,8 @@
 	return b.answer(n, a)
 }
 
+func (b *fakeBackends) Connected(string) bool { return !b.notConnected }
+
 func (b *fakeBackends) sent() []Attempt {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/app/gateway/request.go
+++ b/internal/app/gateway/request.go
@@ -100,6 +100,9 @@
 	// IDReused is set if another process may take over the server's ID. If all connections to the
 	// server have ended, the attempt then fails before anything is sent.
 	IDReused bool
+	// ConnectedOnly requires that a connection to the server is open that has carried an answer. Otherwise
+	// the attempt fails before anything is sent.
+	ConnectedOnly bool
 }
 
 // Verdict states whether the expected backend server ran a request, by its answer.
@@ -142,6 +145,8 @@
 	// Send makes one attempt. If err is not nil, sent reports whether any byte of the request may
 	// have reached the server.
 	Send(ctx context.Context, a *Attempt) (answer *Answer, sent bool, err error)
+	// Connected reports whether a connection to an address is open that has carried an answer.
+	Connected(addr string) bool
 }
 
 // pathOf returns a URI without its query.
--- a/internal/app/gateway/resume_test.go
+++ b/internal/app/gateway/resume_test.go
@@ -113,6 +113,40 @@
 	}
 }
 
+// TestStreamDoesNotGoOnAtAProcessThatWasNotHeard guards against a new process taken for the one before it under
+// its ID, which may run another release.
+func TestStreamDoesNotGoOnAtAProcessThatWasNotHeard(t *testing.T) {
+	for name, c := range map[string]struct {
+		start     int64 // of the servers' processes; 0 if their IDs are never used again
+		connected bool
+		sends     int
+	}{
+		"connected":                {7, true, 1},
+		"not connected":            {7, false, 0},
+		"IDs are never used again": {0, false, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.view(func(v *pb.FleetView) {
+				setReleases(v, "llm1", [2]string{"v1", "v1"})
+				for _, s := range v.Servers {
+					s.Start = c.start
+				}
+			})
+			f.backends.notConnected = !c.connected
+			f.backends.answer = func(int, *Attempt) (*Answer, bool, error) { return streamAnswer(event2, false), true, nil }
+			f.g.streams.record(streamorigin.Key("a1"), streamorigin.Origin{Service: "llm", Release: "v1"}, f.clock.Now())
+			r := f.request("/match/1")
+			r.ResumeAfter, r.Resumes = 1, "a1"
+			_ = f.g.Execute(context.Background(), r, &memorySink{})
+			sent := f.backends.sent()
+			if len(sent) != c.sends || (len(sent) > 0 && sent[0].ConnectedOnly != (c.start != 0)) {
+				t.Errorf("sent %+v, want %d", sent, c.sends)
+			}
+		})
+	}
+}
+
 // TestOriginOfABegunStreamIsReported guards against take-ups at hosts that cannot know the release.
 func TestOriginOfABegunStreamIsReported(t *testing.T) {
 	f := newFixture(t)
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -30,7 +30,8 @@
 	defer cancel(nil)
 	g.cancelIfLost(ctx, x, c, cancel)
 	answer, sent, err := g.o.Backends.Send(ctx, &Attempt{
-		Address: c.Server.Address, Server: c.Server.ID, Request: x.r, Team: x.teamName(),
+		ConnectedOnly: x.release != nil && c.Server.Start != 0,
+		Address:       c.Server.Address, Server: c.Server.ID, Request: x.r, Team: x.teamName(),
 		Remaining: x.deadline.Sub(began), ResumeAfter: x.lastEvent, CopyFrom: c.CopyFrom, Deferred: c.Deferred, IDReused: c.Server.Start != 0,
 	})
 	if err != nil {
@@ -58,7 +59,6 @@
 			err: failure.New(failure.BackendLost, failure.Unknown, "the answer does not carry the server's signature")}
 	}
 	res := result{}
-	answer.Release = g.releaseOf(c.Server)
 	if x.route.Kind == configstate.KindStream && answer.Status == http.StatusOK {
 		g.relayStream(x, c, answer, &res, began)
 		return res
@@ -192,7 +192,11 @@
 			return
 		}
 		g.recordProgress(c, res, began)
-		g.bindToRelease(x, a.Head)
+		if x.release == nil {
+			a.Release = g.releaseOf(c.Server)
+			g.bindToRelease(x, a.Head)
+		}
+		a.Release = x.release
 		if f := x.sendEvent(a.Head, event); f != nil {
 			res.stage, res.outcome, res.err = retry.MidAnswer, dispatch.CallerEnded, f
 			if f.Code == failure.BackendLost {
--- a/internal/app/gateway/streams.go
+++ b/internal/app/gateway/streams.go
@@ -178,14 +178,14 @@
 	return streamorigin.Origin{}, ""
 }
 
-// bindToRelease binds a stream to the release of the server that wrote its first event, and records that for
-// callers who take the stream up at another entry host.
+// bindToRelease binds a stream to the release of the server that writes it, once that is known, and records it
+// for callers who take the stream up at another entry host.
 func (g *Gateway) bindToRelease(x *execution, hd Head) {
-	switch {
-	case x.release != nil || x.releaseUnknown:
+	if x.release != nil {
 		return
-	case hd.Release == nil:
-		x.releaseUnknown = true
+	}
+	x.releaseUnknown = hd.Release == nil
+	if x.releaseUnknown {
 		return
 	}
 	x.release = hd.Release
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -39,6 +39,9 @@
 	// Release is set if the request goes on with a stream that a server of this software version began. Only
 	// servers of that version may run it.
 	Release *string
+	// Connected reports whether this host has an open connection to the server at an address. It is required
+	// with Release.
+	Connected func(address string) bool
 	// Priority is the urgency of the request: 0 is the most urgent.
 	Priority int
 	// ColdPerSecond is the rate of requests that a cold server tolerates, per second; 0 for no
@@ -217,15 +220,15 @@
 	}
 }
 
-// releaseMismatch returns why a server may not go on with the job's stream; "" if it may. A process that may
-// have replaced the server's under its ID may run any release.
+// releaseMismatch returns why a server may not go on with the job's stream; "" if it may. Another process may
+// have taken over a server's ID, and runs any release, if this host is not connected to the one that is known.
 func releaseMismatch(s *Server, j *Job) string {
 	switch {
 	case j.Release == nil:
 		return ""
 	case s.Release != *j.Release:
 		return "other release"
-	case s.awaitsAnnouncement():
+	case !s.ReleaseConfirmed(), s.Start != 0 && !j.Connected(s.Address):
 		return "release not confirmed"
 	}
 	return ""
--- a/internal/core/dispatch/release_test.go
+++ b/internal/core/dispatch/release_test.go
@@ -11,17 +11,19 @@
 func TestStreamGoesToItsRelease(t *testing.T) {
 	v1 := "v1"
 	for name, c := range map[string]struct {
-		releases  []string // of the own region's servers
+		releases  []string // of the own region's servers, whose IDs may be used again
 		elsewhere []string // of the other region's servers, as reported
-		lost      bool     // this host has lost its connections to the first server
+		connected bool     // this host has connections to them
+		lost      bool     // it lost them after the last announcement, and has opened others
 		server    string   // "" for none
 		region    bool     // the request goes to the other region
 	}{
-		"its release here":                        {[]string{"v1", "v2"}, nil, false, "s0", false},
-		"its release elsewhere":                   {[]string{"v2", "v2"}, []string{"v1", "v2"}, false, "", true},
-		"elsewhere, where releases are not named": {[]string{"v2", "v2"}, nil, false, "", true},
-		"nowhere":                           {[]string{"v2", "v2"}, []string{"v2"}, false, "", false},
-		"its server may have been replaced": {[]string{"v1", "v2"}, []string{"v2"}, true, "", false},
+		"its release here":                        {[]string{"v1", "v2"}, nil, true, false, "s0", false},
+		"its release elsewhere":                   {[]string{"v2", "v2"}, []string{"v1", "v2"}, true, false, "", true},
+		"elsewhere, where releases are not named": {[]string{"v2", "v2"}, nil, true, false, "", true},
+		"nowhere":                           {[]string{"v2", "v2"}, []string{"v2"}, true, false, "", false},
+		"not connected":                     {[]string{"v1", "v2"}, []string{"v2"}, false, false, "", false},
+		"its server may have been replaced": {[]string{"v1", "v2"}, []string{"v2"}, true, true, "", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newTestFleet(1)
@@ -34,11 +36,12 @@
 			}
 			f.ApplyView(v, FullScope, start)
 			now := start.Add(time.Second)
+			j := shortJob()
+			j.Release = &v1
+			j.Connected = func(string) bool { return c.connected }
 			if c.lost {
 				f.RecordServerLost(f.servers["s0"], now)
 			}
-			j := shortJob()
-			j.Release = &v1
 			choice := f.Choose(j, now)
 			if (choice.Server != nil) != (c.server != "") || (choice.Server != nil && choice.Server.ID != c.server) || (choice.Host != nil) != c.region {
 				t.Errorf("server %v, host %v, refused %q", choice.Server, choice.Host, choice.Refused)
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -60,8 +60,12 @@
 // under its ID.
 func (s *Server) Replaced() bool { return s.replaced }
 
-// ReleaseConfirmed reports whether the server's release is that of the process that answers under its ID.
-func (s *Server) ReleaseConfirmed() bool { return !s.awaitsAnnouncement() && !s.replaced }
+// ReleaseConfirmed reports whether the server's release is that of the process that answers under its ID, as
+// far as this host can tell. Servers that report no start time get a new ID with each process and reject
+// requests for an earlier one.
+func (s *Server) ReleaseConfirmed() bool {
+	return s.Start == 0 || (!s.awaitsAnnouncement() && !s.replaced)
+}
 
 // stalled reports whether the server has sent nothing for stalledAfter though requests are in
 // flight. It may be down, or the network path to it cut without its connections being closed.
