dispatch: engines copy KV cache only from engines of their release

An engine was told to copy the shared parts of a prompt from any engine that holds them.

Before: TestSharedPartsAreCopied, the holder runs another release: copies 6300 tokens from "10.1.0.0:80", want "" After: passes.

--- a/internal/core/dispatch/copies.go
+++ b/internal/core/dispatch/copies.go
@@ -160,7 +160,7 @@
 	}
 	best := 0.0
 	for _, h := range locations.holders {
-		if h.server == s || f.usable(h.server, now) != "" || f.cold(h.server, now) || f.Limit(h.server).InForce() || h.server.stalled(now) {
+		if h.server == s || h.server.Release != s.Release || f.usable(h.server, now) != "" || f.cold(h.server, now) || f.Limit(h.server).InForce() || h.server.stalled(now) {
 			continue
 		}
 		if t := retentionProbability(now.Sub(h.used), f.retention(h.server, j, now)); t > best {
--- a/internal/core/dispatch/copies_test.go
+++ b/internal/core/dispatch/copies_test.go
@@ -33,6 +33,7 @@
 		{"the holder sends nothing", func(f *Fleet, _ *Job) {
 			f.servers["s0"].own.requests, f.servers["s0"].progressAt = 1, start.Add(-time.Second)
 		}, time.Second, ""},
+		{"the holder runs another release", func(f *Fleet, _ *Job) { f.servers["s0"].Release = "v2" }, time.Second, ""},
 		{"the holder's cache is cold", func(f *Fleet, _ *Job) { f.servers["s0"].ColdUntil = start.Add(9 * time.Second) }, time.Second, ""},
 	}
 	for _, c := range cases {
