--- a/internal/core/dispatch/copies_test.go
+++ b/internal/core/dispatch/copies_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/holders"
+	"github.com/sesamefork/sesamefork/internal/core/serverlimit"
 )
 
 // copyJob returns a job with a long prompt for engines that copy KV cache from each other.
@@ -34,6 +35,9 @@
 			f.servers["s0"].own.requests, f.servers["s0"].progressAt = 1, start.Add(-time.Second)
 		}, time.Second, ""},
 		{"the holder runs another release", func(f *Fleet, _ *Job) { f.servers["s0"].Release = "v2" }, time.Second, ""},
+		{"the holder advertises a limit", func(f *Fleet, _ *Job) {
+			f.limits.Merge(f.servers["s0"].key, serverlimit.Limit{Revision: 1, PerSecond: 5}, start)
+		}, time.Second, ""},
 		{"the holder's cache is cold", func(f *Fleet, _ *Job) { f.servers["s0"].ColdUntil = start.Add(9 * time.Second) }, time.Second, ""},
 	}
 	for _, c := range cases {
