control: the simulated control hosts of TestQuotaPartsAddUp have shares

Since the shares of quotas stand in the replicated state, the simulated fleet of this test had none: every part was 0 and the sum could not exceed the whole. The simulation has a leader now that plans the table, and control hosts that are up apply it. The test is unchanged. TestSettledFleetGrantsTheWhole checks that the sum is 1 once the fleet has settled.

With each part doubled (trial) TestQuotaPartsAddUp fails again: after all have exchanged messages: parts of 2.00 in all

--- a/internal/app/control/representatives_test.go
+++ b/internal/app/control/representatives_test.go
@@ -5,6 +5,7 @@
 	"crypto/ed25519"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sesamefork/sesamefork/internal/core/holders"
+	"github.com/sesamefork/sesamefork/internal/core/quotashare"
 	"github.com/sesamefork/sesamefork/internal/core/registry"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 	"github.com/sesamefork/sesamefork/internal/port"
@@ -26,6 +28,9 @@
 	hosts       []*pb.FleetHost
 	messages    int // exchanges of the last round
 	crossRegion int // those of them to other regions
+	// planner and shares are those of the leader of the simulated control group.
+	planner *quotashare.Planner
+	shares  *pb.IssuerShares
 }
 
 func newSimulatedFleet(t *testing.T, regions, domains, controls, hosts int) *simulatedFleet {
@@ -95,6 +100,36 @@
 			w.sendExchange(f, addr)
 		}
 	}
+	w.planShares()
+}
+
+// planShares lets the leader plan the next table of quota shares, and the control hosts that are up apply it.
+func (w *simulatedFleet) planShares() {
+	now := w.clock.Now()
+	v := quotashare.View{Applied: func(store string) bool { return !w.down[strings.TrimSuffix(store, ".0")] }}
+	for addr, f := range w.fleets {
+		if !slices.Contains(v.FailureDomains, f.o.FailureDomain) {
+			v.FailureDomains = append(v.FailureDomains, f.o.FailureDomain)
+		}
+		if !w.down[addr] {
+			f.replica.currentAt.Store(&now)
+			v.Live = append(v.Live, quotashare.Issuer{Store: f.replica.o.Identity.Store, Address: addr, FailureDomain: f.o.FailureDomain})
+			if w.planner == nil {
+				w.planner = f.replica.newIssuerPlanner()
+			}
+		}
+	}
+	next := w.planner.Next(w.shares, v, now)
+	if next == nil {
+		return
+	}
+	w.shares = next
+	for addr, f := range w.fleets {
+		if !w.down[addr] {
+			f.replica.machine.Apply(&pb.Command{IssuerShares: next})
+			f.replica.applyIssuerShares(next.Revision)
+		}
+	}
 }
 
 func (w *simulatedFleet) sendExchange(f *Fleet, addr string) {
@@ -258,6 +293,22 @@
 	}
 }
 
+// TestSettledFleetGrantsTheWhole checks that the shares of the simulated control hosts are in force, without
+// which the sum of TestQuotaPartsAddUp would always be 0.
+func TestSettledFleetGrantsTheWhole(t *testing.T) {
+	w := newSimulatedFleet(t, 3, 2, 4, 1)
+	w.converge()
+	sum := 0.0
+	for _, f := range w.fleets {
+		if share, active := f.replica.quotaShare(w.clock.Now()); active {
+			sum += share
+		}
+	}
+	if sum < 0.999 || sum > 1.001 {
+		t.Errorf("the control hosts grant %.3f of each quota", sum)
+	}
+}
+
 // TestQuotaPartsAddUp checks that the parts of all quotas that the control hosts grant never add up
 // to more than the whole. Control hosts of one failure domain divide its part by the number of them
 // that are live, so each grants the whole part while they receive no messages from each other.
