dispatch: a refusal of an urgent request is remembered among many others

The last 32 refusals at limits were kept for a service, so that a place was not left to an urgent request that was followed by more refusals of less urgent ones. The last one of each priority is kept instead. TestUrgentRequestsGetThePlacesOfALimit has five less urgent requests for each urgent one now and passes.

--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -88,7 +88,8 @@
 	comparisons      map[string]*loadComparison // by service
 	unreportedPlaces []holders.Place            // not yet reported to a control host
 	limits           *serverlimit.Table         // limits that servers advertise, by server key
-	denials          map[string][]denial        // by service, the latest last
+	// limitRefusals are the times of the last requests refused at limits, by service and priority.
+	limitRefusals map[string]map[int]time.Time
 	// nextLimitedPlace is when the last request that was refused at a limit is expected back, by service.
 	nextLimitedPlace map[string]time.Time
 }
@@ -102,7 +103,7 @@
 		o: o, servers: map[string]*Server{}, departures: map[string]departure{}, restored: map[string]restoration{}, hosts: map[string][]*Host{},
 		regions: map[regionKey]*region{}, chainRates: map[string]chainRate{}, arrivals: map[string]*arrivals{}, holders: holders.NewTable(),
 		serversByKey: map[uint32]*Server{}, speeds: map[string]*speed.Estimator{}, comparisons: map[string]*loadComparison{},
-		limits: serverlimit.NewTable(), denials: map[string][]denial{}, nextLimitedPlace: map[string]time.Time{}, listsGeneration: 1,
+		limits: serverlimit.NewTable(), limitRefusals: map[string]map[int]time.Time{}, nextLimitedPlace: map[string]time.Time{}, listsGeneration: 1,
 	}
 }
 
--- a/internal/core/dispatch/limit.go
+++ b/internal/core/dispatch/limit.go
@@ -187,20 +187,11 @@
 	return math.Max(minServers, r.servers+r.limitedServers*usable/r.limitedSlots), r.slots + usable
 }
 
-// denial is a request that was refused because no server had a request left by its limit.
-type denial struct {
-	at       time.Time
-	priority int
-}
-
-// maxDenials bounds the denials that are kept for each service.
-const maxDenials = 32
-
 // urgentWaits reports whether a more urgent request was refused within the time in which the server takes
 // one, so that the next place is left to it when it returns.
 func (f *Fleet) urgentWaits(j *Job, l serverlimit.Limit, now time.Time) bool {
-	for _, d := range f.denials[j.Service] {
-		if d.priority < j.Priority && now.Sub(d.at).Seconds() < max(1, 1/l.PerSecond) {
+	for priority, at := range f.limitRefusals[j.Service] {
+		if priority < j.Priority && now.Sub(at).Seconds() < max(1, 1/l.PerSecond) {
 			return true
 		}
 	}
@@ -211,8 +202,10 @@
 // which it should be repeated: when all requests that were refused here before have had their places, as
 // far as this host's callers get an equal part of them.
 func (f *Fleet) refuseAtLimits(j *Job, now time.Time) time.Duration {
-	list := append(f.denials[j.Service], denial{now, j.Priority})
-	f.denials[j.Service] = list[max(0, len(list)-maxDenials):]
+	if f.limitRefusals[j.Service] == nil {
+		f.limitRefusals[j.Service] = map[int]time.Time{}
+	}
+	f.limitRefusals[j.Service][j.Priority] = now
 	perSecond := 0.0
 	for _, s := range f.serversOf(j.Service) {
 		if l := f.Limit(s); l.InForce() && f.usable(s, now) == "" {
--- a/internal/core/dispatch/limit_test.go
+++ b/internal/core/dispatch/limit_test.go
@@ -384,7 +384,7 @@
 	served := map[int]int{}
 	for end := now.Add(30 * time.Second); now.Before(end); now = now.Add(20 * time.Millisecond) {
 		refresh(f, now)
-		for _, priority := range []int{1, 0} { // the less urgent one asks first
+		for _, priority := range []int{2, 1, 1, 1, 1, 0} { // the less urgent ones ask first, and more often
 			if priority == 0 && now.Sub(start)%(200*time.Millisecond) != 0 {
 				continue
 			}
