gateway: a forward is in flight until the end of its answer has been sent

Cause: a stopping host closes its links once no request is in flight. A forward was counted until it had been executed, but the end frame of its answer is sent after that.

Before: TestForwardIsInFlightUntilItsEndIsSent: 0 in flight when the end is sent After: passes.

--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -57,10 +57,13 @@
 // to report to the caller. If the answer's head has been sent by then, the answer must be made
 // recognizable as truncated.
 func (g *Gateway) Execute(ctx context.Context, r *Request, sink Sink) *failure.Error {
-	if g.inflight.Add(1) == 1 {
-		signal(g.becameBusy)
-	}
+	g.enter()
 	defer g.inflight.Add(-1)
+	return g.execute(ctx, r, sink)
+}
+
+// execute is Execute for a request that is counted as in flight.
+func (g *Gateway) execute(ctx context.Context, r *Request, sink Sink) *failure.Error {
 	ctx, span := g.startRequest(ctx, r)
 	var x *execution
 	f := g.awaitInitialized(ctx, r)
@@ -78,6 +81,13 @@
 	return f
 }
 
+// enter counts a request as in flight.
+func (g *Gateway) enter() {
+	if g.inflight.Add(1) == 1 {
+		signal(g.becameBusy)
+	}
+}
+
 // begin determines the request's route, team and deadline.
 func (g *Gateway) begin(ctx context.Context, r *Request, sink Sink) (*execution, *failure.Error) {
 	c, route, team, f := g.admit(ctx, r)
--- a/internal/app/gateway/forward.go
+++ b/internal/app/gateway/forward.go
@@ -136,6 +136,8 @@
 func (g *Gateway) HandleForward(ctx context.Context, req *pb.Request, s port.IncomingStream) {
 	ctx, cancel := s.CancelOnClose(ctx)
 	defer cancel()
+	g.enter() // until the end is sent: a stopping host closes its links once nothing is in flight
+	defer g.inflight.Add(-1)
 	_ = s.Send(forward.End(g.receive(ctx, req, &streamSink{s}))) // the sender may have disconnected
 }
 
@@ -157,5 +159,5 @@
 	if g.o.ReadPrompt != nil {
 		r.Prompt = g.o.ReadPrompt(r.Header)
 	}
-	return g.Execute(ctx, r, sink)
+	return g.execute(ctx, r, sink)
 }
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -562,3 +562,35 @@
 		})
 	}
 }
+
+// endingStream is the stream of a forward that records whether the host counts the forward as in flight when
+// it sends the end of the answer.
+type endingStream struct {
+	port.IncomingStream
+	g             *Gateway
+	inFlightAtEnd int64
+}
+
+func (s *endingStream) CancelOnClose(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithCancel(ctx)
+}
+
+func (s *endingStream) Send(f *pb.ForwardFrame) error {
+	if f.GetEnd() != nil {
+		s.inFlightAtEnd = s.g.Inflight()
+	}
+	return nil
+}
+
+// TestForwardIsInFlightUntilItsEndIsSent guards against stopping hosts that close a link before the end of an answer.
+func TestForwardIsInFlightUntilItsEndIsSent(t *testing.T) {
+	f := newFixture(t)
+	f.backends.answer = func(int, *Attempt) (*Answer, bool, error) { return streamAnswer(event1, false), true, nil }
+	s := &endingStream{g: f.g}
+	f.g.HandleForward(context.Background(), &pb.Request{Stamp: f.g.stamp(), Body: &pb.Request_RoutedForward{RoutedForward: &pb.RoutedForward{
+		RequestId: "r1", Host: "h", Uri: "/match/1", Service: "llm", Method: "POST", RemainingMs: 3000, OriginRegion: "east", Attempts: 1,
+	}}}, s)
+	if s.inFlightAtEnd != 1 || f.g.Inflight() != 0 {
+		t.Errorf("%d in flight when the end is sent, %d afterwards", s.inFlightAtEnd, f.g.Inflight())
+	}
+}
