--- a/internal/app/gateway/resume_test.go
+++ b/internal/app/gateway/resume_test.go
@@ -14,7 +14,7 @@
 // TestStreamGoesOnOnlyAtItsRelease guards against streams that join the events of two releases.
 func TestStreamGoesOnOnlyAtItsRelease(t *testing.T) {
 	for name, c := range map[string]struct {
-		releases [2]string // of the first server that is tried, and of the other one
+		releases [2]string // of the server of the first attempt, and of the other server
 		want     string
 		sends    int
 	}{
