peerlink: log which end closed a link and what was left unread

A forward that is cut logs only that its link ended. No line says which end closed the link, nor whether frames had been received and not read, or written and not sent, so a cut answer can't be traced to one of the two hosts.

Each end logs 'link ended' once a link: peer, reason, streams that were open, unread_bytes, unsent_bytes (bytes written after a write had failed).

--- a/cmd/sesame-control/main.go
+++ b/cmd/sesame-control/main.go
@@ -135,7 +135,7 @@
 		link.TLS = peerTLS.Config
 	}
 	m := metrics.New(true)
-	link.Count = m.LinkBytes
+	link.Count, link.Log = m.LinkBytes, log
 	client := peerlink.NewClient(link)
 	defer client.Close()
 	r, err := control.NewReplica(control.Options{
--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -126,7 +126,7 @@
 	}
 	defer tracer.Shutdown(context.Background())
 	m := metrics.New(true)
-	link.Count = m.LinkBytes
+	link.Count, link.Log = m.LinkBytes, log
 	client := peerlink.NewClient(link)
 	defer client.Close()
 	backends := enginehttp.New()
--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -36,7 +36,7 @@
 	m := metrics.New(true)
 	m.Gauge("log_dropped_over_rate", func() any { n, _ := out.Dropped(); return n })
 	m.Gauge("log_dropped_slow_output", func() any { _, n := out.Dropped(); return n })
-	link.Count = m.LinkBytes
+	link.Count, link.Log = m.LinkBytes, log
 	client := peerlink.NewClient(link)
 	defer client.Close()
 	tracer, err := tracing.New(s.Trace, s.Host, "sesame-entry")
--- a/internal/adapter/peerlink/client.go
+++ b/internal/adapter/peerlink/client.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/hashicorp/yamux"
 	"github.com/juju/errors"
 
@@ -23,6 +24,7 @@
 	Local       net.IP             // address to dial from; nil for any
 	DialTimeout time.Duration      // default 1 s
 	KeepAlive   time.Duration      // interval of keep-alive messages; default 2 s
+	Log         logr.Logger        // receives a line when a link ends
 	// Count, if not nil, is called with the number of bytes of each write and read.
 	Count func(sent, received int)
 }
@@ -211,6 +213,7 @@
 		_ = conn.Close()
 		return nil, failure.Wrap(err, failure.PeerUnreachable, failure.NotRun)
 	}
+	go l.logEnd(c.o.Log, addr)
 	return newLinkSession(l), nil
 }
 
--- a/internal/adapter/peerlink/frameconn.go
+++ b/internal/adapter/peerlink/frameconn.go
@@ -30,6 +30,8 @@
 
 	mu           sync.Mutex
 	failed       bool      // a write failed
+	discarded    int       // bytes that were written after that
+	end          string    // why reads ended; "" before
 	waitingSince time.Time // when the first bytes were sent after which none was received; zero for none
 }
 
@@ -44,6 +46,7 @@
 func (c *frameConn) Read(p []byte) (int, error) {
 	if len(c.frame) == 0 {
 		if err := c.readFrame(); err != nil {
+			c.recordEnd(err)
 			_ = c.Conn.Close() // a write that blocks would keep reads from returning
 			c.gate.end()
 			return 0, err
@@ -74,28 +77,59 @@
 		c.buf = grown
 	}
 	c.frame = c.buf[:total]
-	_, err := io.ReadFull(c.br, c.frame[headerSize:])
-	return err
+	if _, err := io.ReadFull(c.br, c.frame[headerSize:]); err != nil {
+		return err
+	}
+	c.gate.received(int(size))
+	return nil
+}
+
+func (c *frameConn) recordEnd(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end = "reads failed: " + err.Error()
+	if err == io.EOF {
+		c.end = "closed by the other host"
+	}
+}
+
+// endReason returns why reads ended.
+func (c *frameConn) endReason() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.end
+}
+
+// unsent returns the number of bytes that were written after a write had failed.
+func (c *frameConn) unsent() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.discarded
 }
 
 // Write implements io.Writer.
 func (c *frameConn) Write(p []byte) (int, error) {
-	if c.recordSent() {
+	if c.recordSent(len(p)) {
 		return len(p), nil
 	}
-	if _, err := c.Conn.Write(p); err != nil {
+	if n, err := c.Conn.Write(p); err != nil {
 		c.mu.Lock()
 		c.failed = true
+		c.discarded += len(p) - n
 		c.mu.Unlock()
 		_ = c.Conn.Close()
 	}
 	return len(p), nil
 }
 
-// recordSent records that bytes are sent. It reports whether a write has failed before.
-func (c *frameConn) recordSent() (failed bool) {
+// recordSent records that n bytes are sent. It reports whether a write has failed before, so that they
+// are discarded.
+func (c *frameConn) recordSent(n int) (failed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.failed {
+		c.discarded += n
+	}
 	if c.waitingSince.IsZero() {
 		c.waitingSince = time.Now()
 	}
--- a/internal/adapter/peerlink/link.go
+++ b/internal/adapter/peerlink/link.go
@@ -3,8 +3,10 @@
 import (
 	"io"
 	"net"
+	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/hashicorp/yamux"
 )
 
@@ -19,6 +21,9 @@
 	*yamux.Session
 	gate *readGate
 	conn *frameConn
+
+	mu     sync.Mutex
+	reason string // why this end closed the link; "" if it did not
 }
 
 // openSession opens a session over a connection; it is yamux.Client or yamux.Server.
@@ -33,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &link{mux, gate, framed}
+	l := &link{Session: mux, gate: gate, conn: framed}
 	go l.keepAlive(config.KeepAliveInterval, config.KeepAliveInterval+answerTime)
 	return l, nil
 }
@@ -52,7 +57,7 @@
 			return
 		case now := <-t.C:
 			if l.conn.silence(now) >= maxSilence {
-				_ = l.Close()
+				_ = l.closeBecause("the other host sent nothing for " + maxSilence.String())
 				return
 			}
 		}
@@ -63,7 +68,15 @@
 }
 
 // Close ends the reads and closes the session.
-func (l *link) Close() error {
+func (l *link) Close() error { return l.closeBecause("closed by this host") }
+
+// closeBecause is Close with a reason for the log.
+func (l *link) closeBecause(reason string) error {
+	l.mu.Lock()
+	if l.reason == "" {
+		l.reason = reason
+	}
+	l.mu.Unlock()
 	_ = l.conn.Conn.Close() // a write that blocks would keep reads from returning
 	l.gate.end()
 	return l.Session.Close()
@@ -89,3 +102,17 @@
 	}
 	return l.gate.add(s), nil
 }
+
+// logEnd waits until the link has ended, and logs which end closed it and what that left undone.
+func (l *link) logEnd(log logr.Logger, peer string) {
+	<-l.CloseChan()
+	l.gate.end()
+	l.mu.Lock()
+	reason := l.reason
+	l.mu.Unlock()
+	if reason == "" {
+		reason = l.conn.endReason()
+	}
+	streams, unread := l.gate.left()
+	log.Info("link ended", "peer", peer, "reason", reason, "streams", streams, "unread_bytes", unread, "unsent_bytes", l.conn.unsent())
+}
--- a/internal/adapter/peerlink/server.go
+++ b/internal/adapter/peerlink/server.go
@@ -151,6 +151,7 @@
 	if err != nil {
 		return
 	}
+	go session.logEnd(s.log, conn.RemoteAddr().String())
 	defer func() { _ = session.Close() }()
 	for {
 		stream, err := session.acceptStream()
--- a/internal/adapter/peerlink/session_test.go
+++ b/internal/adapter/peerlink/session_test.go
@@ -14,5 +14,5 @@
 		<-mux.CloseChan()
 		gate.end()
 	}()
-	return newLinkSession(&link{mux, gate, newFrameConn(unused, gate)})
+	return newLinkSession(&link{Session: mux, gate: gate, conn: newFrameConn(unused, gate)})
 }
--- a/internal/adapter/peerlink/stream.go
+++ b/internal/adapter/peerlink/stream.go
@@ -15,15 +15,35 @@
 // readGate counts the reads of a link's streams, and ends them.
 type readGate struct {
 	mu      sync.Mutex
-	left    *sync.Cond // signaled when a read has returned
+	idle    *sync.Cond // signaled when no read is in progress
 	streams map[*linkStream]bool
 	reads   int // in progress
 	ended   bool
+	unread  int // bytes of streams' data that were received and not read
+}
+
+// received records that data of a stream was received.
+func (g *readGate) received(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unread += n
+}
+
+// left returns the number of streams that were not closed, and of bytes that were received and not read.
+func (g *readGate) left() (streams, unread int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for s := range g.streams {
+		if !s.closed {
+			streams++
+		}
+	}
+	return streams, g.unread
 }
 
 func newReadGate() *readGate {
 	g := &readGate{streams: map[*linkStream]bool{}}
-	g.left = sync.NewCond(&g.mu)
+	g.idle = sync.NewCond(&g.mu)
 	return g
 }
 
@@ -39,7 +59,7 @@
 		}
 	}
 	for g.reads > 0 {
-		g.left.Wait()
+		g.idle.Wait()
 	}
 }
 
@@ -61,13 +81,15 @@
 	return true
 }
 
-func (g *readGate) leave(s *linkStream) {
+// leave ends a read that returned n bytes.
+func (g *readGate) leave(s *linkStream, n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.unread -= n
 	s.reads--
 	g.forgetIfDone(s)
 	if g.reads--; g.reads == 0 {
-		g.left.Broadcast()
+		g.idle.Broadcast()
 	}
 }
 
@@ -100,8 +122,9 @@
 	if !s.gate.enter(s) {
 		return 0, errLinkEnded
 	}
-	defer s.gate.leave(s)
-	return s.Stream.Read(p)
+	n, err := s.Stream.Read(p)
+	s.gate.leave(s, n)
+	return n, err
 }
 
 // SetReadDeadline sets the deadline of reads, unless the link has ended.
