peerlink: frames that were received are read after their link has ended

Callers saw a forwarded stream that broke off without its end 0.09 s after its server had ended it well, when the entry host that ran it stopped. The stopping host closes its links once nothing is in flight, so the last frames of an answer and the end of the connection reach the other host together.

Cause: the end of a connection made all reads of the link's streams fail before yamux shut the session down, which keeps reads from spinning during the shutdown. Frames that had been received and buffered were dropped with them. Which of the two came first decided: the handler's read or the receive loop.

Reads in progress still end before the shutdown, and later ones do not block, as their deadline has passed; a stream that has data buffered returns it all the same.

--- a/internal/adapter/peerlink/frameconn.go
+++ b/internal/adapter/peerlink/frameconn.go
@@ -27,6 +27,10 @@
 	br    *bufio.Reader
 	frame []byte // rest of the frame being passed on
 	buf   []byte // holds frame
+	// readsEnded is closed when a read of the connection has failed, by which the session has handled the
+	// frames before.
+	readsEnded     chan struct{}
+	readsEndedOnce sync.Once
 
 	mu           sync.Mutex
 	failed       bool      // a write failed
@@ -39,7 +43,7 @@
 const readBufferSize = 16 << 10
 
 func newFrameConn(conn net.Conn, gate *readGate) *frameConn {
-	return &frameConn{Conn: conn, gate: gate, br: bufio.NewReaderSize(conn, readBufferSize), buf: make([]byte, headerSize)}
+	return &frameConn{Conn: conn, gate: gate, br: bufio.NewReaderSize(conn, readBufferSize), buf: make([]byte, headerSize), readsEnded: make(chan struct{})}
 }
 
 // Read implements io.Reader.
@@ -49,6 +53,7 @@
 			c.recordEnd(err)
 			_ = c.Conn.Close() // a write that blocks would keep reads from returning
 			c.gate.end()
+			c.readsEndedOnce.Do(func() { close(c.readsEnded) })
 			return 0, err
 		}
 	}
--- a/internal/adapter/peerlink/link.go
+++ b/internal/adapter/peerlink/link.go
@@ -10,10 +10,10 @@
 	"github.com/hashicorp/yamux"
 )
 
-// link is a yamux session whose reads have ended before it shuts down, whatever ends it: an error of
+// link is a yamux session whose reads in progress have ended before it shuts down, whatever ends it: an error of
 // its connection, silence of the other end, or Close. From the beginning of a shutdown until the
 // session's receive loop has returned, a read in yamux neither blocks nor returns; on a single
-// processor without preemption nothing else runs then.
+// processor without preemption nothing else runs then. Later reads return what was received before the end.
 //
 // yamux must not shut down by itself while reads are in progress. So the link sends its own keep-alive
 // messages, and hides errors of the connection until the reads have ended.
@@ -78,6 +78,10 @@
 	}
 	l.mu.Unlock()
 	_ = l.conn.Conn.Close() // a write that blocks would keep reads from returning
+	select {
+	case <-l.conn.readsEnded: // the session has taken over all frames that were received
+	case <-l.CloseChan():
+	}
 	l.gate.end()
 	return l.Session.Close()
 }
--- a/internal/adapter/peerlink/stream.go
+++ b/internal/adapter/peerlink/stream.go
@@ -12,7 +12,8 @@
 // errLinkEnded is the error of reads on a link that is about to shut down.
 var errLinkEnded = failure.New(failure.PeerUnreachable, failure.Unknown, "the link ended")
 
-// readGate counts the reads of a link's streams, and ends them.
+// readGate counts the reads of a link's streams, and ends them. What was received before the end can
+// still be read after it.
 type readGate struct {
 	mu      sync.Mutex
 	idle    *sync.Cond // signaled when no read is in progress
@@ -47,6 +48,9 @@
 	return g
 }
 
+// passedDeadline makes a read return at once, with what is buffered if there is any.
+var passedDeadline = time.Unix(1, 0)
+
 // end makes all reads return, and waits until they have. Nothing that a read needs to return may wait
 // for the caller: not the session's receive loop within a frame, and not its send loop.
 func (g *readGate) end() {
@@ -55,7 +59,7 @@
 	if !g.ended {
 		g.ended = true
 		for s := range g.streams {
-			_ = s.Stream.SetReadDeadline(time.Unix(1, 0)) // long past
+			_ = s.Stream.SetReadDeadline(passedDeadline)
 		}
 	}
 	for g.reads > 0 {
@@ -81,6 +85,13 @@
 	return true
 }
 
+// countRead records that n bytes were read after the end.
+func (g *readGate) countRead(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unread -= n
+}
+
 // leave ends a read that returned n bytes.
 func (g *readGate) leave(s *linkStream, n int) {
 	g.mu.Lock()
@@ -104,6 +115,9 @@
 	out := &linkStream{Stream: s, gate: g}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.ended {
+		_ = s.SetReadDeadline(passedDeadline)
+	}
 	g.streams[out] = true
 	return out
 }
@@ -117,14 +131,28 @@
 	closed bool
 }
 
-// Read reads from the stream, unless the link has ended.
+// Read reads from the stream. Once the link has ended, it reads what was received before, and then
+// returns errLinkEnded.
 func (s *linkStream) Read(p []byte) (int, error) {
-	if !s.gate.enter(s) {
-		return 0, errLinkEnded
+	if s.gate.enter(s) {
+		n, err := s.Stream.Read(p)
+		s.gate.leave(s, n)
+		if err == nil || !s.gate.hasEnded() {
+			return n, err
+		}
 	}
+	return s.readAfterEnd(p)
+}
+
+// readAfterEnd reads what was received before the link ended. It does not block: the stream's read
+// deadline has passed.
+func (s *linkStream) readAfterEnd(p []byte) (int, error) {
 	n, err := s.Stream.Read(p)
-	s.gate.leave(s, n)
-	return n, err
+	s.gate.countRead(n)
+	if err != nil {
+		return 0, errLinkEnded
+	}
+	return n, nil
 }
 
 // SetReadDeadline sets the deadline of reads, unless the link has ended.
