peerlink: a stopping host's links end when the other ends have read their answers

Cause: a stopping host closed the connections of its links once nothing was in flight there. That the last frame has been written proves nothing. Bytes of the other end that arrive after the close, or are unread at it, make the kernel reset the connection, and the reset discards what is unsent or in flight. Requests that were on their way found the link closed, and their senders could not know that they had not run.

A host that stops now leaves its links. It sends a go-away message and serves no further streams; yamux resets them, which proves to their senders that they were not accepted (no close timeout is set, the only other reason for a reset). It goes on with the requests and calls that it serves. The other end begins nothing more on the link and closes it once it has read the end of each answer. So the end that leaves sends last and closes last, and has the proof that all was read. It gives up a link whose other end sends nothing for one keep-alive interval, the bound of a round trip, so that a frozen host does not hold it, and all of them when the rest of its grace period is over. Entry hosts leave their links as soon as they accept no more requests, beside the callers' requests.

--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -147,7 +147,10 @@
 	serving, stopServing := context.WithCancel(context.Background())
 	g, serving := errgroup.WithContext(serving)
 	g.Go(func() error { return host.Run(serving) })
-	g.Go(func() error { return peers.Run(serving) })
+	serveLinks, leaveLinks := context.WithCancel(serving)
+	defer leaveLinks()
+	linksEnded := make(chan struct{})
+	g.Go(func() error { defer close(linksEnded); return peers.Run(serveLinks) })
 	g.Go(callers.Serve)
 	if err := serveDebug(serving, g, s, host, log); err != nil {
 		stopServing()
@@ -162,7 +165,9 @@
 	drain, cancel := context.WithTimeout(context.Background(), ms(s.Limits.DrainTimeoutMS))
 	callers.StartDraining()
 	cut := host.Drain(drain, ms(s.Limits.DrainLingerMS), secondSignal)
+	leaveLinks()
 	callers.Finish(drain)
+	<-linksEnded
 	cancel()
 	stopServing()
 	return cut, g.Wait()
--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -36,7 +36,7 @@
 	m := metrics.New(true)
 	m.Gauge("log_dropped_over_rate", func() any { n, _ := out.Dropped(); return n })
 	m.Gauge("log_dropped_slow_output", func() any { _, n := out.Dropped(); return n })
-	link.Count, link.Log = m.LinkBytes, log
+	link.Count, link.Log, link.LeaveTimeout = m.LinkBytes, log, leaveTimeout(s)
 	client := peerlink.NewClient(link)
 	defer client.Close()
 	tracer, err := tracing.New(s.Trace, s.Host, "sesame-entry")
@@ -90,7 +90,10 @@
 	group, ctx := errgroup.WithContext(serving)
 	group.Go(func() error { return g.Run(ctx) })
 	group.Go(func() error { return servers.Run(ctx) })
-	group.Go(func() error { return peers.Run(ctx) })
+	serveLinks, leaveLinks := context.WithCancel(ctx)
+	defer leaveLinks()
+	linksEnded := make(chan struct{})
+	group.Go(func() error { defer close(linksEnded); return peers.Run(serveLinks) })
 	group.Go(callerServer.Serve)
 	group.Go(func() error { return daemon.Serve(ctx, ready, readyLn) })
 	if s.Listen.Debug != "" {
@@ -105,7 +108,8 @@
 	case <-stop.Done():
 	case <-ctx.Done():
 	}
-	drainPlatform(s, g, callerServer, log)
+	drainPlatform(s, g, callerServer, leaveLinks, log)
+	<-linksEnded
 	stopServing()
 	err = group.Wait()
 	log.Info("stopped")
@@ -121,9 +125,15 @@
 	drainShare = 0.92
 )
 
-// drainPlatform removes the host from the callers' lists, accepts requests for a while longer,
-// then waits for the requests in flight.
-func drainPlatform(s *settings.Entry, g *gateway.Gateway, callerServer *daemon.CallerServer, log logr.Logger) {
+// leaveTimeout returns the time in which the links from other hosts must end once no more requests are
+// accepted.
+func leaveTimeout(s *settings.Entry) time.Duration {
+	return time.Duration((drainShare - acceptShare) * float64(seconds(s.Limits.GraceS)))
+}
+
+// drainPlatform removes the host from the callers' lists, accepts requests for a while longer, then
+// leaves the links from other hosts and waits for the callers' requests in flight.
+func drainPlatform(s *settings.Entry, g *gateway.Gateway, callerServer *daemon.CallerServer, leaveLinks func(), log logr.Logger) {
 	grace := seconds(s.Limits.GraceS)
 	deadline, cancel := context.WithTimeout(context.Background(), time.Duration(drainShare*float64(grace)))
 	defer cancel()
@@ -133,17 +143,12 @@
 	accept := time.NewTimer(time.Duration(acceptShare * float64(grace)))
 	defer accept.Stop()
 	<-accept.C
+	leaveLinks()
 	if cut := callerServer.Finish(deadline); cut > 0 {
 		log.Info("requests cut by the shutdown", "connections", cut, "inflight", g.Inflight())
 	}
-	for g.Inflight() > 0 && deadline.Err() == nil {
-		time.Sleep(drainPoll) // requests forwarded by other hosts
-	}
 }
 
-// drainPoll is the interval at which a draining host checks whether requests are in flight.
-const drainPoll = 20 * time.Millisecond
-
 // reload reads the settings file again and applies its seeds.
 func reload(path string, g *gateway.Gateway, log logr.Logger) {
 	next := settings.DefaultEntry()
--- a/internal/adapter/peerlink/client.go
+++ b/internal/adapter/peerlink/client.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,8 +24,11 @@
 	TLS         func() *tls.Config // nil for plain TCP; called for each connection
 	Local       net.IP             // address to dial from; nil for any
 	DialTimeout time.Duration      // default 1 s
-	KeepAlive   time.Duration      // interval of keep-alive messages; default 2 s
-	Log         logr.Logger        // receives a line when a link ends
+	KeepAlive   time.Duration      // interval of keep-alive messages, and bound of a round trip; default 2 s
+	// LeaveTimeout bounds the time from the end of Server.Run's context until its links have ended
+	// (default 2 s).
+	LeaveTimeout time.Duration
+	Log          logr.Logger // receives a line when a link ends
 	// Count, if not nil, is called with the number of bytes of each write and read.
 	Count func(sent, received int)
 }
@@ -61,6 +65,9 @@
 	if o.KeepAlive == 0 {
 		o.KeepAlive = 2 * time.Second
 	}
+	if o.LeaveTimeout == 0 {
+		o.LeaveTimeout = 2 * time.Second
+	}
 }
 
 // maxStreamWindow is the maximum number of unread bytes per stream.
@@ -80,6 +87,7 @@
 func (o *Options) yamuxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.EnableKeepAlive, c.StreamOpenTimeout = false, 0 // see link
+	c.StreamCloseTimeout = 0                          // see isNotAccepted
 	c.KeepAliveInterval = o.KeepAlive
 	c.ConnectionWriteTimeout = 2 * o.KeepAlive
 	c.MaxStreamWindowSize = maxStreamWindow
@@ -97,10 +105,12 @@
 	closed  bool
 }
 
-// peer holds the session to one address. Its mutex serialises dialling.
+// peer holds the sessions to one address. Its mutex serialises dialling.
 type peer struct {
 	mu      sync.Mutex
 	session *session
+	// left are earlier sessions whose other end leaves, while answers are awaited on them.
+	left    []*session
 	dialErr error     // error of the last failed dial, returned until retryAt
 	retryAt time.Time // when the next dial is allowed
 }
@@ -133,29 +143,42 @@
 	c.peers = map[string]*peer{}
 	c.mu.Unlock()
 	for _, p := range peers {
-		p.mu.Lock()
-		if p.session != nil {
-			_ = p.session.Close()
-		}
-		p.mu.Unlock()
+		p.closeSessions()
 	}
 }
 
-// CloseSession closes the session to an address that was found to be dead, so that requests in
-// flight fail at once and not at the keep-alive timeout.
-func (c *Client) CloseSession(addr string) {
-	c.mu.Lock()
-	p := c.peers[addr]
-	c.mu.Unlock()
-	if p == nil {
-		return
-	}
+// closeSessions closes all sessions to the address.
+func (p *peer) closeSessions() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.session != nil {
 		_ = p.session.Close()
 		p.session = nil
 	}
+	for _, s := range p.left {
+		_ = s.Close()
+	}
+	p.left = nil
+}
+
+// replace makes s the session for calls and forwards that begin. p.mu must be held.
+func (p *peer) replace(s *session) {
+	p.left = slices.DeleteFunc(p.left, (*session).IsClosed)
+	if p.session != nil && !p.session.IsClosed() {
+		p.left = append(p.left, p.session)
+	}
+	p.session = s
+}
+
+// CloseSession closes the sessions to an address that was found to be dead, so that requests in
+// flight fail at once and not at the keep-alive timeout.
+func (c *Client) CloseSession(addr string) {
+	c.mu.Lock()
+	p := c.peers[addr]
+	c.mu.Unlock()
+	if p != nil {
+		p.closeSessions()
+	}
 }
 
 func (c *Client) session(ctx context.Context, addr string) (*session, error) {
@@ -173,7 +196,7 @@
 
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.session != nil && !p.session.IsClosed() {
+	if p.session != nil && p.session.isUsable() {
 		return p.session, nil
 	}
 	if time.Now().Before(p.retryAt) {
@@ -184,7 +207,7 @@
 		p.dialErr, p.retryAt = err, time.Now().Add(redialBackoff)
 		return nil, err
 	}
-	p.session = session
+	p.replace(session)
 	return session, nil
 }
 
@@ -248,61 +271,70 @@
 	return resp, nil
 }
 
-func (c *Client) openStream(ctx context.Context, addr string, req *pb.Request) (s *linkStream, sent bool, err error) {
+// chunkSize is the maximum size of a body chunk, in bytes.
+const chunkSize = 64 << 10
+
+// Open implements port.Peers. It sends the request and then the body in chunks. The
+// stream is closed when ctx ends.
+func (c *Client) Open(ctx context.Context, addr string, req *pb.Request, body []byte) (port.ForwardStream, bool, error) {
 	session, err := c.session(ctx, addr)
 	if err != nil {
 		return nil, false, err
 	}
-	stream, err := session.openStream()
+	stream, err := session.openForward()
 	if err != nil {
 		return nil, false, failure.Wrap(err, failure.PeerUnreachable, failure.NotRun)
 	}
-	if err := WriteMessage(stream, req); err != nil {
-		_ = stream.Close()
+	f := &forwardStream{stream: stream, end: sync.OnceFunc(session.endForward)}
+	f.stop = context.AfterFunc(ctx, func() { _ = stream.Close() })
+	if err := f.send(req, body); err != nil {
+		_ = f.Close()
+		if isNotAccepted(err) {
+			return nil, false, errPeerLeaves
+		}
 		return nil, true, failure.Wrap(err, failure.PeerUnreachable, failure.Unknown)
 	}
-	return stream, true, nil
+	return f, true, nil
 }
 
-// chunkSize is the maximum size of a body chunk, in bytes.
-const chunkSize = 64 << 10
+type forwardStream struct {
+	stream   *linkStream
+	stop     func() bool
+	end      func() // reports the end of the forward to the session
+	answered bool   // a frame was received
+}
 
-// Open implements port.Peers. It sends the request and then the body in chunks. The
-// stream is closed when ctx ends.
-func (c *Client) Open(ctx context.Context, addr string, req *pb.Request, body []byte) (port.ForwardStream, bool, error) {
-	stream, sent, err := c.openStream(ctx, addr, req)
-	if err != nil {
-		return nil, sent, err
+// send sends the request and its body.
+func (f *forwardStream) send(req *pb.Request, body []byte) error {
+	if err := WriteMessage(f.stream, req); err != nil {
+		return err
 	}
-	f := &forwardStream{stream: stream}
-	f.stop = context.AfterFunc(ctx, func() { _ = stream.Close() })
 	for len(body) > 0 {
 		n := min(len(body), chunkSize)
-		if err := WriteMessage(stream, &pb.ForwardChunk{Data: body[:n]}); err != nil {
-			_ = f.Close()
-			return nil, true, failure.Wrap(err, failure.PeerUnreachable, failure.Unknown)
+		if err := WriteMessage(f.stream, &pb.ForwardChunk{Data: body[:n]}); err != nil {
+			return err
 		}
 		body = body[n:]
 	}
-	return f, true, nil
-}
-
-type forwardStream struct {
-	stream *linkStream
-	stop   func() bool
+	return nil
 }
 
 // Recv implements port.ForwardStream.
 func (f *forwardStream) Recv() (*pb.ForwardFrame, error) {
 	frame := new(pb.ForwardFrame)
 	if err := ReadMessage(f.stream, frame); err != nil {
+		if !f.answered && isNotAccepted(err) {
+			return nil, errPeerLeaves
+		}
 		return nil, errors.Trace(err)
 	}
+	f.answered = true
 	return frame, nil
 }
 
 // Close implements port.ForwardStream.
 func (f *forwardStream) Close() error {
 	f.stop()
+	defer f.end()
 	return errors.Trace(f.stream.Close())
 }
--- a/internal/adapter/peerlink/frameconn.go
+++ b/internal/adapter/peerlink/frameconn.go
@@ -15,6 +15,7 @@
 	typeOffset   = 1
 	lengthOffset = 8
 	typeData     = 0
+	typeGoAway   = 3
 )
 
 // frameConn is the connection of a session. It passes frames on whole, as yamux holds a stream's lock
@@ -31,6 +32,9 @@
 	// frames before.
 	readsEnded     chan struct{}
 	readsEndedOnce sync.Once
+	// peerLeaves is closed when the other end has announced that it serves no further streams.
+	peerLeaves     chan struct{}
+	peerLeavesOnce sync.Once
 
 	mu           sync.Mutex
 	failed       bool      // a write failed
@@ -43,7 +47,10 @@
 const readBufferSize = 16 << 10
 
 func newFrameConn(conn net.Conn, gate *readGate) *frameConn {
-	return &frameConn{Conn: conn, gate: gate, br: bufio.NewReaderSize(conn, readBufferSize), buf: make([]byte, headerSize), readsEnded: make(chan struct{})}
+	return &frameConn{
+		Conn: conn, gate: gate, br: bufio.NewReaderSize(conn, readBufferSize), buf: make([]byte, headerSize), readsEnded: make(chan struct{}),
+		peerLeaves: make(chan struct{}),
+	}
 }
 
 // Read implements io.Reader.
@@ -71,6 +78,9 @@
 	}
 	c.recordReceived()
 	c.frame = header
+	if header[typeOffset] == typeGoAway {
+		c.peerLeavesOnce.Do(func() { close(c.peerLeaves) })
+	}
 	size := binary.BigEndian.Uint32(header[lengthOffset:])
 	if header[typeOffset] != typeData || size > maxStreamWindow {
 		return nil
--- a/internal/adapter/peerlink/link.go
+++ b/internal/adapter/peerlink/link.go
@@ -15,6 +15,11 @@
 // session's receive loop has returned, a read in yamux neither blocks nor returns; on a single
 // processor without preemption nothing else runs then. Later reads return what was received before the end.
 //
+// The end that accepted the link may leave. It then serves no further streams, which are reset, and goes
+// on with those that it serves. The end that opens streams opens none any more, and closes the link once it
+// has read the end of each of them. So the end that leaves is the last to send, and the other one is the
+// first to close: when the link has ended, nothing that was sent is unread.
+//
 // yamux must not shut down by itself while reads are in progress. So the link sends its own keep-alive
 // messages, and hides errors of the connection until the reads have ended.
 type link struct {
@@ -67,6 +72,29 @@
 	}
 }
 
+// leaveChecks is the number of checks for silence, each with a keep-alive message, in the time for which a
+// link that is being left may be silent.
+const leaveChecks = 4
+
+// leave announces to the other end that this end serves no further streams. It closes the link if the
+// other end sends nothing for maxSilence, and returns when the link has ended.
+func (l *link) leave(maxSilence time.Duration) {
+	go func() { _ = l.GoAway() }() // the silence of an end that does not receive it ends the link
+	t := time.NewTicker(maxSilence / leaveChecks)
+	defer t.Stop()
+	for {
+		go func() { _, _ = l.Ping() }()
+		select {
+		case <-l.CloseChan():
+			return
+		case now := <-t.C:
+			if l.conn.silence(now) >= maxSilence {
+				_ = l.closeBecause("the other host sent nothing for " + maxSilence.String() + " while this host left")
+			}
+		}
+	}
+}
+
 // Close ends the reads and closes the session.
 func (l *link) Close() error { return l.closeBecause("closed by this host") }
 
--- a/internal/adapter/peerlink/server.go
+++ b/internal/adapter/peerlink/server.go
@@ -62,7 +62,8 @@
 	ln      net.Listener
 	wg      sync.WaitGroup
 	mu      sync.Mutex
-	conns   map[net.Conn]bool
+	conns   map[net.Conn]*link // nil for a connection before its link begins
+	leaving bool
 }
 
 // NewServer returns a server that listens on addr.
@@ -72,22 +73,24 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.InvalidSettings, "")
 	}
-	return &Server{o: o, handler: h, log: log, ln: ln, conns: map[net.Conn]bool{}}, nil
+	return &Server{o: o, handler: h, log: log, ln: ln, conns: map[net.Conn]*link{}}, nil
 }
 
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
-// Run accepts links until ctx ends, then closes all links and waits until their requests
-// have returned.
+// Run accepts links until ctx ends. It then leaves them: it accepts no further requests, and waits until
+// the other ends have read the answers to all others and closed their links. A link whose other end sends
+// nothing for the keep-alive interval, and any that is left after the leave timeout, is closed.
 func (s *Server) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, s.closeAll)
+	handling, stopHandling := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopHandling()
+	stop := context.AfterFunc(ctx, s.leave)
 	defer stop()
 	for {
 		conn, err := s.ln.Accept()
 		if err != nil {
-			s.closeAll()
-			s.wg.Wait()
+			s.await(ctx, stopHandling)
 			if ctx.Err() != nil {
 				return nil
 			}
@@ -100,22 +103,63 @@
 		go func() {
 			defer s.wg.Done()
 			defer s.untrack(conn)
-			s.serve(ctx, conn)
+			s.serve(handling, conn)
 		}()
 	}
 }
 
+// await waits until all links have ended, and ends those that are left after the leave timeout. If ctx
+// has not ended, it ends all at once.
+func (s *Server) await(ctx context.Context, stopHandling context.CancelFunc) {
+	began := time.Now()
+	end := func() { stopHandling(); s.closeAll() }
+	if ctx.Err() == nil {
+		end()
+	}
+	timer := time.AfterFunc(s.o.LeaveTimeout, end)
+	s.wg.Wait()
+	inTime := timer.Stop()
+	s.log.Info("links ended", "in_time", inTime, "took_ms", time.Since(began).Milliseconds(), "limit_ms", s.o.LeaveTimeout.Milliseconds())
+}
+
+// leave stops accepting links and leaves the ones that are open.
+func (s *Server) leave() {
+	_ = s.ln.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	for conn, l := range s.conns {
+		if l == nil {
+			_ = conn.SetDeadline(time.Now().Add(s.o.KeepAlive)) // bounds the handshake
+			continue
+		}
+		go l.leave(s.o.KeepAlive)
+	}
+}
+
+// track adds an accepted connection. It closes it if the server leaves.
 func (s *Server) track(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.conns == nil {
+	if s.leaving {
 		_ = conn.Close()
 		return false
 	}
-	s.conns[conn] = true
+	s.conns[conn] = nil
 	return true
 }
 
+// begin records the link of a connection, and leaves it if the server leaves: the other end may have
+// sent a request already.
+func (s *Server) begin(conn net.Conn, l *link) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[conn] = l
+	if s.leaving {
+		go l.leave(s.o.KeepAlive)
+	}
+}
+
 func (s *Server) untrack(conn net.Conn) {
 	_ = conn.Close()
 	s.mu.Lock()
@@ -127,14 +171,14 @@
 	_ = s.ln.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.leaving = true
 	for conn := range s.conns {
 		_ = conn.Close()
 	}
-	s.conns = nil
 }
 
-func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	conn = s.o.countBytes(conn)
+func (s *Server) serve(ctx context.Context, accepted net.Conn) {
+	conn := s.o.countBytes(accepted)
 	if s.o.TLS != nil {
 		t := tls.Server(conn, s.o.TLS())
 		if err := t.HandshakeContext(ctx); err != nil {
@@ -147,14 +191,20 @@
 		s.log.Info("peer refused", "remote", conn.RemoteAddr().String(), "code", string(failure.PeerRefused), "reason", err.Error())
 		return
 	}
-	session, err := newLink(conn, s.o.serverConfig(), s.o.KeepAlive, yamux.Server)
+	l, err := newLink(conn, s.o.serverConfig(), s.o.KeepAlive, yamux.Server)
 	if err != nil {
 		return
 	}
-	go session.logEnd(s.log, conn.RemoteAddr().String())
-	defer func() { _ = session.Close() }()
+	go l.logEnd(s.log, conn.RemoteAddr().String())
+	defer func() { _ = l.Close() }()
+	s.begin(accepted, l)
+	s.acceptStreams(ctx, l)
+}
+
+// acceptStreams serves the streams of a link until it ends.
+func (s *Server) acceptStreams(ctx context.Context, l *link) {
 	for {
-		stream, err := session.acceptStream()
+		stream, err := l.acceptStream()
 		if err != nil {
 			return
 		}
--- a/internal/adapter/peerlink/session.go
+++ b/internal/adapter/peerlink/session.go
@@ -4,12 +4,18 @@
 	"context"
 	"sync"
 
+	"github.com/hashicorp/yamux"
+	"github.com/juju/errors"
+
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
 // session is a link with the stream that its calls share. A separate stream per call would cost five
 // more small frames.
+//
+// Once the other end leaves, the session accepts no calls and forwards any more, and closes the link when
+// those in progress have ended.
 type session struct {
 	*link
 
@@ -17,11 +23,82 @@
 	stream   *linkStream // opened by the first call
 	lastCall uint64
 	pending  map[uint64]chan *pb.Response
+	answered bool // a response was received
+	forwards int  // in progress
+	leaving  bool // the other end leaves
 	closeErr error
 }
 
+// errPeerLeaves is the error of calls and forwards that the other end did not accept because it leaves.
+var errPeerLeaves = failure.New(failure.PeerUnreachable, failure.NotRun, "the other host accepts no further requests")
+
 func newLinkSession(l *link) *session {
-	return &session{link: l, pending: map[uint64]chan *pb.Response{}}
+	s := &session{link: l, pending: map[uint64]chan *pb.Response{}}
+	go s.closeWhenPeerLeaves()
+	return s
+}
+
+// closeWhenPeerLeaves closes the link after the other end has announced that it leaves.
+func (s *session) closeWhenPeerLeaves() {
+	select {
+	case <-s.conn.peerLeaves:
+	case <-s.CloseChan():
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaveLocked()
+}
+
+// leaveLocked accepts no calls and forwards from now on. The caller holds s.mu.
+func (s *session) leaveLocked() {
+	s.leaving = true
+	s.closeIfDoneLocked()
+}
+
+// closeIfDoneLocked closes the link if the other end leaves and nothing is in progress. The caller holds
+// s.mu.
+func (s *session) closeIfDoneLocked() {
+	if s.leaving && s.forwards == 0 && len(s.pending) == 0 {
+		go func() { _ = s.closeBecause("the other host leaves, and all answers were read") }()
+	}
+}
+
+// isUsable reports whether calls and forwards may begin.
+func (s *session) isUsable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.leaving && !s.IsClosed()
+}
+
+// openForward opens the stream of a forward. endForward must follow.
+func (s *session) openForward() (*linkStream, error) {
+	s.mu.Lock()
+	if s.leaving {
+		s.mu.Unlock()
+		return nil, errPeerLeaves
+	}
+	s.forwards++
+	s.mu.Unlock()
+	stream, err := s.openStream()
+	if err != nil {
+		s.endForward()
+		return nil, err
+	}
+	return stream, nil
+}
+
+func (s *session) endForward() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forwards--
+	s.closeIfDoneLocked()
+}
+
+// isNotAccepted reports whether the error proves that the other end did not accept the stream: without a
+// close timeout, yamux resets only streams that it does not pass on.
+func isNotAccepted(err error) bool {
+	return errors.Is(err, yamux.ErrConnectionReset) || errors.Is(err, yamux.ErrRemoteGoAway)
 }
 
 // call sends a request on the shared stream and waits for its response.
@@ -33,17 +110,28 @@
 	select {
 	case resp, ok := <-answer:
 		if !ok {
-			return nil, failure.New(failure.PeerUnreachable, failure.Unknown, "the link was closed before the response")
+			return nil, s.lostCall()
 		}
 		return resp, nil
 	case <-ctx.Done():
 		s.mu.Lock()
 		delete(s.pending, number)
+		s.closeIfDoneLocked()
 		s.mu.Unlock()
 		return nil, failure.Wrap(ctx.Err(), failure.PeerUnreachable, failure.Unknown)
 	}
 }
 
+// lostCall returns the error of a call whose stream ended before its response.
+func (s *session) lostCall() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closeErr == nil {
+		return errPeerLeaves
+	}
+	return failure.New(failure.PeerUnreachable, failure.Unknown, "the link was closed before the response")
+}
+
 // send registers the call and writes its request.
 func (s *session) send(req *pb.Request) (answer chan *pb.Response, number uint64, err error) {
 	s.mu.Lock()
@@ -51,9 +139,12 @@
 	if s.closeErr != nil {
 		return nil, 0, failure.Wrap(s.closeErr, failure.PeerUnreachable, failure.NotRun)
 	}
+	if s.leaving {
+		return nil, 0, errPeerLeaves
+	}
 	if s.stream == nil {
 		if s.stream, err = s.openStream(); err != nil {
-			s.closeLocked(err)
+			s.endCallsLocked(err)
 			return nil, 0, failure.Wrap(err, failure.PeerUnreachable, failure.NotRun)
 		}
 		go s.receive(s.stream)
@@ -64,7 +155,9 @@
 	s.pending[number] = answer
 	req.Call = number
 	if err := WriteMessage(s.stream, req); err != nil {
-		s.closeLocked(err)
+		if s.endCallsLocked(err) {
+			return nil, 0, errPeerLeaves
+		}
 		return nil, 0, failure.Wrap(err, failure.PeerUnreachable, failure.Unknown)
 	}
 	return answer, number, nil
@@ -76,20 +169,43 @@
 		resp := new(pb.Response)
 		if err := ReadMessage(stream, resp); err != nil {
 			s.mu.Lock()
-			s.closeLocked(err)
+			s.endCallsLocked(err)
 			s.mu.Unlock()
 			return
 		}
 		s.mu.Lock()
+		s.answered = true
 		answer := s.pending[resp.Call]
 		delete(s.pending, resp.Call)
+		s.closeIfDoneLocked()
 		s.mu.Unlock()
 		if answer != nil {
-			answer <- resp
+			answer <- resp // buffered
 		}
 	}
 }
 
+// endCallsLocked ends the calls because of an error of their stream. If the other end did not accept the
+// stream, it leaves, and forwards go on; otherwise the link is closed. It reports the former. The caller
+// holds s.mu.
+func (s *session) endCallsLocked(err error) (notAccepted bool) {
+	if s.answered || !isNotAccepted(err) {
+		s.closeLocked(err)
+		return false
+	}
+	s.failPendingLocked()
+	s.leaveLocked()
+	return true
+}
+
+// failPendingLocked ends the waiting calls without a response. The caller holds s.mu.
+func (s *session) failPendingLocked() {
+	for number, answer := range s.pending {
+		delete(s.pending, number)
+		close(answer)
+	}
+}
+
 // closeLocked closes the session because of err, so that all waiting calls fail. The caller
 // holds s.mu.
 func (s *session) closeLocked(err error) {
@@ -97,9 +213,6 @@
 		return
 	}
 	s.closeErr = err
-	for number, answer := range s.pending {
-		delete(s.pending, number)
-		close(answer)
-	}
+	s.failPendingLocked()
 	go func() { _ = s.Close() }()
 }
--- a/internal/app/entry/forward.go
+++ b/internal/app/entry/forward.go
@@ -59,13 +59,16 @@
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
-			stage := retry.Sent
-			if headed {
+			stage, outcome := retry.Sent, failure.As(err, failure.Unknown).Outcome
+			switch {
+			case headed:
 				stage = retry.MidAnswer
+			case outcome == failure.NotRun:
+				stage = retry.BeforeSend
 			}
 			return result{
 				stage: stage, connected: callerCanceled(ctx),
-				err: failure.New(failure.PeerUnreachable, failure.Unknown, "the link to %s broke off: %s", p.ServerID, err),
+				err: failure.New(failure.PeerUnreachable, outcome, "the link to %s broke off: %s", p.ServerID, err),
 			}
 		}
 		stall.Reset(h.o.StallTimeout)
--- a/internal/app/gateway/forward.go
+++ b/internal/app/gateway/forward.go
@@ -62,7 +62,11 @@
 		frame, err := stream.Recv()
 		if err != nil {
 			res.stage, res.outcome = retry.Sent, dispatch.ConnectionFailed
-			res.err = failure.New(failure.PeerUnreachable, failure.Unknown, "the link to %s broke off: %s", c.Host.ID, err)
+			outcome := failure.As(err, failure.Unknown).Outcome
+			if outcome == failure.NotRun {
+				res.stage = retry.BeforeSend
+			}
+			res.err = failure.New(failure.PeerUnreachable, outcome, "the link to %s broke off: %s", c.Host.ID, err)
 			return
 		}
 		switch f := frame.Frame.(type) {
@@ -136,7 +140,7 @@
 func (g *Gateway) HandleForward(ctx context.Context, req *pb.Request, s port.IncomingStream) {
 	ctx, cancel := s.CancelOnClose(ctx)
 	defer cancel()
-	g.enter() // until the end is sent: a stopping host closes its links once nothing is in flight
+	g.enter() // until the end of the answer is sent
 	defer g.inflight.Add(-1)
 	_ = s.Send(forward.End(g.receive(ctx, req, &streamSink{s}))) // the sender may have disconnected
 }
