peerlink: a stopping host gives up calls whose link has ended

A host that stopped while it handled a call for a host that was frozen or cut off ran on until the leave timeout, although its link had been closed for silence: calls are handled within the context of the server, and Run waits for them.

The handlers of a link that has ended are now canceled once the server leaves, as nobody awaits their answers. While the server does not leave, a call goes on after the end of its link as before.

--- a/internal/adapter/peerlink/fakenet_test.go
+++ b/internal/adapter/peerlink/fakenet_test.go
@@ -196,6 +196,14 @@
 	c.net.changed.Broadcast()
 }
 
+// silence freezes this end, and lets nothing that it sends arrive.
+func (c *fakeConn) silence() {
+	c.freeze(true)
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	c.other.cut = true
+}
+
 // cutOff lets nothing arrive at either end any more.
 func (c *fakeConn) cutOff() {
 	c.net.mu.Lock()
--- a/internal/adapter/peerlink/history_test.go
+++ b/internal/adapter/peerlink/history_test.go
@@ -22,8 +22,8 @@
 func inBubble(t *testing.T, f func(t *testing.T)) {
 	t.Helper()
 	emptyTimerPool(t)
+	defer emptyTimerPool(t)
 	synctest.Test(t, f)
-	emptyTimerPool(t)
 }
 
 // emptyTimerPool empties yamux's pool of timers: a timer must not pass from one bubble to another.
--- a/internal/adapter/peerlink/server.go
+++ b/internal/adapter/peerlink/server.go
@@ -103,7 +103,7 @@
 		go func() {
 			defer s.wg.Done()
 			defer s.untrack(conn)
-			s.serve(handling, conn)
+			s.serve(ctx, handling, conn)
 		}()
 	}
 }
@@ -177,11 +177,13 @@
 	}
 }
 
-func (s *Server) serve(ctx context.Context, accepted net.Conn) {
+// serve serves a connection. Its requests are handled within the context handling, and no longer than the
+// link once the context running has ended.
+func (s *Server) serve(running, handling context.Context, accepted net.Conn) {
 	conn := s.o.countBytes(accepted)
 	if s.o.TLS != nil {
 		t := tls.Server(conn, s.o.TLS())
-		if err := t.HandshakeContext(ctx); err != nil {
+		if err := t.HandshakeContext(handling); err != nil {
 			s.log.Info("peer refused", "remote", conn.RemoteAddr().String(), "code", string(failure.PeerRefused), "reason", err.Error())
 			return
 		}
@@ -198,22 +200,26 @@
 	go l.logEnd(s.log, conn.RemoteAddr().String())
 	defer func() { _ = l.Close() }()
 	s.begin(accepted, l)
-	s.acceptStreams(ctx, l)
+	ctx, cancel := context.WithCancel(handling)
+	defer cancel()
+	var streams sync.WaitGroup
+	s.acceptStreams(ctx, l, &streams)
+	stop := context.AfterFunc(running, cancel) // nobody awaits the answers
+	defer stop()
+	streams.Wait()
 }
 
 // acceptStreams serves the streams of a link until it ends.
-func (s *Server) acceptStreams(ctx context.Context, l *link) {
+func (s *Server) acceptStreams(ctx context.Context, l *link, streams *sync.WaitGroup) {
 	for {
 		stream, err := l.acceptStream()
 		if err != nil {
 			return
 		}
-		s.wg.Add(1)
-		go func() {
-			defer s.wg.Done()
+		streams.Go(func() {
 			defer func() { _ = stream.Close() }()
 			s.serveStream(ctx, stream)
-		}()
+		})
 	}
 }
 
