peerlink: the deadline of a handshake does not outlive it

A host that stops bounds the handshakes of links that have not begun with a deadline on their connections. If the stop fell between the end of the handshake and the begin of the link, the deadline stayed on the connection and cut the link's answers one keep-alive interval later. The request can have arrived by then if the host reads late:

forward first: neither answered nor refused as not run (read: true) after 0 of 1 chunks: peer-unreachable: the link ended call first: neither answered nor refused as not run (read: true) after 0 of 0 chunks: peer-unreachable: the link was closed before the response

The begin of a link that is left removes the deadline, under the lock under which a stop sets it.

--- a/internal/adapter/peerlink/fakenet_test.go
+++ b/internal/adapter/peerlink/fakenet_test.go
@@ -115,6 +115,7 @@
 	frozen   bool      // reads return nothing
 	cut      bool      // nothing arrives any more
 	sendsAt  time.Time // when the bytes before have been sent
+	cleared  func()    // if not nil, called once the deadlines have been removed
 
 	readDeadline, writeDeadline time.Time
 }
@@ -196,6 +197,13 @@
 	c.net.changed.Broadcast()
 }
 
+// onCleared sets what is called once the deadlines have been removed.
+func (c *fakeConn) onCleared(f func()) {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	c.cleared = f
+}
+
 // silence freezes this end, and lets nothing that it sends arrive.
 func (c *fakeConn) silence() {
 	c.freeze(true)
@@ -315,7 +323,14 @@
 func (c *fakeConn) RemoteAddr() net.Addr { return fakeAddr{} }
 
 func (c *fakeConn) SetDeadline(t time.Time) error {
-	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+	err := errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+	c.net.mu.Lock()
+	cleared := c.cleared
+	c.net.mu.Unlock()
+	if t.IsZero() && cleared != nil {
+		cleared()
+	}
+	return err
 }
 
 func (c *fakeConn) SetReadDeadline(t time.Time) error {
--- a/internal/adapter/peerlink/leave_test.go
+++ b/internal/adapter/peerlink/leave_test.go
@@ -155,6 +155,31 @@
 	}
 }
 
+// TestStopAtTheEndOfAHandshakeCutsNoAnswer guards against the handshake's deadline on a link that has begun.
+func TestStopAtTheEndOfAHandshakeCutsNoAnswer(t *testing.T) {
+	for _, call := range []bool{true, false} {
+		t.Run(fmt.Sprintf("call=%t", call), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				faults := playFirstRequest(t, call, func(h *linkHistory) {
+					synctest.Wait()
+					conn := h.serverConn()
+					conn.onCleared(func() {
+						h.stop()
+						synctest.Wait()
+					})
+					time.Sleep(regionDelay + regionDelay/2)
+					conn.freeze(true) // the request arrives before the handshake has ended
+					time.Sleep(4 * regionDelay)
+					conn.freeze(false)
+				})
+				for _, f := range faults {
+					t.Error(f)
+				}
+			})
+		})
+	}
+}
+
 // playFirstRequest plays a request that opens a link, which takes longer than a keep-alive interval, and
 // returns what the history breaks.
 func playFirstRequest(t *testing.T, call bool, stop func(h *linkHistory)) []string {
--- a/internal/adapter/peerlink/server.go
+++ b/internal/adapter/peerlink/server.go
@@ -156,6 +156,7 @@
 	defer s.mu.Unlock()
 	s.conns[conn] = l
 	if s.leaving {
+		_ = conn.SetDeadline(time.Time{}) // it bounded the handshake
 		go l.leave(s.o.KeepAlive)
 	}
 }
