peerlink: silence before a stop does not end a link that is left

A stopping host closes a link whose other end sends nothing for a keep-alive interval. The interval began with the first bytes after the last that were received, so it could be nearly over when the stop began, as the other end sends a message only once per interval. A host that reads a little late then cut the answers that it served, before the first message of the stop could be answered:

stop after 80ms: forward, 40 chunks of 100 bytes every 20ms: neither answered nor refused as not run (read: true) after 15 of 40 chunks: the link ended

The silence now counts from the stop on at the earliest.

--- a/internal/adapter/peerlink/leave_test.go
+++ b/internal/adapter/peerlink/leave_test.go
@@ -106,6 +106,27 @@
 	}
 }
 
+// TestLeavingHostKeepsALinkWhoseRoundTripsAreLong guards against answers that are cut because the host was
+// silent before the stop for as long as it may be silent after.
+func TestLeavingHostKeepsALinkWhoseRoundTripsAreLong(t *testing.T) {
+	const keepAlive = 4 * regionDelay
+	inBubble(t, func(t *testing.T) {
+		for phase := time.Duration(0); phase < keepAlive; phase += keepAlive / 16 {
+			x := &exchange{id: "forward", chunks: 40, chunkSize: 100, serverPause: keepAlive / 16}
+			h := startHistory(t, newFakeNet(regionDelay), Options{KeepAlive: keepAlive, LeaveTimeout: noLeaveTimeout}, x)
+			time.Sleep(2*regionDelay + phase)
+			h.serverConn().freeze(true) // the host reads late
+			h.stop()
+			time.Sleep(keepAlive / 2)
+			h.serverConn().freeze(false)
+			h.end()
+			for _, f := range h.failures() {
+				t.Errorf("stop after %s: %s", phase, f)
+			}
+		}
+	})
+}
+
 // TestHostOfTheVersionBeforeIsLeftAtTheLeaveTimeout guards against a stop that never ends because the other end
 // does not close the link.
 func TestHostOfTheVersionBeforeIsLeftAtTheLeaveTimeout(t *testing.T) {
--- a/internal/adapter/peerlink/link.go
+++ b/internal/adapter/peerlink/link.go
@@ -79,6 +79,7 @@
 // leave announces to the other end that this end serves no further streams. It closes the link if the
 // other end sends nothing for maxSilence, and returns when the link has ended.
 func (l *link) leave(maxSilence time.Duration) {
+	began := time.Now()
 	go func() { _ = l.GoAway() }() // the silence of an end that does not receive it ends the link
 	t := time.NewTicker(maxSilence / leaveChecks)
 	defer t.Stop()
@@ -88,7 +89,7 @@
 		case <-l.CloseChan():
 			return
 		case now := <-t.C:
-			if l.conn.silence(now) >= maxSilence {
+			if now.Sub(began) >= maxSilence && l.conn.silence(now) >= maxSilence {
 				_ = l.closeBecause("the other host sent nothing for " + maxSilence.String() + " while this host left")
 			}
 		}
