peerlink: what has arrived is read after a write has failed

A write that fails closed its connection, and so discarded what had arrived and was not read yet. The other end's reset makes a write fail first if the receive loop reads late, while the kernel still holds the last frames of an answer:

forward, 3 chunks of 65536 bytes: neither answered nor refused as not run (read: true) after 0 of 3 chunks: peer-unreachable: the link ended requests may begin on a link whose writes fail

After an error of a write, reads now go on until they fail, for at most a second. No further request begins on the link from the error on.

--- a/internal/adapter/peerlink/fakenet_test.go
+++ b/internal/adapter/peerlink/fakenet_test.go
@@ -113,6 +113,7 @@
 	closed   bool      // Close was called
 	written  bool      // CloseWrite or Close was called
 	frozen   bool      // reads return nothing
+	mute     bool      // writes fail
 	cut      bool      // nothing arrives any more
 	sendsAt  time.Time // when the bytes before have been sent
 	cleared  func()    // if not nil, called once the deadlines have been removed
@@ -197,6 +198,14 @@
 	c.net.changed.Broadcast()
 }
 
+// failWrites makes the writes of this end fail from now on.
+func (c *fakeConn) failWrites() {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	c.mute = true
+	c.net.changed.Broadcast()
+}
+
 // onCleared sets what is called once the deadlines have been removed.
 func (c *fakeConn) onCleared(f func()) {
 	c.net.mu.Lock()
@@ -267,7 +276,7 @@
 		switch {
 		case c.closed || c.written:
 			return total, net.ErrClosed
-		case c.wasReset:
+		case c.wasReset, c.mute:
 			return total, syscall.ECONNRESET
 		case passed(c.writeDeadline):
 			return total, os.ErrDeadlineExceeded
--- a/internal/adapter/peerlink/frameconn.go
+++ b/internal/adapter/peerlink/frameconn.go
@@ -20,8 +20,8 @@
 
 // frameConn is the connection of a session. It passes frames on whole, as yamux holds a stream's lock
 // while it reads a frame's data, and reports an error of the connection only after the reads of the
-// session's streams have ended. After an error of a write it discards what is written until the
-// receive loop has reported the end.
+// session's streams have ended. After an error of a write it discards what is written, and reads what has
+// arrived until the receive loop has reported the end.
 type frameConn struct {
 	net.Conn
 	gate  *readGate
@@ -43,6 +43,9 @@
 	waitingSince time.Time // when the first bytes were sent after which none was received; zero for none
 }
 
+// readRestTimeout bounds the reads of what arrives after a write has failed.
+const readRestTimeout = time.Second
+
 // readBufferSize holds several frames of calls.
 const readBufferSize = 16 << 10
 
@@ -132,11 +135,18 @@
 		c.failed = true
 		c.discarded += len(p) - n
 		c.mu.Unlock()
-		_ = c.Conn.Close()
+		_ = c.Conn.SetReadDeadline(time.Now().Add(readRestTimeout))
 	}
 	return len(p), nil
 }
 
+// hasFailed reports whether a write has failed.
+func (c *frameConn) hasFailed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed
+}
+
 // recordSent records that n bytes are sent. It reports whether a write has failed before, so that they
 // are discarded.
 func (c *frameConn) recordSent(n int) (failed bool) {
--- a/internal/adapter/peerlink/link.go
+++ b/internal/adapter/peerlink/link.go
@@ -116,7 +116,9 @@
 }
 
 // IsClosed reports whether the link has ended or is about to.
-func (l *link) IsClosed() bool { return l.gate.hasEnded() || l.Session.IsClosed() }
+func (l *link) IsClosed() bool {
+	return l.conn.hasFailed() || l.gate.hasEnded() || l.Session.IsClosed()
+}
 
 // openStream opens a stream.
 func (l *link) openStream() (*linkStream, error) {
--- a/internal/adapter/peerlink/unread_test.go
+++ b/internal/adapter/peerlink/unread_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/hashicorp/yamux"
 
@@ -48,3 +50,47 @@
 		})
 	}
 }
+
+// TestWhatHasArrivedIsReadAfterAWriteFailed guards against an answer that is cut although it has arrived, because a
+// write on its connection fails first.
+func TestWhatHasArrivedIsReadAfterAWriteFailed(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		x := &exchange{id: "forward", chunks: 3, chunkSize: 64 << 10}
+		h := startHistory(t, newFakeNet(regionDelay), Options{KeepAlive: historyAlive}, x)
+		conn := h.serverConn().other
+		time.Sleep(regionDelay)
+		conn.freeze(true)
+		time.Sleep(regionDelay)
+		conn.failWrites()
+		l := h.client.peers[fakeAddress].session
+		_, _ = l.conn.Write(make([]byte, headerSize))
+		if l.isUsable() {
+			t.Error("requests may begin on a link whose writes fail")
+		}
+		synctest.Wait()
+		conn.freeze(false)
+		h.asked.Wait()
+		h.stop()
+		h.end()
+		for _, f := range h.failures() {
+			t.Error(f)
+		}
+	})
+}
+
+// TestLinkWhoseWritesFailEnds guards against requests that wait on a link that is of no use.
+func TestLinkWhoseWritesFailEnds(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		h := startHistory(t, newFakeNet(regionDelay), Options{KeepAlive: historyAlive})
+		l := h.client.peers[fakeAddress].session
+		h.serverConn().other.failWrites()
+		began := time.Now()
+		_, _ = l.conn.Write(make([]byte, headerSize))
+		<-l.CloseChan()
+		if took := time.Since(began); took > historyAlive {
+			t.Errorf("the link ended after %s, more than the keep-alive interval of %s", took, historyAlive)
+		}
+		h.stop()
+		h.end()
+	})
+}
