control, daemon: a stopping host answers the HTTP requests that it has read

Operators saw a connection closed without an answer to a change, and backend servers one without an answer to an announcement, when the control host that had read the request was stopped.

Cause: the HTTP servers of operators, backend servers and callers' look-ups were closed with all their connections at SIGTERM, and the replica that carries out a change ended at the same moment. The product's own interface waited for its operators, but without a bound and without the replica.

Evidence: TestStoppingControlHostAnswersChanges freezes the other control hosts, so that a change is in progress when SIGTERM comes, and lets them go on.

Fix: the servers are daemon.CallerServers, which close a connection only when its socket is empty and its last answer is written. A control host ends its parts in the order in which they need each other: the servers, the links, the replica.

--- a/cmd/sesame-control/main.go
+++ b/cmd/sesame-control/main.go
@@ -3,18 +3,15 @@
 package main
 
 import (
-	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
 	"flag"
 	"fmt"
-	"net/http"
 	"os"
 	"time"
 
 	"github.com/go-logr/logr"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/sesamefork/sesamefork/internal/adapter/enginehttp"
 	"github.com/sesamefork/sesamefork/internal/adapter/journal"
@@ -135,7 +132,7 @@
 		link.TLS = peerTLS.Config
 	}
 	m := metrics.New(true)
-	link.Count, link.Log = m.LinkBytes, log
+	link.Count, link.Log, link.LeaveTimeout = m.LinkBytes, log, leaveTimeout
 	client := peerlink.NewClient(link)
 	defer client.Close()
 	r, err := control.NewReplica(control.Options{
@@ -157,24 +154,12 @@
 		return err
 	}
 	handler := operatorhttp.New(r, s.Group.BootstrapOperatorHash, log)
-	srv, ln, err := daemon.NewHTTPServer(s.Listen.Operator, handler, operatorTLS.Server())
+	operators, err := daemon.NewCallerServer(s.Listen.Operator, handler, operatorTLS.Server())
 	if err != nil {
 		return err
 	}
-	ctx, _ := daemon.Signals()
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return r.Run(ctx) })
-	g.Go(func() error { return peers.Run(ctx) })
-	g.Go(func() error {
-		if err := srv.Serve(ln); err != http.ErrServerClosed {
-			return failure.Wrap(err, failure.Internal, "")
-		}
-		return nil
-	})
-	g.Go(func() error {
-		<-ctx.Done()
-		return srv.Shutdown(context.Background())
-	})
+	stop, _ := daemon.Signals()
 	log.Info("started", "store", state.Identity.Store, "version", r.Accepted().Stamp.Version)
-	return g.Wait()
+	p := &parts{replica: r, peers: peers, servers: []*daemon.CallerServer{operators}}
+	return p.run(stop)
 }
--- a/cmd/sesame-control/platform.go
+++ b/cmd/sesame-control/platform.go
@@ -8,7 +8,6 @@
 
 	"github.com/go-logr/logr"
 	"github.com/gorilla/mux"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/sesamefork/sesamefork/internal/adapter/enginehttp"
 	"github.com/sesamefork/sesamefork/internal/adapter/journal"
@@ -50,7 +49,7 @@
 	m := metrics.New(true)
 	m.Gauge("log_dropped_over_rate", func() any { n, _ := out.Dropped(); return n })
 	m.Gauge("log_dropped_slow_output", func() any { _, n := out.Dropped(); return n })
-	link := peerlink.Options{Key: key, KeepAlive: s.Link.KeepAlive(), Local: daemon.HostIP(s.Listen.Peer), Count: m.LinkBytes, Log: log}
+	link := peerlink.Options{Key: key, KeepAlive: s.Link.KeepAlive(), Local: daemon.HostIP(s.Listen.Peer), LeaveTimeout: leaveTimeout, Count: m.LinkBytes, Log: log}
 	client := peerlink.NewClient(link)
 	defer client.Close()
 	r, err := control.NewReplica(control.Options{
@@ -164,7 +163,6 @@
 	}
 	ctx, _ := daemon.Signals()
 	daemon.OnReload(ctx, func() { log.Info("settings are not reloaded; changes take effect at the next start") })
-	g, ctx := errgroup.WithContext(ctx)
 	handlers := map[string]http.Handler{
 		s.Listen.Operator:  platform.NewControl(r, fleet, regionList(s.Fleet.Regions), log),
 		s.Listen.Directory: platform.NewDirectory(fleet),
@@ -177,18 +175,16 @@
 		router.NotFoundHandler = daemon.DebugHandler()
 		handlers[s.Listen.Debug] = router
 	}
+	p := &parts{replica: r, fleet: fleet, peers: peers}
 	for addr, h := range handlers {
-		srv, ln, err := daemon.NewHTTPServer(addr, h, nil)
+		srv, err := daemon.NewCallerServer(addr, h, nil)
 		if err != nil {
 			return err
 		}
-		g.Go(func() error { return daemon.Serve(ctx, srv, ln) })
+		p.servers = append(p.servers, srv)
 	}
-	g.Go(func() error { return r.Run(ctx) })
-	g.Go(func() error { return fleet.Run(ctx) })
-	g.Go(func() error { return peers.Run(ctx) })
 	log.Info("started", "store", r.Store(), "version", r.Accepted().Stamp.Version, "peer", s.Listen.Peer)
-	err = g.Wait()
+	err = p.run(ctx)
 	log.Info("stopped")
 	return err
 }
--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -5,7 +5,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"time"
@@ -173,13 +172,6 @@
 	return cut, g.Wait()
 }
 
-func serveHTTP(srv *http.Server, ln net.Listener) error {
-	if err := srv.Serve(ln); err != http.ErrServerClosed {
-		return failure.Wrap(err, failure.Internal, "")
-	}
-	return nil
-}
-
 // serveDebug serves the debug routes if the settings name an address for them.
 func serveDebug(ctx context.Context, g *errgroup.Group, s *settings.Entry, host *entry.Host, log logr.Logger) error {
 	if s.Listen.Debug == "" {
@@ -187,14 +179,10 @@
 	}
 	router := mux.NewRouter()
 	callerhttp.MountDebug(router, host, log)
-	srv, ln, err := daemon.NewHTTPServer(s.Listen.Debug, router, nil)
+	srv, err := daemon.NewCallerServer(s.Listen.Debug, router, nil)
 	if err != nil {
 		return err
 	}
-	g.Go(func() error { return serveHTTP(srv, ln) })
-	g.Go(func() error {
-		<-ctx.Done()
-		return srv.Close()
-	})
+	g.Go(func() error { return daemon.Serve(ctx, srv, statusAnswerTime) })
 	return nil
 }
--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -67,6 +67,9 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// statusAnswerTime is the time in which questions for the host's state are answered when it stops.
+const statusAnswerTime = 100 * time.Millisecond
+
 // servePlatform serves until a signal, then drains.
 func servePlatform(path string, s *settings.Entry, g *gateway.Gateway, servers *platform.Servers, link peerlink.Options, log logr.Logger) error {
 	peers, err := peerlink.NewServer(s.Listen.Peer, link, g, log)
@@ -79,7 +82,7 @@
 		return err
 	}
 	callerServer.LateHandler = callers.DrainingHandler()
-	ready, readyLn, err := daemon.NewHTTPServer(s.Listen.Ready, platform.Ready(g), nil)
+	ready, err := daemon.NewCallerServer(s.Listen.Ready, platform.Ready(g), nil)
 	if err != nil {
 		return err
 	}
@@ -95,13 +98,13 @@
 	linksEnded := make(chan struct{})
 	group.Go(func() error { defer close(linksEnded); return peers.Run(serveLinks) })
 	group.Go(callerServer.Serve)
-	group.Go(func() error { return daemon.Serve(ctx, ready, readyLn) })
+	group.Go(func() error { return daemon.Serve(ctx, ready, statusAnswerTime) })
 	if s.Listen.Debug != "" {
-		debug, ln, err := daemon.NewHTTPServer(s.Listen.Debug, daemon.DebugHandler(), nil)
+		debug, err := daemon.NewCallerServer(s.Listen.Debug, daemon.DebugHandler(), nil)
 		if err != nil {
 			return err
 		}
-		group.Go(func() error { return daemon.Serve(ctx, debug, ln) })
+		group.Go(func() error { return daemon.Serve(ctx, debug, statusAnswerTime) })
 	}
 	log.Info("started", "caller", s.Listen.Caller, "peer", s.Listen.Peer)
 	select {
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -31,8 +31,9 @@
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
 
-	raw    net.Listener  // the TCP listener that ln wraps
-	served chan struct{} // closed when Serve returns
+	abort  context.CancelFunc // cancels the contexts of all requests
+	raw    net.Listener       // the TCP listener that ln wraps
+	served chan struct{}      // closed when Serve returns
 }
 
 // NewCallerServer returns a server that listens on addr and serves callers with h.
@@ -45,13 +46,15 @@
 }
 
 func newCallerServer(ln net.Listener, h http.Handler, tlsConfig *tls.Config) *CallerServer {
-	s := &CallerServer{conns: map[*callerConn]struct{}{}, raw: ln, served: make(chan struct{})}
+	requests, abort := context.WithCancel(context.Background())
+	s := &CallerServer{conns: map[*callerConn]struct{}{}, abort: abort, raw: ln, served: make(chan struct{})}
 	s.ln = &callerListener{ln, s}
 	if tlsConfig != nil {
 		s.ln = tls.NewListener(s.ln, tlsConfig)
 	}
 	s.srv = &http.Server{
 		Handler: s.handleDraining(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: s.stateChanged,
+		BaseContext: func(net.Listener) context.Context { return requests },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 	}
 	return s
@@ -126,9 +129,19 @@
 	}
 	cut = s.closeAllIdle(ctx, t.C)
 	_ = s.srv.Close() // interrupts the requests that still run
+	s.abort()
 	return cut
 }
 
+// finishWithin finishes the server. After answerTime it cancels the requests that still run.
+func (s *CallerServer) finishWithin(answerTime time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime+abortTimeout)
+	defer cancel()
+	abort := time.AfterFunc(answerTime, s.abort)
+	defer abort.Stop()
+	s.Finish(ctx)
+}
+
 // awaitEmptyBacklog waits until no connection waits to be accepted: closing the listener resets
 // those that do, and their requests are lost.
 func (s *CallerServer) awaitEmptyBacklog(ctx context.Context, tick <-chan time.Time) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -116,14 +116,22 @@
 	return m
 }
 
-// Serve serves requests until ctx ends, and then closes the server at once.
-func Serve(ctx context.Context, srv *http.Server, ln net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
-	if err := srv.Serve(ln); err != http.ErrServerClosed {
-		return failure.Wrap(err, failure.Internal, "")
+// abortTimeout is the time in which a request is refused after its context was canceled.
+const abortTimeout = 100 * time.Millisecond
+
+// Serve serves requests until ctx ends. It then accepts no more and answers those that were sent. After
+// answerTime it cancels the contexts of requests that still run, so that their handlers refuse them.
+func Serve(ctx context.Context, s *CallerServer, answerTime time.Duration) error {
+	finished := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(finished)
+		s.finishWithin(answerTime)
+	})
+	err := s.Serve()
+	if !stop() {
+		<-finished
 	}
-	return nil
+	return err
 }
 
 // HostIP returns the IP address of a host:port address, or nil if it has none.
