control: a stopping leader finishes the proposals of other control hosts

Operators were told that a change's outcome is unknown when the leader to which another control host had passed the change stopped.

Cause: the leader left its links while the proposal waited for the majority. The acknowledgements of the other replicas are calls that they make to the leader, and a host that leaves its links accepts no calls.

the proposal in progress got code:"deadline-exceeded" detail:"the leader stepped down before the change was committed", <nil>

Fix: the leader refuses proposals that others send from the signal on; they were not run and are sent to the next leader.

--- a/cmd/sesame-control/parts.go
+++ b/cmd/sesame-control/parts.go
@@ -39,7 +39,13 @@
 	case <-stop.Done():
 	case <-ctx.Done():
 	}
+	proposals := p.replica.FinishProposals()
+	answered := time.After(answerTime)
 	endServers()
+	select {
+	case <-proposals:
+	case <-answered:
+	}
 	endLinks()
 	endCore()
 	return g.Wait()
--- a/internal/app/control/peer.go
+++ b/internal/app/control/peer.go
@@ -78,9 +78,13 @@
 
 var errNoFleet = failure.New(failure.BadRequest, failure.NotRun, "this group's record lists the hosts; sync requests and exchanges are not supported")
 
-// executeIfLeader executes a proposal only if this replica is the leader, so that a forwarded
-// proposal is not forwarded again.
+// executeIfLeader executes another replica's proposal only if this replica is the leader, so that a
+// forwarded proposal is not forwarded again.
 func (r *Replica) executeIfLeader(ctx context.Context, p *pb.Propose) (*pb.ProposeResult, error) {
+	if !r.proposals.begin() {
+		return nil, failure.New(failure.NoLeader, failure.NotRun, "%s is shutting down", r.o.Host)
+	}
+	defer r.proposals.end()
 	leader := false
 	if err := r.post(ctx, func() { leader = r.node.Role() == consensus.Leader }); err != nil {
 		return nil, err
--- a/internal/app/control/replica.go
+++ b/internal/app/control/replica.go
@@ -91,6 +91,7 @@
 	senders         map[senderKey]*sender
 	published       atomic.Pointer[Published]
 	reports         *reports
+	proposals       *proposals
 	wg              sync.WaitGroup
 	fleet           *Fleet // nil in a group whose record lists the hosts
 	verdicts        *verdicts
@@ -143,6 +144,7 @@
 		reads:          map[uint64]chan error{},
 		senders:        map[senderKey]*sender{},
 		reports:        newReports(),
+		proposals:      newProposals(),
 		started:        o.Clock.Now(),
 		verdicts:       newVerdicts(o.Quarantine, uint64(o.Clock.Now().UnixNano())),
 	}
