control: a stopping control host hands over what it has acknowledged

A stream could not be taken up, a crash record was forgotten, and a backend server that had left stayed listed, when the control host that had received this stopped before its next message to the others (every 0.3 s). The entry host sends it again to another control host only if it still runs, and the server never does.

Cause: a control host acknowledges announcements and sync requests, and ended without passing on the last of them.

Evidence: TestStoppingControlHostHandsOver stops a control host that has just acknowledged the origin of a stream, the record of a request that crashes servers, and the leave of a server.

Fix: once its links are left, so that nothing more is accepted, the host sends exchanges to the live control hosts until they have acknowledged everything, 0.6 s at most.

--- a/cmd/sesame-control/parts.go
+++ b/cmd/sesame-control/parts.go
@@ -17,7 +17,9 @@
 	// answerTime is the time in which requests of operators, backend servers and callers are answered.
 	answerTime = 6 * time.Second
 	// leaveTimeout is the time in which the links must end once no more calls are accepted.
-	leaveTimeout = time.Second
+	leaveTimeout = 800 * time.Millisecond
+	// handOverTimeout is the time in which the other control hosts acknowledge what only this one knows.
+	handOverTimeout = 600 * time.Millisecond
 )
 
 // parts are the parts of a running control host. They end in the order in which they need each other:
@@ -47,10 +49,20 @@
 	case <-answered:
 	}
 	endLinks()
+	p.handOver()
 	endCore()
 	return g.Wait()
 }
 
+func (p *parts) handOver() {
+	if p.fleet == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	p.fleet.HandOver(ctx)
+}
+
 // part runs until its context ends.
 type part func(context.Context) error
 
--- a/cmd/sesame-control/parts_test.go
+++ b/cmd/sesame-control/parts_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,6 +16,9 @@
 	"github.com/sesamefork/sesamefork/internal/adapter/enginehttp"
 	"github.com/sesamefork/sesamefork/internal/adapter/peerlink"
 	"github.com/sesamefork/sesamefork/internal/app/control"
+	"github.com/sesamefork/sesamefork/internal/core/quarantine"
+	"github.com/sesamefork/sesamefork/internal/core/registry"
+	"github.com/sesamefork/sesamefork/internal/core/streamorigin"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 	"github.com/sesamefork/sesamefork/internal/port"
@@ -188,3 +192,68 @@
 	}
 	return res.GetCode() != string(failure.NoLeader)
 }
+
+// TestStoppingControlHostHandsOver guards against facts that a control host has acknowledged and that are
+// lost with its process: the host stops before its next message to the other control hosts.
+func TestStoppingControlHostHandsOver(t *testing.T) {
+	hosts := startGroup(t)
+	leader, other := awaitLeader(t, hosts, 1)
+	server := registry.Server{ID: "s1", Start: 1, Service: "llm", Address: "10.1.0.1:80", FailureDomain: "d0", Sequence: 1, Slots: 8}
+	if _, err := leader.fleet.Announce(server); err != nil {
+		t.Fatal(err)
+	}
+	for _, h := range hosts {
+		for !h.lists(server.ID) {
+			runtime.Gosched()
+		}
+	}
+	stream := streamorigin.Key("attempt")
+	crashes := &pb.QuarantineRecord{Fingerprint: make([]byte, len(quarantine.Fingerprint{})), Server: []uint64{1, 2}, AgeS: []uint32{0, 0}, Alive: []bool{false, false}}
+	sync := &pb.FleetSync{
+		Host: &pb.FleetHost{Id: "h1", Region: "r", FailureDomain: "d0", Ready: true}, Primary: true,
+		Streams:    &pb.StreamOrigins{Stream: []uint64{stream}, Origin: []uint32{0}, Service: []string{"llm"}, Release: []string{"v1"}},
+		Quarantine: []*pb.QuarantineRecord{crashes},
+	}
+	other.call(t, leader, &pb.Request{Body: &pb.Request_FleetSync{FleetSync: sync}})
+	leader.fleet.Leave(server.ID, server.Start)
+	leader.stop()
+	if err := <-leader.ended; err != nil {
+		t.Error(err)
+	}
+	leader.ended <- nil
+	for _, h := range hosts {
+		if h == leader {
+			continue
+		}
+		resp := h.replica.HandleRequest(t.Context(), &pb.Request{Body: &pb.Request_StreamQuery{StreamQuery: &pb.StreamQuery{Stream: stream}}})
+		if len(resp.GetStreamOrigins().GetRelease()) != 1 {
+			t.Errorf("%s does not know the origin of the stream", h.addr)
+		}
+		resp = h.replica.HandleRequest(t.Context(), &pb.Request{Body: &pb.Request_QuarantineUpdate{QuarantineUpdate: &pb.QuarantineUpdate{}}})
+		if len(resp.GetQuarantineUpdate().GetRecords()) != 1 {
+			t.Errorf("%s does not know the request that crashes servers", h.addr)
+		}
+		if h.lists(server.ID) {
+			t.Errorf("%s lists the server that left", h.addr)
+		}
+	}
+}
+
+// lists reports whether the host tells entry hosts of a server.
+func (h *testHost) lists(server string) bool {
+	resp := h.replica.HandleRequest(context.Background(), &pb.Request{Body: &pb.Request_FleetSync{FleetSync: &pb.FleetSync{
+		Host: &pb.FleetHost{Id: "h2", Region: "r", FailureDomain: "d1", Ready: true},
+	}}})
+	return slices.ContainsFunc(resp.GetFleetView().GetServers(), func(s *pb.FleetServer) bool { return s.Id == server && !s.Gone })
+}
+
+// call sends a request to another host.
+func (h *testHost) call(t *testing.T, to *testHost, req *pb.Request) *pb.Response {
+	t.Helper()
+	req.From = h.addr
+	resp, err := h.client.Call(t.Context(), to.addr, req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp
+}
--- a/internal/app/control/exchange.go
+++ b/internal/app/control/exchange.go
@@ -80,20 +80,27 @@
 }
 
 func (f *Fleet) exchange(ctx context.Context, addr string) {
+	x, next := f.buildExchange(addr)
+	if err := f.sendExchange(ctx, addr, x, next); err != nil {
+		f.o.Log.V(1).Info("control host not reached", "peer", addr, "reason", err.Error())
+	}
+}
+
+// sendExchange sends a message and stores its cursor once it is acknowledged.
+func (f *Fleet) sendExchange(ctx context.Context, addr string, x *pb.ControlExchange, next exchangeCursor) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	req := f.replica.request()
-	x, next := f.buildExchange(addr)
 	req.Body = &pb.Request_ControlExchange{ControlExchange: x}
 	_, err := f.o.Peers.Call(ctx, addr, req)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err != nil {
-		f.o.Log.V(1).Info("control host not reached", "peer", addr, "reason", err.Error())
 		// The receiver may have restarted and lost its state.
 		next = exchangeCursor{prompts: f.cursors[addr].prompts, streams: f.cursors[addr].streams}
 	}
 	f.cursors[addr] = next
+	return err
 }
 
 // buildExchange returns the next message to the control host at addr: full records of the entry
