control: a host that leaves its links answers the sync requests that it holds

A control host holds a sync request while nothing changes, for up to 1 s. A host that leaves its links waits for the answers, so it stopped that much later, and the entry hosts got their next view later.

Evidence: TestHeldSyncEndsWhenItsHostLeaves, without the fix:

a sync request was held for 1s after its host had begun to leave

Fix: when the links are left, held sync requests are answered, and further ones at once.

--- a/cmd/sesame-control/parts.go
+++ b/cmd/sesame-control/parts.go
@@ -35,7 +35,7 @@
 func (p *parts) run(stop context.Context) error {
 	g, ctx := errgroup.WithContext(context.Background())
 	endCore := start(ctx, g, p.core())
-	endLinks := start(ctx, g, []part{p.peers.Run})
+	endLinks := start(ctx, g, []part{p.serveLinks})
 	endServers := start(ctx, g, p.clientServers())
 	select {
 	case <-stop.Done():
@@ -54,6 +54,15 @@
 	return g.Wait()
 }
 
+// serveLinks answers calls until ctx ends, and then leaves the links.
+func (p *parts) serveLinks(ctx context.Context) error {
+	if p.fleet != nil {
+		stop := context.AfterFunc(ctx, p.fleet.ReleaseSyncs)
+		defer stop()
+	}
+	return p.peers.Run(ctx)
+}
+
 func (p *parts) handOver() {
 	if p.fleet == nil {
 		return
--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -54,7 +54,8 @@
 type Fleet struct {
 	o       FleetOptions
 	replica *Replica
-	epoch   uint64 // distinguishes the versions of this process from those of an earlier one
+	epoch   uint64        // distinguishes the versions of this process from those of an earlier one
+	leaving chan struct{} // closed when sync requests are held no longer
 
 	mu           sync.Mutex
 	reg          *registry.Registry
@@ -95,7 +96,7 @@
 // NewFleet returns the Fleet of a replica's host and attaches it to the replica.
 func NewFleet(o FleetOptions, r *Replica) *Fleet {
 	f := &Fleet{
-		o: o, replica: r, epoch: uint64(o.Clock.Now().UnixNano()), waker: newWaker(),
+		o: o, replica: r, epoch: uint64(o.Clock.Now().UnixNano()), waker: newWaker(), leaving: make(chan struct{}),
 		streams: streamorigin.NewLog(), cursors: map[string]exchangeCursor{}, controlDomains: map[string]string{},
 		reg: registry.New(registry.Options{
 			Region: o.Region, FailureDomain: o.FailureDomain, Regions: o.Regions,
--- a/internal/app/control/view.go
+++ b/internal/app/control/view.go
@@ -49,12 +49,17 @@
 		select {
 		case <-changed:
 		case <-wait.C:
+		case <-f.leaving:
 		case <-ctx.Done():
 		}
 	}
 	return f.buildView(m, h.GetId(), h.GetRegion())
 }
 
+// ReleaseSyncs answers the sync requests that wait for a change, and further ones at once. A host that
+// stops must call it once when it leaves its links, which stay open for the answers.
+func (f *Fleet) ReleaseSyncs() { close(f.leaving) }
+
 // introduce returns the location of this control host and the list of all control hosts. All entry
 // hosts start with the same few seeds, most of which do not become their nearest control hosts, so
 // this answer omits everything else.
--- a/internal/app/control/wake_test.go
+++ b/internal/app/control/wake_test.go
@@ -1,8 +1,12 @@
 package control
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
 // TestWakesAreRateLimited lets up to 986 entry hosts wait at a control host while changes arrive,
@@ -60,3 +64,28 @@
 	w.wake(now)
 	<-second
 }
+
+// TestHeldSyncEndsWhenItsHostLeaves guards against control hosts whose stop takes as long as they may hold
+// a sync request.
+func TestHeldSyncEndsWhenItsHostLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetAt(t, &manualClock{now: time.Unix(1000, 0)}, "control-d0", "d0", "r", worldRegions, []string{"control-d0"})
+		m := &pb.FleetSync{Host: &pb.FleetHost{Id: "h0", Region: "r", FailureDomain: "d0", Ready: true}, WaitMs: 1000}
+		view := f.handleSync(context.Background(), m)
+		m.HaveEpoch, m.HaveVersion = view.Epoch, view.Version
+		answered := make(chan time.Duration, 1)
+		began := time.Now()
+		go func() {
+			f.handleSync(context.Background(), m)
+			answered <- time.Since(began)
+		}()
+		synctest.Wait()
+		if len(answered) > 0 {
+			t.Error("a sync request was not held though nothing has changed")
+		}
+		f.ReleaseSyncs()
+		if held := <-answered; held > 0 {
+			t.Errorf("a sync request was held for %s after its host had begun to leave", held)
+		}
+	})
+}
