gateway: a stopping host hands over origins of streams and evidence of crashes

A caller could not take up a stream whose first events it had received (stream-unknown), and the crash of a server did not count, when the entry host stopped within 0.25 s of the event.

Cause: origins and records of crashes go to the control hosts with the next sync request. A control host holds the one before for up to 0.25 s, and the host that stopped gave it up and sent none.

--- a/internal/app/crashwatch/crashwatch.go
+++ b/internal/app/crashwatch/crashwatch.go
@@ -47,6 +47,8 @@
 	detector *quarantine.CrashDetector
 	checks   map[quarantine.ServerProcess]*check
 	onChange func()
+	checking int           // checks that go on
+	settled  chan struct{} // closed when no check goes on; nil if nobody waits for that
 }
 
 // check is one check of a server, shared by all requests whose connections the server broke.
@@ -126,12 +128,51 @@
 	if c == nil || w.o.Clock.Now().Sub(c.at) > checkValidity {
 		c = &check{done: make(chan struct{}), at: w.o.Clock.Now()}
 		w.checks[b.Process] = c
+		w.checking++
 		go w.checkServer(b, c)
 	}
 	w.mu.Unlock()
 	<-c.done
 }
 
+// RecordBreakLater is RecordBreak without the wait for the probe.
+func (w *Watch) RecordBreakLater(b quarantine.ConnectionBreak, e quarantine.Evidence) {
+	w.mu.Lock()
+	w.checking++
+	w.mu.Unlock()
+	go func() {
+		defer w.endCheck()
+		w.RecordBreak(b, e)
+	}()
+}
+
+func (w *Watch) endCheck() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.checking--; w.checking == 0 && w.settled != nil {
+		close(w.settled)
+		w.settled = nil
+	}
+}
+
+// Settle waits until the checks that go on have ended and their evidence is recorded, or ctx ends.
+func (w *Watch) Settle(ctx context.Context) {
+	w.mu.Lock()
+	if w.checking == 0 {
+		w.mu.Unlock()
+		return
+	}
+	if w.settled == nil {
+		w.settled = make(chan struct{})
+	}
+	settled := w.settled
+	w.mu.Unlock()
+	select {
+	case <-settled:
+	case <-ctx.Done():
+	}
+}
+
 // RecordCrash records proof that the server's process ended while it ran a request.
 func (w *Watch) RecordCrash(b quarantine.ConnectionBreak, e quarantine.Evidence) {
 	e.Server = b.Process.Key()
@@ -141,6 +182,7 @@
 }
 
 func (w *Watch) checkServer(b quarantine.ConnectionBreak, c *check) {
+	defer w.endCheck()
 	answer := w.probe(b)
 	close(c.done)
 	if answer == port.Accepts {
--- a/internal/app/gateway/crashes.go
+++ b/internal/app/gateway/crashes.go
@@ -49,7 +49,7 @@
 		// Wait for the check: the next server is chosen by its result.
 		g.o.CrashWatch.RecordBreak(b, e)
 	default:
-		go g.o.CrashWatch.RecordBreak(b, e)
+		g.o.CrashWatch.RecordBreakLater(b, e)
 	}
 }
 
--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -32,8 +32,16 @@
 	fetchTimeout = 2 * time.Second
 )
 
-// Run synchronizes the host with the control hosts until ctx ends.
+// Run synchronizes the host with the control hosts until ctx ends. It then hands over what none of them
+// has received yet; no request may be in flight any more.
 func (g *Gateway) Run(ctx context.Context) error {
+	g.synchronize(ctx)
+	g.handOver()
+	return nil
+}
+
+// synchronize synchronizes the host with the control hosts until ctx ends.
+func (g *Gateway) synchronize(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Add(2)
@@ -62,7 +70,7 @@
 		t.Reset(g.nextCheckIn())
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-t.C:
 		case <-g.control.changed:
 		}
@@ -180,7 +188,7 @@
 func (g *Gateway) callControl(ctx context.Context, c *controlHost, req *pb.Request) (*pb.Response, *pb.FleetView, error) {
 	resp, err := g.o.Peers.Call(ctx, c.addr, req)
 	if err != nil {
-		if ctx.Err() != nil && g.o.CloseLink != nil {
+		if ctx.Err() == context.DeadlineExceeded && g.o.CloseLink != nil {
 			g.o.CloseLink(c.addr) // the connection may be dead without an error
 		}
 		return nil, nil, err
