peerlink: a read that begins after its stream was closed ends with its link

A host that stopped could hang for ever: the end of a link waits until all reads of its streams have returned, and one did not. 1 of some 260 random histories showed it: a forward is answered and its stream closed before the read that watches for the caller's cancel begins, and a reset discards the caller's end of the stream.

Cause: the end of a link gives each stream a deadline that has passed. A stream that had been closed while it was not read was forgotten, and a read that began later was counted, but its stream was not known to the end. The leave timeout did not help, as it only closes the connection.

--- a/internal/adapter/peerlink/stream.go
+++ b/internal/adapter/peerlink/stream.go
@@ -82,6 +82,7 @@
 	}
 	g.reads++
 	s.reads++
+	g.streams[s] = true // a stream that was closed may have been forgotten
 	return true
 }
 
--- a/internal/adapter/peerlink/unread_test.go
+++ b/internal/adapter/peerlink/unread_test.go
@@ -94,3 +94,22 @@
 		h.end()
 	})
 }
+
+// TestReadOfAClosedStreamEndsWithItsLink guards against a link, and a host, that never ends because a read began after
+// its stream was closed.
+func TestReadOfAClosedStreamEndsWithItsLink(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		h := startHistory(t, newFakeNet(regionDelay), Options{KeepAlive: historyAlive})
+		s, err := h.client.peers[fakeAddress].session.openStream()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = s.Close()
+		h.serverConn().cutOff()
+		if n, err := s.Read(make([]byte, 1)); err == nil {
+			t.Errorf("%d bytes were read", n)
+		}
+		h.stop()
+		h.end()
+	})
+}
