peerlink: the log of a stop names which end closed each link

The line that tells which host closed a link was missing or wrong when a host stopped: it was written by a goroutine that the stop did not wait for, and the cleanup after a link that the other host had closed put it down to this host.

Run now writes the line before it waits for the link's handlers. A reason is recorded only if reads of the connection have not ended before.

--- a/internal/adapter/peerlink/history_test.go
+++ b/internal/adapter/peerlink/history_test.go
@@ -193,11 +193,12 @@
 		h.handler.exchanges[x.id] = x
 	}
 	var err error
-	if h.server, err = NewServer("127.0.0.1:0", o, h.handler, logr.Discard()); err != nil {
+	if h.server, err = NewServer("127.0.0.1:0", o, h.handler, o.Log); err != nil {
 		return nil, err
 	}
 	_ = h.server.ln.Close()
 	h.server.ln = n.ln
+	o.Log = logr.Discard()
 	h.client = NewClient(o)
 	h.client.dialTCP = n.dial
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/adapter/peerlink/leave_test.go
+++ b/internal/adapter/peerlink/leave_test.go
@@ -6,12 +6,14 @@
 	"maps"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/hashicorp/yamux"
 	"pgregory.net/rapid"
 )
@@ -162,6 +164,44 @@
 	})
 }
 
+// TestLogOfAStopNamesTheEndThatClosedTheLink guards against a process that exits before it has logged the ends of its
+// links, and against ends that are put down to the wrong host.
+func TestLogOfAStopNamesTheEndThatClosedTheLink(t *testing.T) {
+	for _, c := range []struct {
+		name, reason string
+		end          func(h *linkHistory)
+	}{
+		{"the other host", "closed by the other host", func(h *linkHistory) {}},
+		{"this host", "the other host sent nothing", func(h *linkHistory) { h.serverConn().cutOff() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				var mu sync.Mutex
+				var lines []string
+				log := funcr.New(func(_, args string) {
+					mu.Lock()
+					defer mu.Unlock()
+					lines = append(lines, args)
+				}, funcr.Options{})
+				h := startHistory(t, newFakeNet(regionDelay), Options{KeepAlive: historyAlive, LeaveTimeout: noLeaveTimeout, Log: log})
+				synctest.Wait() // the server's handshake has ended
+				c.end(h)
+				h.stop()
+				<-h.stopped
+				mu.Lock()
+				defer mu.Unlock()
+				logged := slices.ContainsFunc(lines, func(line string) bool {
+					return strings.Contains(line, "link ended") && strings.Contains(line, c.reason)
+				})
+				if !logged {
+					t.Errorf("no line that the link was %s: %q", c.reason, lines)
+				}
+				h.end()
+			})
+		})
+	}
+}
+
 // TestStopDuringAHandshakeCutsNoRequest guards against a first request that is lost because its link opens
 // while the host stops.
 func TestStopDuringAHandshakeCutsNoRequest(t *testing.T) {
--- a/internal/adapter/peerlink/link.go
+++ b/internal/adapter/peerlink/link.go
@@ -102,7 +102,7 @@
 // closeBecause is Close with a reason for the log.
 func (l *link) closeBecause(reason string) error {
 	l.mu.Lock()
-	if l.reason == "" {
+	if l.reason == "" && l.conn.endReason() == "" {
 		l.reason = reason
 	}
 	l.mu.Unlock()
--- a/internal/adapter/peerlink/server.go
+++ b/internal/adapter/peerlink/server.go
@@ -198,13 +198,13 @@
 	if err != nil {
 		return
 	}
-	go l.logEnd(s.log, conn.RemoteAddr().String())
-	defer func() { _ = l.Close() }()
 	s.begin(accepted, l)
 	ctx, cancel := context.WithCancel(handling)
 	defer cancel()
 	var streams sync.WaitGroup
 	s.acceptStreams(ctx, l, &streams)
+	_ = l.Close()
+	l.logEnd(s.log, conn.RemoteAddr().String())
 	stop := context.AfterFunc(running, cancel) // nobody awaits the answers
 	defer stop()
 	streams.Wait()
