daemon: an answer arrives though its caller has sent more

Callers saw an answer cut by a reset of their connection when they had sent more than the request, such as a pipelined one, and the host was stopping.

Cause: the answer says Connection: close, so the server closes the connection behind it. If bytes of the caller are unread then, the kernel resets the connection and discards the part of the answer that it has not sent.

Fix: a connection that has unread bytes or unacknowledged ones is ended for writing first. What the caller sends is discarded until its kernel has acknowledged everything or it has closed the connection, for 0.5 s at most. Connections that are closed because the time for the stop is over do not wait.

--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -90,14 +90,56 @@
 	}
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It first waits until the caller has received the answer.
 func (c *callerConn) Close() error {
+	if !c.server.cutting.Load() {
+		c.linger()
+	}
 	c.server.mu.Lock()
 	delete(c.server.conns, c)
 	c.server.mu.Unlock()
 	return c.Conn.Close()
 }
 
+// Bounds of the wait for a caller to receive the end of its answer.
+const (
+	lingerTimeout  = 500 * time.Millisecond
+	lingerInterval = 5 * time.Millisecond // between checks
+)
+
+// linger ends the connection for writing and discards what the caller sends, until the caller has received
+// everything. If a connection is closed while bytes are unread, or more bytes arrive after that, the kernel
+// resets it and discards what it has not sent.
+func (c *callerConn) linger() {
+	if !readable(c.Conn) && allReceived(c.Conn) {
+		return
+	}
+	if c.CloseWrite() != nil {
+		return
+	}
+	buffer := make([]byte, 4<<10)
+	for end := time.Now().Add(lingerTimeout); time.Now().Before(end); {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerInterval)) // an error recurs at the read
+		_, err := c.Conn.Read(buffer)
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			if allReceived(c.Conn) {
+				return
+			}
+		case err != nil:
+			return
+		}
+	}
+}
+
+// CloseWrite ends the connection for writing.
+func (c *callerConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 func (c *callerConn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -27,6 +27,7 @@
 	ln        net.Listener
 	draining  atomic.Bool
 	finishing atomic.Bool
+	cutting   atomic.Bool // connections are closed at once
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
@@ -128,6 +129,7 @@
 	case <-ctx.Done():
 	}
 	cut = s.closeAllIdle(ctx, t.C)
+	s.cutting.Store(true)
 	_ = s.srv.Close() // interrupts the requests that still run
 	s.abort()
 	return cut
--- a/internal/daemon/readable.go
+++ b/internal/daemon/readable.go
@@ -26,3 +26,22 @@
 	})
 	return ready
 }
+
+// allReceived reports whether the other end's kernel has acknowledged all that was written to a socket,
+// including its end. It is true for anything that is not a socket.
+func allReceived(socket any) bool {
+	s, ok := socket.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true // closed
+	}
+	received := true
+	_ = raw.Control(func(fd uintptr) { // fails only if the socket is closed
+		n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		received = err != nil || n == 0
+	})
+	return received
+}
