peerlink: an answer that has arrived is read while writes wait

An answer that had arrived as a whole was cut at a caller whose reads had reached half of a stream's window: the message that lets the other end send more could not be sent, and its error replaced the bytes that were read with it. After the end of the link such bytes were dropped silently.

forward, 1 chunk of 393216 bytes: neither answered nor refused as not run (read: true) after 0 of 1 chunks: connection write timeout

The bytes are now returned, and later reads return what has arrived without waiting for more, as the other end may not send any.

--- a/internal/adapter/peerlink/leave_test.go
+++ b/internal/adapter/peerlink/leave_test.go
@@ -274,9 +274,9 @@
 		cancelsAfter: ms(" cancels after", 0, 0, 0, 1, 100, 250, 500),
 	}
 	if !x.call {
-		x.body = rapid.SampledFrom([]int{0, 100, 100 << 10, largeBody}).Draw(t, id+" body")
+		x.body = rapid.SampledFrom([]int{0, 0, 100, 100, 100 << 10, largeBody}).Draw(t, id+" body")
 		x.chunks = rapid.IntRange(0, 3).Draw(t, id+" chunks")
-		x.chunkSize = rapid.SampledFrom([]int{1, 1000, 64 << 10, largeBody}).Draw(t, id+" chunk size")
+		x.chunkSize = rapid.SampledFrom([]int{1, 1, 1000, 1000, 64 << 10, largeBody}).Draw(t, id+" chunk size")
 		x.readerPause = ms(" reader pause", 0, 1, 100, 1000)
 	}
 	return x
--- a/internal/adapter/peerlink/stream.go
+++ b/internal/adapter/peerlink/stream.go
@@ -136,7 +136,7 @@
 // returns errLinkEnded.
 func (s *linkStream) Read(p []byte) (int, error) {
 	if s.gate.enter(s) {
-		n, err := s.Stream.Read(p)
+		n, err := s.readSome(p)
 		s.gate.leave(s, n)
 		if err == nil || !s.gate.hasEnded() {
 			return n, err
@@ -148,7 +148,7 @@
 // readAfterEnd reads what was received before the link ended. It does not block: the stream's read
 // deadline has passed.
 func (s *linkStream) readAfterEnd(p []byte) (int, error) {
-	n, err := s.Stream.Read(p)
+	n, err := s.readSome(p)
 	s.gate.countRead(n)
 	if err != nil {
 		return 0, errLinkEnded
@@ -156,6 +156,17 @@
 	return n, nil
 }
 
+// readSome reads from the stream. yamux may return bytes with the error of a message that lets the other end
+// send more. Later reads then return only what has arrived.
+func (s *linkStream) readSome(p []byte) (int, error) {
+	n, err := s.Stream.Read(p)
+	if n > 0 && err != nil {
+		_ = s.SetReadDeadline(passedDeadline)
+		return n, nil
+	}
+	return n, err
+}
+
 // SetReadDeadline sets the deadline of reads, unless the link has ended.
 func (s *linkStream) SetReadDeadline(t time.Time) error {
 	s.gate.mu.Lock()
--- a/internal/adapter/peerlink/unread_test.go
+++ b/internal/adapter/peerlink/unread_test.go
@@ -113,3 +113,24 @@
 		h.end()
 	})
 }
+
+// TestAnswerThatHasArrivedIsReadWhileWritesWait guards against an answer that is cut although it has arrived, because
+// its reader can't tell a frozen host that it has read a part.
+func TestAnswerThatHasArrivedIsReadWhileWritesWait(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		n := newFakeNet(regionDelay)
+		n.buffer = 32 << 10
+		x := &exchange{id: "answer", chunks: 1, chunkSize: maxStreamWindow * 3 / 4, readerPause: 4*regionDelay + historyAlive/4}
+		blocked := &exchange{id: "blocked", body: maxStreamWindow / 4, start: 4 * regionDelay}
+		h := startHistory(t, n, Options{KeepAlive: historyAlive}, x, blocked)
+		time.Sleep(3 * regionDelay)
+		h.serverConn().freeze(true)
+		h.asked.Wait()
+		h.serverConn().freeze(false)
+		h.stop()
+		h.end()
+		if f := x.fault(); f != "" {
+			t.Error(f)
+		}
+	})
+}
