peerlink: test that the time of a stop does not grow with the links

300 links, all answering or a third of them cut off, end within a round trip and two keep-alive intervals. The fake network wakes only the ends of a connection.

--- a/internal/adapter/peerlink/fakenet_test.go
+++ b/internal/adapter/peerlink/fakenet_test.go
@@ -17,7 +17,7 @@
 // what the other end has not read and what is unsent.
 type fakeNet struct {
 	mu      sync.Mutex
-	changed *sync.Cond
+	changed *sync.Cond    // signaled when a connection is dialed or the listener closed
 	delay   time.Duration // one way
 	rate    int           // bytes that an end sends per second; 0 for no limit
 	buffer  int           // bytes that an end accepts before its writes wait for the other end's reads
@@ -41,7 +41,7 @@
 	if n.ln.closed {
 		return nil, syscall.ECONNREFUSED
 	}
-	near, far := &fakeConn{net: n}, &fakeConn{net: n}
+	near, far := &fakeConn{net: n, changed: sync.NewCond(&n.mu)}, &fakeConn{net: n, changed: sync.NewCond(&n.mu)}
 	near.other, far.other = far, near
 	n.conns = append(n.conns, near)
 	n.ln.backlog = append(n.ln.backlog, far)
@@ -103,8 +103,9 @@
 
 // fakeConn is one end of a connection. Its fields are guarded by net.mu.
 type fakeConn struct {
-	net   *fakeNet
-	other *fakeConn
+	net     *fakeNet
+	other   *fakeConn
+	changed *sync.Cond
 
 	arriving []segment // in order; on their way to this end
 	unread   []byte    // arrived
@@ -121,6 +122,12 @@
 	readDeadline, writeDeadline time.Time
 }
 
+// wake wakes the reads and writes that wait at both ends.
+func (c *fakeConn) wake() {
+	c.changed.Broadcast()
+	c.other.changed.Broadcast()
+}
+
 // send puts a segment on its way to the other end.
 func (c *fakeConn) send(s segment) {
 	if c.other.cut {
@@ -154,7 +161,7 @@
 			c.take(s)
 		}
 	}
-	c.net.changed.Broadcast()
+	c.wake()
 }
 
 func (c *fakeConn) take(s segment) {
@@ -195,7 +202,7 @@
 	c.net.mu.Lock()
 	defer c.net.mu.Unlock()
 	c.frozen = frozen
-	c.net.changed.Broadcast()
+	c.wake()
 }
 
 // failWrites makes the writes of this end fail from now on.
@@ -203,7 +210,7 @@
 	c.net.mu.Lock()
 	defer c.net.mu.Unlock()
 	c.mute = true
-	c.net.changed.Broadcast()
+	c.wake()
 }
 
 // onCleared sets what is called once the deadlines have been removed.
@@ -230,14 +237,14 @@
 
 // wakeAt wakes the waiting reads and writes at a deadline.
 func (c *fakeConn) wakeAt(t time.Time) {
-	c.net.changed.Broadcast()
+	c.wake()
 	if t.IsZero() {
 		return
 	}
 	time.AfterFunc(time.Until(t), func() {
 		c.net.mu.Lock()
 		defer c.net.mu.Unlock()
-		c.net.changed.Broadcast()
+		c.wake()
 	})
 }
 
@@ -258,12 +265,12 @@
 		case len(c.unread) > 0:
 			n := copy(p, c.unread)
 			c.unread = c.unread[n:]
-			c.net.changed.Broadcast()
+			c.wake()
 			return n, nil
 		case c.ended:
 			return 0, io.EOF
 		}
-		c.net.changed.Wait()
+		c.changed.Wait()
 	}
 }
 
@@ -281,7 +288,7 @@
 		case passed(c.writeDeadline):
 			return total, os.ErrDeadlineExceeded
 		case room <= 0:
-			c.net.changed.Wait()
+			c.changed.Wait()
 			continue
 		}
 		n := min(room, len(p))
@@ -300,7 +307,7 @@
 	}
 	c.written = true
 	c.send(segment{end: true})
-	c.net.changed.Broadcast()
+	c.wake()
 	return nil
 }
 
@@ -325,7 +332,7 @@
 		c.send(segment{end: true})
 	}
 	c.written = true
-	c.net.changed.Broadcast()
+	c.wake()
 }
 
 func (c *fakeConn) LocalAddr() net.Addr  { return fakeAddr{} }
--- a/internal/adapter/peerlink/leave_test.go
+++ b/internal/adapter/peerlink/leave_test.go
@@ -70,6 +70,39 @@
 	}
 }
 
+// TestTimeOfAStopDoesNotGrowWithTheLinks guards against links that are left one after the other.
+func TestTimeOfAStopDoesNotGrowWithTheLinks(t *testing.T) {
+	const links = 300
+	for _, c := range []struct {
+		name  string
+		gone  int // links whose other end is cut off
+		bound time.Duration
+	}{
+		{"all answer", 0, 2 * regionDelay},
+		{"a third is cut off", links / 3, 2 * historyAlive},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				n := newFakeNet(regionDelay)
+				h := startHistory(t, n, Options{KeepAlive: historyAlive, LeaveTimeout: noLeaveTimeout})
+				for i := range links - 1 {
+					if _, err := h.client.session(context.Background(), fmt.Sprint(fakeAddress, i)); err != nil {
+						t.Fatal(err)
+					}
+				}
+				synctest.Wait() // the server's handshakes have ended
+				for _, conn := range n.conns[:c.gone] {
+					conn.cutOff()
+				}
+				if took := h.stopTook(); took > c.bound {
+					t.Errorf("the stop took %s, more than %s", took, c.bound)
+				}
+				h.end()
+			})
+		})
+	}
+}
+
 // TestLeavingHostDoesNotWaitForAHostThatIsGone guards against a stop that lasts until the leave timeout because
 // the other end of a link is frozen or cut off.
 func TestLeavingHostDoesNotWaitForAHostThatIsGone(t *testing.T) {
