--- a/internal/app/gateway/handover_test.go
+++ b/internal/app/gateway/handover_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 
 	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/streamorigin"
@@ -76,45 +77,47 @@
 		{"all control hosts of the region are down", 1, 1, []string{"c-w1", "c-w2"}, []string{"c-e1"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			f := newFixture(t)
-			hosts := newFakeControlHosts()
-			f.g.o.Peers = hosts
-			var list []*pb.ControlHost
-			for addr, domain := range controlDomains {
-				list = append(list, &pb.ControlHost{Peer: addr, FailureDomain: domain, Heard: true})
-			}
-			f.g.control.update(list)
-			ctx, stop := context.WithCancel(context.Background())
-			ended := make(chan error, 1)
-			go func() { ended <- f.g.Run(ctx) }()
-			for <-hosts.held != "c-w1" {
-			}
-			for i := range c.streams {
-				f.g.streams.record(streamorigin.Key(fmt.Sprint(i)), streamorigin.Origin{Service: "llm", Release: "v1"}, f.clock.Now())
-			}
-			for i := range c.crashes {
-				f.g.o.CrashWatch.RecordCrash(quarantine.ConnectionBreak{Process: quarantine.ServerProcess{ID: "s", StartID: 1}}, quarantine.Evidence{Fingerprint: quarantine.Fingerprint{byte(i), byte(i >> 8)}})
-			}
-			hosts.mu.Lock()
-			for _, addr := range c.down {
-				hosts.down[addr] = true
-			}
-			hosts.mu.Unlock()
-			stop()
-			if err := <-ended; err != nil {
-				t.Fatal(err)
-			}
-			hosts.mu.Lock()
-			defer hosts.mu.Unlock()
-			if c.to == nil {
-				if hosts.handed > 0 {
-					t.Errorf("%d messages, though there is nothing to hand over", hosts.handed)
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				hosts := newFakeControlHosts()
+				f.g.o.Peers = hosts
+				var list []*pb.ControlHost
+				for addr, domain := range controlDomains {
+					list = append(list, &pb.ControlHost{Peer: addr, FailureDomain: domain, Heard: true})
 				}
-				return
-			}
-			if !slices.ContainsFunc(c.to, func(addr string) bool { return hosts.streams[addr] == c.streams && hosts.crashes[addr] == c.crashes }) {
-				t.Errorf("received %v origins and %v records of crashes, want %d and %d at one of %v", hosts.streams, hosts.crashes, c.streams, c.crashes, c.to)
-			}
+				f.g.control.update(list)
+				ctx, stop := context.WithCancel(context.Background())
+				ended := make(chan error, 1)
+				go func() { ended <- f.g.Run(ctx) }()
+				for <-hosts.held != "c-w1" {
+				}
+				for i := range c.streams {
+					f.g.streams.record(streamorigin.Key(fmt.Sprint(i)), streamorigin.Origin{Service: "llm", Release: "v1"}, f.clock.Now())
+				}
+				for i := range c.crashes {
+					f.g.o.CrashWatch.RecordCrash(quarantine.ConnectionBreak{Process: quarantine.ServerProcess{ID: "s", StartID: 1}}, quarantine.Evidence{Fingerprint: quarantine.Fingerprint{byte(i), byte(i >> 8)}})
+				}
+				hosts.mu.Lock()
+				for _, addr := range c.down {
+					hosts.down[addr] = true
+				}
+				hosts.mu.Unlock()
+				stop()
+				if err := <-ended; err != nil {
+					t.Fatal(err)
+				}
+				hosts.mu.Lock()
+				defer hosts.mu.Unlock()
+				if c.to == nil {
+					if hosts.handed > 0 {
+						t.Errorf("%d messages, though there is nothing to hand over", hosts.handed)
+					}
+					return
+				}
+				if !slices.ContainsFunc(c.to, func(addr string) bool { return hosts.streams[addr] == c.streams && hosts.crashes[addr] == c.crashes }) {
+					t.Errorf("received %v origins and %v records of crashes, want %d and %d at one of %v", hosts.streams, hosts.crashes, c.streams, c.crashes, c.to)
+				}
+			})
 		})
 	}
 }
