entry: a stopping host hands over the leave of servers and crash evidence

A backend server that had announced its leave to an entry host that stopped was still used by the other hosts, and the crash of a server did not count.

Cause: both are sent as soon as they are known, but calls in progress were given up when the host stopped, and later ones were not made.

--- a/internal/app/entry/crashes.go
+++ b/internal/app/entry/crashes.go
@@ -118,19 +118,36 @@
 		return
 	}
 	h.o.CrashWatch.SetHosts(len(v.hosts))
-	h.mu.Lock()
-	live := h.members.Live()
-	h.mu.Unlock()
-	for _, id := range live {
-		h.sendCrashRecords(ctx, v.hosts[id].Peer, false)
-	}
 	h.crashes.mu.Lock()
 	h.crashes.rounds++
 	turn := h.crashes.rounds
 	h.crashes.mu.Unlock()
-	for i, addr := range h.o.Control {
-		h.sendCrashRecords(ctx, addr, turn%len(h.o.Control) == i)
+	asked := ""
+	if n := len(h.o.Control); n > 0 {
+		asked = h.o.Control[turn%n]
+	}
+	h.sendCrashRecordsToAll(ctx, v, asked)
+}
+
+// sendCrashRecordsToAll sends the live hosts of the failure domain and the control hosts the records that
+// they have not received, and asks one of them for those of others; "" for none.
+func (h *Host) sendCrashRecordsToAll(ctx context.Context, v *view, asked string) {
+	for _, addr := range h.liveAddresses(v) {
+		h.sendCrashRecords(ctx, addr, false)
+	}
+	for _, addr := range h.o.Control {
+		h.sendCrashRecords(ctx, addr, addr == asked)
+	}
+}
+
+// liveAddresses returns the addresses of the live hosts of the failure domain.
+func (h *Host) liveAddresses(v *view) (out []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, id := range h.members.Live() {
+		out = append(out, v.hosts[id].Peer)
 	}
+	return out
 }
 
 // sendCrashRecords sends one host the records that it has not received. With ask set, it sends
--- a/internal/app/entry/host.go
+++ b/internal/app/entry/host.go
@@ -154,7 +154,8 @@
 	return h
 }
 
-// Run exchanges state with the other hosts and dispatches waiting requests until ctx ends.
+// Run exchanges state with the other hosts and dispatches waiting requests until ctx ends. It then hands
+// over what only this host knows; no request may be in flight any more.
 func (h *Host) Run(ctx context.Context) error {
 	h.runEvery(ctx, h.o.ProbeInterval, h.probe)
 	h.runEvery(ctx, h.o.UpdateInterval, h.sendUpdates)
@@ -187,6 +188,7 @@
 	h.fetchInitialConfig(ctx)
 	<-ctx.Done()
 	h.wg.Wait()
+	h.handOver()
 	return nil
 }
 
