tracing: a stopping host does not wait for a collector that does not answer

An entry host whose span collector accepts connections and does not answer takes 30 s longer to stop, which is beyond its grace time.

Cause: the export of the last spans at the end of the process had no limit but the exporter's own.

The same with the OTLP exporter and a server that does not answer: 30.005 s.

--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer tracer.Shutdown(context.Background())
+	defer tracer.Shutdown()
 	m := metrics.New(true)
 	link.Count, link.Log = m.LinkBytes, log
 	client := peerlink.NewClient(link)
--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	defer tracer.Shutdown(context.Background())
+	defer tracer.Shutdown()
 	disabled, fault := dispatch.ParseMechanisms(s.Experiments.Off)
 	if fault != nil {
 		return fault
--- a/internal/adapter/tracing/tracing.go
+++ b/internal/adapter/tracing/tracing.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"os"
+	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
@@ -72,8 +73,13 @@
 	return e, nil
 }
 
-// Shutdown exports the remaining spans and closes the exporter's file.
-func (t *Tracer) Shutdown(ctx context.Context) {
+// flushTimeout limits the wait for the exporter in Shutdown.
+const flushTimeout = 300 * time.Millisecond
+
+// Shutdown exports the remaining spans and closes the exporter's file. It gives up after flushTimeout.
+func (t *Tracer) Shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
 	if t.provider != nil {
 		_ = t.provider.Shutdown(ctx)
 	}
