quarantine: prompt parts as subjects beside requests

A request is judged by its subjects: the request as a whole and the parts that its prompt shares with others. A part has a fingerprint of its own, bound to team and service, so that the table, the merge, the exchange, the log and the operators' calls stay one for both kinds. Evidence against a part counts once for each request; an answer clears it at the same release.

--- a/internal/adapter/operatorhttp/quarantine.go
+++ b/internal/adapter/operatorhttp/quarantine.go
@@ -14,9 +14,13 @@
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
-// Suspect is the JSON form of a request that was running on backend servers when they crashed.
+// Suspect is the JSON form of a request, or of a prompt part of requests, that was running on
+// backend servers when they crashed.
 type Suspect struct {
 	Fingerprint string `json:"fingerprint"`
+	// Kind is "request" or "part"; Part is the part's ID.
+	Kind string `json:"kind"`
+	Part string `json:"part,omitempty"`
 	// Verdict is "quarantined" if the request is refused, or "suspect" if it is routed to servers
 	// where a crash would affect few other requests.
 	Verdict string `json:"verdict"`
@@ -42,13 +46,20 @@
 	out := []Suspect{}
 	for _, e := range r.Quarantine() {
 		out = append(out, Suspect{
-			Fingerprint: e.Fingerprint.String(), Verdict: e.Verdict.String(), Team: e.Team, Service: e.Service, Release: e.Release,
+			Fingerprint: e.Fingerprint.String(), Kind: kindOf(e), Part: e.Part, Verdict: e.Verdict.String(), Team: e.Team, Service: e.Service, Release: e.Release,
 			Crashes: e.Crashes, LastCrashMS: max(0, now.Sub(e.LastCrash).Milliseconds()),
 		})
 	}
 	return out
 }
 
+func kindOf(e quarantine.Entry) string {
+	if e.Part != "" {
+		return "part"
+	}
+	return "request"
+}
+
 func (h *Handler) liftQuarantine(w http.ResponseWriter, r *http.Request, operator string) error {
 	f, err := quarantine.ParseFingerprint(mux.Vars(r)["fingerprint"])
 	if err != nil {
--- a/internal/adapter/problem/status.go
+++ b/internal/adapter/problem/status.go
@@ -53,6 +53,8 @@
 	failure.EvidenceInvalid:   http.StatusInternalServerError,
 	failure.Quarantined:       http.StatusUnprocessableEntity,
 	failure.Suspected:         http.StatusServiceUnavailable,
+	failure.QuarantinedPart:   http.StatusUnprocessableEntity,
+	failure.SuspectedPart:     http.StatusServiceUnavailable,
 	failure.OverQuota:         http.StatusTooManyRequests,
 	failure.QuotaUnknown:      http.StatusServiceUnavailable,
 	failure.Internal:          http.StatusInternalServerError,
--- a/internal/app/control/verdicts.go
+++ b/internal/app/control/verdicts.go
@@ -23,7 +23,7 @@
 // yet.
 const persistInterval = 200 * time.Millisecond
 
-// verdicts holds a control host's records of requests that crash servers: those that entry and
+// verdicts holds a control host's records of requests and prompt parts that crash servers: those that entry and
 // control hosts sent, and those persisted in the group's log.
 type verdicts struct {
 	mu    sync.Mutex
@@ -63,13 +63,20 @@
 	for _, c := range r.verdicts.table.Merge(records, now) {
 		if c.After.ServerCrashes > 1 || c.Before.ServerCrashes > 1 {
 			decisive = true
-			r.o.Log.Info("verdict on a request", "verdict", c.After.Verdict.String(), "fingerprint", c.Fingerprint.String(), "team", c.Team,
+			r.o.Log.Info(verdictEvent(c), "verdict", c.After.Verdict.String(), "fingerprint", c.Fingerprint.String(), "part", c.Part, "team", c.Team,
 				"service", c.Service, "release", c.Release, "ends", c.After.ServerCrashes, "told_by", from)
 		}
 	}
 	return decisive
 }
 
+func verdictEvent(c quarantine.Change) string {
+	if c.Part != "" {
+		return "verdict on a prompt part"
+	}
+	return "verdict on a request"
+}
+
 // verdictsSince returns up to limit records to send to another host; see quarantine.Table.
 func (r *Replica) verdictsSince(revision uint64, limit int, wanted quarantine.RecordFilter) ([]*pb.QuarantineRecord, uint64) {
 	r.verdicts.mu.Lock()
@@ -77,14 +84,14 @@
 	return r.verdicts.table.Since(revision, limit, wanted, r.o.Clock.Now())
 }
 
-// Quarantine returns the requests that crashed more than one server.
+// Quarantine returns the requests and prompt parts that crashed more than one server.
 func (r *Replica) Quarantine() []quarantine.Entry {
 	r.verdicts.mu.Lock()
 	defer r.verdicts.mu.Unlock()
 	return r.verdicts.table.List(r.o.Clock.Now())
 }
 
-// LiftQuarantine ends a request's quarantine on all hosts, durably.
+// LiftQuarantine ends the quarantine of a request or prompt part on all hosts, durably.
 func (r *Replica) LiftQuarantine(ctx context.Context, f quarantine.Fingerprint) error {
 	lift := &pb.QuarantineRecord{Fingerprint: f[:], Cleared: 1}
 	found := false
@@ -94,7 +101,7 @@
 		}
 	}
 	if !found {
-		return failure.New(failure.NotFound, failure.NotRun, "no request with fingerprint %s is quarantined or suspected here", f)
+		return failure.New(failure.NotFound, failure.NotRun, "no request or prompt part with fingerprint %s is quarantined or suspected here", f)
 	}
 	_, err := r.Change(ctx, &pb.Command{Lift: lift})
 	return err
--- a/internal/app/crashwatch/crashwatch.go
+++ b/internal/app/crashwatch/crashwatch.go
@@ -1,10 +1,11 @@
-// Package crashwatch detects requests that crash the servers that run them, for all requests of
-// an entry host. It checks whether servers that broke connections have ended, maintains the table
+// Package crashwatch detects requests and prompt parts that crash the servers that run them, for
+// all requests of an entry host. It checks whether servers that broke connections have ended, maintains the table
 // of package quarantine, and logs the verdicts.
 package crashwatch
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -38,7 +39,7 @@
 	checkValidity = 500 * time.Millisecond
 )
 
-// Watch detects crashing requests on one entry host. It is safe for concurrent use.
+// Watch detects crashing requests and prompt parts on one entry host. It is safe for concurrent use.
 type Watch struct {
 	o Options
 
@@ -74,51 +75,86 @@
 
 // Admit returns how an attempt of a request is to be treated, or its refusal. again is set if
 // the request has been sent to a server before. Finish must follow an attempt that was admitted.
-func (w *Watch) Admit(requestID string, f quarantine.Fingerprint, again bool) (quarantine.Judgement, *failure.Error) {
+func (w *Watch) Admit(requestID string, s quarantine.Subjects, again bool) (quarantine.Admission, *failure.Error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	j := w.table.Begin(f, again, w.o.Clock.Now())
-	if j.Verdict != quarantine.Quarantined && j.Verdict != quarantine.Busy {
-		return j, nil
+	a := w.table.Admit(s, again, w.o.Clock.Now())
+	if !a.Refused() {
+		return a, nil
 	}
-	w.o.Log.Info("request refused as crashing", "request_id", requestID, "fingerprint", f.String(), "verdict", j.Verdict.String(), "ends", j.ServerCrashes)
-	if j.Verdict == quarantine.Quarantined {
+	w.o.Log.Info("request refused as crashing", append(subjectAttrs(a.Subject, a.Part), "request_id", requestID, "verdict", a.Verdict.String(), "ends", a.ServerCrashes)...)
+	return a, w.refusal(&a)
+}
+
+func (w *Watch) refusal(a *quarantine.Admission) *failure.Error {
+	quarantined, suspected, what := failure.Quarantined, failure.Suspected, "the request"
+	if a.Part != "" {
+		quarantined, suspected, what = failure.QuarantinedPart, failure.SuspectedPart, fmt.Sprintf("requests with the prompt part %.*q", maxPartBytes, a.Part)
+	}
+	if a.Verdict == quarantine.Quarantined {
 		w.o.Metrics.Add("refused_quarantined", 1)
-		return j, failure.New(failure.Quarantined, failure.NotRun, "%d servers crashed while running the request; fingerprint %s", j.ServerCrashes, f)
+		return failure.New(quarantined, failure.NotRun, "%d servers crashed while running %s; fingerprint %s", a.ServerCrashes, what, a.Subject)
 	}
 	w.o.Metrics.Add("refused_suspected", 1)
-	return j, failure.New(failure.Suspected, failure.NotRun, "%d servers crashed while running the request, and the verdict is pending; fingerprint %s", j.ServerCrashes, f).
+	return failure.New(suspected, failure.NotRun, "%d servers crashed while running %s, and the verdict is pending; fingerprint %s", a.ServerCrashes, what, a.Subject).
 		WithRetryAfter(busyRetryAfter)
 }
 
+// maxPartBytes bounds the ID of a prompt part in logs and failures.
+const maxPartBytes = 128
+
+// subjectAttrs returns the log attributes of a request or a prompt part.
+func subjectAttrs(f quarantine.Fingerprint, part string) []any {
+	attrs := []any{"fingerprint", f.String(), "kind", "request"}
+	if part != "" {
+		attrs = []any{"fingerprint", f.String(), "kind", "part", "part", part[:min(len(part), maxPartBytes)]}
+	}
+	return attrs
+}
+
 // busyRetryAfter is the time after which to repeat a request whose verdict is Busy: by then most
 // attempts in flight have been answered or have crashed their server.
 const busyRetryAfter = time.Second
 
 // Finish records the end of an attempt.
-func (w *Watch) Finish(f quarantine.Fingerprint, j quarantine.Judgement) {
+func (w *Watch) Finish(a *quarantine.Admission) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.table.Finish(f, j)
+	w.table.Release(a)
 }
 
-// RecordAnswer records that a server answered the request completely.
-func (w *Watch) RecordAnswer(f quarantine.Fingerprint) {
+// RecordAnswer records that a server of a release answered a request completely.
+func (w *Watch) RecordAnswer(s quarantine.Subjects, release string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	before := w.table.Judge(f, w.o.Clock.Now())
-	if w.table.RecordAnswer(f, w.o.Clock.Now()) && before.ServerCrashes > 1 {
-		w.o.Log.Info("suspicion ended", "fingerprint", f.String(), "ends", before.ServerCrashes, "verdict", before.Verdict.String(), "reason", "a server answered it")
+	w.recordAnswerLocked(s, release)
+}
+
+func (w *Watch) recordAnswerLocked(s quarantine.Subjects, release string) {
+	cleared := w.table.RecordWholeAnswer(s, release, w.o.Clock.Now())
+	for _, c := range cleared {
+		if c.Before.ServerCrashes > 1 {
+			w.o.Log.Info("suspicion ended", append(subjectAttrs(c.Fingerprint, c.Part), "ends", c.Before.ServerCrashes, "verdict", c.Before.Verdict.String(), "reason", "a server answered it")...)
+		}
+	}
+	if len(cleared) > 0 && w.onChange != nil {
+		w.onChange()
 	}
 }
 
-// RecordBreak records that a server broke the connection of a request. It blocks until the server
-// has been probed, unless its process is already proved to have ended.
-func (w *Watch) RecordBreak(b quarantine.ConnectionBreak, e quarantine.Evidence) {
+// RecordBreak records that a server broke the connection of a request. e holds the request's team,
+// service and release. It blocks until the server has been probed, unless its process is already
+// proved to have ended.
+func (w *Watch) RecordBreak(b quarantine.ConnectionBreak, s quarantine.Subjects, e quarantine.Evidence) {
 	e.Server = b.Process.Key()
 	w.mu.Lock()
-	if w.detector.Add(b, e, w.o.Clock.Now()) {
-		w.countLocked([]quarantine.Evidence{e}, "the server's process has ended")
+	proved := false
+	evidence := s.Evidence(e)
+	for _, e := range evidence {
+		proved = w.detector.Add(b, e, w.o.Clock.Now())
+	}
+	if proved {
+		w.countLocked(evidence, "the server's process has ended")
 		w.mu.Unlock()
 		return
 	}
@@ -133,11 +169,11 @@
 }
 
 // RecordCrash records proof that the server's process ended while it ran a request.
-func (w *Watch) RecordCrash(b quarantine.ConnectionBreak, e quarantine.Evidence) {
+func (w *Watch) RecordCrash(b quarantine.ConnectionBreak, s quarantine.Subjects, e quarantine.Evidence) {
 	e.Server = b.Process.Key()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.countLocked([]quarantine.Evidence{e}, "another process runs under the server's ID")
+	w.countLocked(s.Evidence(e), "another process runs under the server's ID")
 }
 
 func (w *Watch) checkServer(b quarantine.ConnectionBreak, c *check) {
@@ -209,7 +245,7 @@
 		added = true
 		w.o.Metrics.Add("servers_ended_under_requests", 1)
 		if j.ServerCrashes > 1 {
-			w.logVerdict(quarantine.Change{Fingerprint: e.Fingerprint, After: j, Team: e.Team, Service: e.Service, Release: e.Release}, "proof", proof, "server_key", e.Server)
+			w.logVerdict(quarantine.Change{Fingerprint: e.Fingerprint, Part: e.Part, After: j, Team: e.Team, Service: e.Service, Release: e.Release}, "proof", proof, "server_key", e.Server)
 		}
 	}
 	if added && w.onChange != nil {
@@ -217,17 +253,21 @@
 	}
 }
 
-// logVerdict logs a change of the verdict on a request, with the evidence.
+// logVerdict logs a change of the verdict on a request or prompt part, with the evidence.
 func (w *Watch) logVerdict(c quarantine.Change, kv ...any) {
-	event := "request suspected"
+	subject, metric := "request", "requests_quarantined"
+	if c.Part != "" {
+		subject, metric = "prompt part", "prompt_parts_quarantined"
+	}
+	event := subject + " suspected"
 	switch {
 	case c.After.ServerCrashes >= quarantine.CrashThreshold:
-		event = "request quarantined"
-		w.o.Metrics.Add("requests_quarantined", 1)
+		event = subject + " quarantined"
+		w.o.Metrics.Add(metric, 1)
 	case c.After.ServerCrashes == 0:
 		event = "quarantine or suspicion lifted"
 	}
-	attrs := []any{"fingerprint", c.Fingerprint.String(), "team", c.Team, "service", c.Service, "release", c.Release, "ends", c.After.ServerCrashes}
+	attrs := append(subjectAttrs(c.Fingerprint, c.Part), "team", c.Team, "service", c.Service, "release", c.Release, "ends", c.After.ServerCrashes)
 	last := c.After.LastCrash
 	if c.After.ServerCrashes == 0 {
 		last = c.Before.LastCrash // After holds no crash
--- a/internal/app/entry/crashes.go
+++ b/internal/app/entry/crashes.go
@@ -10,9 +10,11 @@
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
-// fingerprintOf returns the fingerprint of the work that the request asks a server for.
-func fingerprintOf(r *Request) quarantine.Fingerprint {
-	return quarantine.Identity{Caller: r.Team, Method: r.Method, Host: r.Target, Target: r.URI, Body: r.Body}.Fingerprint()
+// subjectsOf returns what the request is judged by: the work that it asks a server for. The shared
+// prefixes of its prompt are not judged.
+func subjectsOf(r *Request) quarantine.Subjects {
+	f := quarantine.Identity{Caller: r.Team, Method: r.Method, Host: r.Target, Target: r.URI, Body: r.Body}.Fingerprint()
+	return quarantine.Subjects{Request: f}
 }
 
 // breakOf identifies the process of a place's server when the attempt begins, to be reported if
@@ -29,7 +31,7 @@
 func (h *Host) reportToCrashWatch(ctx context.Context, x *execution, b quarantine.ConnectionBreak, res result) {
 	switch {
 	case res.stage == retry.Answered:
-		h.o.CrashWatch.RecordAnswer(x.fingerprint)
+		h.o.CrashWatch.RecordAnswer(x.subjects, "")
 		return
 	case ctx.Err() != nil, res.connected, res.stage != retry.Sent && res.stage != retry.MidAnswer:
 		return
@@ -39,7 +41,7 @@
 	left := s != nil && s.State.Leaving && int64(s.State.Incarnation) == b.Process.StartID
 	h.mu.Unlock()
 	if !left {
-		h.o.CrashWatch.RecordBreak(b, quarantine.Evidence{Fingerprint: x.fingerprint, Team: x.r.Team, Service: x.r.Target})
+		h.o.CrashWatch.RecordBreak(b, x.subjects, quarantine.Evidence{Team: x.r.Team, Service: x.r.Target})
 	}
 }
 
--- a/internal/app/entry/execute.go
+++ b/internal/app/entry/execute.go
@@ -33,10 +33,10 @@
 	explain    *Explanation
 	began      time.Time
 	lastToken  time.Time
-	// fingerprint is equal for all repeats of the request; judgement is the crash watch's
-	// verdict on it at the last attempt.
-	fingerprint quarantine.Fingerprint
-	judgement   quarantine.Judgement
+	// subjects are equal for all repeats of the request; admission is the crash watch's judgement of
+	// the last attempt.
+	subjects  quarantine.Subjects
+	admission quarantine.Admission
 }
 
 // Execute runs a request and writes its answer to sink. A returned failure states whether the
@@ -58,7 +58,7 @@
 	x := &execution{
 		r: r, view: v, permitted: permitted, sink: sink, avoid: map[string]bool{},
 		relayed: r.Resume, began: h.o.Clock.Now(),
-		explain: h.explained.start(r, h.o), fingerprint: fingerprintOf(r),
+		explain: h.explained.start(r, h.o), subjects: subjectsOf(r),
 	}
 	if !r.Deadline.IsZero() {
 		var cancel context.CancelFunc
@@ -125,18 +125,18 @@
 	pause.MaxInterval = 500 * time.Millisecond
 	for {
 		var f *failure.Error
-		if x.judgement, f = h.o.CrashWatch.Admit(x.r.ID, x.fingerprint, x.mayHaveRun); f != nil {
+		if x.admission, f = h.o.CrashWatch.Admit(x.r.ID, x.subjects, x.mayHaveRun); f != nil {
 			return x.finalFailure(ctx, f)
 		}
 		p, f := h.acquire(ctx, x)
 		if f != nil {
-			h.o.CrashWatch.Finish(x.fingerprint, x.judgement)
+			h.o.CrashWatch.Finish(&x.admission)
 			return x.finalFailure(ctx, f)
 		}
 		x.attempts++
 		res := h.attempt(ctx, x, p)
 		h.release(p, res.connected)
-		h.o.CrashWatch.Finish(x.fingerprint, x.judgement)
+		h.o.CrashWatch.Finish(&x.admission)
 		x.explain.addAttempt(p, res, x.attempts)
 		if x.ended {
 			return nil // the stream is complete, whatever happened after its last event
@@ -184,7 +184,7 @@
 	if res.stage == retry.Answered {
 		return true
 	}
-	if res.err != nil && (res.err.Code == failure.Quarantined || res.err.Code == failure.Suspected) {
+	if res.err != nil && res.err.IsCrashRefusal() {
 		return false // another failure domain refused it for a reason that holds in all of them
 	}
 	h.mu.Lock()
--- a/internal/app/entry/place.go
+++ b/internal/app/entry/place.go
@@ -26,7 +26,7 @@
 	return &placement.Job{
 		Team: x.r.Team, Weight: x.r.Weight, Priority: x.r.Priority, Kind: kind, Target: x.r.Target,
 		Prefixes: x.r.Prefixes, Tokens: x.r.Tokens, MaxTokens: x.r.MaxTokens, Deadline: x.r.Deadline,
-		Permitted: x.permitted, Forwarded: x.r.forwarded(), Avoid: x.avoid, ServerCrashes: x.judgement.ServerCrashes, Policy: x.view.Record.Policy,
+		Permitted: x.permitted, Forwarded: x.r.forwarded(), Avoid: x.avoid, ServerCrashes: x.admission.ServerCrashes, Policy: x.view.Record.Policy,
 	}
 }
 
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -27,10 +27,10 @@
 	charge     *quota.Charge       // quota units taken for the current attempt
 	sink       Sink
 	deadline   time.Time
-	// fingerprint is the same for each repeat of the request.
-	fingerprint quarantine.Fingerprint
-	// judgement is the quarantine's judgement of the request at its last attempt.
-	judgement quarantine.Judgement
+	// subjects are the same for each repeat of the request.
+	subjects quarantine.Subjects
+	// admission is the quarantine's judgement of the last attempt.
+	admission quarantine.Admission
 	tried     map[string]bool
 	sends     int // attempts made, including refused ones
 	ran       int // attempts that may have run
@@ -96,7 +96,7 @@
 	}
 	x := &execution{
 		r: r, record: c.Record, version: c.Stamp.Version, route: route, team: team, teamRecord: c.Record, sink: sink,
-		tried: map[string]bool{}, lastEvent: r.ResumeAfter, service: r.service, release: r.release, fingerprint: fingerprintOf(r, team),
+		tried: map[string]bool{}, lastEvent: r.ResumeAfter, service: r.service, release: r.release,
 	}
 	x.deadline = r.Arrived.Add(time.Duration(route.TimeoutMS) * time.Millisecond)
 	if r.Wait > 0 {
@@ -119,6 +119,7 @@
 	case !routesTo(route, x.service):
 		return nil, notRun(failure.PeerRefused, 0, "version %d does not send route %q to service %q", c.Stamp.Version, route.Name, x.service)
 	}
+	x.subjects = subjectsOf(r, team, x.service)
 	if r.Origin == "" {
 		g.recordArrival(x)
 	}
@@ -179,7 +180,7 @@
 			return g.giveUp(ctx, x, fallback, f)
 		}
 		res := g.attempt(ctx, x, c)
-		g.o.CrashWatch.Finish(x.fingerprint, x.judgement)
+		g.o.CrashWatch.Finish(&x.admission)
 		if res.stage == retry.BeforeSend || res.stage == retry.Refused {
 			g.refundQuota(x)
 		}
@@ -213,13 +214,13 @@
 		return nil, f
 	}
 	var f *failure.Error
-	if x.judgement, f = g.o.CrashWatch.Admit(x.r.ID, x.fingerprint, x.mayHaveRun); f != nil {
+	if x.admission, f = g.o.CrashWatch.Admit(x.r.ID, x.subjects, x.mayHaveRun); f != nil {
 		g.refundQuota(x)
 		return nil, f
 	}
 	c, f := g.choose(ctx, x)
 	if f != nil {
-		g.o.CrashWatch.Finish(x.fingerprint, x.judgement)
+		g.o.CrashWatch.Finish(&x.admission)
 		g.refundQuota(x)
 	}
 	return c, f
@@ -235,7 +236,7 @@
 	if x.mayHaveRun {
 		out.Outcome = failure.Unknown
 	}
-	if out.Outcome == failure.NotRun && out.Code != failure.Overloaded && out.Code != failure.Quarantined && out.Code != failure.Unauthorized && out.RetryAfter == 0 {
+	if out.Outcome == failure.NotRun && out.Code != failure.Overloaded && out.Code != failure.Quarantined && out.Code != failure.QuarantinedPart && out.Code != failure.Unauthorized && out.RetryAfter == 0 {
 		out.RetryAfter = refusedRetryAfter
 	}
 	if ctx.Err() == context.DeadlineExceeded {
@@ -266,7 +267,7 @@
 	if ctx.Err() != nil || x.deadline.Sub(g.o.Clock.Now()) < minAttemptTime || res.stage == retry.Answered || x.releaseUnknown {
 		return false
 	}
-	if res.err != nil && (res.err.Code == failure.Quarantined || res.err.Code == failure.Suspected) {
+	if res.err != nil && res.err.IsCrashRefusal() {
 		return false // another region refused the request for its quarantine, which applies in all regions
 	}
 	limit := x.route.Attempts
@@ -297,7 +298,7 @@
 	j := &dispatch.Job{
 		Service: x.service, Permits: x.permits, Remaining: x.deadline.Sub(now), Tried: x.tried,
 		Target: time.Duration(x.route.LatencyTargetMS) * time.Millisecond, Forwarded: x.r.Origin != "",
-		ServerCrashes: x.judgement.ServerCrashes, Priority: x.route.Priority, Release: x.release, Connected: g.o.Backends.Connected,
+		ServerCrashes: x.admission.ServerCrashes, Priority: x.route.Priority, Release: x.release, Connected: g.o.Backends.Connected,
 	}
 	s, ok := x.record.RoutedService(x.service)
 	if !ok {
--- a/internal/core/quarantine/exchange.go
+++ b/internal/core/quarantine/exchange.go
@@ -14,6 +14,7 @@
 // Change is the effect of a received record on the judgement of a fingerprint.
 type Change struct {
 	Fingerprint            Fingerprint
+	Part                   string // ID of the prompt part; "" for a request
 	Before, After          Judgement
 	Team, Service, Release string
 }
@@ -21,11 +22,11 @@
 // Merge merges records received from another host and returns the judgements that changed. Of
 // two records of a fingerprint, the one with the higher cleared count replaces the other; with
 // equal counts their crashes are united. The crashes of a fingerprint that was answered here
-// within answerValidity are cleared again.
+// recently are cleared again.
 func (t *Table) Merge(records []*pb.QuarantineRecord, now time.Time) []Change {
 	var out []Change
 	for _, m := range records {
-		if len(m.Fingerprint) != fingerprintBytes || len(m.Team) > maxNameBytes || len(m.Service) > maxNameBytes || len(m.Release) > maxNameBytes {
+		if len(m.Fingerprint) != fingerprintBytes || len(m.Part) > maxNameBytes || len(m.Team) > maxNameBytes || len(m.Service) > maxNameBytes || len(m.Release) > maxNameBytes {
 			continue
 		}
 		f := Fingerprint(m.Fingerprint)
@@ -33,12 +34,12 @@
 		if !t.mergeRecord(f, m, now) {
 			continue
 		}
-		if r := t.get(f); r.crashCount() > 0 && t.answers.contains(f, now) {
-			t.clear(r, now) // a received crash is no answer, so it does not extend answerValidity
+		if r := t.get(f); r.crashCount() > 0 && t.isProvedSound(f, r.part, r.release, now) {
+			t.clear(r, now) // a received crash is no answer, so it does not extend the answer's validity
 		}
 		if after := t.Judge(f, now); after.Verdict != before.Verdict || after.ServerCrashes != before.ServerCrashes {
 			r := t.get(f)
-			out = append(out, Change{f, before, after, r.team, r.service, r.release})
+			out = append(out, Change{f, r.part, before, after, r.team, r.service, r.release})
 		}
 	}
 	return out
@@ -52,9 +53,10 @@
 		if m.Cleared == 0 && len(crashes) == 0 {
 			return false
 		}
-		r = t.add(f)
+		r = t.add(f, m.Part)
 		changed = true
 	}
+	t.namePart(f, m.Part)
 	switch {
 	case m.Cleared < r.cleared:
 		return false
@@ -82,6 +84,9 @@
 			e.at = now.Add(-time.Duration(m.AgeS[i]) * time.Second)
 		}
 		e.alive = i < len(m.Alive) && m.Alive[i]
+		if i < len(m.Request) {
+			e.request = m.Request[i]
+		}
 		out = append(out, e)
 	}
 	return out
@@ -138,7 +143,8 @@
 // as three hosts may each have observed one and the combined record needs them.
 func (r *record) encode(now time.Time) *pb.QuarantineRecord {
 	m := &pb.QuarantineRecord{
-		Fingerprint: slices.Clone(r.fingerprint[:]), Cleared: r.cleared, Team: truncateName(r.team), Service: truncateName(r.service), Release: truncateName(r.release),
+		Fingerprint: slices.Clone(r.fingerprint[:]), Part: truncateName(r.part), Cleared: r.cleared,
+		Team: truncateName(r.team), Service: truncateName(r.service), Release: truncateName(r.release),
 	}
 	anyAlive := slices.ContainsFunc(r.crashes, func(e crash) bool { return e.alive })
 	for _, e := range r.crashes {
@@ -147,6 +153,9 @@
 		if anyAlive {
 			m.Alive = append(m.Alive, e.alive)
 		}
+		if r.part != "" {
+			m.Request = append(m.Request, e.request)
+		}
 	}
 	return m
 }
@@ -156,9 +165,10 @@
 // Entry is a fingerprint's state as reported to operators.
 type Entry struct {
 	Fingerprint            Fingerprint
+	Part                   string // ID of the prompt part; "" for a request
 	Verdict                Verdict
 	Team, Service, Release string
-	// Crashes is the number of crashes counted against the request.
+	// Crashes is the number of crashes that count against it.
 	Crashes int
 	// LastCrash is when the last of them was observed.
 	LastCrash time.Time
@@ -172,7 +182,7 @@
 	for e := t.order.Front(); e != nil; e = e.Next() {
 		r := e.Value.(*record)
 		if j := t.judge(r, now); j.ServerCrashes > 1 {
-			out = append(out, Entry{r.fingerprint, j.Verdict, r.team, r.service, r.release, j.ServerCrashes, j.LastCrash, r.cleared})
+			out = append(out, Entry{r.fingerprint, r.part, j.Verdict, r.team, r.service, r.release, j.ServerCrashes, j.LastCrash, r.cleared})
 		}
 	}
 	slices.SortStableFunc(out, func(a, b Entry) int { return b.LastCrash.Compare(a.LastCrash) })
--- a/internal/core/quarantine/fingerprint.go
+++ b/internal/core/quarantine/fingerprint.go
@@ -11,7 +11,8 @@
 // fingerprintBytes is the length of a fingerprint: half of a SHA-256 hash.
 const fingerprintBytes = sha256.Size / 2
 
-// Fingerprint identifies a request by its caller and content, independent of its request ID.
+// Fingerprint identifies a request by its caller and content, independent of its request ID, or a
+// prompt part by its caller, service and ID.
 type Fingerprint [fingerprintBytes]byte
 
 // Identity holds the properties by which two requests count as the same. It excludes whatever
@@ -25,17 +26,23 @@
 	Body         []byte
 }
 
-// Fingerprint returns the identity's hash. Each part is preceded by its length, so that
-// different identities never concatenate to the same bytes.
+// Fingerprint returns the identity's hash.
 func (i Identity) Fingerprint() Fingerprint {
+	return hashFields([]byte(i.Caller), []byte(i.Method), []byte(i.Host), []byte(i.Target), i.Body)
+}
+
+// hashFields hashes a list of fields. Each one is preceded by its length, so that different lists
+// never concatenate to the same bytes.
+func hashFields(fields ...[]byte) Fingerprint {
 	h := sha256.New()
-	for _, part := range [][]byte{[]byte(i.Caller), []byte(i.Method), []byte(i.Host), []byte(i.Target), i.Body} {
+	for _, field := range fields {
 		var size [8]byte
-		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
 		_, _ = h.Write(size[:]) // writing to a hash never fails
-		_, _ = h.Write(part)
+		_, _ = h.Write(field)
 	}
-	return Fingerprint(h.Sum(nil)[:fingerprintBytes])
+	var sum [sha256.Size]byte
+	return Fingerprint(h.Sum(sum[:0])[:fingerprintBytes])
 }
 
 // String returns the fingerprint in hex.
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -107,16 +107,20 @@
 	LastCrash time.Time
 }
 
-// crash records that a server process crashed while it ran the request.
+// crash records that a server process crashed while it ran the request, or a request with the part.
 type crash struct {
 	server uint64
-	at     time.Time
+	// request is the key of the request with the part, the lowest of several at the same server;
+	// zero in the record of a request, and if it is not known.
+	request uint32
+	at      time.Time
 	// alive is set when the process announced itself later, so that it did not crash.
 	alive bool
 }
 
 type record struct {
 	fingerprint            Fingerprint
+	part                   string  // ID of the prompt part; "" in the record of a request
 	cleared                uint32  // how often the crashes were cleared
 	crashes                []crash // sorted by server
 	team, service, release string
@@ -136,7 +140,9 @@
 	order    *list.List // of *record, by their last change, the newest last
 	revision uint64
 	hosts    int
-	answers  recentAnswers
+	parts    int           // records of prompt parts
+	answers  recentAnswers // of requests
+	proved   recentAnswers // of prompt parts
 }
 
 // New returns an empty table.
@@ -147,7 +153,10 @@
 	if o.Hold == 0 {
 		o.Hold = DefaultHold
 	}
-	return &Table{o: o, records: map[Fingerprint]*list.Element{}, order: list.New(), hosts: 1}
+	return &Table{
+		o: o, records: map[Fingerprint]*list.Element{}, order: list.New(), hosts: 1,
+		answers: recentAnswers{validity: requestAnswerValidity}, proved: recentAnswers{validity: partAnswerValidity},
+	}
 }
 
 // SetHosts sets the number of entry hosts, over which trials are spread.
@@ -175,7 +184,7 @@
 		return Judgement{}
 	}
 	j := t.judge(r, now)
-	if r.mustRunAlone(j.Verdict) {
+	if r.mustRunAlone(j) {
 		if r.running > 0 || again {
 			j.Verdict = Busy
 			return j
@@ -187,15 +196,16 @@
 
 // Finish records that the attempt with the judgement that Begin returned has ended.
 func (t *Table) Finish(f Fingerprint, j Judgement) {
-	if r := t.get(f); r != nil && r.running > 0 && (j.Verdict == Trial || j.ServerCrashes == CrashThreshold-1) && j.Verdict != Busy {
+	if r := t.get(f); r != nil && r.running > 0 && r.mustRunAlone(j) {
 		r.running--
 	}
 }
 
 // mustRunAlone reports whether the request may have only one attempt in flight on this host,
-// because one more crash would quarantine it or prolong its quarantine.
-func (r *record) mustRunAlone(v Verdict) bool {
-	return v == Trial || (v == Suspect && r.crashCount() == CrashThreshold-1)
+// because one more crash would quarantine it or prolong its quarantine. Requests with a suspect
+// part are not held back: most suspect parts were only in flight beside the cause of a crash.
+func (r *record) mustRunAlone(j Judgement) bool {
+	return j.Verdict == Trial || (j.Verdict == Suspect && r.part == "" && j.ServerCrashes == CrashThreshold-1)
 }
 
 // Judge returns the request's current judgement without starting an attempt.
@@ -241,12 +251,30 @@
 	return !now.Before(due.Add(time.Duration(position * float64(t.hosts) * float64(trialSpacing))))
 }
 
-// crashCount returns the number of crashes counted against the request: those of processes that
-// have not announced themselves since.
+// counts reports whether a crash counts: its process has not announced itself since, and no earlier
+// crash under the same request counts against the part. Otherwise the repeats of a request would
+// quarantine the parts that only this request has.
+func (r *record) counts(i int) bool {
+	e := r.crashes[i]
+	if e.alive || r.part == "" {
+		return !e.alive
+	}
+	for k, other := range r.crashes {
+		if k == i || other.alive || other.request != e.request {
+			continue
+		}
+		if other.at.Before(e.at) || (other.at.Equal(e.at) && k < i) {
+			return false
+		}
+	}
+	return true
+}
+
+// crashCount returns the number of crashes that count.
 func (r *record) crashCount() int {
 	n := 0
-	for _, e := range r.crashes {
-		if !e.alive {
+	for i := range r.crashes {
+		if r.counts(i) {
 			n++
 		}
 	}
@@ -257,8 +285,8 @@
 // that many.
 func (r *record) thresholdReachedAt() time.Time {
 	var times []time.Time
-	for _, e := range r.crashes {
-		if !e.alive {
+	for i, e := range r.crashes {
+		if r.counts(i) {
 			times = append(times, e.at)
 		}
 	}
@@ -277,9 +305,13 @@
 	return last
 }
 
-// Evidence states that a server process crashed while it ran a request.
+// Evidence states that a server process crashed while it ran a request, or one with a prompt part.
 type Evidence struct {
 	Fingerprint Fingerprint
+	// Part is the ID of the prompt part, and Request the key of the request that had it; both are
+	// zero in evidence against a request.
+	Part    string
+	Request uint32
 	// Server is the key of the process; see ServerProcess.Key.
 	Server uint64
 	// Team is the request's team, Service its service or model, and Release the version of the
@@ -288,22 +320,23 @@
 }
 
 // RecordCrash records evidence and returns the resulting judgement. It reports in counted
-// whether the evidence added a crash. Evidence against a request that was answered within
-// answerValidity is discarded: many callers may send the same request, so it may be in flight at
-// servers whose crash it did not cause.
+// whether the evidence added a crash. Evidence against what was answered recently is
+// discarded: many callers may send the same request, so it may be in flight at servers whose crash
+// it did not cause.
 func (t *Table) RecordCrash(e Evidence, now time.Time) (j Judgement, counted bool) {
-	if t.answers.contains(e.Fingerprint, now) {
+	t.namePart(e.Fingerprint, e.Part)
+	if t.isProvedSound(e.Fingerprint, e.Part, e.Release, now) {
 		return t.Judge(e.Fingerprint, now), false
 	}
 	r := t.get(e.Fingerprint)
 	if r == nil {
-		r = t.add(e.Fingerprint)
+		r = t.add(e.Fingerprint, e.Part)
 	}
 	if t.judge(r, now).ServerCrashes == 0 && len(r.crashes) > 0 {
 		r.crashes = nil // the earlier crashes have expired
 		r.cleared++
 	}
-	if !r.addCrash(crash{server: e.Server, at: now}) {
+	if !r.addCrash(crash{server: e.Server, request: e.Request, at: now}) {
 		return t.judge(r, now), false
 	}
 	r.team, r.service, r.release, r.replacedAt = e.Team, e.Service, e.Release, time.Time{}
@@ -311,30 +344,66 @@
 	return t.judge(r, now), true
 }
 
+// isProvedSound reports whether a request, or a part at a release, was answered recently.
+func (t *Table) isProvedSound(f Fingerprint, part, release string, now time.Time) bool {
+	if part == "" {
+		return t.answers.contains(answered{f, ""}, now)
+	}
+	return t.proved.contains(answered{f, release}, now)
+}
+
 // addCrash adds a crash or merges it with the recorded one of the same process. It reports
-// whether it added the crash or marked its process alive; an earlier time alone is no change.
+// whether it added the crash or changed what counts; an earlier time alone is no change.
 func (r *record) addCrash(e crash) bool {
-	at, found := slices.BinarySearchFunc(r.crashes, e.server, func(have crash, want uint64) int { return cmp.Compare(have.server, want) })
-	if !found {
-		if len(r.crashes) >= maxCrashes {
-			return false
-		}
-		r.crashes = slices.Insert(r.crashes, at, e)
-		return true
+	at, found := r.find(e.server)
+	if found {
+		return r.crashes[at].merge(e)
 	}
-	have := &r.crashes[at]
-	if e.at.Before(have.at) {
-		have.at = e.at
+	if len(r.crashes) >= maxCrashes && !r.dropRepeated(e) {
+		return false
+	}
+	at, _ = r.find(e.server)
+	r.crashes = slices.Insert(r.crashes, at, e)
+	return true
+}
+
+func (r *record) find(server uint64) (at int, found bool) {
+	return slices.BinarySearchFunc(r.crashes, server, func(have crash, want uint64) int { return cmp.Compare(have.server, want) })
+}
+
+// merge adds what another record holds of the same process's crash.
+func (e *crash) merge(other crash) (changed bool) {
+	if other.at.Before(e.at) {
+		e.at = other.at
+	}
+	if other.request != 0 && (e.request == 0 || other.request < e.request) {
+		e.request, changed = other.request, true
+	}
+	if other.alive && !e.alive {
+		e.alive, changed = true, true
 	}
-	changed := e.alive && !have.alive
-	have.alive = have.alive || e.alive
 	return changed
 }
 
+// dropRepeated makes room in a full record for a crash under another request than those recorded:
+// it drops a crash that does not count for its request. It reports whether there was one.
+func (r *record) dropRepeated(e crash) bool {
+	if slices.ContainsFunc(r.crashes, func(have crash) bool { return have.request == e.request }) {
+		return false
+	}
+	for i := range r.crashes {
+		if !r.counts(i) && !r.crashes[i].alive {
+			r.crashes = slices.Delete(r.crashes, i, i+1)
+			return true
+		}
+	}
+	return false
+}
+
 // RecordAnswer records that a server answered the request completely, so that it does not crash
 // servers. It reports whether crashes were cleared.
 func (t *Table) RecordAnswer(f Fingerprint, now time.Time) (cleared bool) {
-	t.answers.add(f, now)
+	t.answers.add(answered{f, ""}, now)
 	r := t.get(f)
 	if r == nil || r.crashCount() == 0 {
 		return false
@@ -399,12 +468,15 @@
 }
 
 // add inserts an empty record for a fingerprint, evicting others when the table is full.
-func (t *Table) add(f Fingerprint) *record {
+func (t *Table) add(f Fingerprint, part string) *record {
 	if len(t.records) >= t.o.Capacity {
-		t.evict()
+		t.evict(t.parts > len(t.records)/2)
 	}
-	r := &record{fingerprint: f}
+	r := &record{fingerprint: f, part: part}
 	t.records[f] = t.order.PushBack(r)
+	if part != "" {
+		t.parts++
+	}
 	return r
 }
 
@@ -412,12 +484,13 @@
 // of new fingerprints does not sort the table for each of them.
 const evictionDivisor = 8
 
-// evict removes records with no attempt in flight that must run alone: first those whose crashes
-// were cleared, then those with the fewest crashes, and among equals the least recently changed.
-func (t *Table) evict() {
+// evict removes records of parts, or of requests, with no attempt in flight that must run alone:
+// first those whose crashes were cleared, then those with the fewest crashes, and among equals the
+// least recently changed. The kind with more records yields, so that each keeps half of the table.
+func (t *Table) evict(parts bool) {
 	all := make([]*record, 0, len(t.records))
 	for e := t.order.Front(); e != nil; e = e.Next() {
-		if r := e.Value.(*record); r.running == 0 {
+		if r := e.Value.(*record); r.running == 0 && (r.part != "") == parts {
 			all = append(all, r)
 		}
 	}
@@ -428,6 +501,9 @@
 }
 
 func (t *Table) drop(r *record) {
+	if r.part != "" {
+		t.parts--
+	}
 	t.order.Remove(t.records[r.fingerprint])
 	delete(t.records, r.fingerprint)
 }
--- a/internal/ctl/quarantine.go
+++ b/internal/ctl/quarantine.go
@@ -14,7 +14,7 @@
 
 func quarantineCommand(e *Env) *command {
 	return &command{
-		name: "quarantine", synopsis: "list the requests that crash backend servers, or lift the quarantine of one",
+		name: "quarantine", synopsis: "list the requests and prompt parts that crash backend servers, or lift the quarantine of one",
 		usage: "quarantine list\n  quarantine lift fingerprint\n" +
 			"  Example: sesamectl quarantine lift 8c6f1d0e5b7a49d2a3f4c1b09e8d7654",
 		run: func(ctx context.Context, args []string) subcommands.ExitStatus {
@@ -35,9 +35,9 @@
 		return e.fail(err)
 	}
 	return e.print(out, func(w io.Writer) {
-		fmt.Fprintln(w, "FINGERPRINT\tVERDICT\tTEAM\tSERVICE\tRELEASE\tCRASHES\tLAST CRASH")
+		fmt.Fprintln(w, "FINGERPRINT\tKIND\tPART\tVERDICT\tTEAM\tSERVICE\tRELEASE\tCRASHES\tLAST CRASH")
 		for _, s := range out {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s ago\n", s.Fingerprint, s.Verdict, s.Team, s.Service, s.Release, s.Crashes,
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s ago\n", s.Fingerprint, s.Kind, s.Part, s.Verdict, s.Team, s.Service, s.Release, s.Crashes,
 				(time.Duration(s.LastCrashMS) * time.Millisecond).Round(time.Second))
 		}
 	})
@@ -48,5 +48,7 @@
 	if err := e.client().Do(ctx, http.MethodDelete, "/v1/quarantine/"+fingerprint, nil, &out); err != nil {
 		return e.fail(err)
 	}
-	return e.print(out, func(w io.Writer) { fmt.Fprintln(w, "lifted; all entry hosts accept the request again within seconds") })
+	return e.print(out, func(w io.Writer) {
+		fmt.Fprintln(w, "lifted; all entry hosts accept the request or prompt part again within seconds")
+	})
 }
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -69,6 +69,8 @@
 	EvidenceInvalid   Code = "evidence-invalid"
 	Quarantined       Code = "quarantined-request"
 	Suspected         Code = "suspected-request"
+	QuarantinedPart   Code = "quarantined-prompt-part"
+	SuspectedPart     Code = "suspected-prompt-part"
 	OverQuota         Code = "over-quota"
 	QuotaUnknown      Code = "quota-unknown"
 	StreamUnknown     Code = "stream-unknown"
@@ -119,6 +121,8 @@
 	EvidenceInvalid:   "The configuration carries no valid commit evidence",
 	Quarantined:       "The request crashed the servers that ran it",
 	Suspected:         "The request may have crashed servers and is being tried",
+	QuarantinedPart:   "A part of the prompt crashed the servers that ran it",
+	SuspectedPart:     "A part of the prompt may have crashed servers",
 	OverQuota:         "The team's quota is used up",
 	QuotaUnknown:      "No control host in reach tells what is left of the team's quota",
 	StreamUnknown:     "The release at which the stream began is not known",
@@ -171,6 +175,16 @@
 // Title returns a one-line summary of the failure's code.
 func (e *Error) Title() string { return titles[e.Code] }
 
+// IsCrashRefusal reports whether a request was refused because it, or a part of its prompt, crashed
+// servers.
+func (e *Error) IsCrashRefusal() bool {
+	switch e.Code {
+	case Quarantined, Suspected, QuarantinedPart, SuspectedPart:
+		return true
+	}
+	return false
+}
+
 // As returns the *Error in err's chain; nil for a nil err. An error without one becomes Internal
 // with the given outcome.
 func As(err error, outcome Outcome) *Error {
