gateway: refuse requests with a prompt part that crashes servers

Cause: a crash counted against the whole request only, and an answer without length or chunks, which a crashing server ends like a complete one, cleared the evidence.

Requests are now judged by their parts too. Evidence against a part clears with a successful answer at the same release whose end is known; one that ends with its connection waits until the same process is seen alive, and counts as broken off if no process listens at the address. A failure answer proves nothing any more, for whole requests as well.

--- a/internal/app/control/verdicts.go
+++ b/internal/app/control/verdicts.go
@@ -157,7 +157,7 @@
 	records, next := r.verdictsSince(from, maxViewRecords, quarantine.AllRecords)
 	kept := configstate.KeptByFingerprint(r.published.Load().Quarantined)
 	for _, m := range records {
-		if !configstate.MustReplaceKept(m, kept[string(m.Fingerprint)]) {
+		if k := kept[string(m.Fingerprint)]; !configstate.MustReplaceKept(m, k) || (k == nil && quarantine.CountCrashes(m) < quarantine.CrashThreshold) {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(ctx, persistTimeout)
--- a/internal/app/crashwatch/crashwatch.go
+++ b/internal/app/crashwatch/crashwatch.go
@@ -46,20 +46,25 @@
 	mu       sync.Mutex
 	table    *quarantine.Table
 	detector *quarantine.CrashDetector
+	open     *quarantine.OpenAnswers
 	checks   map[quarantine.ServerProcess]*check
 	onChange func()
 }
 
 // check is one check of a server, shared by all requests whose connections the server broke.
 type check struct {
-	done chan struct{} // closed after the first probe
-	at   time.Time
+	done     chan struct{} // closed after the first probe
+	finished chan struct{} // closed after the last probe
+	at       time.Time
+	last     bool // the last probe has begun
+	refused  bool // no process listens; valid once finished is closed
 }
 
 // New returns a Watch without records.
 func New(o Options) *Watch {
 	return &Watch{
 		o: o, table: quarantine.New(o.Quarantine), detector: quarantine.NewCrashDetector(o.AnnounceEvery),
+		open:   quarantine.NewOpenAnswers(o.AnnounceEvery),
 		checks: map[quarantine.ServerProcess]*check{},
 	}
 }
@@ -160,14 +165,64 @@
 	}
 	c := w.checks[b.Process]
 	if c == nil || w.o.Clock.Now().Sub(c.at) > checkValidity {
-		c = &check{done: make(chan struct{}), at: w.o.Clock.Now()}
-		w.checks[b.Process] = c
-		go w.checkServer(b, c)
+		c = w.startCheckLocked(b)
 	}
 	w.mu.Unlock()
 	<-c.done
 }
 
+func (w *Watch) startCheckLocked(b quarantine.ConnectionBreak) *check {
+	c := &check{done: make(chan struct{}), finished: make(chan struct{}), at: w.o.Clock.Now()}
+	w.checks[b.Process] = c
+	go w.checkServer(b, c)
+	return c
+}
+
+// RecordOpenAnswer records an answer that ended with its connection, without a length or chunks. It
+// counts as an answer once the server's process is seen alive later, and as broken off if no process
+// listens at the server's address. It does not block.
+func (w *Watch) RecordOpenAnswer(b quarantine.ConnectionBreak, s quarantine.Subjects, e quarantine.Evidence) {
+	e.Server = b.Process.Key()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.open.Add(b.Process, quarantine.OpenAnswer{Subjects: s, Release: e.Release, EndedAt: w.o.Clock.Now()})
+	c := w.checks[b.Process]
+	if c == nil || c.last {
+		c = w.startCheckLocked(b)
+	}
+	go w.countOpenAnswer(c, b, s.Evidence(e))
+}
+
+// countOpenAnswer counts an open answer as evidence if the check finds that its server's process has
+// ended.
+func (w *Watch) countOpenAnswer(c *check, b quarantine.ConnectionBreak, evidence []quarantine.Evidence) {
+	<-c.finished
+	if !c.refused {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range evidence {
+		w.detector.Add(b, e, w.o.Clock.Now())
+	}
+	w.detector.ConnectionRefused(b.Process)
+	w.countLocked(evidence, "no process listens at the server's address")
+}
+
+// RecordResponse records that a server's process responded to an attempt that was sent to it at a
+// time, so that it was alive then.
+func (w *Watch) RecordResponse(p quarantine.ServerProcess, sentAt time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.recordOpenAnswersLocked(w.open.Confirm(p, sentAt))
+}
+
+func (w *Watch) recordOpenAnswersLocked(complete []quarantine.OpenAnswer) {
+	for _, a := range complete {
+		w.recordAnswerLocked(a.Subjects, a.Release)
+	}
+}
+
 // RecordCrash records proof that the server's process ended while it ran a request.
 func (w *Watch) RecordCrash(b quarantine.ConnectionBreak, s quarantine.Subjects, e quarantine.Evidence) {
 	e.Server = b.Process.Key()
@@ -181,8 +236,15 @@
 	close(c.done)
 	if answer == port.Accepts {
 		time.Sleep(recheckDelay)
+	}
+	w.mu.Lock()
+	c.last = true
+	w.mu.Unlock()
+	if answer == port.Accepts {
 		answer = w.probe(b)
 	}
+	c.refused = answer == port.Refuses
+	close(c.finished)
 	w.o.Log.Info("server checked after broken connections", "server", b.Process.ID, "start", b.Process.StartID, "address", b.Address, "listening", answer.String())
 	time.AfterFunc(checkValidity, func() {
 		w.mu.Lock()
@@ -205,6 +267,7 @@
 	if answer == port.Refuses {
 		w.mu.Lock()
 		defer w.mu.Unlock()
+		w.open.Drop(b.Process)
 		w.countLocked(w.detector.ConnectionRefused(b.Process), "no process listens at the server's address")
 	}
 	return answer
@@ -214,7 +277,7 @@
 func (w *Watch) Idle() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.detector.Len() == 0 && w.table.Len() == 0
+	return w.detector.Len() == 0 && w.table.Len() == 0 && w.open.Len() == 0
 }
 
 // ObserveAnnouncements compares the records with the servers' last announcements. Another process
@@ -224,6 +287,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.o.Clock.Now()
+	w.recordOpenAnswersLocked(w.open.ObserveAnnouncements(servers, now))
 	proved, alive := w.detector.ObserveAnnouncements(servers, now)
 	w.countLocked(proved, "another process announced itself under the server's ID or at its address")
 	for _, key := range alive {
--- a/internal/app/gateway/crashes.go
+++ b/internal/app/gateway/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
@@ -43,25 +44,62 @@
 }
 
 // recordServerOutcome reports to the crash watch how an attempt ended for its server. Only a
-// complete answer and a connection that the server broke are evidence. A caller that
+// complete answer that is no failure and a connection that the server broke are evidence. A caller that
 // disconnected, a passed deadline, a server that was leaving and another entry host are not.
 func (g *Gateway) recordServerOutcome(ctx context.Context, x *execution, c *dispatch.Choice, res result) {
 	switch {
 	case c.Server == nil:
 	case res.stage == retry.Answered, res.outcome == dispatch.Failed && res.fallback != nil:
-		g.o.CrashWatch.RecordAnswer(x.subjects, g.serverRelease(c.Server))
+		g.recordWholeAnswer(x, c.Server, res)
 	case ctx.Err() != nil || res.outcome != dispatch.ConnectionFailed || res.stage == retry.BeforeSend:
 	default:
 		g.recordBreak(x, c.Server)
 	}
 }
 
-func (g *Gateway) recordBreak(x *execution, s *dispatch.Server) {
+// recordWholeAnswer records a server's complete answer. A failure proves nothing: a server may fail a
+// request before it runs it. Only a success proves the parts of the prompt sound, at the server's
+// release.
+func (g *Gateway) recordWholeAnswer(x *execution, s *dispatch.Server, res result) {
+	b, e, replaced, left := g.breakOf(x, s)
+	subjects := x.subjects
+	if !isSuccess(res.status) || g.releaseOf(s) == nil {
+		subjects.Parts = nil
+	}
+	switch {
+	case isFailure(res.status):
+	case !res.openEnded:
+		g.o.CrashWatch.RecordAnswer(subjects, e.Release)
+	case !replaced && !left:
+		g.o.CrashWatch.RecordOpenAnswer(b, subjects, e)
+	}
+}
+
+// recordResponse records that a server's process responded to an attempt that was sent to it at a
+// time.
+func (g *Gateway) recordResponse(s *dispatch.Server, sentAt time.Time) {
 	g.mu.Lock()
-	replaced, left := s.Replaced(), g.fleet.IsGone(s) || s.Leaving
-	b := quarantine.ConnectionBreak{Process: quarantine.ServerProcess{ID: s.ID, StartID: s.Start}, Address: s.Address}
-	e := quarantine.Evidence{Team: x.teamName(), Service: x.service, Release: s.Release}
+	process := processOf(s)
 	g.mu.Unlock()
+	g.o.CrashWatch.RecordResponse(process, sentAt)
+}
+
+func processOf(s *dispatch.Server) quarantine.ServerProcess {
+	return quarantine.ServerProcess{ID: s.ID, StartID: s.Start}
+}
+
+// breakOf describes a server whose connection ended, and whether its process is known to have been
+// replaced or to have left.
+func (g *Gateway) breakOf(x *execution, s *dispatch.Server) (b quarantine.ConnectionBreak, e quarantine.Evidence, replaced, left bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b = quarantine.ConnectionBreak{Process: processOf(s), Address: s.Address}
+	e = quarantine.Evidence{Team: x.teamName(), Service: x.service, Release: s.Release}
+	return b, e, s.Replaced(), g.fleet.IsGone(s) || s.Leaving
+}
+
+func (g *Gateway) recordBreak(x *execution, s *dispatch.Server) {
+	b, e, replaced, left := g.breakOf(x, s)
 	switch {
 	case replaced:
 		g.o.CrashWatch.RecordCrash(b, x.subjects, e)
@@ -74,13 +112,6 @@
 	}
 }
 
-// serverRelease returns the release that a server announced last.
-func (g *Gateway) serverRelease(s *dispatch.Server) string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return s.Release
-}
-
 // updateCrashWatch passes the servers of a new view to the crash watch. g.mu must be held.
 func (g *Gateway) updateCrashWatch() {
 	g.o.CrashWatch.SetHosts(g.fleet.HostCount())
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -160,6 +160,8 @@
 	outcome   dispatch.Outcome
 	err       *failure.Error
 	firstByte time.Duration
+	status    int  // of the answer; 0 for none
+	openEnded bool // see Answer.OpenEnded
 	// fallback is set if the answer, although a failure, comes from the server and can be sent to
 	// the caller when no further attempt is made.
 	fallback *bufferedAnswer
@@ -470,5 +472,10 @@
 	time.AfterFunc(lossCheckInterval, check)
 }
 
+// isSuccess reports whether a server's status is a success (2xx).
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // isFailure reports whether a server's status is a server error (5xx).
 func isFailure(status int) bool { return status >= http.StatusInternalServerError }
--- a/internal/app/gateway/request.go
+++ b/internal/app/gateway/request.go
@@ -121,6 +121,9 @@
 	Head
 	Verdict Verdict
 	Body    io.ReadCloser
+	// OpenEnded is set if the body has neither a length nor chunks, so that it ends with its
+	// connection. A server that crashes ends it like one that has completed it.
+	OpenEnded bool
 	// Requests is the number of requests that the server reports, running and queued; -1 if it
 	// reports none.
 	Requests int
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -58,7 +58,8 @@
 		return result{stage: retry.Sent, outcome: dispatch.Failed,
 			err: failure.New(failure.BackendLost, failure.Unknown, "the answer does not carry the server's signature")}
 	}
-	res := result{}
+	g.recordResponse(c.Server, began)
+	res := result{status: answer.Status, openEnded: answer.OpenEnded}
 	if x.route.Kind == configstate.KindStream && answer.Status == http.StatusOK {
 		g.relayStream(x, c, answer, &res, began)
 		return res
--- a/internal/core/quarantine/exchange.go
+++ b/internal/core/quarantine/exchange.go
@@ -92,6 +92,12 @@
 	return out
 }
 
+// CountCrashes returns the number of crashes that count in a record.
+func CountCrashes(m *pb.QuarantineRecord) int {
+	r := record{part: m.Part, crashes: decodeCrashes(m, time.Time{})}
+	return r.crashCount()
+}
+
 // RecordFilter reports whether a record is to be sent to a host that has been sent this table's
 // changes up to sentRevision.
 type RecordFilter func(r *record, sentRevision uint64) bool
--- /dev/null
+++ b/internal/core/quarantine/open_answers.go
@@ -0,0 +1,88 @@
+package quarantine
+
+import "time"
+
+// maxOpenAnswers bounds the answers that an OpenAnswers holds. Further ones prove nothing.
+const maxOpenAnswers = 1024
+
+// OpenAnswer is an answer whose end is marked only by the end of its connection.
+type OpenAnswer struct {
+	Subjects Subjects
+	Release  string
+	EndedAt  time.Time
+}
+
+// OpenAnswers holds answers with neither a length nor chunks, by server process. A process that
+// crashes ends such an answer like a complete one, so it proves nothing until the same process is
+// seen alive later.
+type OpenAnswers struct {
+	byProcess map[ServerProcess][]OpenAnswer
+	count     int
+	// aliveAfter is the delay after the end of an answer from which an announcement shows that the
+	// process is alive.
+	aliveAfter time.Duration
+}
+
+// NewOpenAnswers returns an empty OpenAnswers for servers that announce themselves at the given
+// interval.
+func NewOpenAnswers(announceEvery time.Duration) *OpenAnswers {
+	return &OpenAnswers{byProcess: map[ServerProcess][]OpenAnswer{}, aliveAfter: maxAnnouncementsInFlight * announceEvery}
+}
+
+// Len returns the number of answers held.
+func (o *OpenAnswers) Len() int { return o.count }
+
+// Add adds an answer of a process.
+func (o *OpenAnswers) Add(p ServerProcess, a OpenAnswer) {
+	if o.count >= maxOpenAnswers {
+		return
+	}
+	o.byProcess[p] = append(o.byProcess[p], a)
+	o.count++
+}
+
+// Drop forgets the answers of a process that crashed.
+func (o *OpenAnswers) Drop(p ServerProcess) {
+	o.count -= len(o.byProcess[p])
+	delete(o.byProcess, p)
+}
+
+// Confirm returns the answers of a process that ended before a time at which it was alive.
+func (o *OpenAnswers) Confirm(p ServerProcess, aliveAt time.Time) (complete []OpenAnswer) {
+	return o.take(p, func(a OpenAnswer) bool { return a.EndedAt.Before(aliveAt) })
+}
+
+// take removes and returns the answers of a process that match.
+func (o *OpenAnswers) take(p ServerProcess, match func(OpenAnswer) bool) (taken []OpenAnswer) {
+	var left []OpenAnswer
+	for _, a := range o.byProcess[p] {
+		if match(a) {
+			taken = append(taken, a)
+			continue
+		}
+		left = append(left, a)
+	}
+	o.count -= len(taken)
+	if len(left) == 0 {
+		delete(o.byProcess, p)
+	} else {
+		o.byProcess[p] = left
+	}
+	return taken
+}
+
+// ObserveAnnouncements compares the answers with the last announcements of the servers. It returns
+// those that are confirmed, and drops those of processes that were not seen alive within the proof
+// timeout.
+func (o *OpenAnswers) ObserveAnnouncements(servers []Announcement, now time.Time) (complete []OpenAnswer) {
+	if o.count == 0 {
+		return nil
+	}
+	for _, s := range servers {
+		complete = append(complete, o.Confirm(s.Process, s.ReceivedAt.Add(-o.aliveAfter))...)
+	}
+	for p := range o.byProcess {
+		o.take(p, func(a OpenAnswer) bool { return now.Sub(a.EndedAt) > proofTimeout })
+	}
+	return complete
+}
