quarantine: do not blame prompt parts that were only beside the cause

Three crashes under three requests quarantine a part only if nothing else explains them. A part whose crashes a part with more crashes was all at is not quarantined; one of two that explain them equally, or one that fewer than half of the crashes around them are with, needs five; one that a quarter of the requests has needs twelve.

--- /dev/null
+++ b/internal/core/quarantine/ambiguity.go
@@ -0,0 +1,106 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Bounds of the evidence against a prompt part.
+const (
+	// ambiguousThreshold is the number of crashes that quarantine a part while something else
+	// explains them as well as the part does.
+	ambiguousThreshold = 5
+	// unrelatedCrashes is the number of crashes without the part for each one with it from which the
+	// part may only have been in flight beside the cause.
+	unrelatedCrashes = 1
+	// popularShare is the share of the requests from which a part is in flight at most servers, so
+	// that its presence at a crash says little. popularThreshold is the number of crashes that
+	// quarantine such a part; it takes no longer to reach, and some requests are answered meanwhile
+	// if another part is the cause.
+	popularShare     = 0.25
+	popularThreshold = 12
+	// unrelatedBefore is how long before the first crash with the part crashes without it count.
+	unrelatedBefore = 5 * time.Second
+	// maxPartCrashes bounds the crashes kept for a part: a part reaches more servers than a request
+	// before all hosts refuse it.
+	maxPartCrashes = 16
+	// stragglerTime is how long after the quarantine began crashes come from attempts that were made
+	// before; later ones come from trials.
+	stragglerTime = 6 * time.Second
+)
+
+// threshold returns the number of crashes that quarantine the subject of a record, which has
+// CrashThreshold or more.
+func (t *Table) threshold(r *record) int {
+	if r.part == "" {
+		return CrashThreshold
+	}
+	share := t.requested.share(r.fingerprint)
+	if share >= popularShare {
+		return popularThreshold
+	}
+	first, last, crashes := r.firstCrashAt().Add(-unrelatedBefore), r.lastCrashAt(), r.crashCount()
+	unrelated := map[uint64]bool{}
+	ambiguous := false
+	for e := t.order.Front(); e != nil; e = e.Next() {
+		other := e.Value.(*record)
+		if other == r || other.service != r.service {
+			continue
+		}
+		if other.part != "" && t.requested.share(other.fingerprint) < popularShare && other.explains(r) {
+			if other.crashCount() > crashes {
+				return crashes + 1 // a part that crashed more servers was at all of these
+			}
+			ambiguous = true
+		}
+		for _, c := range other.crashes {
+			if !c.alive && !c.at.Before(first) && !c.at.After(last) && !r.includes(c.server) {
+				unrelated[c.server] = true
+			}
+		}
+	}
+	if ambiguous || len(unrelated) >= unrelatedCrashes*crashes {
+		return ambiguousThreshold
+	}
+	return CrashThreshold
+}
+
+// explains reports whether each crash of another record is recorded here too.
+func (r *record) explains(other *record) bool {
+	if len(r.crashes) < len(other.crashes) {
+		return false
+	}
+	return !slices.ContainsFunc(other.crashes, func(c crash) bool { return !c.alive && !r.includes(c.server) })
+}
+
+// includes reports whether the crash of a process is recorded.
+func (r *record) includes(server uint64) bool {
+	i, found := r.find(server)
+	return found && !r.crashes[i].alive
+}
+
+// firstCrashAt returns when the first crash was recorded that counts.
+func (r *record) firstCrashAt() time.Time {
+	var first time.Time
+	for i, e := range r.crashes {
+		if r.counts(i) && (first.IsZero() || e.at.Before(first)) {
+			first = e.at
+		}
+	}
+	return first
+}
+
+// failedTrials returns the number of trials that crashed a server, and whether another is allowed.
+func (r *record) failedTrials() (failed int, another bool) {
+	crashes := r.crashCount()
+	if r.part == "" {
+		return crashes - CrashThreshold, crashes < maxCrashes
+	}
+	began := r.thresholdReachedAt(CrashThreshold)
+	for i, e := range r.crashes {
+		if r.counts(i) && e.at.Sub(began) > stragglerTime {
+			failed++
+		}
+	}
+	return failed, failed < maxTrials && len(r.crashes) < maxPartCrashes
+}
--- a/internal/core/quarantine/exchange.go
+++ b/internal/core/quarantine/exchange.go
@@ -145,13 +145,14 @@
 // revisionBefore returns the revision just before the record's last change.
 func revisionBefore(e *list.Element) uint64 { return e.Value.(*record).revision - 1 }
 
-// encode returns the record as a peer message. The names are included even with a single crash,
-// as three hosts may each have observed one and the combined record needs them.
+// encode returns the record as a peer message. The names are included from a single crash on, as
+// three hosts may each have observed one and the combined record needs them.
 func (r *record) encode(now time.Time) *pb.QuarantineRecord {
-	m := &pb.QuarantineRecord{
-		Fingerprint: slices.Clone(r.fingerprint[:]), Part: truncateName(r.part), Cleared: r.cleared,
-		Team: truncateName(r.team), Service: truncateName(r.service), Release: truncateName(r.release),
+	m := &pb.QuarantineRecord{Fingerprint: slices.Clone(r.fingerprint[:]), Cleared: r.cleared}
+	if len(r.crashes) == 0 {
+		return m
 	}
+	m.Part, m.Team, m.Service, m.Release = truncateName(r.part), truncateName(r.team), truncateName(r.service), truncateName(r.release)
 	anyAlive := slices.ContainsFunc(r.crashes, func(e crash) bool { return e.alive })
 	for _, e := range r.crashes {
 		m.Server = append(m.Server, e.server)
--- a/internal/core/quarantine/subjects.go
+++ b/internal/core/quarantine/subjects.go
@@ -89,6 +89,9 @@
 // for an attempt that is not refused. again is as for Begin.
 func (t *Table) Admit(s Subjects, again bool, now time.Time) Admission {
 	a := Admission{Subject: s.Request}
+	if len(s.Parts) > 0 {
+		t.requested.add(s.Parts, now)
+	}
 	t.begin(&a, s.Request, "", again, now)
 	for _, p := range s.Parts {
 		t.begin(&a, p.Fingerprint, p.ID, again, now)
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -42,9 +42,12 @@
 	return 1
 }
 
-// maxCrashes bounds the crashes kept for a fingerprint: those that quarantine it and one for
-// each of three trials. With that many there is no further trial.
-const maxCrashes = CrashThreshold + 3
+// maxTrials is the number of trials after which, if each crashed a server, there is no further one.
+const maxTrials = 3
+
+// maxCrashes bounds the crashes kept for a request: those that quarantine it and one for each
+// trial.
+const maxCrashes = CrashThreshold + maxTrials
 
 // Retention times and delays.
 const (
@@ -129,6 +132,7 @@
 	localRevision uint64 // revision of the last change by this host's own observations
 	changedAt     time.Time
 	replacedAt    time.Time // since when no server runs the release that crashed; zero while one does
+	condemnedAt   time.Time // since when the crashes suffice, as this host knows them; zero if they don't
 	running       int       // attempts in flight on this host that must run alone
 }
 
@@ -143,6 +147,8 @@
 	parts    int           // records of prompt parts
 	answers  recentAnswers // of requests
 	proved   recentAnswers // of prompt parts
+	// requested is empty at control hosts, to which every part is rare.
+	requested frequency
 }
 
 // New returns an empty table.
@@ -223,26 +229,51 @@
 		return Judgement{}
 	case j.ServerCrashes < CrashThreshold:
 		j.Verdict = Suspect
-	case now.Sub(r.thresholdReachedAt()) < confirmationDelay:
-		j.Verdict = Busy
-	case t.trialDue(r, now):
-		j.Verdict = Trial
 	default:
-		j.Verdict = Quarantined
+		j.Verdict = t.judgeCrashing(r, now)
 	}
 	return j
 }
 
+// judgeCrashing returns the verdict for CrashThreshold or more crashes.
+func (t *Table) judgeCrashing(r *record, now time.Time) Verdict {
+	threshold := t.threshold(r)
+	if r.crashCount() < threshold {
+		r.condemnedAt = time.Time{}
+		return Suspect
+	}
+	if r.condemnedAt.IsZero() {
+		r.condemnedAt = now
+	}
+	switch {
+	case now.Sub(r.confirmedFrom(threshold)) < confirmationDelay:
+		return Busy
+	case t.trialDue(r, now):
+		return Trial
+	}
+	return Quarantined
+}
+
+// confirmedFrom returns the time from which the confirmation delay runs: for a part not before this
+// host first found enough crashes, as the threshold falls when another explanation is ruled out.
+func (r *record) confirmedFrom(threshold int) time.Time {
+	reached := r.thresholdReachedAt(threshold)
+	if r.part != "" && r.condemnedAt.After(reached) {
+		return r.condemnedAt
+	}
+	return reached
+}
+
 // trialDue reports whether this host may run a quarantined request as a trial: after the hold
 // time, or once no server runs the release that crashed. Each host adds a delay derived from its
 // name and the fingerprint, so that the outcome of one trial usually reaches the other hosts before
 // the next.
 func (t *Table) trialDue(r *record, now time.Time) bool {
-	crashes := r.crashCount()
-	if crashes >= maxCrashes {
+	failed, another := r.failedTrials()
+	if !another {
 		return false
 	}
-	due := r.lastCrashAt().Add(t.o.Hold << (crashes - CrashThreshold))
+	due := r.lastCrashAt().Add(t.o.Hold << failed)
 	if !r.replacedAt.IsZero() && r.replacedAt.Before(due) {
 		due = r.replacedAt
 	}
@@ -281,9 +312,9 @@
 	return n
 }
 
-// thresholdReachedAt returns when the number of crashes reached CrashThreshold; the record has
-// that many.
-func (r *record) thresholdReachedAt() time.Time {
+// thresholdReachedAt returns when the number of crashes reached a threshold; the record has that
+// many.
+func (r *record) thresholdReachedAt(threshold int) time.Time {
 	var times []time.Time
 	for i, e := range r.crashes {
 		if r.counts(i) {
@@ -291,7 +322,7 @@
 		}
 	}
 	slices.SortFunc(times, time.Time.Compare)
-	return times[CrashThreshold-1]
+	return times[threshold-1]
 }
 
 // lastCrashAt returns when the last counted crash was recorded; zero for none.
@@ -359,7 +390,7 @@
 	if found {
 		return r.crashes[at].merge(e)
 	}
-	if len(r.crashes) >= maxCrashes && !r.dropRepeated(e) {
+	if len(r.crashes) >= r.maxCrashes() && !r.dropRepeated(e) {
 		return false
 	}
 	at, _ = r.find(e.server)
@@ -367,6 +398,13 @@
 	return true
 }
 
+func (r *record) maxCrashes() int {
+	if r.part != "" {
+		return maxPartCrashes
+	}
+	return maxCrashes
+}
+
 func (r *record) find(server uint64) (at int, found bool) {
 	return slices.BinarySearchFunc(r.crashes, server, func(have crash, want uint64) int { return cmp.Compare(have.server, want) })
 }
@@ -426,7 +464,7 @@
 // clear removes the crashes of a record and raises its cleared count.
 func (t *Table) clear(r *record, now time.Time) {
 	r.cleared++
-	r.crashes, r.replacedAt = nil, time.Time{}
+	r.crashes, r.replacedAt, r.condemnedAt = nil, time.Time{}, time.Time{}
 	t.markChangedLocally(r, now)
 }
 
