quarantine: bound how long another explanation protects a prompt part

A part that a quarter of a quiet host's requests had needed twelve crashes, however long these took: 5 requests reached servers later than the window after the fifth crash, 3 are allowed (TestPartsNeverMoreThanTheBound). Four seconds after the fifth crash a part is now refused whatever else explains its crashes.

--- a/internal/core/quarantine/ambiguity.go
+++ b/internal/core/quarantine/ambiguity.go
@@ -19,6 +19,9 @@
 	// if another part is the cause.
 	popularShare     = 0.25
 	popularThreshold = 12
+	// maxAmbiguity is how long after ambiguousThreshold was reached another explanation protects a
+	// part. By then requests with a sound part have been answered.
+	maxAmbiguity = 4 * time.Second
 	// unrelatedBefore is how long before the first crash with the part crashes without it count.
 	unrelatedBefore = 5 * time.Second
 	// maxPartCrashes bounds the crashes kept for a part: a part reaches more servers than a request
@@ -31,8 +34,8 @@
 
 // threshold returns the number of crashes that quarantine the subject of a record, which has
 // CrashThreshold or more.
-func (t *Table) threshold(r *record) int {
-	if r.part == "" {
+func (t *Table) threshold(r *record, now time.Time) int {
+	if r.part == "" || r.crashCount() >= ambiguousThreshold && now.Sub(r.thresholdReachedAt(ambiguousThreshold)) > maxAmbiguity {
 		return CrashThreshold
 	}
 	share := t.requested.share(r.fingerprint)
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -237,7 +237,7 @@
 
 // judgeCrashing returns the verdict for CrashThreshold or more crashes.
 func (t *Table) judgeCrashing(r *record, now time.Time) Verdict {
-	threshold := t.threshold(r)
+	threshold := t.threshold(r, now)
 	if r.crashCount() < threshold {
 		r.condemnedAt = time.Time{}
 		return Suspect
