--- a/internal/core/quarantine/parts_load_test.go
+++ b/internal/core/quarantine/parts_load_test.go
@@ -122,6 +122,9 @@
 		ids = append(ids, fmt.Sprintf("%d-%d", position, p.rnd.Intn(p.sharedBy)))
 	}
 	p.nextID++
+	if p.parts == 1 {
+		ids = nil
+	}
 	return append(ids, fmt.Sprint("own", p.nextID))
 }
 
@@ -405,3 +408,24 @@
 		})
 	}
 }
+
+// maxRecordBytesPerS bounds the quarantine records that an entry host sends and receives.
+const maxRecordBytesPerS = 8 << 10
+
+// TestQuarantineRecordsFitTheLinks plays crashes under prompts of rare parts, with and without
+// evidence against parts, and checks the bytes of records at an entry host in the busiest second.
+func TestQuarantineRecordsFitTheLinks(t *testing.T) {
+	for _, hosts := range []int{60, 300} {
+		for _, parts := range []int{1, 5, 8} {
+			l := partsLoad{hosts: hosts, servers: 40, parts: parts, sharedBy: 1000, crashesPerS: 1.5, warmUp: 4 * time.Second, length: 8 * time.Second, badParts: 1}
+			if parts > 1 {
+				l.badPerS = 5
+			}
+			got := newPartsSimulation(l).play()
+			t.Logf("%d hosts, %d parts a prompt: %.0f B in the busiest second, %d interrupted", hosts, parts, got.maxBytesPerS, got.interrupted)
+			if got.maxBytesPerS > maxRecordBytesPerS {
+				t.Errorf("%d hosts, %d parts a prompt: %.0f B of records in one second, %d allowed", hosts, parts, got.maxBytesPerS, maxRecordBytesPerS)
+			}
+		}
+	}
+}
