quarantine: protect popular prompt parts only beside a rarer candidate

A host whose requests all have the crashing part took it for popular and waited for twelve crashes, although nothing else was in flight at them. A popular part now waits only if a rarer one was at several of its crashes.

--- a/internal/app/crashwatch/crashwatch.go
+++ b/internal/app/crashwatch/crashwatch.go
@@ -307,7 +307,9 @@
 			continue
 		}
 		added = true
-		w.o.Metrics.Add("servers_ended_under_requests", 1)
+		if e.Part == "" {
+			w.o.Metrics.Add("servers_ended_under_requests", 1)
+		}
 		if j.ServerCrashes > 1 {
 			w.logVerdict(quarantine.Change{Fingerprint: e.Fingerprint, Part: e.Part, After: j, Team: e.Team, Service: e.Service, Release: e.Release}, "proof", proof, "server_key", e.Server)
 		}
@@ -325,7 +327,7 @@
 	}
 	event := subject + " suspected"
 	switch {
-	case c.After.ServerCrashes >= quarantine.CrashThreshold:
+	case c.After.Verdict >= quarantine.Trial:
 		event = subject + " quarantined"
 		w.o.Metrics.Add(metric, 1)
 	case c.After.ServerCrashes == 0:
--- a/internal/core/quarantine/ambiguity.go
+++ b/internal/core/quarantine/ambiguity.go
@@ -1,9 +1,6 @@
 package quarantine
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Bounds of the evidence against a prompt part.
 const (
@@ -38,23 +35,45 @@
 	if r.part == "" || r.crashCount() >= ambiguousThreshold && now.Sub(r.thresholdReachedAt(ambiguousThreshold)) > maxAmbiguity {
 		return CrashThreshold
 	}
-	share := t.requested.share(r.fingerprint)
-	if share >= popularShare {
+	x := t.explanationsOf(r)
+	switch {
+	case x.popularBesideOther:
 		return popularThreshold
+	case x.covered:
+		return r.crashCount() + 1
+	case x.ambiguous:
+		return ambiguousThreshold
 	}
-	first, last, crashes := r.firstCrashAt().Add(-unrelatedBefore), r.lastCrashAt(), r.crashCount()
+	return CrashThreshold
+}
+
+// explanations are the other explanations of the crashes recorded for a part.
+type explanations struct {
+	// covered: a part that crashed more servers was in flight at each of them.
+	covered bool
+	// ambiguous: another part was in flight at each of them, or most crashes around them were without
+	// the part.
+	ambiguous bool
+	// popularBesideOther: the part is popular, and a rarer one was in flight at several of them.
+	popularBesideOther bool
+}
+
+func (t *Table) explanationsOf(r *record) (x explanations) {
+	share, crashes := t.requested.share(r.fingerprint), r.crashCount()
+	popular := share >= popularShare
+	first, last := r.firstCrashAt().Add(-unrelatedBefore), r.lastCrashAt()
 	unrelated := map[uint64]bool{}
-	ambiguous := false
 	for e := t.order.Front(); e != nil; e = e.Next() {
 		other := e.Value.(*record)
 		if other == r || other.service != r.service {
 			continue
 		}
-		if other.part != "" && t.requested.share(other.fingerprint) < popularShare && other.explains(r) {
-			if other.crashCount() > crashes {
-				return crashes + 1 // a part that crashed more servers was at all of these
-			}
-			ambiguous = true
+		otherShare := t.requested.share(other.fingerprint)
+		if other.part != "" && (otherShare < popularShare || otherShare <= share) {
+			shared := r.sharedWith(other)
+			x.popularBesideOther = x.popularBesideOther || popular && otherShare < popularShare && shared >= CrashThreshold-1
+			x.covered = x.covered || shared == r.dead() && other.crashCount() > crashes
+			x.ambiguous = x.ambiguous || shared == r.dead()
 		}
 		for _, c := range other.crashes {
 			if !c.alive && !c.at.Before(first) && !c.at.After(last) && !r.includes(c.server) {
@@ -62,18 +81,30 @@
 			}
 		}
 	}
-	if ambiguous || len(unrelated) >= unrelatedCrashes*crashes {
-		return ambiguousThreshold
+	x.ambiguous = x.ambiguous || len(unrelated) >= unrelatedCrashes*crashes
+	return x
+}
+
+// dead returns the number of processes recorded as crashed.
+func (r *record) dead() int {
+	n := 0
+	for _, c := range r.crashes {
+		if !c.alive {
+			n++
+		}
 	}
-	return CrashThreshold
+	return n
 }
 
-// explains reports whether each crash of another record is recorded here too.
-func (r *record) explains(other *record) bool {
-	if len(r.crashes) < len(other.crashes) {
-		return false
+// sharedWith returns the number of crashes that another record has too.
+func (r *record) sharedWith(other *record) int {
+	n := 0
+	for _, c := range r.crashes {
+		if !c.alive && other.includes(c.server) {
+			n++
+		}
 	}
-	return !slices.ContainsFunc(other.crashes, func(c crash) bool { return !c.alive && !r.includes(c.server) })
+	return n
 }
 
 // includes reports whether the crash of a process is recorded.
