Merge the quarantine of prompt parts that crash servers

Callers saw requests of one route crash server after server, no two of them alike: a crash counted against the whole request only, and an answer without length or chunks that ended with a crash counted as a proof of soundness. Requests are judged by the parts that their prompts share as well.

--- a/internal/app/crashwatch/crashwatch.go
+++ b/internal/app/crashwatch/crashwatch.go
@@ -1,10 +1,11 @@
-// Package crashwatch detects requests that crash the servers that run them, for all requests of
-// an entry host. It checks whether servers that broke connections have ended, maintains the table
+// Package crashwatch detects requests and prompt parts that crash the servers that run them, for
+// all requests of an entry host. It checks whether servers that broke connections have ended, maintains the table
 // of package quarantine, and logs the verdicts.
 package crashwatch
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -38,13 +39,14 @@
 	checkValidity = 500 * time.Millisecond
 )
 
-// Watch detects crashing requests on one entry host. It is safe for concurrent use.
+// Watch detects crashing requests and prompt parts on one entry host. It is safe for concurrent use.
 type Watch struct {
 	o Options
 
 	mu       sync.Mutex
 	table    *quarantine.Table
 	detector *quarantine.CrashDetector
+	open     *quarantine.OpenAnswers
 	checks   map[quarantine.ServerProcess]*check
 	onChange func()
 	checking int           // checks that go on
@@ -53,14 +55,18 @@
 
 // check is one check of a server, shared by all requests whose connections the server broke.
 type check struct {
-	done chan struct{} // closed after the first probe
-	at   time.Time
+	done     chan struct{} // closed after the first probe
+	finished chan struct{} // closed after the last probe
+	at       time.Time
+	last     bool // the last probe has begun
+	refused  bool // no process listens; valid once finished is closed
 }
 
 // New returns a Watch without records.
 func New(o Options) *Watch {
 	return &Watch{
 		o: o, table: quarantine.New(o.Quarantine), detector: quarantine.NewCrashDetector(o.AnnounceEvery),
+		open:   quarantine.NewOpenAnswers(o.AnnounceEvery),
 		checks: map[quarantine.ServerProcess]*check{},
 	}
 }
@@ -76,73 +82,105 @@
 
 // Admit returns how an attempt of a request is to be treated, or its refusal. again is set if
 // the request has been sent to a server before. Finish must follow an attempt that was admitted.
-func (w *Watch) Admit(requestID string, f quarantine.Fingerprint, again bool) (quarantine.Judgement, *failure.Error) {
+func (w *Watch) Admit(requestID string, s quarantine.Subjects, again bool) (quarantine.Admission, *failure.Error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	j := w.table.Begin(f, again, w.o.Clock.Now())
-	if j.Verdict != quarantine.Quarantined && j.Verdict != quarantine.Busy {
-		return j, nil
+	a := w.table.Admit(s, again, w.o.Clock.Now())
+	if !a.Refused() {
+		return a, nil
 	}
-	w.o.Log.Info("request refused as crashing", "request_id", requestID, "fingerprint", f.String(), "verdict", j.Verdict.String(), "ends", j.ServerCrashes)
-	if j.Verdict == quarantine.Quarantined {
+	w.o.Log.Info("request refused as crashing", append(subjectAttrs(a.Subject, a.Part), "request_id", requestID, "verdict", a.Verdict.String(), "ends", a.ServerCrashes)...)
+	return a, w.refusal(&a)
+}
+
+func (w *Watch) refusal(a *quarantine.Admission) *failure.Error {
+	quarantined, suspected, what := failure.Quarantined, failure.Suspected, "the request"
+	if a.Part != "" {
+		quarantined, suspected, what = failure.QuarantinedPart, failure.SuspectedPart, fmt.Sprintf("requests with the prompt part %.*q", maxPartBytes, a.Part)
+	}
+	if a.Verdict == quarantine.Quarantined {
 		w.o.Metrics.Add("refused_quarantined", 1)
-		return j, failure.New(failure.Quarantined, failure.NotRun, "%d servers crashed while running the request; fingerprint %s", j.ServerCrashes, f)
+		return failure.New(quarantined, failure.NotRun, "%d servers crashed while running %s; fingerprint %s", a.ServerCrashes, what, a.Subject)
 	}
 	w.o.Metrics.Add("refused_suspected", 1)
-	return j, failure.New(failure.Suspected, failure.NotRun, "%d servers crashed while running the request, and the verdict is pending; fingerprint %s", j.ServerCrashes, f).
+	return failure.New(suspected, failure.NotRun, "%d servers crashed while running %s, and the verdict is pending; fingerprint %s", a.ServerCrashes, what, a.Subject).
 		WithRetryAfter(busyRetryAfter)
 }
 
+// maxPartBytes bounds the ID of a prompt part in logs and failures.
+const maxPartBytes = 128
+
+// subjectAttrs returns the log attributes of a request or a prompt part.
+func subjectAttrs(f quarantine.Fingerprint, part string) []any {
+	attrs := []any{"fingerprint", f.String(), "kind", "request"}
+	if part != "" {
+		attrs = []any{"fingerprint", f.String(), "kind", "part", "part", part[:min(len(part), maxPartBytes)]}
+	}
+	return attrs
+}
+
 // busyRetryAfter is the time after which to repeat a request whose verdict is Busy: by then most
 // attempts in flight have been answered or have crashed their server.
 const busyRetryAfter = time.Second
 
 // Finish records the end of an attempt.
-func (w *Watch) Finish(f quarantine.Fingerprint, j quarantine.Judgement) {
+func (w *Watch) Finish(a *quarantine.Admission) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.table.Finish(f, j)
+	w.table.Release(a)
 }
 
-// RecordAnswer records that a server answered the request completely.
-func (w *Watch) RecordAnswer(f quarantine.Fingerprint) {
+// RecordAnswer records that a server of a release answered a request completely.
+func (w *Watch) RecordAnswer(s quarantine.Subjects, release string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	before := w.table.Judge(f, w.o.Clock.Now())
-	if w.table.RecordAnswer(f, w.o.Clock.Now()) && before.ServerCrashes > 1 {
-		w.o.Log.Info("suspicion ended", "fingerprint", f.String(), "ends", before.ServerCrashes, "verdict", before.Verdict.String(), "reason", "a server answered it")
+	w.recordAnswerLocked(s, release)
+}
+
+func (w *Watch) recordAnswerLocked(s quarantine.Subjects, release string) {
+	cleared := w.table.RecordWholeAnswer(s, release, w.o.Clock.Now())
+	for _, c := range cleared {
+		if c.Before.ServerCrashes > 1 {
+			w.o.Log.Info("suspicion ended", append(subjectAttrs(c.Fingerprint, c.Part), "ends", c.Before.ServerCrashes, "verdict", c.Before.Verdict.String(), "reason", "a server answered it")...)
+		}
+	}
+	if len(cleared) > 0 && w.onChange != nil {
+		w.onChange()
 	}
 }
 
-// RecordBreak records that a server broke the connection of a request. It blocks until the server
-// has been probed, unless its process is already proved to have ended.
-func (w *Watch) RecordBreak(b quarantine.ConnectionBreak, e quarantine.Evidence) {
+// RecordBreak records that a server broke the connection of a request. e holds the request's team,
+// service and release. It blocks until the server has been probed, unless its process is already
+// proved to have ended.
+func (w *Watch) RecordBreak(b quarantine.ConnectionBreak, s quarantine.Subjects, e quarantine.Evidence) {
 	e.Server = b.Process.Key()
 	w.mu.Lock()
-	if w.detector.Add(b, e, w.o.Clock.Now()) {
-		w.countLocked([]quarantine.Evidence{e}, "the server's process has ended")
+	proved := false
+	evidence := s.Evidence(e)
+	for _, e := range evidence {
+		proved = w.detector.Add(b, e, w.o.Clock.Now())
+	}
+	if proved {
+		w.countLocked(evidence, "the server's process has ended")
 		w.mu.Unlock()
 		return
 	}
 	c := w.checks[b.Process]
 	if c == nil || w.o.Clock.Now().Sub(c.at) > checkValidity {
-		c = &check{done: make(chan struct{}), at: w.o.Clock.Now()}
-		w.checks[b.Process] = c
-		w.checking++
-		go w.checkServer(b, c)
+		c = w.startCheckLocked(b)
 	}
 	w.mu.Unlock()
 	<-c.done
 }
 
 // RecordBreakLater is RecordBreak without the wait for the probe.
-func (w *Watch) RecordBreakLater(b quarantine.ConnectionBreak, e quarantine.Evidence) {
+func (w *Watch) RecordBreakLater(b quarantine.ConnectionBreak, s quarantine.Subjects, e quarantine.Evidence) {
 	w.mu.Lock()
 	w.checking++
 	w.mu.Unlock()
 	go func() {
 		defer w.endCheck()
-		w.RecordBreak(b, e)
+		w.RecordBreak(b, s, e)
 	}()
 }
 
@@ -173,12 +211,67 @@
 	}
 }
 
+func (w *Watch) startCheckLocked(b quarantine.ConnectionBreak) *check {
+	c := &check{done: make(chan struct{}), finished: make(chan struct{}), at: w.o.Clock.Now()}
+	w.checks[b.Process] = c
+	w.checking++
+	go w.checkServer(b, c)
+	return c
+}
+
+// RecordOpenAnswer records an answer that ended with its connection, without a length or chunks. It
+// counts as an answer once the server's process is seen alive later, and as broken off if no process
+// listens at the server's address. It does not block.
+func (w *Watch) RecordOpenAnswer(b quarantine.ConnectionBreak, s quarantine.Subjects, e quarantine.Evidence) {
+	e.Server = b.Process.Key()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.open.Add(b.Process, quarantine.OpenAnswer{Subjects: s, Release: e.Release, EndedAt: w.o.Clock.Now()})
+	c := w.checks[b.Process]
+	if c == nil || c.last {
+		c = w.startCheckLocked(b)
+	}
+	w.checking++
+	go w.countOpenAnswer(c, b, s.Evidence(e))
+}
+
+// countOpenAnswer counts an open answer as evidence if the check finds that its server's process has
+// ended.
+func (w *Watch) countOpenAnswer(c *check, b quarantine.ConnectionBreak, evidence []quarantine.Evidence) {
+	defer w.endCheck()
+	<-c.finished
+	if !c.refused {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range evidence {
+		w.detector.Add(b, e, w.o.Clock.Now())
+	}
+	w.detector.ConnectionRefused(b.Process)
+	w.countLocked(evidence, "no process listens at the server's address")
+}
+
+// RecordResponse records that a server's process responded to an attempt that was sent to it at a
+// time, so that it was alive then.
+func (w *Watch) RecordResponse(p quarantine.ServerProcess, sentAt time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.recordOpenAnswersLocked(w.open.Confirm(p, sentAt))
+}
+
+func (w *Watch) recordOpenAnswersLocked(complete []quarantine.OpenAnswer) {
+	for _, a := range complete {
+		w.recordAnswerLocked(a.Subjects, a.Release)
+	}
+}
+
 // RecordCrash records proof that the server's process ended while it ran a request.
-func (w *Watch) RecordCrash(b quarantine.ConnectionBreak, e quarantine.Evidence) {
+func (w *Watch) RecordCrash(b quarantine.ConnectionBreak, s quarantine.Subjects, e quarantine.Evidence) {
 	e.Server = b.Process.Key()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.countLocked([]quarantine.Evidence{e}, "another process runs under the server's ID")
+	w.countLocked(s.Evidence(e), "another process runs under the server's ID")
 }
 
 func (w *Watch) checkServer(b quarantine.ConnectionBreak, c *check) {
@@ -187,8 +280,15 @@
 	close(c.done)
 	if answer == port.Accepts {
 		time.Sleep(recheckDelay)
+	}
+	w.mu.Lock()
+	c.last = true
+	w.mu.Unlock()
+	if answer == port.Accepts {
 		answer = w.probe(b)
 	}
+	c.refused = answer == port.Refuses
+	close(c.finished)
 	w.o.Log.Info("server checked after broken connections", "server", b.Process.ID, "start", b.Process.StartID, "address", b.Address, "listening", answer.String())
 	time.AfterFunc(checkValidity, func() {
 		w.mu.Lock()
@@ -211,6 +311,7 @@
 	if answer == port.Refuses {
 		w.mu.Lock()
 		defer w.mu.Unlock()
+		w.open.Drop(b.Process)
 		w.countLocked(w.detector.ConnectionRefused(b.Process), "no process listens at the server's address")
 	}
 	return answer
@@ -220,7 +321,7 @@
 func (w *Watch) Idle() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.detector.Len() == 0 && w.table.Len() == 0
+	return w.detector.Len() == 0 && w.table.Len() == 0 && w.open.Len() == 0
 }
 
 // ObserveAnnouncements compares the records with the servers' last announcements. Another process
@@ -230,6 +331,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.o.Clock.Now()
+	w.recordOpenAnswersLocked(w.open.ObserveAnnouncements(servers, now))
 	proved, alive := w.detector.ObserveAnnouncements(servers, now)
 	w.countLocked(proved, "another process announced itself under the server's ID or at its address")
 	for _, key := range alive {
@@ -249,9 +351,11 @@
 			continue
 		}
 		added = true
-		w.o.Metrics.Add("servers_ended_under_requests", 1)
+		if e.Part == "" {
+			w.o.Metrics.Add("servers_ended_under_requests", 1)
+		}
 		if j.ServerCrashes > 1 {
-			w.logVerdict(quarantine.Change{Fingerprint: e.Fingerprint, After: j, Team: e.Team, Service: e.Service, Release: e.Release}, "proof", proof, "server_key", e.Server)
+			w.logVerdict(quarantine.Change{Fingerprint: e.Fingerprint, Part: e.Part, After: j, Team: e.Team, Service: e.Service, Release: e.Release}, "proof", proof, "server_key", e.Server)
 		}
 	}
 	if added && w.onChange != nil {
@@ -259,17 +363,21 @@
 	}
 }
 
-// logVerdict logs a change of the verdict on a request, with the evidence.
+// logVerdict logs a change of the verdict on a request or prompt part, with the evidence.
 func (w *Watch) logVerdict(c quarantine.Change, kv ...any) {
-	event := "request suspected"
+	subject, metric := "request", "requests_quarantined"
+	if c.Part != "" {
+		subject, metric = "prompt part", "prompt_parts_quarantined"
+	}
+	event := subject + " suspected"
 	switch {
-	case c.After.ServerCrashes >= quarantine.CrashThreshold:
-		event = "request quarantined"
-		w.o.Metrics.Add("requests_quarantined", 1)
+	case c.After.Verdict >= quarantine.Trial:
+		event = subject + " quarantined"
+		w.o.Metrics.Add(metric, 1)
 	case c.After.ServerCrashes == 0:
 		event = "quarantine or suspicion lifted"
 	}
-	attrs := []any{"fingerprint", c.Fingerprint.String(), "team", c.Team, "service", c.Service, "release", c.Release, "ends", c.After.ServerCrashes}
+	attrs := append(subjectAttrs(c.Fingerprint, c.Part), "team", c.Team, "service", c.Service, "release", c.Release, "ends", c.After.ServerCrashes)
 	last := c.After.LastCrash
 	if c.After.ServerCrashes == 0 {
 		last = c.Before.LastCrash // After holds no crash
--- a/internal/app/crashwatch/crashwatch_test.go
+++ b/internal/app/crashwatch/crashwatch_test.go
@@ -33,7 +33,7 @@
 func TestSettledWatchHasAllEvidence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := New(Options{AnnounceEvery: time.Second, Probe: &endingServer{}, Clock: port.SystemClock{}, Log: logr.Discard(), Metrics: noMetrics{}})
-		w.RecordBreakLater(quarantine.ConnectionBreak{Process: quarantine.ServerProcess{ID: "s", StartID: 1}, Address: "a"}, quarantine.Evidence{})
+		w.RecordBreakLater(quarantine.ConnectionBreak{Process: quarantine.ServerProcess{ID: "s", StartID: 1}, Address: "a"}, quarantine.Subjects{}, quarantine.Evidence{})
 		w.Settle(t.Context())
 		if records, _ := w.Since(0, 10, quarantine.AllRecords); len(records) != 1 {
 			t.Errorf("%d records, want 1", len(records))
--- a/internal/app/entry/handover_test.go
+++ b/internal/app/entry/handover_test.go
@@ -70,7 +70,7 @@
 	go func() { ended <- h.Run(ctx) }()
 	if known {
 		h.Announce(&pb.BackendState{Id: "s0", Address: "127.0.0.1:9000", Kind: "engine", Models: []string{"m"}, Slots: 100, Incarnation: 1, Sequence: 2, Leaving: true})
-		watch.RecordCrash(quarantine.ConnectionBreak{Process: quarantine.ServerProcess{ID: "s1", StartID: 1}}, quarantine.Evidence{})
+		watch.RecordCrash(quarantine.ConnectionBreak{Process: quarantine.ServerProcess{ID: "s1", StartID: 1}}, quarantine.Subjects{}, quarantine.Evidence{})
 	}
 	stop()
 	close(peers.stopped)
--- a/internal/app/gateway/handover_test.go
+++ b/internal/app/gateway/handover_test.go
@@ -95,7 +95,7 @@
 					f.g.streams.record(streamorigin.Key(fmt.Sprint(i)), streamorigin.Origin{Service: "llm", Release: "v1"}, f.clock.Now())
 				}
 				for i := range c.crashes {
-					f.g.o.CrashWatch.RecordCrash(quarantine.ConnectionBreak{Process: quarantine.ServerProcess{ID: "s", StartID: 1}}, quarantine.Evidence{Fingerprint: quarantine.Fingerprint{byte(i), byte(i >> 8)}})
+					f.g.o.CrashWatch.RecordCrash(quarantine.ConnectionBreak{Process: quarantine.ServerProcess{ID: "s", StartID: 1}}, quarantine.Subjects{Request: quarantine.Fingerprint{byte(i), byte(i >> 8)}}, quarantine.Evidence{})
 				}
 				hosts.mu.Lock()
 				for _, addr := range c.down {
--- /dev/null
+++ b/internal/core/quarantine/ambiguity.go
@@ -0,0 +1,140 @@
+package quarantine
+
+import "time"
+
+// Bounds of the evidence against a prompt part.
+const (
+	// ambiguousThreshold is the number of crashes that quarantine a part while something else
+	// explains them as well as the part does.
+	ambiguousThreshold = 5
+	// unrelatedCrashes is the number of crashes without the part for each one with it from which the
+	// part may only have been in flight beside the cause.
+	unrelatedCrashes = 1
+	// popularShare is the share of the requests from which a part is in flight at most servers, so
+	// that its presence at a crash says little. popularThreshold is the number of crashes that
+	// quarantine such a part; it takes no longer to reach, and some requests are answered meanwhile
+	// if another part is the cause.
+	popularShare     = 0.25
+	popularThreshold = 12
+	// maxAmbiguity is how long after ambiguousThreshold was reached another explanation protects a
+	// part. By then requests with a sound part have been answered.
+	maxAmbiguity = 4 * time.Second
+	// unrelatedBefore is how long before the first crash with the part crashes without it count.
+	unrelatedBefore = 5 * time.Second
+	// maxPartCrashes bounds the crashes kept for a part: a part reaches more servers than a request
+	// before all hosts refuse it.
+	maxPartCrashes = 16
+	// stragglerTime is how long after the quarantine began crashes come from attempts that were made
+	// before; later ones come from trials.
+	stragglerTime = 6 * time.Second
+)
+
+// threshold returns the number of crashes that quarantine the subject of a record, which has
+// CrashThreshold or more.
+func (t *Table) threshold(r *record, now time.Time) int {
+	if r.part == "" || r.crashCount() >= ambiguousThreshold && now.Sub(r.thresholdReachedAt(ambiguousThreshold)) > maxAmbiguity {
+		return CrashThreshold
+	}
+	x := t.explanationsOf(r)
+	switch {
+	case x.popularBesideOther:
+		return popularThreshold
+	case x.covered:
+		return r.crashCount() + 1
+	case x.ambiguous:
+		return ambiguousThreshold
+	}
+	return CrashThreshold
+}
+
+// explanations are the other explanations of the crashes recorded for a part.
+type explanations struct {
+	// covered: a part that crashed more servers was in flight at each of them.
+	covered bool
+	// ambiguous: another part was in flight at each of them, or most crashes around them were without
+	// the part.
+	ambiguous bool
+	// popularBesideOther: the part is popular, and a rarer one was in flight at several of them.
+	popularBesideOther bool
+}
+
+func (t *Table) explanationsOf(r *record) (x explanations) {
+	share, crashes := t.requested.share(r.fingerprint), r.crashCount()
+	popular := share >= popularShare
+	first, last := r.firstCrashAt().Add(-unrelatedBefore), r.lastCrashAt()
+	unrelated := map[uint64]bool{}
+	for e := t.order.Front(); e != nil; e = e.Next() {
+		other := e.Value.(*record)
+		if other == r || other.service != r.service {
+			continue
+		}
+		otherShare := t.requested.share(other.fingerprint)
+		if other.part != "" && (otherShare < popularShare || otherShare <= share) {
+			shared := r.sharedWith(other)
+			x.popularBesideOther = x.popularBesideOther || popular && otherShare < popularShare && shared >= CrashThreshold-1
+			x.covered = x.covered || shared == r.dead() && other.crashCount() > crashes
+			x.ambiguous = x.ambiguous || shared == r.dead()
+		}
+		for _, c := range other.crashes {
+			if !c.alive && !c.at.Before(first) && !c.at.After(last) && !r.includes(c.server) {
+				unrelated[c.server] = true
+			}
+		}
+	}
+	x.ambiguous = x.ambiguous || len(unrelated) >= unrelatedCrashes*crashes
+	return x
+}
+
+// dead returns the number of processes recorded as crashed.
+func (r *record) dead() int {
+	n := 0
+	for _, c := range r.crashes {
+		if !c.alive {
+			n++
+		}
+	}
+	return n
+}
+
+// sharedWith returns the number of crashes that another record has too.
+func (r *record) sharedWith(other *record) int {
+	n := 0
+	for _, c := range r.crashes {
+		if !c.alive && other.includes(c.server) {
+			n++
+		}
+	}
+	return n
+}
+
+// includes reports whether the crash of a process is recorded.
+func (r *record) includes(server uint64) bool {
+	i, found := r.find(server)
+	return found && !r.crashes[i].alive
+}
+
+// firstCrashAt returns when the first crash was recorded that counts.
+func (r *record) firstCrashAt() time.Time {
+	var first time.Time
+	for i, e := range r.crashes {
+		if r.counts(i) && (first.IsZero() || e.at.Before(first)) {
+			first = e.at
+		}
+	}
+	return first
+}
+
+// failedTrials returns the number of trials that crashed a server, and whether another is allowed.
+func (r *record) failedTrials() (failed int, another bool) {
+	crashes := r.crashCount()
+	if r.part == "" {
+		return crashes - CrashThreshold, crashes < maxCrashes
+	}
+	began := r.thresholdReachedAt(CrashThreshold)
+	for i, e := range r.crashes {
+		if r.counts(i) && e.at.Sub(began) > stragglerTime {
+			failed++
+		}
+	}
+	return failed, failed < maxTrials && len(r.crashes) < maxPartCrashes
+}
