--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -1,15 +1,18 @@
-// Package quarantine detects requests that crash the backend servers that run them (poison
-// requests, or queries of death). Entry hosts record which requests were in flight at a server
-// that crashed, exchange these records, and refuse a request that crashed several servers in
-// succession. The package does no I/O and reads no clock.
+// Package quarantine detects requests, and prompt parts of requests, that crash the backend servers
+// that run them (poison requests, or queries of death). Entry hosts record which requests were in
+// flight at a server that crashed, exchange these records, and refuse a request that crashed several
+// servers in succession, or whose prompt has a part that did. The package does no I/O and reads no
+// clock.
 //
 // It protects against a caller that repeats a request which crashes every server that begins
-// to run it, through any entry host and under new request IDs, faster than servers restart.
+// to run it, through any entry host and under new request IDs, faster than servers restart, and
+// against requests that share only a part with this effect.
 //
 // Invariants: a fingerprint is quarantined only while at least CrashThreshold server processes
 // are recorded as crashed while running it, with no complete answer to it since; each process
-// counts once; the content of two tables does not depend on the order in which, or how often,
-// records were merged.
+// counts once, and against a part each request once; a table that holds an answer to a part at a
+// release does not count crashes of that release against it; what counts in two tables does not
+// depend on the order in which, or how often, records were merged.
 package quarantine
 
 import (
