crashwatch: a late announcement does not confirm an answer that ended with its connection

Cause: an answer without length or chunks counted as whole once its server announced itself 3 intervals after its end. Announcements are dated by their receipt, so one that a cut link had held for seconds looked as if the crashed server had sent it after its end: it cleared the evidence against the part ('suspicion ended', 0.01 s after the cut had healed).

Evidence: TestAnnouncementConfirmsNoOpenAnswer, before:

records [... cleared:1], want the crash to count

Such an answer now counts only once its process responds to an attempt that was sent later.

--- a/internal/app/crashwatch/crashwatch.go
+++ b/internal/app/crashwatch/crashwatch.go
@@ -66,7 +66,7 @@
 func New(o Options) *Watch {
 	return &Watch{
 		o: o, table: quarantine.New(o.Quarantine), detector: quarantine.NewCrashDetector(o.AnnounceEvery),
-		open:   quarantine.NewOpenAnswers(o.AnnounceEvery),
+		open:   quarantine.NewOpenAnswers(),
 		checks: map[quarantine.ServerProcess]*check{},
 	}
 }
@@ -220,7 +220,7 @@
 }
 
 // RecordOpenAnswer records an answer that ended with its connection, without a length or chunks. It
-// counts as an answer once the server's process is seen alive later, and as broken off if no process
+// counts as an answer once the server's process responds to a later attempt, and as broken off if no process
 // listens at the server's address. It does not block.
 func (w *Watch) RecordOpenAnswer(b quarantine.ConnectionBreak, s quarantine.Subjects, e quarantine.Evidence) {
 	e.Server = b.Process.Key()
@@ -331,7 +331,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.o.Clock.Now()
-	w.recordOpenAnswersLocked(w.open.ObserveAnnouncements(servers, now))
+	w.open.RemoveExpired(now)
 	proved, alive := w.detector.ObserveAnnouncements(servers, now)
 	w.countLocked(proved, "another process announced itself under the server's ID or at its address")
 	for _, key := range alive {
--- a/internal/app/crashwatch/crashwatch_test.go
+++ b/internal/app/crashwatch/crashwatch_test.go
@@ -41,3 +41,25 @@
 		w.Settle(t.Context()) // returns at once
 	})
 }
+
+// TestAnnouncementConfirmsNoOpenAnswer guards against a crash that counts as an answer because an announcement arrives late.
+func TestAnnouncementConfirmsNoOpenAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := New(Options{AnnounceEvery: time.Second, Clock: port.SystemClock{}, Log: logr.Discard(), Metrics: noMetrics{}})
+		subjects := quarantine.Subjects{Request: quarantine.Fingerprint{1}}
+		crashed := quarantine.ConnectionBreak{Process: quarantine.ServerProcess{ID: "crashed", StartID: 1}, Address: "a"}
+		answered := quarantine.ConnectionBreak{Process: quarantine.ServerProcess{ID: "answered", StartID: 1}, Address: "b"}
+		w.RecordCrash(crashed, subjects, quarantine.Evidence{})
+		w.RecordOpenAnswer(answered, subjects, quarantine.Evidence{})
+		w.Settle(t.Context())
+		time.Sleep(10 * time.Second)
+		w.ObserveAnnouncements([]quarantine.Announcement{{Process: answered.Process, Address: answered.Address, ReceivedAt: time.Now()}})
+		if records, _ := w.Since(0, 10, quarantine.AllRecords); len(records) != 1 || len(records[0].Server) != 1 {
+			t.Errorf("records %v, want the crash to count", records)
+		}
+		w.RecordResponse(answered.Process, time.Now())
+		if records, _ := w.Since(0, 10, quarantine.AllRecords); len(records) != 1 || len(records[0].Server) != 0 {
+			t.Errorf("records %v, want the crash cleared by a response to a later attempt", records)
+		}
+	})
+}
--- a/internal/core/quarantine/open_answers.go
+++ b/internal/core/quarantine/open_answers.go
@@ -13,21 +13,16 @@
 }
 
 // OpenAnswers holds answers with neither a length nor chunks, by server process. A process that
-// crashes ends such an answer like a complete one, so it proves nothing until the same process is
-// seen alive later.
+// crashes ends such an answer like a complete one, so it proves nothing until the same process responds
+// to an attempt that was sent later. Announcements confirm nothing: it is not known how long they were on
+// their way.
 type OpenAnswers struct {
 	byProcess map[ServerProcess][]OpenAnswer
 	count     int
-	// aliveAfter is the delay after the end of an answer from which an announcement shows that the
-	// process is alive.
-	aliveAfter time.Duration
 }
 
-// NewOpenAnswers returns an empty OpenAnswers for servers that announce themselves at the given
-// interval.
-func NewOpenAnswers(announceEvery time.Duration) *OpenAnswers {
-	return &OpenAnswers{byProcess: map[ServerProcess][]OpenAnswer{}, aliveAfter: maxAnnouncementsInFlight * announceEvery}
-}
+// NewOpenAnswers returns an empty OpenAnswers.
+func NewOpenAnswers() *OpenAnswers { return &OpenAnswers{byProcess: map[ServerProcess][]OpenAnswer{}} }
 
 // Len returns the number of answers held.
 func (o *OpenAnswers) Len() int { return o.count }
@@ -71,18 +66,9 @@
 	return taken
 }
 
-// ObserveAnnouncements compares the answers with the last announcements of the servers. It returns
-// those that are confirmed, and drops those of processes that were not seen alive within the proof
-// timeout.
-func (o *OpenAnswers) ObserveAnnouncements(servers []Announcement, now time.Time) (complete []OpenAnswer) {
-	if o.count == 0 {
-		return nil
-	}
-	for _, s := range servers {
-		complete = append(complete, o.Confirm(s.Process, s.ReceivedAt.Add(-o.aliveAfter))...)
-	}
+// RemoveExpired drops the answers that were not confirmed within the proof timeout.
+func (o *OpenAnswers) RemoveExpired(now time.Time) {
 	for p := range o.byProcess {
 		o.take(p, func(a OpenAnswer) bool { return now.Sub(a.EndedAt) > proofTimeout })
 	}
-	return complete
 }
