gateway: the line of a failed attempt names the prompt parts that the request shares

When servers crash one after the other under requests that differ, no line says what these requests have in common: 'attempt failed' bears the fingerprint of the whole request only. It now lists the IDs of the parts by which the request is judged (prompt_parts).

--- a/internal/app/gateway/log.go
+++ b/internal/app/gateway/log.go
@@ -115,7 +115,7 @@
 	} else {
 		place = c.Host.ID
 	}
-	g.o.Log.Info("attempt failed", "request_id", x.r.ID, "attempt", x.sends, "fingerprint", x.subjects.Request.String(), "place", place, "code", string(res.err.Code),
+	g.o.Log.Info("attempt failed", "request_id", x.r.ID, "attempt", x.sends, "fingerprint", x.subjects.Request.String(), "prompt_parts", x.subjects.PartIDs(), "place", place, "code", string(res.err.Code),
 		"reason", res.err.Detail, "took_ms", took.Milliseconds(), "last_event", x.lastEvent)
 }
 
--- a/internal/core/quarantine/subjects.go
+++ b/internal/core/quarantine/subjects.go
@@ -49,6 +49,15 @@
 	return s
 }
 
+// PartIDs returns the IDs of the parts.
+func (s Subjects) PartIDs() []string {
+	var ids []string
+	for _, p := range s.Parts {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
 func partFingerprint(caller, service, id string) Fingerprint {
 	return hashFields([]byte(partLabel), []byte(caller), []byte(service), []byte(id))
 }
