peerlink: requests are refused before the time to leave links is over

A request that still waited at a stopping host when its time to leave links was over ended as unknown at the caller's host, though it had not run: its handling was canceled and its link closed in the same moment.

TestForwardIsRefusedBeforeTheLeaveTimeout, before:

got <nil>, peer-unreachable: the link ended, want a refusal

The handling is now canceled 0.1 s before the links are closed.

--- a/internal/adapter/peerlink/server.go
+++ b/internal/adapter/peerlink/server.go
@@ -108,15 +108,21 @@
 	}
 }
 
+// refusalTime is the time before the leave timeout at which the handling of requests is canceled, so that
+// they are refused.
+const refusalTime = 100 * time.Millisecond
+
 // await waits until all links have ended, and ends those that are left after the leave timeout. If ctx
 // has not ended, it ends all at once.
 func (s *Server) await(ctx context.Context, stopHandling context.CancelFunc) {
 	began := time.Now()
-	end := func() { stopHandling(); s.closeAll() }
 	if ctx.Err() == nil {
-		end()
+		stopHandling()
+		s.closeAll()
 	}
-	timer := time.AfterFunc(s.o.LeaveTimeout, end)
+	refuse := time.AfterFunc(s.o.LeaveTimeout-refusalTime, stopHandling)
+	defer refuse.Stop()
+	timer := time.AfterFunc(s.o.LeaveTimeout, s.closeAll)
 	s.wg.Wait()
 	inTime := timer.Stop()
 	s.log.Info("links ended", "in_time", inTime, "took_ms", time.Since(began).Milliseconds(), "limit_ms", s.o.LeaveTimeout.Milliseconds())
--- a/internal/adapter/peerlink/unread_test.go
+++ b/internal/adapter/peerlink/unread_test.go
@@ -1,13 +1,16 @@
 package peerlink
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/yamux"
 
+	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+	"github.com/sesamefork/sesamefork/internal/port"
 )
 
 // TestReceivedFramesAreReadAfterTheLinkEnded guards against answers that are cut although this host has received them.
@@ -134,3 +137,39 @@
 		}
 	})
 }
+
+// refusingHandler refuses a forward as not run when its handling is canceled.
+type refusingHandler struct{ began chan struct{} }
+
+func (h refusingHandler) HandleRequest(context.Context, *pb.Request) *pb.Response {
+	return &pb.Response{}
+}
+
+func (h refusingHandler) HandleForward(ctx context.Context, _ *pb.Request, s port.IncomingStream) {
+	close(h.began)
+	<-ctx.Done()
+	_ = s.Send(&pb.ForwardFrame{Frame: &pb.ForwardFrame_End{End: &pb.ForwardEnd{Outcome: string(failure.NotRun)}}})
+}
+
+// TestForwardIsRefusedBeforeTheLeaveTimeout guards against requests whose fate is unknown because their host's time to stop is over.
+func TestForwardIsRefusedBeforeTheLeaveTimeout(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		refusing := refusingHandler{make(chan struct{})}
+		h, err := newLinkHistory(newFakeNet(refusalTime/4), Options{KeepAlive: historyAlive, LeaveTimeout: time.Second})
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.server.handler = refusing
+		f, _, err := h.client.Open(t.Context(), fakeAddress, &pb.Request{Body: &pb.Request_RoutedForward{RoutedForward: &pb.RoutedForward{}}}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		<-refusing.began
+		h.stop()
+		if frame, err := f.Recv(); err != nil || frame.GetEnd().GetOutcome() != string(failure.NotRun) {
+			t.Errorf("got %v, %v, want a refusal", frame, err)
+		}
+		_ = f.Close()
+		h.end()
+	})
+}
