control, peerlink: the time to leave links exceeds the keep-alive interval

A stopping control host closed its links after 0.8 s, below the keep-alive interval of 1 s that bounds a round trip.

The time follows from the keep-alive interval: 0.2 s more on control hosts, two intervals where none is set.

--- a/cmd/sesame-control/parts.go
+++ b/cmd/sesame-control/parts.go
@@ -12,16 +12,21 @@
 	"github.com/sesamefork/sesamefork/internal/daemon"
 )
 
-// Bounds of a stop. Their sum is below the time in which the platform lets a process stop.
+// Bounds of a stop. With a keep-alive interval of 1 s their sum is 7.8 s.
 const (
 	// answerTime is the time in which requests of operators, backend servers and callers are answered.
 	answerTime = 6 * time.Second
-	// leaveTimeout is the time in which the links must end once no more calls are accepted.
-	leaveTimeout = 800 * time.Millisecond
+	// leaveMargin is the time beyond a keep-alive interval in which the links must end once no more calls
+	// are accepted.
+	leaveMargin = 200 * time.Millisecond
 	// handOverTimeout is the time in which the other control hosts acknowledge what only this one knows.
 	handOverTimeout = 600 * time.Millisecond
 )
 
+// leaveTimeout returns the time in which the links must end: a link whose other end is silent is closed
+// after a keep-alive interval.
+func leaveTimeout(keepAlive time.Duration) time.Duration { return keepAlive + leaveMargin }
+
 // parts are the parts of a running control host. They end in the order in which they need each other:
 // answering a request may take calls of other control hosts, and answering a call takes the replica.
 type parts struct {
--- a/cmd/sesame-control/parts_test.go
+++ b/cmd/sesame-control/parts_test.go
@@ -74,7 +74,7 @@
 	addr := groupAddresses[n]
 	h := &testHost{journal: newHeldJournal(), addr: addr, ended: make(chan error, 1)}
 	host, _, _ := net.SplitHostPort(addr)
-	link := peerlink.Options{Key: []byte("key"), Local: net.ParseIP(host), LeaveTimeout: leaveTimeout, Log: logr.Discard()}
+	link := peerlink.Options{Key: []byte("key"), Local: net.ParseIP(host), LeaveTimeout: leaveTimeout(time.Second), Log: logr.Discard()}
 	h.client = peerlink.NewClient(link)
 	var members []*pb.RaftMember
 	for _, a := range groupAddresses {
--- a/internal/adapter/peerlink/client.go
+++ b/internal/adapter/peerlink/client.go
@@ -26,7 +26,8 @@
 	DialTimeout time.Duration      // default 1 s
 	KeepAlive   time.Duration      // interval of keep-alive messages, and bound of a round trip; default 2 s
 	// LeaveTimeout bounds the time from the end of Server.Run's context until its links have ended
-	// (default 2 s).
+	// (default two keep-alive intervals). It should exceed the keep-alive interval, after which a silent link
+	// is closed.
 	LeaveTimeout time.Duration
 	Log          logr.Logger // receives a line when a link ends
 	// Count, if not nil, is called with the number of bytes of each write and read.
@@ -66,7 +67,7 @@
 		o.KeepAlive = 2 * time.Second
 	}
 	if o.LeaveTimeout == 0 {
-		o.LeaveTimeout = 2 * time.Second
+		o.LeaveTimeout = 2 * o.KeepAlive
 	}
 }
 
