peerlink: a refused stream stays refused when its link ends

A reset of a stream proves that the other host did not accept it. If the link ended in the same moment, the read reported the end of the link instead, whose outcome is unknown.

--- a/internal/adapter/peerlink/stream.go
+++ b/internal/adapter/peerlink/stream.go
@@ -138,7 +138,7 @@
 	if s.gate.enter(s) {
 		n, err := s.readSome(p)
 		s.gate.leave(s, n)
-		if err == nil || !s.gate.hasEnded() {
+		if err == nil || isNotAccepted(err) || !s.gate.hasEnded() {
 			return n, err
 		}
 	}
@@ -150,7 +150,10 @@
 func (s *linkStream) readAfterEnd(p []byte) (int, error) {
 	n, err := s.readSome(p)
 	s.gate.countRead(n)
-	if err != nil {
+	switch {
+	case isNotAccepted(err):
+		return 0, err
+	case err != nil:
 		return 0, errLinkEnded
 	}
 	return n, nil
