quarantine: a record of any prompt part can be encoded

A host whose server crashed under a request with a part ID that is no UTF-8 could send no sync request any more: callers choose these IDs, and a message that holds one cannot be encoded. Names that were cut at their limit had the same fault.

TestRecordOfAnyPartCanBeEncoded, before:

part "\xff\xfe": string field contains invalid UTF-8

Invalid bytes are left out of the name that is sent; the fingerprint identifies the part.

--- a/internal/core/quarantine/exchange.go
+++ b/internal/core/quarantine/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"slices"
+	"strings"
 	"time"
 
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
@@ -167,7 +168,11 @@
 	return m
 }
 
-func truncateName(name string) string { return name[:min(len(name), maxNameBytes)] }
+// truncateName returns a name as messages hold it: of at most maxNameBytes, and without invalid UTF-8,
+// which cannot be encoded. Callers choose the IDs of prompt parts.
+func truncateName(name string) string {
+	return strings.ToValidUTF8(name[:min(len(name), maxNameBytes)], "")
+}
 
 // Entry is a fingerprint's state as reported to operators.
 type Entry struct {
--- /dev/null
+++ b/internal/core/quarantine/part_release_test.go
@@ -0,0 +1,28 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+)
+
+// crashPart records the crash of a server of a release under a request with the part.
+func (t *Table) crashPart(p Part, n int, release string, now time.Time) {
+	t.RecordCrash(Evidence{Fingerprint: p.Fingerprint, Part: p.ID, Request: uint32(n), Server: uint64(n), Service: "llm", Release: release}, now)
+}
+
+// TestRecordOfAnyPartCanBeEncoded guards against a host that sends nothing more because a caller chose an ID that is no UTF-8.
+func TestRecordOfAnyPartCanBeEncoded(t *testing.T) {
+	for _, id := range []string{"\xff\xfe", string(make([]byte, maxNameBytes-1)) + "é"} {
+		table := newTable("a")
+		s := NewSubjects(request(1), "team", "llm", []string{id, "last"})
+		table.crashPart(s.Parts[0], 1, "v1", start)
+		records, _ := table.Since(0, 10, AllRecords, start)
+		if _, err := proto.Marshal(&pb.FleetSync{Quarantine: records}); err != nil {
+			t.Errorf("part %q: %v", id, err)
+		}
+	}
+}
