quarantine: a crash at another release keeps the verdict on a prompt part

During a roll-out one server of the old release that crashed with the part in flight, for any reason, lifted the quarantine that the new release had earned: the record took over the old release, at which the part was proved sound.

The record of a part keeps its release while it has crashes and a server of that release runs.

--- a/internal/core/quarantine/exchange.go
+++ b/internal/core/quarantine/exchange.go
@@ -64,6 +64,7 @@
 	case m.Cleared > r.cleared:
 		r.cleared, r.crashes, changed = m.Cleared, nil, true
 	}
+	keepsRelease := r.keepsRelease()
 	for _, e := range crashes {
 		changed = r.addCrash(e) || changed
 	}
@@ -71,7 +72,10 @@
 		return false
 	}
 	if m.Service != "" {
-		r.team, r.service, r.release = m.Team, m.Service, m.Release
+		r.team, r.service = m.Team, m.Service
+		if !keepsRelease {
+			r.release = m.Release
+		}
 	}
 	t.markChanged(r, now)
 	return true
--- a/internal/core/quarantine/part_release_test.go
+++ b/internal/core/quarantine/part_release_test.go
@@ -14,6 +14,28 @@
 	t.RecordCrash(Evidence{Fingerprint: p.Fingerprint, Part: p.ID, Request: uint32(n), Server: uint64(n), Service: "llm", Release: release}, now)
 }
 
+// TestCrashAtAnotherReleaseKeepsTheVerdictOnAPart guards against a crashing part that is cleared by answers of a release that bears it.
+func TestCrashAtAnotherReleaseKeepsTheVerdictOnAPart(t *testing.T) {
+	s := NewSubjects(request(1), "team", "llm", []string{"bad", "last"})
+	a, b := newTable("a"), newTable("b")
+	b.RecordWholeAnswer(s, "v1", start)
+	now := start
+	for n := 1; n <= ambiguousThreshold; n++ {
+		now = now.Add(time.Second)
+		b.crashPart(s.Parts[0], n, "v2", now)
+	}
+	all, _ := b.Since(0, 10, AllRecords, now)
+	a.Merge(all, now)
+	a.crashPart(s.Parts[0], ambiguousThreshold+1, "v1", now)
+	all, _ = a.Since(0, 10, AllRecords, now)
+	b.Merge(all, now)
+	for _, table := range []*Table{a, b} {
+		if j := table.Judge(s.Parts[0].Fingerprint, now.Add(2*confirmationDelay)); j.Verdict != Quarantined {
+			t.Errorf("%s: %s, want quarantined", table.o.Host, j.Verdict)
+		}
+	}
+}
+
 // TestRecordOfAnyPartCanBeEncoded guards against a host that sends nothing more because a caller chose an ID that is no UTF-8.
 func TestRecordOfAnyPartCanBeEncoded(t *testing.T) {
 	for _, id := range []string{"\xff\xfe", string(make([]byte, maxNameBytes-1)) + "é"} {
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -370,14 +370,25 @@
 		r.crashes = nil // the earlier crashes have expired
 		r.cleared++
 	}
+	keepsRelease := r.keepsRelease()
 	if !r.addCrash(crash{server: e.Server, request: e.Request, at: now}) {
 		return t.judge(r, now), false
 	}
-	r.team, r.service, r.release, r.replacedAt = e.Team, e.Service, e.Release, time.Time{}
+	r.team, r.service = e.Team, e.Service
+	if !keepsRelease {
+		r.release, r.replacedAt = e.Release, time.Time{}
+	}
 	t.markChangedLocally(r, now)
 	return t.judge(r, now), true
 }
 
+// keepsRelease reports whether a further crash leaves the release of the record as it is. A part that is
+// suspected at a release that runs stays so: otherwise a crash at another release, where the part may be
+// proved sound, would clear it.
+func (r *record) keepsRelease() bool {
+	return r.part != "" && r.crashCount() > 0 && r.replacedAt.IsZero()
+}
+
 // isProvedSound reports whether a request, or a part at a release, was answered recently.
 func (t *Table) isProvedSound(f Fingerprint, part, release string, now time.Time) bool {
 	if part == "" {
