crashwatch, gateway: what confirms an answer that ended with its connection is bounded

Checks of servers were started for such answers beyond the number that are held, and a response counted as a sign of life though another process may have taken over the server's ID. Found by reading; not seen in a run.

--- a/internal/app/crashwatch/crashwatch.go
+++ b/internal/app/crashwatch/crashwatch.go
@@ -221,12 +221,14 @@
 
 // RecordOpenAnswer records an answer that ended with its connection, without a length or chunks. It
 // counts as an answer once the server's process responds to a later attempt, and as broken off if no process
-// listens at the server's address. It does not block.
+// listens at the server's address. Of too many such answers the last are ignored. It does not block.
 func (w *Watch) RecordOpenAnswer(b quarantine.ConnectionBreak, s quarantine.Subjects, e quarantine.Evidence) {
 	e.Server = b.Process.Key()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.open.Add(b.Process, quarantine.OpenAnswer{Subjects: s, Release: e.Release, EndedAt: w.o.Clock.Now()})
+	if !w.open.Add(b.Process, quarantine.OpenAnswer{Subjects: s, Release: e.Release, EndedAt: w.o.Clock.Now()}) {
+		return
+	}
 	c := w.checks[b.Process]
 	if c == nil || c.last {
 		c = w.startCheckLocked(b)
--- a/internal/app/gateway/crashes.go
+++ b/internal/app/gateway/crashes.go
@@ -76,8 +76,11 @@
 }
 
 // recordResponse records that a server's process responded to an attempt that was sent to it at a
-// time.
+// time, unless another process may have taken over its ID.
 func (g *Gateway) recordResponse(s *dispatch.Server, sentAt time.Time) {
+	if g.releaseOf(s) == nil {
+		return
+	}
 	g.mu.Lock()
 	process := processOf(s)
 	g.mu.Unlock()
--- a/internal/core/quarantine/open_answers.go
+++ b/internal/core/quarantine/open_answers.go
@@ -27,13 +27,14 @@
 // Len returns the number of answers held.
 func (o *OpenAnswers) Len() int { return o.count }
 
-// Add adds an answer of a process.
-func (o *OpenAnswers) Add(p ServerProcess, a OpenAnswer) {
+// Add adds an answer of a process. It reports false if too many are held.
+func (o *OpenAnswers) Add(p ServerProcess, a OpenAnswer) bool {
 	if o.count >= maxOpenAnswers {
-		return
+		return false
 	}
 	o.byProcess[p] = append(o.byProcess[p], a)
 	o.count++
+	return true
 }
 
 // Drop forgets the answers of a process that crashed.
