--- a/internal/core/quarantine/ambiguity.go
+++ b/internal/core/quarantine/ambiguity.go
@@ -21,6 +21,8 @@
 	maxAmbiguity = 4 * time.Second
 	// unrelatedBefore is how long before the first crash with the part crashes without it count.
 	unrelatedBefore = 5 * time.Second
+	// never exceeds any number of crashes that is kept.
+	never = maxPartCrashes + 1
 	// maxPartCrashes bounds the crashes kept for a part: a part reaches more servers than a request
 	// before all hosts refuse it.
 	maxPartCrashes = 16
@@ -40,7 +42,7 @@
 	case x.popularBesideOther:
 		return popularThreshold
 	case x.covered:
-		return r.crashCount() + 1
+		return never
 	case x.ambiguous:
 		return ambiguousThreshold
 	}
