--- a/internal/adapter/peerlink/server.go
+++ b/internal/adapter/peerlink/server.go
@@ -184,8 +184,8 @@
 	}
 }
 
-// serve serves a connection. Its requests are handled within the context handling, and no longer than the
-// link once the context running has ended.
+// serve serves a connection. The context handling bounds its requests. When the context running has ended,
+// the end of the link cancels them too: nobody awaits their answers then.
 func (s *Server) serve(running, handling context.Context, accepted net.Conn) {
 	conn := s.o.countBytes(accepted)
 	if s.o.TLS != nil {
--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -55,7 +55,7 @@
 	o       FleetOptions
 	replica *Replica
 	epoch   uint64        // distinguishes the versions of this process from those of an earlier one
-	leaving chan struct{} // closed when sync requests are held no longer
+	leaving chan struct{} // closed when this host leaves: sync requests are then answered at once
 
 	mu           sync.Mutex
 	reg          *registry.Registry
--- a/internal/core/quarantine/ambiguity.go
+++ b/internal/core/quarantine/ambiguity.go
@@ -12,8 +12,8 @@
 	unrelatedCrashes = 1
 	// popularShare is the share of the requests from which a part is in flight at most servers, so
 	// that its presence at a crash says little. popularThreshold is the number of crashes that
-	// quarantine such a part; it takes no longer to reach, and some requests are answered meanwhile
-	// if another part is the cause.
+	// quarantine such a part: requests with it are frequent enough to reach it, and some of them are
+	// answered before if another part is the cause.
 	popularShare     = 0.25
 	popularThreshold = 12
 	// maxAmbiguity is how long after ambiguousThreshold was reached another explanation protects a
