quarantine, peerlink: smaller functions and plainer names

explanationsOf compared parts and counted crashes without the part in one loop; 'left' named both what a link's end left over and sessions that are being left. No change of behaviour.

--- a/internal/adapter/peerlink/client.go
+++ b/internal/adapter/peerlink/client.go
@@ -110,8 +110,8 @@
 type peer struct {
 	mu      sync.Mutex
 	session *session
-	// left are earlier sessions whose other end leaves, while answers are awaited on them.
-	left    []*session
+	// leaving are earlier sessions whose other end leaves, while answers are awaited on them.
+	leaving []*session
 	dialErr error     // error of the last failed dial, returned until retryAt
 	retryAt time.Time // when the next dial is allowed
 }
@@ -156,17 +156,17 @@
 		_ = p.session.Close()
 		p.session = nil
 	}
-	for _, s := range p.left {
+	for _, s := range p.leaving {
 		_ = s.Close()
 	}
-	p.left = nil
+	p.leaving = nil
 }
 
 // replace makes s the session for calls and forwards that begin. p.mu must be held.
 func (p *peer) replace(s *session) {
-	p.left = slices.DeleteFunc(p.left, (*session).IsClosed)
+	p.leaving = slices.DeleteFunc(p.leaving, (*session).IsClosed)
 	if p.session != nil && !p.session.IsClosed() {
-		p.left = append(p.left, p.session)
+		p.leaving = append(p.leaving, p.session)
 	}
 	p.session = s
 }
--- a/internal/adapter/peerlink/link.go
+++ b/internal/adapter/peerlink/link.go
@@ -16,8 +16,8 @@
 // processor without preemption nothing else runs then. Later reads return what was received before the end.
 //
 // The end that accepted the link may leave. It then serves no further streams, which are reset, and goes
-// on with those that it serves. The end that opens streams opens none any more, and closes the link once it
-// has read the end of each of them. So the end that leaves is the last to send, and the other one is the
+// on with those that it serves. The end that opens streams opens no more, and closes the link once it has
+// read the end of each of them. So the end that leaves is the last to send, and the other one is the
 // first to close: when the link has ended, nothing that was sent is unread.
 //
 // yamux must not shut down by itself while reads are in progress. So the link sends its own keep-alive
@@ -148,6 +148,6 @@
 	if reason == "" {
 		reason = l.conn.endReason()
 	}
-	streams, unread := l.gate.left()
+	streams, unread := l.gate.unfinished()
 	log.Info("link ended", "peer", peer, "reason", reason, "streams", streams, "unread_bytes", unread, "unsent_bytes", l.conn.unsent())
 }
--- a/internal/adapter/peerlink/session.go
+++ b/internal/adapter/peerlink/session.go
@@ -14,7 +14,7 @@
 // session is a link with the stream that its calls share. A separate stream per call would cost five
 // more small frames.
 //
-// Once the other end leaves, the session accepts no calls and forwards any more, and closes the link when
+// Once the other end leaves, the session accepts no new calls and forwards, and closes the link when
 // those in progress have ended.
 type session struct {
 	*link
--- a/internal/adapter/peerlink/stream.go
+++ b/internal/adapter/peerlink/stream.go
@@ -30,8 +30,8 @@
 	g.unread += n
 }
 
-// left returns the number of streams that were not closed, and of bytes that were received and not read.
-func (g *readGate) left() (streams, unread int) {
+// unfinished returns the number of streams that were not closed, and of bytes that were received and not read.
+func (g *readGate) unfinished() (streams, unread int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for s := range g.streams {
--- a/internal/adapter/peerlink/unread_test.go
+++ b/internal/adapter/peerlink/unread_test.go
@@ -41,7 +41,7 @@
 			if err := WriteMessage(s, &pb.Request{}); err != nil {
 				t.Fatal(err)
 			}
-			await(func() bool { _, unread := l.gate.left(); return unread > 0 })
+			await(func() bool { _, unread := l.gate.unfinished(); return unread > 0 })
 			c.end(l, conn, far)
 			<-l.CloseChan()
 			if err := ReadMessage(s, new(pb.Response)); err != nil {
--- a/internal/core/quarantine/ambiguity.go
+++ b/internal/core/quarantine/ambiguity.go
@@ -7,9 +7,6 @@
 	// ambiguousThreshold is the number of crashes that quarantine a part while something else
 	// explains them as well as the part does.
 	ambiguousThreshold = 5
-	// unrelatedCrashes is the number of crashes without the part for each one with it from which the
-	// part may only have been in flight beside the cause.
-	unrelatedCrashes = 1
 	// popularShare is the share of the requests from which a part is in flight at most servers, so
 	// that its presence at a crash says little. popularThreshold is the number of crashes that
 	// quarantine such a part: requests with it are frequent enough to reach it, and some of them are
@@ -60,35 +57,48 @@
 	popularBesideOther bool
 }
 
+// explanationsOf compares a part with all else that was in flight at crashed servers of its service.
 func (t *Table) explanationsOf(r *record) (x explanations) {
-	share, crashes := t.requested.share(r.fingerprint), r.crashCount()
-	popular := share >= popularShare
-	first, last := r.firstCrashAt().Add(-unrelatedBefore), r.lastCrashAt()
-	unrelated := map[uint64]bool{}
+	unrelated := map[uint64]bool{} // crashes without the part
 	for e := t.order.Front(); e != nil; e = e.Next() {
 		other := e.Value.(*record)
 		if other == r || other.service != r.service {
 			continue
 		}
-		otherShare := t.requested.share(other.fingerprint)
-		if other.part != "" && (otherShare < popularShare || otherShare <= share) {
-			shared := r.sharedWith(other)
-			x.popularBesideOther = x.popularBesideOther || popular && otherShare < popularShare && shared >= CrashThreshold-1
-			x.covered = x.covered || shared == r.dead() && other.crashCount() > crashes
-			x.ambiguous = x.ambiguous || shared == r.dead()
-		}
-		for _, c := range other.crashes {
-			if !c.alive && !c.at.Before(first) && !c.at.After(last) && !r.includes(c.server) {
-				unrelated[c.server] = true
-			}
+		if other.part != "" {
+			x.addPart(t, r, other)
 		}
+		r.addUnrelated(other, unrelated)
 	}
-	x.ambiguous = x.ambiguous || len(unrelated) >= unrelatedCrashes*crashes
+	x.ambiguous = x.ambiguous || len(unrelated) >= r.crashCount()
 	return x
 }
 
-// dead returns the number of processes recorded as crashed.
-func (r *record) dead() int {
+// addPart adds what another part explains of the crashes of r. A more popular one explains nothing.
+func (x *explanations) addPart(t *Table, r, other *record) {
+	share, otherShare := t.requested.share(r.fingerprint), t.requested.share(other.fingerprint)
+	if otherShare >= popularShare && otherShare > share {
+		return
+	}
+	shared := r.sharedWith(other)
+	atAll := shared == r.deadProcesses()
+	x.covered = x.covered || atAll && other.crashCount() > r.crashCount()
+	x.ambiguous = x.ambiguous || atAll
+	x.popularBesideOther = x.popularBesideOther || share >= popularShare && otherShare < popularShare && shared >= CrashThreshold-1
+}
+
+// addUnrelated adds the crashes of another record that came about the time of those of r, without r.
+func (r *record) addUnrelated(other *record, unrelated map[uint64]bool) {
+	first, last := r.firstCrashAt().Add(-unrelatedBefore), r.lastCrashAt()
+	for _, c := range other.crashes {
+		if !c.alive && !c.at.Before(first) && !c.at.After(last) && !r.includes(c.server) {
+			unrelated[c.server] = true
+		}
+	}
+}
+
+// deadProcesses returns the number of processes recorded as crashed, whether or not they count.
+func (r *record) deadProcesses() int {
 	n := 0
 	for _, c := range r.crashes {
 		if !c.alive {
--- a/internal/core/quarantine/subjects.go
+++ b/internal/core/quarantine/subjects.go
@@ -95,7 +95,7 @@
 func (a *Admission) Refused() bool { return a.Verdict == Quarantined || a.Verdict == Busy }
 
 // Admit returns how an attempt of a request is to be treated. The caller must call Release once
-// for an attempt that is not refused. again is as for Begin.
+// for an attempt that is not refused. again states that the request has been sent to a server before.
 func (t *Table) Admit(s Subjects, again bool, now time.Time) Admission {
 	a := Admission{Subject: s.Request}
 	if len(s.Parts) > 0 {
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -34,7 +34,8 @@
 
 // CrashProbability returns the probability that a request crashes the server that runs it, given
 // the number of crashes recorded for it. After two it is taken as certain, since no other
-// request was in flight at both servers.
+// request was in flight at both servers. For a prompt part this overstates it, which only sends
+// its requests to servers with few others.
 func CrashProbability(crashes int) float64 {
 	switch crashes {
 	case 0:
@@ -238,7 +239,8 @@
 	return j
 }
 
-// judgeCrashing returns the verdict for CrashThreshold or more crashes.
+// judgeCrashing returns the verdict for CrashThreshold or more crashes. It also records in
+// condemnedAt since when they suffice.
 func (t *Table) judgeCrashing(r *record, now time.Time) Verdict {
 	threshold := t.threshold(r, now)
 	if r.crashCount() < threshold {
