--- a/cmd/sesame-control/parts_test.go
+++ b/cmd/sesame-control/parts_test.go
@@ -257,3 +257,12 @@
 	}
 	return resp
 }
+
+// TestControlHostLeavesLinksForLongerThanARoundTrip guards against links that are closed before a call that crosses the go-away message is answered.
+func TestControlHostLeavesLinksForLongerThanARoundTrip(t *testing.T) {
+	for _, keepAlive := range []time.Duration{100 * time.Millisecond, time.Second, time.Minute} {
+		if got := leaveTimeout(keepAlive); got <= keepAlive {
+			t.Errorf("the leave timeout is %s, the bound of a round trip %s", got, keepAlive)
+		}
+	}
+}
--- a/internal/adapter/peerlink/unread_test.go
+++ b/internal/adapter/peerlink/unread_test.go
@@ -173,3 +173,38 @@
 		h.end()
 	})
 }
+
+// TestRefusedForwardStaysRefusedWhenItsLinkEnds guards against a request of unknown fate though its host has refused it.
+func TestRefusedForwardStaysRefusedWhenItsLinkEnds(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		const leaveTimeout = time.Second
+		h, err := newLinkHistory(newFakeNet(refusalTime/4), Options{KeepAlive: historyAlive, LeaveTimeout: leaveTimeout})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := h.connect(); err != nil {
+			t.Fatal(err)
+		}
+		h.stop()
+		synctest.Wait()
+		f, _, err := h.client.Open(t.Context(), fakeAddress, &pb.Request{Body: &pb.Request_RoutedForward{RoutedForward: &pb.RoutedForward{}}}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * leaveTimeout)
+		if _, err := f.Recv(); failure.As(err, failure.Unknown).Outcome != failure.NotRun {
+			t.Errorf("got %v, want a refusal", err)
+		}
+		_ = f.Close()
+		h.end()
+	})
+}
+
+// TestLinksAreLeftForLongerThanARoundTrip guards against links that are closed before a call that crosses the go-away message is answered.
+func TestLinksAreLeftForLongerThanARoundTrip(t *testing.T) {
+	o := Options{KeepAlive: time.Minute}
+	o.setDefaults()
+	if o.LeaveTimeout <= o.KeepAlive {
+		t.Errorf("the leave timeout is %s, the bound of a round trip %s", o.LeaveTimeout, o.KeepAlive)
+	}
+}
