crashwatch, gateway: tests of what confirms an answer that ended with its connection

TestOpenAnswerIsNotConfirmedByAnotherProcess: 0 crashes recorded against the part, want 1 TestOpenAnswersBeyondTheBoundAreNotChecked: 2048 servers checked, want 1024

--- a/internal/app/crashwatch/crashwatch_test.go
+++ b/internal/app/crashwatch/crashwatch_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -63,3 +65,29 @@
 		}
 	})
 }
+
+// countingProbe counts the checks; the servers accept connections.
+type countingProbe struct{ addresses sync.Map }
+
+func (p *countingProbe) Listening(_ context.Context, addr string) port.Listening {
+	p.addresses.Store(addr, true)
+	return port.Accepts
+}
+
+// TestOpenAnswersBeyondTheBoundAreNotChecked guards against checks of servers without a bound.
+func TestOpenAnswersBeyondTheBoundAreNotChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		probe := &countingProbe{}
+		w := New(Options{AnnounceEvery: time.Second, Probe: probe, Clock: port.SystemClock{}, Log: logr.Discard(), Metrics: noMetrics{}})
+		for i := range 2 * quarantine.MaxOpenAnswers {
+			id := fmt.Sprint("s", i)
+			w.RecordOpenAnswer(quarantine.ConnectionBreak{Process: quarantine.ServerProcess{ID: id}, Address: id}, quarantine.Subjects{}, quarantine.Evidence{})
+		}
+		w.Settle(t.Context())
+		checked := 0
+		probe.addresses.Range(func(any, any) bool { checked++; return true })
+		if checked != quarantine.MaxOpenAnswers {
+			t.Errorf("%d servers checked, want %d", checked, quarantine.MaxOpenAnswers)
+		}
+	})
+}
--- a/internal/app/gateway/crashing_parts_test.go
+++ b/internal/app/gateway/crashing_parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -162,6 +163,39 @@
 	}
 }
 
+// TestOpenAnswerIsNotConfirmedByAnotherProcess guards against a crashed server whose ID another process has taken over.
+func TestOpenAnswerIsNotConfirmedByAnotherProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFixture(t, port.Accepts)
+		f.view(func(v *pb.FleetView) {
+			oneDeskServer(v)
+			for _, s := range v.Servers {
+				s.Start = 7
+			}
+		})
+		f.backends.answer = func(int, *Attempt) (*Answer, bool, error) { return openAnswer(), true, nil }
+		f.execute(f.promptRequest("/stock/1", 1, "shared"))
+		f.backends.answer = func(n int, _ *Attempt) (*Answer, bool, error) {
+			if n == 2 {
+				return nil, false, &ServerLost{errors.New("connection refused")}
+			}
+			return openAnswer(), true, nil
+		}
+		f.execute(f.promptRequest("/stock/1", 2, "unrelated"))
+		f.clock.advance(time.Second)
+		f.execute(f.promptRequest("/stock/1", 3, "unrelated"))
+		time.Sleep(time.Second) // the check of the server's address ends
+		if sends := len(f.backends.sent()); sends < 3 {
+			t.Fatalf("%d sends, want 3: the test is inconclusive", sends)
+		}
+		s := quarantine.NewSubjects(quarantine.Fingerprint{1}, "", "desk", []string{"shared", "last"})
+		f.g.o.CrashWatch.RecordCrash(quarantine.ConnectionBreak{Process: quarantine.ServerProcess{ID: "other"}}, s, quarantine.Evidence{Service: "desk"})
+		if got := f.partCrashes("shared"); got != 1 {
+			t.Errorf("%d crashes recorded against the part, want 1", got)
+		}
+	})
+}
+
 // oneDeskServer edits a view to hold a single server of service desk, and no other region.
 func oneDeskServer(v *pb.FleetView) {
 	v.Hosts, v.Regions = nil, nil
--- a/internal/core/quarantine/open_answers.go
+++ b/internal/core/quarantine/open_answers.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// maxOpenAnswers bounds the answers that an OpenAnswers holds. Further ones prove nothing.
-const maxOpenAnswers = 1024
+// MaxOpenAnswers bounds the answers that an OpenAnswers holds. Further ones prove nothing.
+const MaxOpenAnswers = 1024
 
 // OpenAnswer is an answer whose end is marked only by the end of its connection.
 type OpenAnswer struct {
@@ -29,7 +29,7 @@
 
 // Add adds an answer of a process. It reports false if too many are held.
 func (o *OpenAnswers) Add(p ServerProcess, a OpenAnswer) bool {
-	if o.count >= maxOpenAnswers {
+	if o.count >= MaxOpenAnswers {
 		return false
 	}
 	o.byProcess[p] = append(o.byProcess[p], a)
