quarantine: crashes that come slowly are no failed trials

A prompt part whose crashes came more than 6 s apart was refused for longer than the hold time, and could be refused until an operator lifted it: crashes between the third and the one that condemned the part counted as trials that failed.

TestSlowCrashesAreNoFailedTrials, before:

quarantined after the hold, want a trial quarantined after twice the hold, want a trial

--- a/internal/core/quarantine/ambiguity.go
+++ b/internal/core/quarantine/ambiguity.go
@@ -24,7 +24,7 @@
 	// before all hosts refuse it.
 	maxPartCrashes = 16
 	// stragglerTime is how long after the quarantine began crashes come from attempts that were made
-	// before; later ones come from trials.
+	// before.
 	stragglerTime = 6 * time.Second
 )
 
@@ -137,16 +137,26 @@
 }
 
 // failedTrials returns the number of trials that crashed a server, and whether another is allowed.
-func (r *record) failedTrials() (failed int, another bool) {
-	crashes := r.crashCount()
+func (t *Table) failedTrials(r *record) (failed int, another bool) {
 	if r.part == "" {
+		crashes := r.crashCount()
 		return crashes - CrashThreshold, crashes < maxCrashes
 	}
-	began := r.thresholdReachedAt(CrashThreshold)
-	for i, e := range r.crashes {
-		if r.counts(i) && e.at.Sub(began) > stragglerTime {
+	times := r.crashTimes()
+	for i := CrashThreshold; i < len(times); i++ {
+		if t.isTrial(times, i) {
 			failed++
 		}
 	}
 	return failed, failed < maxTrials && len(r.crashes) < maxPartCrashes
 }
+
+// isTrial reports whether a trial caused a crash of a part, by the times of its crashes: a trial follows
+// the crash before it by the hold time at least, and after ambiguousThreshold crashes, with which every
+// part is refused, nothing but trials and attempts that were made before reach a server.
+func (t *Table) isTrial(times []time.Time, i int) bool {
+	if times[i].Sub(times[i-1]) >= t.o.Hold {
+		return true
+	}
+	return i >= ambiguousThreshold && times[i].Sub(times[ambiguousThreshold-1]) > maxAmbiguity+stragglerTime
+}
--- a/internal/core/quarantine/part_release_test.go
+++ b/internal/core/quarantine/part_release_test.go
@@ -48,3 +48,28 @@
 		}
 	}
 }
+
+// TestSlowCrashesAreNoFailedTrials guards against a part that stays refused because its crashes came slowly.
+func TestSlowCrashesAreNoFailedTrials(t *testing.T) {
+	table := newTable("a")
+	s := NewSubjects(request(1), "team", "llm", []string{"one", "other", "last"})
+	now := start
+	for n := 1; n <= ambiguousThreshold; n++ {
+		now = now.Add(stragglerTime + time.Second)
+		for _, p := range s.Parts {
+			table.crashPart(p, n, "v1", now)
+		}
+	}
+	f := s.Parts[0].Fingerprint
+	if j := table.Judge(f, now.Add(hold+trialSpacing)); j.Verdict != Trial {
+		t.Errorf("%s after the hold, want a trial", j.Verdict)
+	}
+	trial := now.Add(hold + trialSpacing)
+	table.crashPart(s.Parts[0], ambiguousThreshold+1, "v1", trial)
+	if j := table.Judge(f, trial.Add(hold+trialSpacing)); j.Verdict != Quarantined {
+		t.Errorf("%s after the hold of a failed trial, want quarantined: the hold doubles", j.Verdict)
+	}
+	if j := table.Judge(f, trial.Add(2*hold+trialSpacing)); j.Verdict != Trial {
+		t.Errorf("%s after twice the hold, want a trial", j.Verdict)
+	}
+}
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -274,7 +274,7 @@
 // name and the fingerprint, so that the outcome of one trial usually reaches the other hosts before
 // the next.
 func (t *Table) trialDue(r *record, now time.Time) bool {
-	failed, another := r.failedTrials()
+	failed, another := t.failedTrials(r)
 	if !another {
 		return false
 	}
@@ -319,7 +319,10 @@
 
 // thresholdReachedAt returns when the number of crashes reached a threshold; the record has that
 // many.
-func (r *record) thresholdReachedAt(threshold int) time.Time {
+func (r *record) thresholdReachedAt(threshold int) time.Time { return r.crashTimes()[threshold-1] }
+
+// crashTimes returns the times of the crashes that count, the earliest first.
+func (r *record) crashTimes() []time.Time {
 	var times []time.Time
 	for i, e := range r.crashes {
 		if r.counts(i) {
@@ -327,7 +330,7 @@
 		}
 	}
 	slices.SortFunc(times, time.Time.Compare)
-	return times[threshold-1]
+	return times
 }
 
 // lastCrashAt returns when the last counted crash was recorded; zero for none.
