gateway: logs name the pauses that servers ask for

A server that answers 503 with Retry-After wants no requests of this host for that time. No log line or counter named that, and 'attempt failed' had no status, so the hypotheses about the reported host could not be told apart. No choice depends on it yet.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -75,6 +75,8 @@
 	viewChanged chan struct{} // closed and replaced after each view
 	// invalidLimitLoggedAt is when a limit that cannot be decoded was last logged.
 	invalidLimitLoggedAt time.Time
+	// invalidPauseLoggedAt is when a demand for a pause that cannot be decoded was last logged.
+	invalidPauseLoggedAt time.Time
 
 	streams streamLog
 	control controlList
--- a/internal/app/gateway/log.go
+++ b/internal/app/gateway/log.go
@@ -6,6 +6,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/serverlimit"
+	"github.com/sesamefork/sesamefork/internal/core/serverpause"
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
@@ -40,6 +41,9 @@
 		if l := g.fleet.Limit(c.Server); l.InForce() {
 			kv = append(kv, "limit_per_s", l.PerSecond, "limit_revision", l.Revision, "limit_share_per_s", c.Server.LimitShare())
 		}
+		if p := g.fleet.Pause(c.Server); p.Share(now) < 1 {
+			kv = append(kv, "pause_ms", p.Left(now).Milliseconds(), "slow_start_share", p.Share(now))
+		}
 		if c.Deferred {
 			kv = append(kv, "deferred", true)
 		}
@@ -89,6 +93,25 @@
 	g.o.Log.Info("server limit ignored", "server", s.ID, "request_id", x.r.ID, "reason", "the limit is no decimal number", "limit", text)
 }
 
+// logPause logs that a server asks this host for a pause.
+func (g *Gateway) logPause(x *execution, s *dispatch.Server, a *Answer, p serverpause.Pause, now time.Time) {
+	requests, _, _ := s.Load()
+	g.o.Metrics.Add("server_pauses", 1)
+	g.o.Metrics.Add("server_pauses_"+s.Service, 1)
+	g.o.Log.Info("server asked for a pause", "server", s.ID, "start", s.Start, "service", s.Service, "address", s.Address, "failure_domain", s.FailureDomain,
+		"status", a.Status, "asked_ms", a.Pause.For.Milliseconds(), "pause_ms", p.Left(now).Milliseconds(), "repeats", p.Repeats,
+		"server_requests", requests, "slots", s.Slots, "request_id", x.r.ID)
+}
+
+func (g *Gateway) logInvalidPause(x *execution, s *dispatch.Server, text string, now time.Time) {
+	g.o.Metrics.Add("server_pauses_invalid", 1)
+	if now.Sub(g.invalidPauseLoggedAt) < invalidLimitLogInterval {
+		return
+	}
+	g.invalidPauseLoggedAt = now
+	g.o.Log.Info("server pause ignored", "server", s.ID, "request_id", x.r.ID, "reason", "the time is neither a decimal number of seconds nor a date", "retry_after", text)
+}
+
 // considered is a candidate in a log line.
 type considered struct {
 	Name     string `json:"name"`
@@ -116,7 +139,7 @@
 		place = c.Host.ID
 	}
 	g.o.Log.Info("attempt failed", "request_id", x.r.ID, "attempt", x.sends, "fingerprint", x.subjects.Request.String(), "prompt_parts", x.subjects.PartIDs(), "place", place, "code", string(res.err.Code),
-		"reason", res.err.Detail, "took_ms", took.Milliseconds(), "last_event", x.lastEvent)
+		"reason", res.err.Detail, "status", res.status, "took_ms", took.Milliseconds(), "last_event", x.lastEvent)
 }
 
 // logEnd counts a request by its outcome and logs its failure.
--- a/internal/app/gateway/request.go
+++ b/internal/app/gateway/request.go
@@ -13,6 +13,7 @@
 	"github.com/sesamefork/sesamefork/internal/app/access"
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/serverlimit"
+	"github.com/sesamefork/sesamefork/internal/core/serverpause"
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
@@ -131,6 +132,8 @@
 	Cold time.Duration
 	// Limit is what the answer says about the limit that the server advertises.
 	Limit serverlimit.Advertisement
+	// Pause is what the answer says about a time in which the server wants no requests of this host.
+	Pause serverpause.Demand
 }
 
 // ServerLost is the error of an attempt, or of reading its answer, after which this host has no open
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -14,6 +14,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
+	"github.com/sesamefork/sesamefork/internal/core/serverpause"
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
@@ -46,13 +47,14 @@
 	g.recordCold(c.Server, answer.Cold)
 	g.recordLoad(c, answer.Requests)
 	g.recordLimit(x, c, answer)
+	g.recordPause(x, c, answer)
 	switch answer.Verdict {
 	case NotRun:
-		return result{stage: retry.Refused, outcome: dispatch.Refused,
+		return result{stage: retry.Refused, outcome: dispatch.Refused, status: answer.Status,
 			err: failure.New(failure.BackendRefused, failure.NotRun, "the backend server answered %d without running the request", answer.Status)}
 	case WrongServer:
 		g.markGone(c.Server)
-		return result{stage: retry.Refused, outcome: dispatch.Refused,
+		return result{stage: retry.Refused, outcome: dispatch.Refused, status: answer.Status,
 			err: failure.New(failure.BackendRefused, failure.NotRun, "another backend server has the address now")}
 	case Unverified:
 		return result{stage: retry.Sent, outcome: dispatch.Failed,
@@ -118,6 +120,22 @@
 	}
 }
 
+// recordPause records that an answer asks for a pause. An answer of another server is ignored.
+func (g *Gateway) recordPause(x *execution, c *dispatch.Choice, a *Answer) {
+	if a.Verdict == WrongServer || a.Pause == (serverpause.Demand{}) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.o.Clock.Now()
+	if a.Pause.Invalid != "" {
+		g.logInvalidPause(x, c.Server, a.Pause.Invalid, now)
+	}
+	if p, began := g.fleet.RecordPause(c, a.Pause, now); began {
+		g.logPause(x, c.Server, a, p, now)
+	}
+}
+
 // releaseOf returns a server's release; nil if another process may run under the server's ID.
 func (g *Gateway) releaseOf(s *dispatch.Server) *string {
 	g.mu.Lock()
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/registry"
 	"github.com/sesamefork/sesamefork/internal/core/serverlimit"
 	"github.com/sesamefork/sesamefork/internal/core/serverload"
+	"github.com/sesamefork/sesamefork/internal/core/serverpause"
 	"github.com/sesamefork/sesamefork/internal/core/speed"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
@@ -88,6 +89,7 @@
 	comparisons      map[string]*loadComparison // by service
 	unreportedPlaces []holders.Place            // not yet reported to a control host
 	limits           *serverlimit.Table         // limits that servers advertise, by server key
+	pauses           *serverpause.Table         // pauses that servers asked of this host, by server key
 	// limitRefusals are the times of the last requests refused at limits, by service and priority.
 	limitRefusals map[string]map[int]time.Time
 	// nextLimitedPlace is when the last request that was refused at a limit is expected back, by service.
@@ -103,7 +105,7 @@
 		o: o, servers: map[string]*Server{}, departures: map[string]departure{}, restored: map[string]restoration{}, hosts: map[string][]*Host{},
 		regions: map[regionKey]*region{}, chainRates: map[string]chainRate{}, arrivals: map[string]*arrivals{}, holders: holders.NewTable(),
 		serversByKey: map[uint32]*Server{}, speeds: map[string]*speed.Estimator{}, comparisons: map[string]*loadComparison{},
-		limits: serverlimit.NewTable(), limitRefusals: map[string]map[int]time.Time{}, nextLimitedPlace: map[string]time.Time{}, listsGeneration: 1,
+		limits: serverlimit.NewTable(), pauses: serverpause.NewTable(), limitRefusals: map[string]map[int]time.Time{}, nextLimitedPlace: map[string]time.Time{}, listsGeneration: 1,
 	}
 }
 
@@ -219,6 +221,7 @@
 	}
 	f.sweepChains(now)
 	f.holders.Expire(now)
+	f.pauses.Expire(now)
 	f.limits.Expire(func(key uint32) bool { return f.serversByKey[key] != nil }, now)
 }
 
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -153,6 +153,7 @@
 		delete(f.serversByKey, before)
 		f.setStart(s, start)
 		f.limits.Rekey(before, s.key)
+		f.pauses.Rekey(before, s.key)
 	}
 }
 
--- /dev/null
+++ b/internal/core/serverpause/table.go
@@ -0,0 +1,72 @@
+package serverpause
+
+import (
+	"maps"
+	"time"
+)
+
+// maxEntries bounds the processes whose pauses are kept, far above the servers of a region. Beyond it,
+// the pause that ends first is dropped.
+const maxEntries = 16384
+
+// Table holds the pauses of server processes by their keys (see package incarnation). It is not safe
+// for concurrent use.
+type Table struct{ pauses map[uint32]Pause }
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{map[uint32]Pause{}} }
+
+// Get returns the state of a process.
+func (t *Table) Get(key uint32) Pause { return t.pauses[key] }
+
+// Record records what an answer of a process says. random is in [0, 1). It returns the state, and whether
+// the answer began a pause.
+func (t *Table) Record(key uint32, d Demand, random float64, now time.Time) (p Pause, began bool) {
+	before := t.pauses[key]
+	p = before.after(d, random, now)
+	if p == before {
+		return p, false
+	}
+	t.set(key, p)
+	return p, before.Left(now) == 0
+}
+
+// Succeed passes a pause on to the process that replaces one under its ID; see Pause.Succeeded.
+func (t *Table) Succeed(from, to uint32, heardAfter, now time.Time) {
+	if p := t.pauses[from].Succeeded(heardAfter, now); p.Until.After(t.pauses[to].Until) {
+		t.set(to, p)
+	}
+}
+
+// Rekey moves the state of a process to another key.
+func (t *Table) Rekey(from, to uint32) {
+	if p, ok := t.pauses[from]; ok {
+		delete(t.pauses, from)
+		t.set(to, p)
+	}
+}
+
+func (t *Table) set(key uint32, p Pause) {
+	if _, ok := t.pauses[key]; !ok && len(t.pauses) >= maxEntries {
+		t.dropFirstToEnd()
+	}
+	t.pauses[key] = p
+}
+
+func (t *Table) dropFirstToEnd() {
+	first, found := uint32(0), false
+	for key, p := range t.pauses {
+		if !found || p.Until.Before(t.pauses[first].Until) {
+			first, found = key, true
+		}
+	}
+	delete(t.pauses, first)
+}
+
+// Len returns the number of processes whose pauses are kept.
+func (t *Table) Len() int { return len(t.pauses) }
+
+// Expire drops the states that have no effect any more.
+func (t *Table) Expire(now time.Time) {
+	maps.DeleteFunc(t.pauses, func(_ uint32, p Pause) bool { return p.expired(now) })
+}
