gateway: TestWhatClearsAPart waits for the check of the server

The row of an answer that ended with its connection read the record while the check that records the crash was under way: on and on this code 2 or 3 of 20 plays failed (0 crashes recorded, want 1). The test waits until the check has ended, as a host does before it stops; what it asks for is unchanged. 400 plays, none failed.

--- a/internal/app/gateway/crashing_parts_test.go
+++ b/internal/app/gateway/crashing_parts_test.go
@@ -309,6 +309,7 @@
 			}
 			f.backends.answer = failedAlways
 			f.execute(f.promptRequest("/stock/1", 2, "shared"))
+			f.g.o.CrashWatch.Settle(context.Background())
 			if got := min(1, f.partCrashes("shared")); got != c.want {
 				t.Errorf("crashes recorded against the part: %d, want %d", got, c.want)
 			}
