gateway: a server that asks for a pause gets no requests in it

What callers saw: refusals after one attempt with other engines free.

Cause: the header was not decoded, and a refusal was recorded with the attempt only. The next request started from a view in which the server had nothing in flight, as it had refused everything, and was the best choice.

Now a pause is recorded by server process (core/serverpause), beside the server's state that views and announcements make anew. dispatch.usable asks for it, which first attempts, repeats, resumed streams, forwards that arrive, copies between engines and the figures for other regions all pass; a request that waited for its connection asks again before it is written. If all servers pause, the request goes to another region once, or is refused at once as backend-servers-paused with the time at which the first pause ends and a random part of the slow start; such a refusal of another region's host is remembered too. After a pause the server's share rises for 1.5 s.

--- a/internal/adapter/backendconn/backendconn.go
+++ b/internal/adapter/backendconn/backendconn.go
@@ -72,9 +72,18 @@
 	// ServerLost is set when the server refused or ended a connection, and no other one to its address
 	// is established: its process may have ended.
 	ServerLost bool
-	Cause      error
+	// Withheld is set when a condition of the request did not hold once a connection was open.
+	Withheld bool
+	Cause    error
 }
 
+// Condition reports whether a request may still be sent. It is evaluated once a connection is open, before
+// the request is written to it.
+type Condition func() bool
+
+// errWithheld is the cause of a request that was not sent because a condition did not hold.
+var errWithheld = errors.New("the request may not be sent any more")
+
 // errIdleClosed is the cause of a request that was not sent because the server had closed all idle
 // connections.
 var errIdleClosed = errors.New("the server closed its idle connections before their timeout")
@@ -92,27 +101,27 @@
 // arrived. matches reports whether a response belongs to the request; other
 // responses are skipped. The caller must close the response's body; after a body
 // read to its end, the connection is reused. Canceling ctx closes the connection.
-func (p *Pool) Do(ctx context.Context, addr string, req *http.Request, body []byte, matches func(*http.Response) bool) (*http.Response, error) {
+func (p *Pool) Do(ctx context.Context, addr string, req *http.Request, body []byte, matches func(*http.Response) bool, conditions ...Condition) (*http.Response, error) {
 	c, _ := p.takeIdle(addr)
-	return p.do(ctx, c, addr, req, body, matches)
+	return p.do(ctx, c, addr, req, body, matches, conditions)
 }
 
 // DoSameProcess is like Do, but returns an error with ServerLost set instead of opening a connection if
 // the server closed its idle connections early: another process may listen at the address.
-func (p *Pool) DoSameProcess(ctx context.Context, addr string, req *http.Request, body []byte, matches func(*http.Response) bool) (*http.Response, error) {
+func (p *Pool) DoSameProcess(ctx context.Context, addr string, req *http.Request, body []byte, matches func(*http.Response) bool, conditions ...Condition) (*http.Response, error) {
 	c, closedEarly := p.takeIdle(addr)
 	if c == nil && closedEarly && !p.Connected(addr) {
 		return nil, &Error{ServerLost: true, Cause: errIdleClosed}
 	}
-	return p.do(ctx, c, addr, req, body, matches)
+	return p.do(ctx, c, addr, req, body, matches, conditions)
 }
 
 // DoConnected is like Do, but sends the request only while another connection to the address is open, or on
 // one that has carried a response. Otherwise it returns an error with ServerLost set.
-func (p *Pool) DoConnected(ctx context.Context, addr string, req *http.Request, body []byte, matches func(*http.Response) bool) (*http.Response, error) {
+func (p *Pool) DoConnected(ctx context.Context, addr string, req *http.Request, body []byte, matches func(*http.Response) bool, conditions ...Condition) (*http.Response, error) {
 	c, _ := p.takeIdle(addr)
 	if c != nil {
-		return p.do(ctx, c, addr, req, body, matches)
+		return p.do(ctx, c, addr, req, body, matches, conditions)
 	}
 	c, err := p.dial(ctx, addr)
 	if err != nil {
@@ -122,14 +131,14 @@
 		_ = c.Conn.Close()
 		return nil, &Error{ServerLost: true, Cause: errNotConnected}
 	}
-	return p.do(ctx, c, addr, req, body, matches)
+	return p.do(ctx, c, addr, req, body, matches, conditions)
 }
 
 // errNotConnected is the cause of a request that was not sent because another process may listen at the address.
 var errNotConnected = errors.New("no connection to the server is open")
 
 // do sends the request on an idle connection, or on a new one if c is nil.
-func (p *Pool) do(ctx context.Context, c *conn, addr string, req *http.Request, body []byte, matches func(*http.Response) bool) (*http.Response, error) {
+func (p *Pool) do(ctx context.Context, c *conn, addr string, req *http.Request, body []byte, matches func(*http.Response) bool, conditions []Condition) (*http.Response, error) {
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, addr); err != nil {
@@ -137,6 +146,10 @@
 			return nil, &Error{DialFailed: true, ServerLost: lost, Cause: err}
 		}
 	}
+	if slices.ContainsFunc(conditions, func(holds Condition) bool { return !holds() }) {
+		p.putBack(c)
+		return nil, &Error{Withheld: true, Cause: errWithheld}
+	}
 	x := &exchange{p: p, c: c, written: make(chan struct{})}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
 	go x.write(req, body)
@@ -416,6 +429,18 @@
 	p.idle[c.addr] = append(list, c)
 }
 
+// putBack returns a connection that was not used to the idle ones. It closes one that has not carried a response.
+func (p *Pool) putBack(c *conn) {
+	p.setInUse(c, false)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.idleSince.IsZero() || len(p.idle[c.addr]) >= p.o.MaxIdlePerAddr {
+		_ = c.Conn.Close()
+		return
+	}
+	p.idle[c.addr] = append(p.idle[c.addr], c)
+}
+
 // keepAliveTimeout returns the "timeout=N" parameter of a Keep-Alive header, or 0 without
 // a valid one.
 func keepAliveTimeout(value string) time.Duration {
--- a/internal/adapter/problem/status.go
+++ b/internal/adapter/problem/status.go
@@ -25,6 +25,7 @@
 	failure.Overloaded:        http.StatusTooManyRequests,
 	failure.DeadlineTooShort:  http.StatusServiceUnavailable,
 	failure.NoServer:          http.StatusServiceUnavailable,
+	failure.ServersPaused:     http.StatusServiceUnavailable,
 	failure.NoQuorum:          http.StatusServiceUnavailable,
 	failure.LedgerFull:        http.StatusServiceUnavailable,
 	failure.AnswerNotKept:     http.StatusGone,
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -238,6 +238,9 @@
 	if x.mayHaveRun {
 		out.Outcome = failure.Unknown
 	}
+	if out.Outcome == failure.NotRun && out.RetryAfter == 0 && (out.Code == failure.BackendRefused || out.Code == failure.ServersPaused) {
+		out.RetryAfter = g.untilUsable(x)
+	}
 	if out.Outcome == failure.NotRun && out.Code != failure.Overloaded && out.Code != failure.Quarantined && out.Code != failure.QuarantinedPart && out.Code != failure.Unauthorized && out.RetryAfter == 0 {
 		out.RetryAfter = refusedRetryAfter
 	}
@@ -251,6 +254,14 @@
 // answered a few other requests by then and can accept new ones.
 const refusedRetryAfter = 300 * time.Millisecond
 
+// untilUsable returns the time after which a server may run the request that has been refused by others.
+func (g *Gateway) untilUsable(x *execution) time.Duration {
+	now := g.o.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fleet.UntilUsable(g.job(x, now), now)
+}
+
 func deliver(x *execution, answer *bufferedAnswer) *failure.Error {
 	answer.head.Length = int64(len(answer.body))
 	if err := x.sink.Head(answer.head); err != nil {
@@ -335,6 +346,9 @@
 		return c, nil
 	}
 	g.o.Metrics.Add("refused_at_once", 1)
+	if c.ServersPaused {
+		return nil, notRun(failure.ServersPaused, c.RetryAfter, "%s", c.Refused)
+	}
 	return nil, notRun(failure.NoServer, c.RetryAfter, "%s", c.Refused)
 }
 
@@ -403,6 +417,7 @@
 		if res.stage == retry.Refused {
 			x.tried[c.Host.Region] = true
 		}
+		g.recordHostRefusal(c, res.err)
 	}
 	if res.stage != retry.BeforeSend && res.stage != retry.Refused {
 		x.ran++
--- a/internal/app/gateway/forward.go
+++ b/internal/app/gateway/forward.go
@@ -116,6 +116,17 @@
 	}
 }
 
+// recordHostRefusal records that an entry host of another region refused a forward because the servers there
+// have asked it for pauses.
+func (g *Gateway) recordHostRefusal(c *dispatch.Choice, f *failure.Error) {
+	if f == nil || f.Code != failure.ServersPaused {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.RecordHostRefusal(c, f.RetryAfter, g.o.Clock.Now())
+}
+
 func headOf(m *pb.ForwardHead) Head {
 	return Head{Status: int(m.Status), Header: forward.ReadHeaders(m.Headers), Length: m.Length, Release: m.Release}
 }
--- a/internal/app/gateway/pause_test.go
+++ b/internal/app/gateway/pause_test.go
@@ -3,10 +3,16 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
+
+	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/serverpause"
+	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
@@ -73,3 +79,126 @@
 		})
 	}
 }
+
+// onlyOwnRegion removes the other regions from a view.
+func onlyOwnRegion(v *pb.FleetView) { v.Hosts, v.Regions = nil, nil }
+
+// TestRefusalInPausesIsTrue checks what callers are told whose request was turned away.
+func TestRefusalInPausesIsTrue(t *testing.T) {
+	const pause = 3 * time.Second
+	latest := pause + 300*time.Millisecond + serverpause.SlowStart
+	for name, c := range map[string]struct {
+		servers      int // of the service
+		budgetSpent  bool
+		code         failure.Code
+		least, most  time.Duration
+		sent         int
+		laterRefused bool // the next request is refused without being sent
+	}{
+		"the only server pauses":                {1, false, failure.ServersPaused, pause, latest, 1, true},
+		"all servers pause":                     {2, false, failure.ServersPaused, pause, latest, 2, true},
+		"not repeated, another server has room": {2, true, failure.BackendRefused, refusedRetryAfter, refusedRetryAfter, 1, false},
+		"not repeated, no other server":         {1, true, failure.BackendRefused, pause, latest, 1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.view(func(v *pb.FleetView) {
+				onlyOwnRegion(v)
+				v.Servers[3].Gone = c.servers < 2
+			})
+			for c.budgetSpent && f.g.budget.Retry(f.clock.Now()) {
+			}
+			f.backends.answer = func(int, *Attempt) (*Answer, bool, error) { return turnedAway(pause), true, nil }
+			fail := f.g.Execute(context.Background(), f.request("/order/1"), &memorySink{})
+			if fail == nil || fail.Code != c.code || fail.Outcome != failure.NotRun || fail.RetryAfter < c.least || fail.RetryAfter > c.most {
+				t.Fatalf("ended with %+v, want %s and Retry-After from %s to %s", fail, c.code, c.least, c.most)
+			}
+			if got := len(f.backends.sent()); got != c.sent {
+				t.Errorf("sent %d times, want %d", got, c.sent)
+			}
+			fail = f.g.Execute(context.Background(), f.request("/order/1"), &memorySink{})
+			if refusedAtOnce := len(f.backends.sent()) == c.sent; refusedAtOnce != c.laterRefused {
+				t.Errorf("the next request ended with %v, sent %d times", fail, len(f.backends.sent()))
+			}
+		})
+	}
+}
+
+// TestServersOwnRefusalKeepsItsRetryAfter guards against a server's 503 that reaches its caller without the time it names.
+func TestServersOwnRefusalKeepsItsRetryAfter(t *testing.T) {
+	f := newFixture(t)
+	f.view(onlyOwnRegion)
+	f.backends.answer = func(int, *Attempt) (*Answer, bool, error) {
+		a := ranAnswer(http.StatusServiceUnavailable, "busy")
+		a.Header.Set("Retry-After", "3")
+		a.Pause = serverpause.Demand{For: 3 * time.Second}
+		return a, true, nil
+	}
+	sink := &memorySink{}
+	if fail := f.g.Execute(context.Background(), f.request("/order/1"), sink); fail != nil || sink.head.Status != http.StatusServiceUnavailable || sink.head.Header.Get("Retry-After") != "3" {
+		t.Errorf("ended with %v, head %+v", fail, sink.head)
+	}
+}
+
+// askForPause makes a server of the plain service turn another request away and ask for a pause.
+func (f *fixture) askForPause(server string) {
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
+	c := f.g.fleet.Choose(&dispatch.Job{
+		Service: "desk", Permits: func(string) bool { return true }, Remaining: time.Second,
+		Tried: map[string]bool{"desk1": server != "desk1", "desk2": server != "desk2"},
+	}, f.clock.Now())
+	f.g.fleet.RecordPause(&c, serverpause.Demand{For: 3 * time.Second}, f.clock.Now())
+}
+
+// TestRequestChosenBeforeAPauseIsNotSentInIt guards against requests that wait for a connection while their server asks for a pause.
+func TestRequestChosenBeforeAPauseIsNotSentInIt(t *testing.T) {
+	f := newFixture(t)
+	f.view(onlyOwnRegion)
+	var servers []string
+	f.backends.answer = func(n int, a *Attempt) (*Answer, bool, error) {
+		if n == 1 {
+			f.askForPause(a.Server)
+		}
+		if !a.MaySend() {
+			return nil, false, ErrWithheld
+		}
+		servers = append(servers, a.Server)
+		return ranAnswer(200, "ok"), true, nil
+	}
+	if fail := f.g.Execute(context.Background(), f.request("/order/1"), &memorySink{}); fail != nil {
+		t.Fatal(fail)
+	}
+	if first := f.backends.sent()[0].Server; len(servers) != 1 || servers[0] == first {
+		t.Errorf("sent to %v; %s asked for a pause", servers, first)
+	}
+}
+
+// TestPausesAreLogged guards against a refused request whose cause logs do not name.
+func TestPausesAreLogged(t *testing.T) {
+	f := newFixture(t)
+	f.view(func(v *pb.FleetView) { onlyOwnRegion(v); v.Servers[3].Gone = true })
+	var lines []string
+	f.g.o.Log = funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})
+	for _, d := range []serverpause.Demand{{Invalid: `"x"`}, {Invalid: `"y"`}, {For: time.Second}, {For: time.Second}} {
+		f.backends.answer = func(int, *Attempt) (*Answer, bool, error) {
+			a := turnedAway(d.For)
+			a.Pause = d
+			return a, true, nil
+		}
+		_ = f.g.Execute(context.Background(), f.request("/order/1"), &memorySink{})
+	}
+	want := []string{
+		`"level"=0 "msg"="server pause ignored" "server"="desk1" "request_id"="r1" "reason"="the time is neither a decimal number of seconds nor a date" "retry_after"="\"x\""`,
+		`"level"=0 "msg"="server asked for a pause" "server"="desk1" "start"=0 "service"="desk" "address"="10.1.0.1:80" "failure_domain"="w1" "status"=503 "asked_ms"=1000 "pause_ms"=1050 "repeats"=0 "server_requests"=1 "slots"=8 "request_id"="r1"`,
+	}
+	got := slices.DeleteFunc(slices.Clone(lines), func(l string) bool {
+		return !strings.Contains(l, "pause ignored") && !strings.Contains(l, "asked for a pause\" \"server\"")
+	})
+	if !slices.Equal(got, want) {
+		t.Errorf("logged %q, want %q", got, want)
+	}
+	if last := lines[len(lines)-1]; !strings.Contains(last, `"code"="backend-servers-paused"`) || !strings.Contains(lines[len(lines)-2], `"reason"="paused"`) && !strings.Contains(lines[len(lines)-2], "paused") {
+		t.Errorf("the refusal does not name the pause: %q", lines[len(lines)-2:])
+	}
+}
--- a/internal/app/gateway/request.go
+++ b/internal/app/gateway/request.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -104,8 +105,14 @@
 	// ConnectedOnly requires that a connection to the server is open that has carried an answer. Otherwise
 	// the attempt fails before anything is sent.
 	ConnectedOnly bool
+	// MaySend is evaluated once a connection is open. If it returns false, the attempt fails with ErrWithheld
+	// before anything is sent.
+	MaySend func() bool
 }
 
+// ErrWithheld is the error of an attempt whose MaySend returned false.
+var ErrWithheld = errors.New("the server asked for a pause before the request was sent")
+
 // Verdict states whether the expected backend server ran a request, by its answer.
 type Verdict int
 
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -34,7 +34,11 @@
 		ConnectedOnly: x.release != nil && c.Server.Start != 0,
 		Address:       c.Server.Address, Server: c.Server.ID, Request: x.r, Team: x.teamName(),
 		Remaining: x.deadline.Sub(began), ResumeAfter: x.lastEvent, CopyFrom: c.CopyFrom, Deferred: c.Deferred, IDReused: c.Server.Start != 0,
+		MaySend: func() bool { return !g.paused(c) },
 	})
+	if errors.Is(err, ErrWithheld) {
+		return result{stage: retry.BeforeSend, outcome: dispatch.Refused, err: failure.New(failure.ServersPaused, failure.NotRun, "%s", err)}
+	}
 	if err != nil {
 		stage := retry.BeforeSend
 		if sent {
@@ -136,6 +140,13 @@
 	}
 }
 
+// paused reports whether the attempt's server has asked this host for a pause that is not over.
+func (g *Gateway) paused(c *dispatch.Choice) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fleet.Paused(c, g.o.Clock.Now())
+}
+
 // releaseOf returns a server's release; nil if another process may run under the server's ID.
 func (g *Gateway) releaseOf(s *dispatch.Server) *string {
 	g.mu.Lock()
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -74,9 +74,10 @@
 	Considered []Candidate
 	// Refused is the reason why the request is refused, "" if it is sent, and RetryAfter the
 	// time after which the caller should retry. NoUsableServer is set if no server is usable at
-	// all.
+	// all, and ServersPaused if the only ones that could be have asked for pauses.
 	Refused        string
 	NoUsableServer bool
+	ServersPaused  bool
 	RetryAfter     time.Duration
 
 	// tokensAhead is the number of prompt tokens queued at the server before this request.
@@ -90,6 +91,7 @@
 	firstByteSeen bool // the first byte of the answer has arrived
 	startedAt     time.Time
 	limited       bool   // a server was excluded by its limit
+	paused        bool   // a server of the own region has asked for a pause
 	limitRevision uint64 // revision of the server's limit that was known when the request was sent
 }
 
@@ -140,6 +142,10 @@
 		c.Refused, c.RetryAfter, c.NoUsableServer = "all servers in reach are at their limits", f.refuseAtLimits(j, now), true
 		return c
 	}
+	if c.Server == nil && c.Host == nil && (c.paused || f.hostsPaused(j, now)) {
+		c.Refused, c.RetryAfter, c.ServersPaused = "all servers in reach have asked for a pause", f.retryAfterPauses(j, now), true
+		return c
+	}
 	if c.Server == nil && c.Host == nil {
 		c.Refused, c.RetryAfter, c.NoUsableServer = j.noServerReason(), f.retryAfterNoServer(j, now), true
 		return c
@@ -181,14 +187,15 @@
 }
 
 func (f *Fleet) chooseServer(j *Job, c *Choice, prefer preference, now time.Time) {
-	var cold []*Server
+	var cold, slowStarting []*Server
 	locations := f.locationsOf(j, now)
 	regionLoss := prefer.regionLoss(f.o.Region)
 	for _, s := range f.candidates(j, locations, now) {
+		reason := f.usable(s, now)
+		c.paused = c.paused || reason == reasonPaused
 		if j.Tried[s.ID] {
 			continue
 		}
-		reason := f.usable(s, now)
 		if reason == "" {
 			reason = releaseMismatch(s, j)
 		}
@@ -205,6 +212,10 @@
 			cold = append(cold, s)
 			continue
 		}
+		if !f.slowStartAllows(s, now) {
+			slowStarting = append(slowStarting, s)
+			continue
+		}
 		f.evaluate(s, j, c, locations, regionLoss+prefer.serverLoss(s), now)
 	}
 	// A cold server is used only if no warm one is expected to meet the target.
@@ -218,6 +229,12 @@
 		}
 		f.evaluate(s, j, c, locations, regionLoss+prefer.serverLoss(s), now)
 	}
+	if c.Server != nil {
+		return
+	}
+	for _, s := range slowStarting {
+		f.evaluate(s, j, c, locations, regionLoss+prefer.serverLoss(s), now)
+	}
 }
 
 // releaseMismatch returns why a server may not go on with the job's stream; "" if it may. Another process may
@@ -379,7 +396,7 @@
 func (f *Fleet) pickHost(name string, j *Job, now time.Time) *Host {
 	var reachable []*Host
 	for _, h := range f.hosts[name] {
-		if now.After(h.suspectUntil) && !j.Tried[h.ID] {
+		if now.After(h.suspectUntil) && !now.Before(h.pausedUntil[j.Service]) && !j.Tried[h.ID] {
 			reachable = append(reachable, h)
 		}
 	}
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -41,6 +41,7 @@
 type Host struct {
 	ID, Peer, Region string
 	suspectUntil     time.Time
+	pausedUntil      map[string]time.Time // by service; see RecordHostRefusal
 }
 
 // region is the state of another region's servers of one service.
@@ -238,10 +239,10 @@
 }
 
 func (f *Fleet) applyHosts(hosts []*pb.FleetHost, now time.Time) {
-	suspects := map[string]time.Time{}
+	known := map[string]*Host{}
 	for _, list := range f.hosts {
 		for _, h := range list {
-			suspects[h.ID] = h.suspectUntil
+			known[h.ID] = h
 		}
 	}
 	before := f.hosts
@@ -251,7 +252,11 @@
 		switch {
 		case !h.Ready:
 		case h.Region != f.o.Region:
-			f.hosts[h.Region] = append(f.hosts[h.Region], &Host{ID: h.Id, Peer: h.Peer, Region: h.Region, suspectUntil: suspects[h.Id]})
+			next := &Host{ID: h.Id, Peer: h.Peer, Region: h.Region}
+			if last := known[h.Id]; last != nil {
+				next.suspectUntil, next.pausedUntil = last.suspectUntil, last.pausedUntil
+			}
+			f.hosts[h.Region] = append(f.hosts[h.Region], next)
 		case h.Id != f.o.Host:
 			neighbors.ids = append(neighbors.ids, h.Id)
 			neighbors.domains[h.FailureDomain] = true
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -87,8 +87,9 @@
 
 // departure records an incarnation of a server that is never used again.
 type departure struct {
-	at     time.Time
-	starts incarnation.History
+	at          time.Time
+	starts      incarnation.History
+	announcedAt time.Time // time of its last announcement
 }
 
 func (f *Fleet) applyServer(m *pb.FleetServer, source string, now time.Time) {
@@ -120,12 +121,13 @@
 // serverFor returns the state of the incarnation that a view reports, which is empty for a new
 // one. It returns nil for an incarnation that left or was replaced.
 func (f *Fleet) serverFor(m *pb.FleetServer, now time.Time) *Server {
-	var starts incarnation.History
+	var starts, replaced incarnation.History
+	var announcedAt time.Time // of the process that is replaced
 	if d, ok := f.departures[m.Id]; ok {
 		if d.starts.Compare(m.Start, now.Sub(d.at) > f.announcementTTL()) != incarnation.Newer {
 			return nil
 		}
-		starts = d.starts
+		starts, replaced, announcedAt = d.starts, d.starts, d.announcedAt
 		delete(f.departures, m.Id)
 	}
 	if s := f.servers[m.Id]; s != nil {
@@ -136,13 +138,16 @@
 			f.setMissingStart(s, m.Start)
 			return s
 		}
-		starts = s.starts
+		starts, replaced, announcedAt = s.starts, s.starts, s.AnnouncedAt
 		s.replaced, s.Leaving = true, true
 		f.drop(s)
 	}
 	s := &Server{ID: m.Id, FirstSeen: now.Add(-ms(m.FirstSeenMs)), cache: newPartCache(), starts: starts}
 	f.servers[s.ID] = s
 	f.setStart(s, m.Start)
+	if replaced.Current != 0 {
+		f.succeedPause(s.ID, replaced, announcedAt, s, now)
+	}
 	return s
 }
 
@@ -175,7 +180,7 @@
 	if !ok {
 		d.at = now
 		if s != nil {
-			d.starts = s.starts
+			d.starts, d.announcedAt = s.starts, s.AnnouncedAt
 		}
 	}
 	d.starts.Advance(start)
@@ -232,6 +237,9 @@
 // Evacuated reports whether a failure domain is evacuated, so that its servers get no requests.
 func (f *Fleet) Evacuated(domain string) bool { return slices.Contains(f.evacuated, domain) }
 
+// reasonPaused is why a server is not usable that has asked this host for a pause.
+const reasonPaused = "paused"
+
 // usable returns why a server must not be sent new requests; "" if it may.
 func (f *Fleet) usable(s *Server, now time.Time) (reason string) {
 	switch {
@@ -241,6 +249,8 @@
 		return "silent"
 	case f.Evacuated(s.FailureDomain):
 		return "evacuated"
+	case f.paused(s, now):
+		return reasonPaused
 	case now.Before(s.health.blockedUntil):
 		return "failing"
 	}
--- a/internal/core/dispatch/share.go
+++ b/internal/core/dispatch/share.go
@@ -114,7 +114,8 @@
 	}
 	servers := f.warmServers(j.Service, now)
 	for _, s := range servers {
-		s.estimatedRequests, s.estimatedSlots = f.requestsAt(s, now), f.limitedSlots(s, f.requestsPerSlot(j.Service, false))
+		s.estimatedRequests = f.requestsAt(s, now)
+		s.estimatedSlots = f.slowStartSlots(s, f.limitedSlots(s, f.requestsPerSlot(j.Service, false)), now)
 	}
 	own := f.ownPool(j.Service, servers, now)
 	t := &RegionDraw{f.o.Region, own.arrivals, own.capacity, own.waiting}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -41,6 +41,7 @@
 	Overloaded        Code = "overloaded"
 	DeadlineTooShort  Code = "deadline-too-short"
 	NoServer          Code = "no-backend-server"
+	ServersPaused     Code = "backend-servers-paused"
 	NoQuorum          Code = "no-ledger-quorum"
 	LedgerFull        Code = "ledger-full"
 	AnswerNotKept     Code = "answer-not-kept"
@@ -93,6 +94,7 @@
 	Overloaded:        "The request would wait too long",
 	DeadlineTooShort:  "The request cannot be answered before its deadline",
 	NoServer:          "No permitted backend server can take the request",
+	ServersPaused:     "All permitted backend servers have asked for a pause",
 	NoQuorum:          "The ledger has no quorum in reach",
 	LedgerFull:        "The ledger has no room for a new key",
 	AnswerNotKept:     "The work is done, but its answer was too large to keep",
