entry: the product's interface keeps the pauses that servers ask for

Cause: as on the users' platform, the header was not read, and the refusal was recorded with the request only. enginehttp decodes it (the decoding is shared with platform/ in httpheader), backend.Table keeps the pause with the server by the same serverpause.Pause, Usable and Ramp ask for it, a call asks again once its connection has been opened, and requests are refused as backend-servers-paused if all servers pause.

--- a/internal/adapter/enginehttp/enginehttp.go
+++ b/internal/adapter/enginehttp/enginehttp.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/adapter/httpheader"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	"github.com/sesamefork/sesamefork/internal/port"
 )
@@ -42,7 +44,7 @@
 	d := &net.Dialer{Timeout: dialTimeout}
 	return &Client{http: &http.Client{
 		Transport: &http.Transport{
-			DialContext:         d.DialContext,
+			DialContext:         dialIfMaySend(d),
 			MaxIdleConnsPerHost: maxIdlePerServer,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
@@ -51,6 +53,25 @@
 	}}
 }
 
+// maySendKey is the context key of a call's condition to send.
+type maySendKey struct{}
+
+// errWithheld is the error of a call that must not be sent any more once its connection is open.
+var errWithheld = failure.New(failure.ServersPaused, failure.NotRun, "the server asked for a pause before the request was sent")
+
+// dialIfMaySend opens connections, and closes one again if the call that it was opened for must not be sent
+// any more.
+func dialIfMaySend(d *net.Dialer) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, addr)
+		if may, ok := ctx.Value(maySendKey{}).(func() bool); err == nil && ok && !may() {
+			_ = conn.Close()
+			return nil, errWithheld
+		}
+		return conn, err
+	}
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -58,6 +79,9 @@
 // obtained, because the server may then have received bytes of it.
 func (c *Client) Do(ctx context.Context, call port.BackendCall) (*port.BackendAnswer, bool, error) {
 	var connected atomic.Bool
+	if call.MaySend != nil {
+		ctx = context.WithValue(ctx, maySendKey{}, call.MaySend)
+	}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
@@ -77,12 +101,16 @@
 		req.Header.Set(HeaderResumeTokens, strconv.Itoa(call.ResumeTokens))
 	}
 	resp, err := c.http.Do(req)
-	if err != nil {
+	switch {
+	case errors.Is(err, errWithheld):
+		return nil, false, errWithheld
+	case err != nil:
 		return nil, connected.Load(), failure.Wrap(err, failure.BackendLost, outcomeOf(connected.Load()))
 	}
 	return &port.BackendAnswer{
 		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body,
 		Refused: resp.Header.Get(HeaderOutcome) == string(failure.NotRun),
+		Pause:   httpheader.Pause(resp.StatusCode, resp.Header),
 	}, true, nil
 }
 
--- /dev/null
+++ b/internal/adapter/enginehttp/enginehttp_test.go
@@ -0,0 +1,50 @@
+package enginehttp
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/sesamefork/sesamefork/internal/failure"
+	"github.com/sesamefork/sesamefork/internal/port"
+)
+
+// TestPauseOfAnAnswerIsRead guards against a server's Retry-After that no one reads.
+func TestPauseOfAnAnswerIsRead(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "1.5")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer s.Close()
+	c := New()
+	defer c.Close()
+	a, _, err := c.Do(context.Background(), port.BackendCall{Address: s.Listener.Addr().String(), Method: http.MethodPost, URI: "/"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = a.Body.Close()
+	if a.Pause.For != 1500*time.Millisecond {
+		t.Errorf("pause %+v", a.Pause)
+	}
+}
+
+// TestCallIsNotSentOnceItMayNot guards against a call that waited for its connection and is sent in a pause.
+func TestCallIsNotSentOnceItMayNot(t *testing.T) {
+	requests := 0
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests++ }))
+	defer s.Close()
+	c := New()
+	defer c.Close()
+	_, sent, err := c.Do(context.Background(), port.BackendCall{
+		Address: s.Listener.Addr().String(), Method: http.MethodPost, URI: "/", MaySend: func() bool { return false },
+	})
+	if f := failure.As(err, failure.Unknown); sent || f == nil || f.Code != failure.ServersPaused || f.Outcome != failure.NotRun {
+		t.Errorf("sent %v, ended with %v", sent, err)
+	}
+	s.Close()
+	if requests != 0 {
+		t.Errorf("the server got %d requests", requests)
+	}
+}
--- a/internal/app/entry/execute.go
+++ b/internal/app/entry/execute.go
@@ -152,7 +152,7 @@
 		if d.Action == retry.GiveUp {
 			last := *res.err // copied, since the calls on a link share its error
 			last.Outcome = d.Outcome
-			return x.finalFailure(ctx, &last)
+			return h.withPause(x, x.finalFailure(ctx, &last))
 		}
 		h.avoidFailed(x, p, res)
 		h.o.Metrics.Add("retries", 1)
--- a/internal/app/entry/local.go
+++ b/internal/app/entry/local.go
@@ -39,7 +39,11 @@
 	answer, sent, err := h.o.Backends.Do(ctx, port.BackendCall{
 		Address: p.Address, Method: x.r.Method, URI: x.r.URI, Header: header, Body: x.r.Body,
 		ResumeTokens: x.relayed, AttemptID: x.r.ID + "." + strconv.Itoa(x.attempts),
+		MaySend: func() bool { return !h.paused(p) },
 	})
+	if f := failure.As(err, failure.Unknown); err != nil && f.Code == failure.ServersPaused {
+		return result{stage: retry.BeforeSend, err: f, connected: true}
+	}
 	if err != nil {
 		stage := retry.BeforeSend
 		if sent {
@@ -48,6 +52,7 @@
 		return result{stage: stage, err: failure.As(err, failure.Unknown), connected: callerCanceled(ctx)}
 	}
 	defer func() { _ = answer.Body.Close() }()
+	h.recordPause(x, p, answer)
 	if f := refusalOf(x, answer); f != nil {
 		return result{stage: retry.Refused, err: f, connected: true}
 	}
--- /dev/null
+++ b/internal/app/entry/pause.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"github.com/sesamefork/sesamefork/internal/core/placement"
+	"github.com/sesamefork/sesamefork/internal/core/serverpause"
+	"github.com/sesamefork/sesamefork/internal/failure"
+	"github.com/sesamefork/sesamefork/internal/port"
+)
+
+// recordPause records and logs that a server's answer asks for a pause.
+func (h *Host) recordPause(x *execution, p *placement.Place, a *port.BackendAnswer) {
+	if a.Pause == (serverpause.Demand{}) {
+		return
+	}
+	now := h.o.Clock.Now()
+	h.mu.Lock()
+	pause, began := h.place.RecordPause(p, a.Pause, now)
+	h.mu.Unlock()
+	switch {
+	case a.Pause.Invalid != "":
+		h.o.Metrics.Add("server_pauses_invalid", 1)
+		h.o.Log.Info("server pause ignored", "server", p.ServerID, "request_id", x.r.ID, "reason", "the time is neither a decimal number of seconds nor a date", "retry_after", a.Pause.Invalid)
+	case began:
+		h.o.Metrics.Add("server_pauses", 1)
+		h.o.Log.Info("server asked for a pause", "server", p.ServerID, "address", p.Address, "status", a.Status,
+			"asked_ms", a.Pause.For.Milliseconds(), "pause_ms", pause.Left(now).Milliseconds(), "repeats", pause.Repeats, "request_id", x.r.ID)
+	}
+}
+
+// paused reports whether the server of a place has asked this host for a pause that is not over.
+func (h *Host) paused(p *placement.Place) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.place.Paused(p, h.o.Clock.Now())
+}
+
+// withPause adds the time at which a server can be used again to the refusal of a request that servers turned
+// away, if all of them have asked for pauses.
+func (h *Host) withPause(x *execution, f *failure.Error) *failure.Error {
+	if f.Outcome != failure.NotRun || f.RetryAfter > 0 || (f.Code != failure.BackendRefused && f.Code != failure.ServersPaused) {
+		return f
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := *f
+	out.RetryAfter = h.place.RetryAfterPauses(x.job(), h.o.Clock.Now())
+	return &out
+}
--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -8,6 +8,7 @@
 	"sort"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/core/serverpause"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
@@ -42,6 +43,7 @@
 	probing       bool
 	history       history
 	cache         *cache
+	pause         serverpause.Pause
 	meanServiceMS float64 // moving mean of the time an attempt holds a slot, in ms; 0 before the first
 }
 
@@ -85,7 +87,10 @@
 		s = &Server{FirstSeen: now, cache: newCache()}
 		t.servers[st.Id] = s
 	case st.Incarnation > s.State.Incarnation:
-		*s = Server{FirstSeen: now, Inflight: s.Inflight, cache: newCache(), meanServiceMS: s.meanServiceMS}
+		*s = Server{
+			FirstSeen: now, Inflight: s.Inflight, cache: newCache(), meanServiceMS: s.meanServiceMS,
+			pause: s.pause.Succeeded(s.LastSeen.Add(-maxAnnouncementDelay), now),
+		}
 	case now.Sub(s.LastSeen) > t.limits.Lease:
 		s.FirstSeen = now // the lease had lapsed: its cache may be cold
 	}
@@ -95,6 +100,21 @@
 	return true
 }
 
+// maxAnnouncementDelay is the longest time from the moment at which a server sends an announcement to the
+// one that its age is counted from.
+const maxAnnouncementDelay = time.Second
+
+// RecordPause records that an answer of a server asks for a pause. random is in [0, 1). It returns the state
+// of the server's pauses, and whether the answer began one.
+func (t *Table) RecordPause(s *Server, d serverpause.Demand, random float64, now time.Time) (p serverpause.Pause, began bool) {
+	before := s.pause
+	s.pause = before.After(d, random, now)
+	return s.pause, s.pause != before && before.Left(now) == 0
+}
+
+// PauseLeft returns the rest of the pause that the server asked this host for; 0 if there is none.
+func (s *Server) PauseLeft(now time.Time) time.Duration { return s.pause.Left(now) }
+
 func supersedes(a, b *pb.BackendState) bool {
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation > b.Incarnation
@@ -109,7 +129,7 @@
 // Expire deletes servers without attempts in flight whose lease lapsed long ago.
 func (t *Table) Expire(now time.Time) {
 	for id, s := range t.servers {
-		if s.Inflight == 0 && now.Sub(s.LastSeen) > retentionLeases*t.limits.Lease {
+		if s.Inflight == 0 && s.pause.Left(now) == 0 && now.Sub(s.LastSeen) > retentionLeases*t.limits.Lease {
 			delete(t.servers, id)
 		}
 	}
@@ -141,6 +161,7 @@
 	SkipNone    SkipReason = ""
 	SkipLeaving SkipReason = "leaving"
 	SkipLapsed  SkipReason = "lease lapsed"
+	SkipPaused  SkipReason = "paused"
 	SkipBreaker SkipReason = "breaker open"
 	SkipFull    SkipReason = "queue full"
 )
@@ -152,6 +173,8 @@
 		return SkipLeaving
 	case now.Sub(s.LastSeen) > t.limits.Lease:
 		return SkipLapsed
+	case s.pause.Left(now) > 0:
+		return SkipPaused
 	case now.Before(s.retryAt) || (s.failures > 0 && s.probing):
 		return SkipBreaker
 	}
@@ -159,9 +182,12 @@
 }
 
 // Ramp returns the share of its capacity that a server may use (0 to 1). It rises linearly from 0.2
-// over the slow start of a new or returning server.
+// over the slow start of a new or returning server, and over that after a pause.
 func (t *Table) Ramp(s *Server, now time.Time) float64 {
 	const floor = 0.2
+	if share := s.pause.Share(now); share < 1 {
+		return max(floor, share)
+	}
 	age := now.Sub(s.FirstSeen)
 	if t.limits.SlowStart <= 0 || age >= t.limits.SlowStart {
 		return 1
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -16,6 +16,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/routing"
+	"github.com/sesamefork/sesamefork/internal/core/serverpause"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
@@ -172,6 +173,10 @@
 func (s *State) Acquire(j *Job, now time.Time) (p *Place, w *admission.Waiter, d routing.Decision, err error) {
 	d = s.decide(j, now)
 	if d.Kind == routing.NoTarget && !s.hasCandidate(j, now) {
+		if after := s.RetryAfterPauses(j, now); after > 0 {
+			return nil, nil, d, failure.New(failure.ServersPaused, failure.NotRun, "all reachable backend servers that serve %q have asked for a pause", j.Target).
+				WithRetryAfter(after)
+		}
 		return nil, nil, d, failure.New(failure.NoServer, failure.NotRun, "no reachable backend server serves %q", j.Target).
 			WithRetryAfter(noServerRetryAfter)
 	}
@@ -192,6 +197,42 @@
 	return nil, w, d, nil
 }
 
+// RecordPause records that an answer from a place asks for a pause. It returns the state of the server's
+// pauses, and whether the answer began one.
+func (s *State) RecordPause(p *Place, d serverpause.Demand, now time.Time) (serverpause.Pause, bool) {
+	if p.Server == nil {
+		return serverpause.Pause{}, false
+	}
+	return s.Table.RecordPause(p.Server, d, s.o.Random(), now)
+}
+
+// Paused reports whether the server of a place has asked this host for a pause that is not over.
+func (s *State) Paused(p *Place, now time.Time) bool {
+	return p.Server != nil && p.Server.PauseLeft(now) > 0
+}
+
+// RetryAfterPauses returns the time after which a request should be repeated that servers have turned away: a
+// random time in the slow start after the first pause, as all that are refused meanwhile return then. It is 0
+// if a server without a pause may run it.
+func (s *State) RetryAfterPauses(j *Job, now time.Time) time.Duration {
+	first := time.Duration(0)
+	for _, srv := range s.Table.All() {
+		if !srv.Serves(j.Kind, j.Target) {
+			continue
+		}
+		switch reason, left := s.Table.Usable(srv, now), srv.PauseLeft(now); {
+		case reason == backend.SkipNone:
+			return 0
+		case reason == backend.SkipPaused && (first == 0 || left < first):
+			first = left
+		}
+	}
+	if first == 0 {
+		return 0
+	}
+	return first + time.Duration(s.o.Random()*float64(serverpause.SlowStart))
+}
+
 // noServerRetryAfter is the Retry-After for a refusal because no server was found: by then a
 // lease may have been renewed and a summary received.
 const noServerRetryAfter = 2 * time.Second
--- a/internal/core/serverpause/serverpause.go
+++ b/internal/core/serverpause/serverpause.go
@@ -46,8 +46,8 @@
 	Repeats int
 }
 
-// after returns the state after an answer that asks for a pause. random is in [0, 1).
-func (p Pause) after(d Demand, random float64, now time.Time) Pause {
+// After returns the state after an answer that asks for a pause. random is in [0, 1).
+func (p Pause) After(d Demand, random float64, now time.Time) Pause {
 	if d.For <= 0 {
 		return p
 	}
--- a/internal/core/serverpause/table.go
+++ b/internal/core/serverpause/table.go
@@ -23,7 +23,7 @@
 // the answer began a pause.
 func (t *Table) Record(key uint32, d Demand, random float64, now time.Time) (p Pause, began bool) {
 	before := t.pauses[key]
-	p = before.after(d, random, now)
+	p = before.After(d, random, now)
 	if p == before {
 		return p, false
 	}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -7,6 +7,7 @@
 	"io"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/core/serverpause"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
@@ -149,6 +150,9 @@
 	Body         []byte
 	ResumeTokens int
 	AttemptID    string
+	// MaySend is evaluated when a connection has been opened for the call. If it returns false, the call fails
+	// before anything is sent. Nil for always.
+	MaySend func() bool
 }
 
 // BackendAnswer is the head of a backend server's answer with its body.
@@ -158,6 +162,8 @@
 	Body   io.ReadCloser
 	// Refused is set if the server states that it did not start the request.
 	Refused bool
+	// Pause is what the answer says about a time in which the server wants no requests of this host.
+	Pause serverpause.Demand
 }
 
 // Backends sends requests to backend servers. If err is not nil, sent reports whether any byte of
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -162,9 +162,11 @@
 	e.mu.Lock()
 	loaded := e.loaded[p.Model]
 	e.mu.Unlock()
-	if !loaded || e.o.Faults.draw(FaultRefuse) {
-		w.Header().Set(enginehttp.HeaderOutcome, "not_run")
-		http.Error(w, `{"error":"not started"}`, http.StatusServiceUnavailable)
+	if !loaded {
+		refuse(w)
+		return
+	}
+	if e.o.Faults.refuse(w) {
 		return
 	}
 	priority, _ := strconv.Atoi(r.Header.Get("Sesame-Priority"))
@@ -301,12 +303,14 @@
 	Orders []port.Order   `json:"orders"`
 	Hits   int64          `json:"cache_hits"`
 	Blocks int64          `json:"cache_blocks"`
+	// TurnedAway is the number of requests answered with a demand for a pause.
+	TurnedAway int64 `json:"turned_away"`
 }
 
 func (e *Engine) stats(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(Stats{e.served, e.tokens, e.orders, e.cache.hits, e.cache.lookups})
+	_ = json.NewEncoder(w).Encode(Stats{e.served, e.tokens, e.orders, e.cache.hits, e.cache.lookups, e.o.Faults.TurnedAway()})
 }
 
 // Load returns the engine's part of an announcement.
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -7,8 +7,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/gorilla/mux"
+
+	"github.com/sesamefork/sesamefork/internal/adapter/enginehttp"
 )
 
 // Fault is a kind of fault that a stand-in can inject.
@@ -17,6 +20,7 @@
 // Faults.
 const (
 	FaultRefuse Fault = "refuse" // answers that the request was not run
+	FaultShed   Fault = "shed"   // the same, and asks for a pause
 	FaultStall  Fault = "stall"  // accepts the request and sends nothing
 	FaultDie    Fault = "die"    // closes the connection in the middle of the answer
 	FaultLate   Fault = "late"   // delays events of a stream by 200 ms
@@ -29,6 +33,8 @@
 	mu    sync.Mutex
 	rnd   *rand.Rand
 	share map[Fault]float64
+	// turnedAway counts the requests that were answered with a demand for a pause.
+	turnedAway atomic.Int64
 }
 
 // ParseFaults reads a list such as "die=0.1,stall=0.02".
@@ -56,6 +62,36 @@
 	return nil
 }
 
+// shedPause is the pause, in seconds, that a stand-in with FaultShed asks for.
+const shedPause = "1.5"
+
+// refuse answers that the request was not run, if a fault says so.
+func (f *Faults) refuse(w http.ResponseWriter) bool {
+	shed := f.draw(FaultShed)
+	if !shed && !f.draw(FaultRefuse) {
+		return false
+	}
+	if shed {
+		w.Header().Set("Retry-After", shedPause)
+		f.turnedAway.Add(1)
+	}
+	refuse(w)
+	return true
+}
+
+func refuse(w http.ResponseWriter) {
+	w.Header().Set(enginehttp.HeaderOutcome, "not_run")
+	http.Error(w, `{"error":"not started"}`, http.StatusServiceUnavailable)
+}
+
+// TurnedAway returns the number of requests that were answered with a demand for a pause.
+func (f *Faults) TurnedAway() int64 {
+	if f == nil {
+		return 0
+	}
+	return f.turnedAway.Load()
+}
+
 func (f *Faults) draw(name Fault) bool {
 	if f == nil {
 		return false
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -10,7 +10,6 @@
 	"github.com/gorilla/mux"
 
 	"github.com/sesamefork/sesamefork/internal/adapter/backendhttp"
-	"github.com/sesamefork/sesamefork/internal/adapter/enginehttp"
 )
 
 // ServiceOptions configures a Service.
@@ -65,9 +64,7 @@
 	if err != nil {
 		return
 	}
-	if s.o.Faults.draw(FaultRefuse) {
-		w.Header().Set(enginehttp.HeaderOutcome, "not_run")
-		http.Error(w, `{"error":"not started"}`, http.StatusServiceUnavailable)
+	if s.o.Faults.refuse(w) {
 		return
 	}
 	s.addRunning(1)
--- /dev/null
+++ b/test/process/pause_test.go
@@ -0,0 +1,53 @@
+package process_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sesamefork/sesamefork/internal/standin"
+)
+
+// standinPause is the pause that stand-ins with the fault "shed" ask for.
+const standinPause = 1500 * time.Millisecond
+
+// TestSheddingEnginesGetFewRequests guards against entry hosts that send requests to an engine in the pause it asked for.
+func TestSheddingEnginesGetFewRequests(t *testing.T) {
+	const pauses = 4
+	f := newFleet(t, threeRegions(66))
+	underLoad(f, f.loadOptions(loadCount, loadRate), func() {
+		for _, d := range f.domains {
+			f.setFaults(d, 0, "shed=1")
+		}
+		time.Sleep(pauses * standinPause)
+		for _, d := range f.domains {
+			f.setFaults(d, 0, "")
+		}
+	})
+	for n, d := range f.domains {
+		turnedAway := f.turnedAway(n)
+		t.Logf("%s: %d requests turned away", d, turnedAway)
+		// Each host sends at most one request before each pause, and those of one burst.
+		if most := int64(2 * f.s.hostCount(n) * (pauses + 1)); turnedAway == 0 || turnedAway > most {
+			t.Errorf("%s: the engine turned %d requests away in %d pauses, allowed 1 to %d", d, turnedAway, pauses, most)
+		}
+	}
+}
+
+// turnedAway returns the number of requests that the first engine of a failure domain has answered with a
+// demand for a pause.
+func (f *fleet) turnedAway(domain int) int64 {
+	f.t.Helper()
+	resp, err := http.Get(fmt.Sprintf("http://127.%d.%d.101:9000/admin/stats", f.s.net, domain+1))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var stats standin.Stats
+	if err := json.NewDecoder(resp.Body).Decode(&stats); err != nil {
+		f.t.Fatal(err)
+	}
+	return stats.TurnedAway
+}
