gateway: a server that says in an answer that it leaves gets nothing more

Cause: only announcements made a server leave; its answers were not read, and their header went on to callers.

--- a/internal/app/gateway/log.go
+++ b/internal/app/gateway/log.go
@@ -103,6 +103,13 @@
 		"server_requests", requests, "slots", s.Slots, "request_id", x.r.ID)
 }
 
+// logLeaving logs that a server's answer says that it leaves, and no view had said so.
+func (g *Gateway) logLeaving(x *execution, s *dispatch.Server, a *Answer) {
+	g.o.Metrics.Add("servers_leaving_by_answer", 1)
+	g.o.Log.Info("server says that it leaves", "server", s.ID, "start", s.Start, "service", s.Service, "address", s.Address, "failure_domain", s.FailureDomain,
+		"status", a.Status, "request_id", x.r.ID)
+}
+
 func (g *Gateway) logInvalidPause(x *execution, s *dispatch.Server, text string, now time.Time) {
 	g.o.Metrics.Add("server_pauses_invalid", 1)
 	if now.Sub(g.invalidPauseLoggedAt) < invalidLimitLogInterval {
--- a/internal/app/gateway/pause_test.go
+++ b/internal/app/gateway/pause_test.go
@@ -174,6 +174,78 @@
 	}
 }
 
+// TestServerThatSaysItLeavesGetsNothingMore checks which answers take their server out of use.
+func TestServerThatSaysItLeavesGetsNothingMore(t *testing.T) {
+	for name, c := range map[string]struct {
+		path   string
+		answer func() *Answer
+		leaves bool
+	}{
+		"a whole answer":                       {"/order/1", func() *Answer { return ranAnswer(200, "ok") }, true},
+		"its own failure":                      {"/order/1", func() *Answer { return ranAnswer(500, "bad") }, true},
+		"the head of a stream":                 {"/chat/1", func() *Answer { return streamAnswer(event1+event2, false) }, true},
+		"the head of a stream that breaks off": {"/chat/1", func() *Answer { return streamAnswer(event1, true) }, true},
+		"a refusal":                            {"/order/1", func() *Answer { return notRunAnswer(NotRun) }, true},
+		"an answer that proves no server":      {"/order/1", func() *Answer { return notRunAnswer(Unverified) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.view(onlyOwnRegion)
+			said := ""
+			f.backends.answer = func(_ int, a *Attempt) (*Answer, bool, error) {
+				if said == "" {
+					said = a.Server
+				}
+				answer := c.answer()
+				answer.Leaving = a.Server == said
+				return answer, true, nil
+			}
+			after := 0
+			for range 40 {
+				f.view(onlyOwnRegion)
+				_ = f.g.Execute(context.Background(), f.request(c.path), &memorySink{})
+				f.clock.advance(100 * time.Millisecond)
+			}
+			for _, a := range f.backends.sent()[1:] {
+				if a.Server == said {
+					after++
+				}
+			}
+			if (after == 0) != c.leaves {
+				t.Errorf("%d requests of %d at the server that said it leaves", after, len(f.backends.sent()))
+			}
+		})
+	}
+}
+
+// TestRequestChosenBeforeItsServerLeavesIsSentElsewhere guards against requests that wait for a connection to a leaving server.
+func TestRequestChosenBeforeItsServerLeavesIsSentElsewhere(t *testing.T) {
+	f := newFixture(t)
+	f.view(onlyOwnRegion)
+	var servers []string
+	f.backends.answer = func(n int, a *Attempt) (*Answer, bool, error) {
+		if n == 1 {
+			f.view(func(v *pb.FleetView) {
+				onlyOwnRegion(v)
+				for _, s := range v.Servers {
+					s.Leaving = s.Id == a.Server
+				}
+			})
+		}
+		if !a.MaySend() {
+			return nil, false, ErrWithheld
+		}
+		servers = append(servers, a.Server)
+		return ranAnswer(200, "ok"), true, nil
+	}
+	if fail := f.g.Execute(context.Background(), f.request("/order/1"), &memorySink{}); fail != nil {
+		t.Fatal(fail)
+	}
+	if first := f.backends.sent()[0].Server; len(servers) != 1 || servers[0] == first {
+		t.Errorf("sent to %v; %s leaves", servers, first)
+	}
+}
+
 // TestPausesAreLogged guards against a refused request whose cause logs do not name.
 func TestPausesAreLogged(t *testing.T) {
 	f := newFixture(t)
--- a/internal/app/gateway/request.go
+++ b/internal/app/gateway/request.go
@@ -111,7 +111,7 @@
 }
 
 // ErrWithheld is the error of an attempt whose MaySend returned false.
-var ErrWithheld = errors.New("the server asked for a pause before the request was sent")
+var ErrWithheld = errors.New("the server left or asked for a pause before the request was sent")
 
 // Verdict states whether the expected backend server ran a request, by its answer.
 type Verdict int
@@ -141,6 +141,8 @@
 	Limit serverlimit.Advertisement
 	// Pause is what the answer says about a time in which the server wants no requests of this host.
 	Pause serverpause.Demand
+	// Leaving is set if the answer says that the server's process leaves.
+	Leaving bool
 }
 
 // ServerLost is the error of an attempt, or of reading its answer, after which this host has no open
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -34,10 +34,10 @@
 		ConnectedOnly: x.release != nil && c.Server.Start != 0,
 		Address:       c.Server.Address, Server: c.Server.ID, Request: x.r, Team: x.teamName(),
 		Remaining: x.deadline.Sub(began), ResumeAfter: x.lastEvent, CopyFrom: c.CopyFrom, Deferred: c.Deferred, IDReused: c.Server.Start != 0,
-		MaySend: func() bool { return !g.paused(c) },
+		MaySend: func() bool { return g.maySend(c) },
 	})
 	if errors.Is(err, ErrWithheld) {
-		return result{stage: retry.BeforeSend, outcome: dispatch.Refused, err: failure.New(failure.ServersPaused, failure.NotRun, "%s", err)}
+		return result{stage: retry.BeforeSend, outcome: dispatch.Refused, err: failure.New(failure.BackendRefused, failure.NotRun, "%s", err)}
 	}
 	if err != nil {
 		stage := retry.BeforeSend
@@ -52,6 +52,7 @@
 	g.recordLoad(c, answer.Requests)
 	g.recordLimit(x, c, answer)
 	g.recordPause(x, c, answer)
+	g.recordLeaving(x, c, answer)
 	switch answer.Verdict {
 	case NotRun:
 		return result{stage: retry.Refused, outcome: dispatch.Refused, status: answer.Status,
@@ -140,11 +141,24 @@
 	}
 }
 
-// paused reports whether the attempt's server has asked this host for a pause that is not over.
-func (g *Gateway) paused(c *dispatch.Choice) bool {
+// recordLeaving records that an answer says that its server leaves. An answer that is not proved to come from
+// the server is ignored.
+func (g *Gateway) recordLeaving(x *execution, c *dispatch.Choice, a *Answer) {
+	if !a.Leaving || (a.Verdict != Ran && a.Verdict != NotRun) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.fleet.RecordLeaving(c, g.o.Clock.Now()) {
+		g.logLeaving(x, c.Server, a)
+	}
+}
+
+// maySend reports whether a request may still be sent to the server of an attempt.
+func (g *Gateway) maySend(c *dispatch.Choice) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.fleet.Paused(c, g.o.Clock.Now())
+	return g.fleet.MaySend(c, g.o.Clock.Now())
 }
 
 // releaseOf returns a server's release; nil if another process may run under the server's ID.
--- a/internal/core/dispatch/pause.go
+++ b/internal/core/dispatch/pause.go
@@ -15,11 +15,6 @@
 // Pause returns the state of the pauses that a server asked of this host.
 func (f *Fleet) Pause(s *Server) serverpause.Pause { return f.pauses.Get(s.key) }
 
-// Paused reports whether the attempt's server has asked this host for a pause that is not over.
-func (f *Fleet) Paused(c *Choice, now time.Time) bool {
-	return c.Server != nil && f.paused(c.Server, now)
-}
-
 func (f *Fleet) paused(s *Server, now time.Time) bool { return f.Pause(s).Left(now) > 0 }
 
 // RecordPause records that an answer to the attempt asks for a pause. It returns the state of the server's
@@ -37,6 +32,23 @@
 	return p, began
 }
 
+// RecordLeaving records that an answer to the attempt says that the server's process leaves. It reports
+// whether that is new to this host. Another process that runs under the server's ID by now is not concerned.
+func (f *Fleet) RecordLeaving(c *Choice, now time.Time) bool {
+	if c.Server == nil {
+		return false
+	}
+	known := c.Server.Leaving
+	c.Server.Leaving = true
+	return f.pauses.RecordLeaving(c.Server.key, now) && !known
+}
+
+// MaySend reports whether a request may still be sent to the server of an attempt: the server may have left
+// or asked for a pause since it was chosen.
+func (f *Fleet) MaySend(c *Choice, now time.Time) bool {
+	return c.Server == nil || (!c.Server.Leaving && !f.paused(c.Server, now))
+}
+
 // succeedPause passes the pause of a process on to the one that replaces it under its ID, unless an
 // announcement proves that the old one ran after the answer that asked for it. The age of an announcement
 // omits delays of at most maxViewDelay.
--- a/internal/core/dispatch/pause_test.go
+++ b/internal/core/dispatch/pause_test.go
@@ -72,6 +72,65 @@
 	}
 }
 
+// TestServerThatSaidItLeavesIsNotUsedAgain guards against views that still call it ready, or make its state anew.
+func TestServerThatSaidItLeavesIsNotUsedAgain(t *testing.T) {
+	for name, event := range map[string]func(f *Fleet, now time.Time){
+		"nothing":       func(*Fleet, time.Time) {},
+		"the same view": func(f *Fleet, now time.Time) { f.ApplyView(testView(1), FullScope, now) },
+		"the view leaves it out for over a minute": func(f *Fleet, now time.Time) {
+			f.ApplyView(&pb.FleetView{}, FullScope, now.Add(stateRetention+time.Second))
+			f.ApplyView(testView(1), FullScope, now.Add(stateRetention+2*time.Second))
+		},
+		"another address": func(f *Fleet, now time.Time) {
+			v := testView(1)
+			v.Servers[0].Address = "10.1.9.9:80"
+			f.ApplyView(v, FullScope, now)
+		},
+		"its start is reported": func(f *Fleet, now time.Time) { f.ApplyView(restartedView(10), FullScope, now) },
+		"a pause that ends": func(f *Fleet, now time.Time) {
+			askForPause(f, "s0", time.Second, now)
+			f.ApplyView(testView(1), FullScope, now.Add(time.Minute))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(1)
+			c := f.Choose(shortJob(), start)
+			if !f.RecordLeaving(&c, start) || f.RecordLeaving(&c, start) {
+				t.Error("the first answer that says so is not told from the next")
+			}
+			event(f, start.Add(time.Second))
+			now := start.Add(3 * time.Minute)
+			f.ApplyView(testView(1), FullScope, now)
+			j := shortJob()
+			j.Permits = only("west")
+			if again := f.Choose(j, now); again.Server != nil || f.MaySend(&c, now) {
+				t.Errorf("%s is used again", again.Server.ID)
+			}
+		})
+	}
+}
+
+// TestNextProcessIsNotBoundByALeavingOne guards against a new process under the ID that is left out for its predecessor's answers.
+func TestNextProcessIsNotBoundByALeavingOne(t *testing.T) {
+	for name, late := range map[string]bool{"the answer before the new process": false, "the answer after its announcement": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(1)
+			f.ApplyView(restartedView(10), FullScope, start)
+			c := f.Choose(shortJob(), start)
+			if !late {
+				f.RecordLeaving(&c, start)
+			}
+			f.ApplyView(restartedView(20), FullScope, start.Add(time.Second))
+			if late {
+				f.RecordLeaving(&c, start.Add(time.Second))
+			}
+			if next := f.Choose(shortJob(), start.Add(time.Second)); next.Server == nil || next.Server.Start != 20 {
+				t.Errorf("the new process is not used: %s", next.Refused)
+			}
+		})
+	}
+}
+
 // TestPauseOfAReplacedProcess checks whether a new process under a server's ID pauses in place of the one before.
 func TestPauseOfAReplacedProcess(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -167,6 +167,7 @@
 	s.starts.Advance(start)
 	s.key = incarnation.Key(s.ID, start)
 	f.serversByKey[s.key] = s
+	s.Leaving = s.Leaving || f.pauses.Get(s.key).Leaving()
 }
 
 // MarkGone records that an incarnation of a server will never be used again; start 0 means the
--- a/internal/core/serverpause/serverpause.go
+++ b/internal/core/serverpause/serverpause.go
@@ -1,11 +1,13 @@
-// Package serverpause represents the pauses that backend servers ask of one entry host, in which
-// they get no requests from it, and the slow start after each of them. It does no I/O and reads no
-// clock.
+// Package serverpause represents what backend servers ask of one entry host in their answers: pauses,
+// in which they get no requests from it, with the slow start after each of them; and no requests any
+// more, as they leave. It does no I/O and reads no clock.
 //
 // A pause belongs to a server process, not to its address, a connection or an attempt. It binds the
 // entry host that was asked.
 //
 // Invariants:
+//   - A process that has said that it leaves gets no requests any more, and the next one under its ID
+//     is not bound by that.
 //   - No answer, announcement or view shortens a pause: of two, the later end holds.
 //   - A pause ends before its time only with its process, once an announcement proves that this
 //     process had sent the answer.
@@ -25,6 +27,8 @@
 	maxSpread = 300 * time.Millisecond
 	// spreadFraction bounds the added time as a fraction of the pause.
 	spreadFraction = 0.1
+	// leavingRetention is how long it is kept that a process leaves: longer than any server takes to leave.
+	leavingRetention = time.Hour
 	// maxUnprovenPause bounds a pause of a process for which its predecessor may have asked.
 	maxUnprovenPause = 10 * time.Second
 )
@@ -44,6 +48,8 @@
 	Until   time.Time
 	// Repeats is the number of pauses before this one that each began soon after the one before.
 	Repeats int
+	// LeavingSince is when the process first said that it leaves; zero for never.
+	LeavingSince time.Time
 }
 
 // After returns the state after an answer that asks for a pause. random is in [0, 1).
@@ -66,6 +72,9 @@
 	return p
 }
 
+// Leaving reports whether the process has said that it leaves.
+func (p Pause) Leaving() bool { return !p.LeavingSince.IsZero() }
+
 // Left returns the rest of the pause; 0 if there is none.
 func (p Pause) Left(now time.Time) time.Duration { return max(0, p.Until.Sub(now)) }
 
@@ -88,9 +97,11 @@
 	if latest := p.AskedAt.Add(maxUnprovenPause); p.Until.After(latest) {
 		p.Until = latest
 	}
-	p.Repeats = 0
+	p.Repeats, p.LeavingSince = 0, time.Time{}
 	return p
 }
 
 // expired reports whether the state has no effect any more.
-func (p Pause) expired(now time.Time) bool { return now.After(p.Until.Add(repeatWindow)) }
+func (p Pause) expired(now time.Time) bool {
+	return now.After(p.Until.Add(repeatWindow)) && now.After(p.LeavingSince.Add(leavingRetention))
+}
--- a/internal/core/serverpause/table.go
+++ b/internal/core/serverpause/table.go
@@ -6,7 +6,7 @@
 )
 
 // maxEntries bounds the processes whose pauses are kept, far above the servers of a region. Beyond it,
-// the pause that ends first is dropped.
+// the pause that ends first is dropped, and of processes without one the first that said that it leaves.
 const maxEntries = 16384
 
 // Table holds the pauses of server processes by their keys (see package incarnation). It is not safe
@@ -31,6 +31,17 @@
 	return p, before.Left(now) == 0
 }
 
+// RecordLeaving records that an answer of a process says that it leaves. It reports whether that is new.
+func (t *Table) RecordLeaving(key uint32, now time.Time) bool {
+	p := t.pauses[key]
+	if p.Leaving() {
+		return false
+	}
+	p.LeavingSince = now
+	t.set(key, p)
+	return true
+}
+
 // Succeed passes a pause on to the process that replaces one under its ID; see Pause.Succeeded.
 func (t *Table) Succeed(from, to uint32, heardAfter, now time.Time) {
 	if p := t.pauses[from].Succeeded(heardAfter, now); p.Until.After(t.pauses[to].Until) {
@@ -56,13 +67,20 @@
 func (t *Table) dropFirstToEnd() {
 	first, found := uint32(0), false
 	for key, p := range t.pauses {
-		if !found || p.Until.Before(t.pauses[first].Until) {
+		if !found || p.endsBefore(t.pauses[first]) {
 			first, found = key, true
 		}
 	}
 	delete(t.pauses, first)
 }
 
+func (p Pause) endsBefore(o Pause) bool {
+	if !p.Until.Equal(o.Until) {
+		return p.Until.Before(o.Until)
+	}
+	return p.LeavingSince.Before(o.LeavingSince)
+}
+
 // Len returns the number of processes whose pauses are kept.
 func (t *Table) Len() int { return len(t.pauses) }
 
