entry: the product's interface reads from answers that a server leaves

Cause: only announcements were read. backend.Table now records the answer for the incarnation to which the attempt was made, so that a late answer does not concern the next process; a call that waited for its connection is not sent any more. The header stays with this host.

--- a/internal/adapter/enginehttp/enginehttp.go
+++ b/internal/adapter/enginehttp/enginehttp.go
@@ -25,6 +25,8 @@
 	HeaderAttemptID    = "Sesame-Attempt-Id"
 	HeaderResumeTokens = "Sesame-Resume-Tokens"
 	HeaderOutcome      = "Sesame-Outcome"
+	// HeaderLeaving is "1" in the answers of a server that leaves.
+	HeaderLeaving = "Sesame-Leaving"
 )
 
 // Client implements port.Backends and port.Engines.
@@ -56,9 +58,6 @@
 // maySendKey is the context key of a call's condition to send.
 type maySendKey struct{}
 
-// errWithheld is the error of a call that must not be sent any more once its connection is open.
-var errWithheld = failure.New(failure.ServersPaused, failure.NotRun, "the server asked for a pause before the request was sent")
-
 // dialIfMaySend opens connections, and closes one again if the call that it was opened for must not be sent
 // any more.
 func dialIfMaySend(d *net.Dialer) func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -66,7 +65,7 @@
 		conn, err := d.DialContext(ctx, network, addr)
 		if may, ok := ctx.Value(maySendKey{}).(func() bool); err == nil && ok && !may() {
 			_ = conn.Close()
-			return nil, errWithheld
+			return nil, port.ErrWithheld
 		}
 		return conn, err
 	}
@@ -102,15 +101,18 @@
 	}
 	resp, err := c.http.Do(req)
 	switch {
-	case errors.Is(err, errWithheld):
-		return nil, false, errWithheld
+	case errors.Is(err, port.ErrWithheld):
+		return nil, false, port.ErrWithheld
 	case err != nil:
 		return nil, connected.Load(), failure.Wrap(err, failure.BackendLost, outcomeOf(connected.Load()))
 	}
+	leaving := httpheader.Flag(resp.Header, HeaderLeaving)
+	resp.Header.Del(HeaderLeaving)
 	return &port.BackendAnswer{
 		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body,
 		Refused: resp.Header.Get(HeaderOutcome) == string(failure.NotRun),
 		Pause:   httpheader.Pause(resp.StatusCode, resp.Header),
+		Leaving: leaving,
 	}, true, nil
 }
 
--- a/internal/adapter/enginehttp/enginehttp_test.go
+++ b/internal/adapter/enginehttp/enginehttp_test.go
@@ -2,19 +2,20 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
-	"github.com/sesamefork/sesamefork/internal/failure"
 	"github.com/sesamefork/sesamefork/internal/port"
 )
 
-// TestPauseOfAnAnswerIsRead guards against a server's Retry-After that no one reads.
-func TestPauseOfAnAnswerIsRead(t *testing.T) {
+// TestDemandsOfAnAnswerAreRead guards against a server's Retry-After or leave that no one reads.
+func TestDemandsOfAnAnswerAreRead(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Retry-After", "1.5")
+		w.Header().Set(HeaderLeaving, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	defer s.Close()
@@ -25,8 +26,8 @@
 		t.Fatal(err)
 	}
 	_ = a.Body.Close()
-	if a.Pause.For != 1500*time.Millisecond {
-		t.Errorf("pause %+v", a.Pause)
+	if a.Pause.For != 1500*time.Millisecond || !a.Leaving || http.Header(a.Header).Get(HeaderLeaving) != "" {
+		t.Errorf("pause %+v, leaving %v, header %v", a.Pause, a.Leaving, a.Header)
 	}
 }
 
@@ -40,7 +41,7 @@
 	_, sent, err := c.Do(context.Background(), port.BackendCall{
 		Address: s.Listener.Addr().String(), Method: http.MethodPost, URI: "/", MaySend: func() bool { return false },
 	})
-	if f := failure.As(err, failure.Unknown); sent || f == nil || f.Code != failure.ServersPaused || f.Outcome != failure.NotRun {
+	if sent || !errors.Is(err, port.ErrWithheld) {
 		t.Errorf("sent %v, ended with %v", sent, err)
 	}
 	s.Close()
--- a/internal/adapter/httpheader/httpheader.go
+++ b/internal/adapter/httpheader/httpheader.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -23,6 +24,14 @@
 	return n, err == nil
 }
 
+// Flag reports whether a header is set: any value sets it but an empty or a false one.
+func Flag(h http.Header, name string) bool {
+	return slices.ContainsFunc(h.Values(name), func(v string) bool {
+		set, err := strconv.ParseBool(strings.TrimSpace(v))
+		return set || (err != nil && strings.TrimSpace(v) != "")
+	})
+}
+
 // retryAfter is the header that names the time in which a server that answers 503 wants no requests.
 const retryAfter = "Retry-After"
 
--- a/internal/app/entry/local.go
+++ b/internal/app/entry/local.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -39,10 +40,10 @@
 	answer, sent, err := h.o.Backends.Do(ctx, port.BackendCall{
 		Address: p.Address, Method: x.r.Method, URI: x.r.URI, Header: header, Body: x.r.Body,
 		ResumeTokens: x.relayed, AttemptID: x.r.ID + "." + strconv.Itoa(x.attempts),
-		MaySend: func() bool { return !h.paused(p) },
+		MaySend: func() bool { return h.maySend(p) },
 	})
-	if f := failure.As(err, failure.Unknown); err != nil && f.Code == failure.ServersPaused {
-		return result{stage: retry.BeforeSend, err: f, connected: true}
+	if errors.Is(err, port.ErrWithheld) {
+		return result{stage: retry.BeforeSend, err: failure.New(failure.BackendRefused, failure.NotRun, "%s", err), connected: true}
 	}
 	if err != nil {
 		stage := retry.BeforeSend
@@ -53,6 +54,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	h.recordPause(x, p, answer)
+	h.recordLeaving(x, p, answer)
 	if f := refusalOf(x, answer); f != nil {
 		return result{stage: retry.Refused, err: f, connected: true}
 	}
--- a/internal/app/entry/pause.go
+++ b/internal/app/entry/pause.go
@@ -27,17 +27,31 @@
 	}
 }
 
-// paused reports whether the server of a place has asked this host for a pause that is not over.
-func (h *Host) paused(p *placement.Place) bool {
+// recordLeaving records and logs that a server's answer says that it leaves.
+func (h *Host) recordLeaving(x *execution, p *placement.Place, a *port.BackendAnswer) {
+	if !a.Leaving {
+		return
+	}
+	h.mu.Lock()
+	first := h.place.RecordLeaving(p)
+	h.mu.Unlock()
+	if first {
+		h.o.Metrics.Add("servers_leaving_by_answer", 1)
+		h.o.Log.Info("server says that it leaves", "server", p.ServerID, "address", p.Address, "status", a.Status, "request_id", x.r.ID)
+	}
+}
+
+// maySend reports whether a request may still be sent to a place.
+func (h *Host) maySend(p *placement.Place) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.place.Paused(p, h.o.Clock.Now())
+	return h.place.MaySend(p, h.o.Clock.Now())
 }
 
 // withPause adds the time at which a server can be used again to the refusal of a request that servers turned
 // away, if all of them have asked for pauses.
 func (h *Host) withPause(x *execution, f *failure.Error) *failure.Error {
-	if f.Outcome != failure.NotRun || f.RetryAfter > 0 || (f.Code != failure.BackendRefused && f.Code != failure.ServersPaused) {
+	if f.Outcome != failure.NotRun || f.RetryAfter > 0 || f.Code != failure.BackendRefused {
 		return f
 	}
 	h.mu.Lock()
--- a/internal/app/entry/pause_test.go
+++ b/internal/app/entry/pause_test.go
@@ -36,6 +36,8 @@
 type sheddingBackends struct {
 	sheds map[string]time.Duration // pause by address
 	calls map[string]int
+	// leaves is the address of the server whose answers say that it leaves; "" for none.
+	leaves string
 }
 
 func (b *sheddingBackends) Do(_ context.Context, c port.BackendCall) (*port.BackendAnswer, bool, error) {
@@ -43,7 +45,7 @@
 	if pause := b.sheds[c.Address]; pause > 0 {
 		return &port.BackendAnswer{Status: http.StatusServiceUnavailable, Refused: true, Pause: serverpause.Demand{For: pause}, Body: io.NopCloser(strings.NewReader(""))}, true, nil
 	}
-	return &port.BackendAnswer{Status: http.StatusOK, Header: http.Header{"Content-Type": {"application/json"}}, Body: io.NopCloser(strings.NewReader(completeAnswer))}, true, nil
+	return &port.BackendAnswer{Status: http.StatusOK, Header: http.Header{"Content-Type": {"application/json"}}, Body: io.NopCloser(strings.NewReader(completeAnswer)), Leaving: c.Address == b.leaves}, true, nil
 }
 
 // TestBackendServerGetsNothingInItsPause guards against a host that forgets a server's Retry-After with the attempt.
@@ -91,3 +93,17 @@
 		})
 	}
 }
+
+// TestBackendServerThatSaysItLeavesGetsNothingMore guards against a host that waits for the announcement.
+func TestBackendServerThatSaysItLeavesGetsNothingMore(t *testing.T) {
+	b := &sheddingBackends{calls: map[string]int{}, leaves: "127.0.0.1:9000"}
+	h := newTestHost(t, b, noPeers{})
+	for range 50 {
+		if f := h.Execute(context.Background(), chat(false), &memorySink{}); f != nil {
+			t.Fatal(f)
+		}
+	}
+	if got := b.calls[b.leaves]; got != 1 {
+		t.Errorf("%d requests, want one", got)
+	}
+}
--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -44,6 +44,7 @@
 	history       history
 	cache         *cache
 	pause         serverpause.Pause
+	leaving       bool    // an answer of this process said that it leaves
 	meanServiceMS float64 // moving mean of the time an attempt holds a slot, in ms; 0 before the first
 }
 
@@ -104,14 +105,34 @@
 // one that its age is counted from.
 const maxAnnouncementDelay = time.Second
 
-// RecordPause records that an answer of a server asks for a pause. random is in [0, 1). It returns the state
-// of the server's pauses, and whether the answer began one.
-func (t *Table) RecordPause(s *Server, d serverpause.Demand, random float64, now time.Time) (p serverpause.Pause, began bool) {
+// RecordPause records that an answer to an attempt at an incarnation of a server asks for a pause. random is
+// in [0, 1). It returns the state of the server's pauses, and whether the answer began one. If another process
+// runs under the server's ID by now, that one may have sent the answer, and pauses too.
+func (t *Table) RecordPause(s *Server, incarnation uint64, d serverpause.Demand, random float64, now time.Time) (p serverpause.Pause, began bool) {
 	before := s.pause
+	if incarnation != s.State.Incarnation {
+		if p := (serverpause.Pause{}).After(d, random, now).Succeeded(time.Time{}, now); p.Until.After(before.Until) {
+			s.pause = p
+		}
+		return s.pause, false
+	}
 	s.pause = before.After(d, random, now)
 	return s.pause, s.pause != before && before.Left(now) == 0
 }
 
+// RecordLeaving records that an answer to an attempt at an incarnation of a server says that it leaves. It
+// reports whether that is new. Another process that runs under the server's ID by now is not concerned.
+func (t *Table) RecordLeaving(s *Server, incarnation uint64) bool {
+	if incarnation != s.State.Incarnation || s.Leaving() {
+		return false
+	}
+	s.leaving = true
+	return true
+}
+
+// Leaving reports whether the server has announced or said in an answer that it leaves.
+func (s *Server) Leaving() bool { return s.State.Leaving || s.leaving }
+
 // PauseLeft returns the rest of the pause that the server asked this host for; 0 if there is none.
 func (s *Server) PauseLeft(now time.Time) time.Duration { return s.pause.Left(now) }
 
@@ -169,7 +190,7 @@
 // Usable returns why the server must not be given new work, or SkipNone.
 func (t *Table) Usable(s *Server, now time.Time) SkipReason {
 	switch {
-	case s.State.Leaving:
+	case s.Leaving():
 		return SkipLeaving
 	case now.Sub(s.LastSeen) > t.limits.Lease:
 		return SkipLapsed
--- a/internal/core/backend/pause_test.go
+++ b/internal/core/backend/pause_test.go
@@ -18,7 +18,7 @@
 		"nothing":         {func(*Table, *Server) {}, true},
 		"an announcement": {func(tab *Table, _ *Server) { tab.Merge(announcement(1, 9), start.Add(time.Second)) }, true},
 		"a shorter demand": {func(tab *Table, s *Server) {
-			tab.RecordPause(s, serverpause.Demand{For: time.Millisecond}, 0, start.Add(time.Second))
+			tab.RecordPause(s, 1, serverpause.Demand{For: time.Millisecond}, 0, start.Add(time.Second))
 		}, true},
 		"a failure and a recovery": {func(tab *Table, s *Server) {
 			tab.Started(s, nil, start)
@@ -35,7 +35,7 @@
 		t.Run(name, func(t *testing.T) {
 			tab := table()
 			tab.Merge(announcement(1, 1), start)
-			tab.RecordPause(tab.Get("s"), ask, 0, start)
+			tab.RecordPause(tab.Get("s"), 1, ask, 0, start)
 			c.event(tab, tab.Get("s"))
 			now := start.Add(pause - time.Millisecond)
 			tab.Merge(announcement(tab.Get("s").State.Incarnation, 99), now)
@@ -54,9 +54,39 @@
 func TestNewProcessPausesIfItMayHaveAsked(t *testing.T) {
 	tab := table()
 	tab.Merge(announcement(1, 1), start)
-	tab.RecordPause(tab.Get("s"), serverpause.Demand{For: 3 * time.Second}, 0, start.Add(500*time.Millisecond))
+	tab.RecordPause(tab.Get("s"), 1, serverpause.Demand{For: 3 * time.Second}, 0, start.Add(500*time.Millisecond))
 	tab.Merge(announcement(2, 1), start.Add(time.Second))
 	if got := tab.Usable(tab.Get("s"), start.Add(2*time.Second)); got != SkipPaused {
 		t.Errorf("the new process is %q", got)
 	}
 }
+
+// TestServerThatSaysItLeavesIsSkipped guards against announcements that still call it ready, and against a new
+// process that is left out for its predecessor's answers.
+func TestServerThatSaysItLeavesIsSkipped(t *testing.T) {
+	tab := table()
+	tab.Merge(announcement(1, 1), start)
+	s := tab.Get("s")
+	if !tab.RecordLeaving(s, 1) || tab.RecordLeaving(s, 1) {
+		t.Error("the first answer that says so is not told from the next")
+	}
+	tab.Merge(announcement(1, 2), start)
+	if got := tab.Usable(s, start); got != SkipLeaving {
+		t.Errorf("the leaving process is %q", got)
+	}
+	tab.Merge(announcement(2, 1), start)
+	tab.RecordLeaving(s, 1) // a late answer
+	if got := tab.Usable(tab.Get("s"), start); got != SkipNone {
+		t.Errorf("the next process is %q", got)
+	}
+}
+
+// TestLateDemandOfTheProcessBeforeIsBounded guards against a long pause of a process that has not asked for one.
+func TestLateDemandOfTheProcessBeforeIsBounded(t *testing.T) {
+	tab := table()
+	tab.Merge(announcement(2, 1), start)
+	tab.RecordPause(tab.Get("s"), 1, serverpause.Demand{For: time.Hour}, 0, start)
+	if left := tab.Get("s").PauseLeft(start); left <= 0 || left > time.Minute {
+		t.Errorf("the new process pauses for %s", left)
+	}
+}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -61,7 +61,9 @@
 	Region   string
 	Decision routing.Decision
 	Started  time.Time
-	target   string // for a failure domain: name of the target in summaries
+	// incarnation is that of the server when the place was reserved.
+	incarnation uint64
+	target      string // for a failure domain: name of the target in summaries
 }
 
 // Grant is the outcome for a job that waited.
@@ -203,12 +205,18 @@
 	if p.Server == nil {
 		return serverpause.Pause{}, false
 	}
-	return s.Table.RecordPause(p.Server, d, s.o.Random(), now)
+	return s.Table.RecordPause(p.Server, p.incarnation, d, s.o.Random(), now)
 }
 
-// Paused reports whether the server of a place has asked this host for a pause that is not over.
-func (s *State) Paused(p *Place, now time.Time) bool {
-	return p.Server != nil && p.Server.PauseLeft(now) > 0
+// RecordLeaving records that an answer from a place says that its server leaves. It reports whether that is new.
+func (s *State) RecordLeaving(p *Place) bool {
+	return p.Server != nil && s.Table.RecordLeaving(p.Server, p.incarnation)
+}
+
+// MaySend reports whether a request may still be sent to a place: its server may have left or asked for a pause
+// since the place was reserved.
+func (s *State) MaySend(p *Place, now time.Time) bool {
+	return p.Server == nil || (!p.Server.Leaving() && p.Server.PauseLeft(now) == 0)
 }
 
 // RetryAfterPauses returns the time after which a request should be repeated that servers have turned away: a
@@ -402,6 +410,7 @@
 		srv := s.Table.Get(d.Server)
 		s.Table.Started(srv, j.Prefixes, now)
 		p.Server, p.ServerID, p.Address, p.Region = srv, d.Server, srv.State.Address, s.o.Region
+		p.incarnation = srv.State.Incarnation
 		return p
 	}
 	r := s.remotes[d.Domain]
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"time"
 
@@ -151,10 +152,13 @@
 	ResumeTokens int
 	AttemptID    string
 	// MaySend is evaluated when a connection has been opened for the call. If it returns false, the call fails
-	// before anything is sent. Nil for always.
+	// with ErrWithheld before anything is sent. Nil for always.
 	MaySend func() bool
 }
 
+// ErrWithheld is the error of a call whose MaySend returned false.
+var ErrWithheld = errors.New("the server left or asked for a pause before the request was sent")
+
 // BackendAnswer is the head of a backend server's answer with its body.
 type BackendAnswer struct {
 	Status int
@@ -164,6 +168,8 @@
 	Refused bool
 	// Pause is what the answer says about a time in which the server wants no requests of this host.
 	Pause serverpause.Demand
+	// Leaving is set if the answer says that the server's process leaves.
+	Leaving bool
 }
 
 // Backends sends requests to backend servers. If err is not nil, sent reports whether any byte of
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -305,12 +305,14 @@
 	Blocks int64          `json:"cache_blocks"`
 	// TurnedAway is the number of requests answered with a demand for a pause.
 	TurnedAway int64 `json:"turned_away"`
+	// SaidLeaving is the number of answers that said that the engine leaves.
+	SaidLeaving int64 `json:"said_leaving"`
 }
 
 func (e *Engine) stats(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(Stats{e.served, e.tokens, e.orders, e.cache.hits, e.cache.lookups, e.o.Faults.TurnedAway()})
+	_ = json.NewEncoder(w).Encode(Stats{e.served, e.tokens, e.orders, e.cache.hits, e.cache.lookups, e.o.Faults.TurnedAway(), e.o.Faults.SaidLeaving()})
 }
 
 // Load returns the engine's part of an announcement.
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -21,6 +21,7 @@
 const (
 	FaultRefuse Fault = "refuse" // answers that the request was not run
 	FaultShed   Fault = "shed"   // the same, and asks for a pause
+	FaultLeave  Fault = "leave"  // says in its answer that it leaves, and goes on serving
 	FaultStall  Fault = "stall"  // accepts the request and sends nothing
 	FaultDie    Fault = "die"    // closes the connection in the middle of the answer
 	FaultLate   Fault = "late"   // delays events of a stream by 200 ms
@@ -35,6 +36,8 @@
 	share map[Fault]float64
 	// turnedAway counts the requests that were answered with a demand for a pause.
 	turnedAway atomic.Int64
+	// saidLeaving counts the answers that said that the server leaves.
+	saidLeaving atomic.Int64
 }
 
 // ParseFaults reads a list such as "die=0.1,stall=0.02".
@@ -65,8 +68,13 @@
 // shedPause is the pause, in seconds, that a stand-in with FaultShed asks for.
 const shedPause = "1.5"
 
-// refuse answers that the request was not run, if a fault says so.
+// refuse answers that the request was not run, if a fault says so. It also begins the answers of a server that
+// leaves.
 func (f *Faults) refuse(w http.ResponseWriter) bool {
+	if f.draw(FaultLeave) {
+		w.Header().Set(enginehttp.HeaderLeaving, "1")
+		f.saidLeaving.Add(1)
+	}
 	shed := f.draw(FaultShed)
 	if !shed && !f.draw(FaultRefuse) {
 		return false
@@ -84,6 +92,14 @@
 	http.Error(w, `{"error":"not started"}`, http.StatusServiceUnavailable)
 }
 
+// SaidLeaving returns the number of answers that said that the server leaves.
+func (f *Faults) SaidLeaving() int64 {
+	if f == nil {
+		return 0
+	}
+	return f.saidLeaving.Load()
+}
+
 // TurnedAway returns the number of requests that were answered with a demand for a pause.
 func (f *Faults) TurnedAway() int64 {
 	if f == nil {
--- a/test/process/pause_test.go
+++ b/test/process/pause_test.go
@@ -27,7 +27,7 @@
 		}
 	})
 	for n, d := range f.domains {
-		turnedAway := f.turnedAway(n)
+		turnedAway := f.firstEngineStats(n).TurnedAway
 		t.Logf("%s: %d requests turned away", d, turnedAway)
 		// Each host sends at most one request before each pause, and those of one burst.
 		if most := int64(2 * f.s.hostCount(n) * (pauses + 1)); turnedAway == 0 || turnedAway > most {
@@ -36,9 +36,26 @@
 	}
 }
 
-// turnedAway returns the number of requests that the first engine of a failure domain has answered with a
-// demand for a pause.
-func (f *fleet) turnedAway(domain int) int64 {
+// TestEnginesThatSayTheyLeaveGetFewRequests guards against entry hosts that wait for an announcement of it.
+func TestEnginesThatSayTheyLeaveGetFewRequests(t *testing.T) {
+	f := newFleet(t, threeRegions(67))
+	underLoad(f, f.loadOptions(loadCount, loadRate), func() {
+		for _, d := range f.domains {
+			f.setFaults(d, 0, "leave=1")
+		}
+	})
+	for n, d := range f.domains {
+		said := f.firstEngineStats(n).SaidLeaving
+		t.Logf("%s: %d answers", d, said)
+		// Those that each host sends before it has the first answer.
+		if most := int64(8 * f.s.hostCount(n)); said == 0 || said > most {
+			t.Errorf("%s: the engine said in %d answers that it leaves, allowed 1 to %d", d, said, most)
+		}
+	}
+}
+
+// firstEngineStats returns the counters of the first engine of a failure domain.
+func (f *fleet) firstEngineStats(domain int) standin.Stats {
 	f.t.Helper()
 	resp, err := http.Get(fmt.Sprintf("http://127.%d.%d.101:9000/admin/stats", f.s.net, domain+1))
 	if err != nil {
@@ -49,5 +66,5 @@
 	if err := json.NewDecoder(resp.Body).Decode(&stats); err != nil {
 		f.t.Fatal(err)
 	}
-	return stats.TurnedAway
+	return stats
 }
