dispatch: a slow start does not make others late; refusals name the releases that pause

Found by reading the change: a request whose only unpaused servers would miss its target was refused beside a server in its slow start; a stream that only one release may continue was refused as if a paused server of another one could run it; a stamped 503 with Retry-After counted as a failure of the server's health. Repeated pauses at a light load have a field and a counter.

--- a/internal/app/gateway/log.go
+++ b/internal/app/gateway/log.go
@@ -93,13 +93,24 @@
 	g.o.Log.Info("server limit ignored", "server", s.ID, "request_id", x.r.ID, "reason", "the limit is no decimal number", "limit", text)
 }
 
+// A server asks for pauses at a light load from minRepeats repeated pauses on, with minSlotsPerRequest slots or
+// more for each of the region's requests.
+const (
+	minRepeats         = 2
+	minSlotsPerRequest = 4
+)
+
 // logPause logs that a server asks this host for a pause.
 func (g *Gateway) logPause(x *execution, s *dispatch.Server, a *Answer, p serverpause.Pause, now time.Time) {
 	requests, _, _ := s.Load()
 	g.o.Metrics.Add("server_pauses", 1)
 	g.o.Metrics.Add("server_pauses_"+s.Service, 1)
+	lightLoad := p.Repeats >= minRepeats && requests*minSlotsPerRequest < s.Slots
+	if lightLoad {
+		g.o.Metrics.Add("server_pauses_at_light_load", 1)
+	}
 	g.o.Log.Info("server asked for a pause", "server", s.ID, "start", s.Start, "service", s.Service, "address", s.Address, "failure_domain", s.FailureDomain,
-		"status", a.Status, "asked_ms", a.Pause.For.Milliseconds(), "pause_ms", p.Left(now).Milliseconds(), "repeats", p.Repeats,
+		"status", a.Status, "asked_ms", a.Pause.For.Milliseconds(), "pause_ms", p.Left(now).Milliseconds(), "repeats", p.Repeats, "light_load", lightLoad,
 		"server_requests", requests, "slots", s.Slots, "request_id", x.r.ID)
 }
 
--- a/internal/app/gateway/pause_test.go
+++ b/internal/app/gateway/pause_test.go
@@ -135,11 +135,19 @@
 		return a, true, nil
 	}
 	sink := &memorySink{}
-	if fail := f.g.Execute(context.Background(), f.request("/order/1"), sink); fail != nil || sink.head.Status != http.StatusServiceUnavailable || sink.head.Header.Get("Retry-After") != "3" {
+	fail := f.g.Execute(context.Background(), f.request("/order/1"), sink)
+	f.clock.advance(3500 * time.Millisecond)
+	f.view(onlyOwnRegion)
+	if f.backends.answer = okAnswered; f.g.Execute(context.Background(), f.request("/order/1"), &memorySink{}) != nil {
+		t.Error("the server is not used after its pause")
+	}
+	if fail != nil || sink.head.Status != http.StatusServiceUnavailable || sink.head.Header.Get("Retry-After") != "3" {
 		t.Errorf("ended with %v, head %+v", fail, sink.head)
 	}
 }
 
+func okAnswered(int, *Attempt) (*Answer, bool, error) { return ranAnswer(200, "ok"), true, nil }
+
 // askForPause makes a server of the plain service turn another request away and ask for a pause.
 func (f *fixture) askForPause(server string) {
 	f.g.mu.Lock()
@@ -262,7 +270,7 @@
 	}
 	want := []string{
 		`"level"=0 "msg"="server pause ignored" "server"="desk1" "request_id"="r1" "reason"="the time is neither a decimal number of seconds nor a date" "retry_after"="\"x\""`,
-		`"level"=0 "msg"="server asked for a pause" "server"="desk1" "start"=0 "service"="desk" "address"="10.1.0.1:80" "failure_domain"="w1" "status"=503 "asked_ms"=1000 "pause_ms"=1050 "repeats"=0 "server_requests"=1 "slots"=8 "request_id"="r1"`,
+		`"level"=0 "msg"="server asked for a pause" "server"="desk1" "start"=0 "service"="desk" "address"="10.1.0.1:80" "failure_domain"="w1" "status"=503 "asked_ms"=1000 "pause_ms"=1050 "repeats"=0 "light_load"=false "server_requests"=1 "slots"=8 "request_id"="r1"`,
 	}
 	got := slices.DeleteFunc(slices.Clone(lines), func(l string) bool {
 		return !strings.Contains(l, "pause ignored") && !strings.Contains(l, "asked for a pause\" \"server\"")
@@ -274,3 +282,26 @@
 		t.Errorf("the refusal does not name the pause: %q", lines[len(lines)-2:])
 	}
 }
+
+// TestRepeatedPausesAtALightLoadAreFound guards against a server that turns requests away for no reason and that nobody finds.
+func TestRepeatedPausesAtALightLoadAreFound(t *testing.T) {
+	f := newFixture(t)
+	view := func(v *pb.FleetView) { onlyOwnRegion(v); v.Servers[3].Gone = true }
+	f.view(view)
+	var lines []string
+	f.g.o.Log = funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})
+	f.backends.answer = func(int, *Attempt) (*Answer, bool, error) { return turnedAway(time.Second), true, nil }
+	for range 4 {
+		_ = f.g.Execute(context.Background(), f.request("/order/1"), &memorySink{})
+		f.advanceWithViews(2*time.Second, view)
+	}
+	found := 0
+	for _, l := range lines {
+		if strings.Contains(l, `"msg"="server asked for a pause"`) && strings.Contains(l, `"light_load"=true`) {
+			found++
+		}
+	}
+	if found != 2 {
+		t.Errorf("%d of 4 pauses found at a light load, want those after two repeats: %q", found, lines)
+	}
+}
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -196,6 +196,9 @@
 	buffered := &bufferedAnswer{head: a.Head, body: body}
 	if isFailure(a.Status) {
 		res.outcome, res.fallback = dispatch.Failed, buffered
+		if a.Pause.For > 0 {
+			res.outcome = dispatch.Refused // a server that asks for a pause is not faulty
+		}
 		if x.headSent || x.route.Idempotent() {
 			res.stage = retry.Sent
 			res.err = failure.New(failure.BackendLost, failure.Unknown, "the backend server answered %d", a.Status)
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -192,7 +192,7 @@
 	regionLoss := prefer.regionLoss(f.o.Region)
 	for _, s := range f.candidates(j, locations, now) {
 		reason := f.usable(s, now)
-		c.paused = c.paused || reason == reasonPaused
+		c.paused = c.paused || (reason == reasonPaused && j.runsAt(s))
 		if j.Tried[s.ID] {
 			continue
 		}
@@ -229,7 +229,8 @@
 		}
 		f.evaluate(s, j, c, locations, regionLoss+prefer.serverLoss(s), now)
 	}
-	if c.Server != nil {
+	// Nor is a server used beyond its share in a slow start otherwise.
+	if c.Server != nil && c.EstimateMS < float64(j.Target.Milliseconds()) {
 		return
 	}
 	for _, s := range slowStarting {
--- a/internal/core/dispatch/pause.go
+++ b/internal/core/dispatch/pause.go
@@ -86,12 +86,15 @@
 // minSlowStartShare keeps the capacity of a server in its slow start above 0.
 const minSlowStartShare = 0.05
 
+// runsAt reports whether a server's release may run the job.
+func (j *Job) runsAt(s *Server) bool { return j.Release == nil || s.Release == *j.Release }
+
 // UntilUsable returns the time after which a server that is not usable now may run the job: the end of the
 // first pause, cold phase or back-off, but at least minRetryAfter.
 func (f *Fleet) UntilUsable(j *Job, now time.Time) time.Duration {
 	earliest := time.Duration(math.MaxInt64)
 	for _, s := range f.serversOf(j.Service) {
-		if !j.Permits(f.o.Region) || s.Leaving || f.missing(s) || f.Evacuated(s.FailureDomain) || (j.Release != nil && s.Release != *j.Release) {
+		if !j.Permits(f.o.Region) || s.Leaving || f.missing(s) || f.Evacuated(s.FailureDomain) || !j.runsAt(s) {
 			continue
 		}
 		back := min(defaultRetryAfter, max(s.ColdUntil.Sub(now), s.health.blockedUntil.Sub(now)))
--- a/internal/core/dispatch/pause_test.go
+++ b/internal/core/dispatch/pause_test.go
@@ -220,6 +220,23 @@
 	}
 }
 
+// TestSlowStartIsNoReasonToMissATarget guards against requests that are late, or refused, beside a server in its slow start.
+func TestSlowStartIsNoReasonToMissATarget(t *testing.T) {
+	f := newTestFleet(2)
+	askForPause(f, "s0", time.Second, start)
+	now := start.Add(1500 * time.Millisecond)
+	f.servers["s0"].own.add(load{2, 0, 0})
+	j := shortJob()
+	j.Permits = only("west")
+	if c := f.Choose(j, now); c.Server == nil || c.Server.ID != "s1" {
+		t.Errorf("chose %+v beyond the share of the slow start", c.Server)
+	}
+	f.servers["s1"].own.add(load{100, 200_000, 100_000})
+	if c := f.Choose(j, now); c.Server == nil || c.Server.ID != "s0" {
+		t.Errorf("refused (%s) or late at %+v though the other server can meet the target", c.Refused, c.Server)
+	}
+}
+
 // TestPausedRegionIsTriedOnce guards against forwards to a host whose servers pause, and to one region again and again.
 func TestPausedRegionIsTriedOnce(t *testing.T) {
 	f := newTestFleet(1)
