--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -143,7 +143,7 @@
 		return c
 	}
 	if c.Server == nil && c.Host == nil && (c.paused || f.hostsPaused(j, now)) {
-		c.Refused, c.RetryAfter, c.ServersPaused = "all servers in reach have asked for a pause", f.retryAfterPauses(j, now), true
+		c.Refused, c.RetryAfter, c.ServersPaused = "no backend server in reach that has not asked for a pause", f.retryAfterPauses(j, now), true
 		return c
 	}
 	if c.Server == nil && c.Host == nil {
--- a/internal/core/dispatch/pause.go
+++ b/internal/core/dispatch/pause.go
@@ -145,10 +145,15 @@
 	if c.Host == nil || after <= 0 {
 		return
 	}
-	if c.Host.pausedUntil == nil {
-		c.Host.pausedUntil = map[string]time.Time{}
+	for _, h := range f.hosts[c.Host.Region] { // a view may have made the host's state anew
+		if h.ID != c.Host.ID {
+			continue
+		}
+		if h.pausedUntil == nil {
+			h.pausedUntil = map[string]time.Time{}
+		}
+		h.pausedUntil[c.job.Service] = now.Add(min(after, maxHostPause))
 	}
-	c.Host.pausedUntil[c.job.Service] = now.Add(min(after, maxHostPause))
 }
 
 // maxHostPause bounds the time for which an entry host of another region is left out after it refused a
--- a/internal/core/dispatch/pause_test.go
+++ b/internal/core/dispatch/pause_test.go
@@ -250,6 +250,7 @@
 		t.Fatalf("not forwarded: %s", c.Refused)
 	}
 	f.Started(&c, start)
+	f.ApplyView(v, FullScope, start)
 	f.RecordHostRefusal(&c, 2*time.Second, start)
 	f.ApplyView(v, FullScope, start)
 	c = f.Choose(shortJob(), start)
