--- a/test/process/pause_test.go
+++ b/test/process/pause_test.go
@@ -15,6 +15,7 @@
 
 // TestSheddingEnginesGetFewRequests guards against entry hosts that send requests to an engine in the pause it asked for.
 func TestSheddingEnginesGetFewRequests(t *testing.T) {
+	t.Parallel()
 	const pauses = 4
 	f := newFleet(t, threeRegions(132))
 	underLoad(f, f.loadOptions(loadCount, loadRate), func() {
@@ -38,6 +39,7 @@
 
 // TestEnginesThatSayTheyLeaveGetFewRequests guards against entry hosts that wait for an announcement of it.
 func TestEnginesThatSayTheyLeaveGetFewRequests(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, threeRegions(133))
 	underLoad(f, f.loadOptions(loadCount, loadRate), func() {
 		for _, d := range f.domains {
