backendconn: the head of an answer is read though its caller has left

A canceled exchange now waits up to 100 ms for the head of its response before it closes the connection, if its caller left; after another cause someone waits, and it is closed at once. Nothing is sent for a caller who left while the connection was opened. Without the change TestHeadIsReadAfterItsCallerLeft ends with context canceled.

--- a/internal/adapter/backendconn/backendconn.go
+++ b/internal/adapter/backendconn/backendconn.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -100,7 +101,8 @@
 // Do sends the request with its body and returns the response once its head has
 // arrived. matches reports whether a response belongs to the request; other
 // responses are skipped. The caller must close the response's body; after a body
-// read to its end, the connection is reused. Canceling ctx closes the connection.
+// read to its end, the connection is reused. Canceling ctx closes the connection, after
+// a short wait for the head of the response (see headLinger).
 func (p *Pool) Do(ctx context.Context, addr string, req *http.Request, body []byte, matches func(*http.Response) bool, conditions ...Condition) (*http.Response, error) {
 	c, _ := p.takeIdle(addr)
 	return p.do(ctx, c, addr, req, body, matches, conditions)
@@ -150,10 +152,18 @@
 		p.putBack(c)
 		return nil, &Error{Withheld: true, Cause: errWithheld}
 	}
+	if ctx.Err() != nil {
+		p.putBack(c)
+		return nil, &Error{Cause: context.Cause(ctx)}
+	}
 	x := &exchange{p: p, c: c, written: make(chan struct{})}
-	x.stop = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
+	x.stop = context.AfterFunc(ctx, func() { x.cancel(ctx) })
 	go x.write(req, body)
 	resp, err := x.readHead(req, matches)
+	x.headRead.Store(true)
+	if err == nil && ctx.Err() != nil {
+		_ = c.Conn.Close() // nobody waits for the body
+	}
 	if err != nil {
 		x.stop()
 		_ = c.Conn.Close()
@@ -205,11 +215,26 @@
 	p        *Pool
 	c        *conn
 	stop     func() bool
+	headRead atomic.Bool
 	written  chan struct{} // closed when the write of the request has ended
 	sent     bool          // any byte of the request was written; set before written is closed
 	writeErr error         // of the write; set before written is closed
 }
 
+// headLinger is the time for which the head of a response is read whose caller has left. A server that turned
+// the request away says in it what it asks of this host.
+const headLinger = 100 * time.Millisecond
+
+// cancel closes the connection. If the caller left before the head of the response arrived, it first waits for
+// the head, for at most headLinger. After another cause someone waits for the end of the request.
+func (x *exchange) cancel(ctx context.Context) {
+	if x.headRead.Load() || context.Cause(ctx) != context.Canceled {
+		_ = x.c.Conn.Close()
+		return
+	}
+	_ = x.c.Conn.SetReadDeadline(time.Now().Add(headLinger))
+}
+
 // countingWriter counts the bytes that the connection accepted.
 type countingWriter struct {
 	w io.Writer
--- a/internal/adapter/backendconn/backendconn_test.go
+++ b/internal/adapter/backendconn/backendconn_test.go
@@ -474,3 +474,35 @@
 		t.Errorf("with a connection: %v after %d requests", err, requests.Load())
 	}
 }
+
+// TestHeadIsReadAfterItsCallerLeft guards against a server's demand that is lost with a caller who leaves meanwhile.
+func TestHeadIsReadAfterItsCallerLeft(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := serve(t, func(s *server, _ int, c net.Conn, r *bufio.Reader) {
+		s.read(r)
+		cancel()
+		write(c, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 3\r\nContent-Length: 5\r\n\r\n")
+		_, _ = r.ReadByte() // returns when the connection ends
+	})
+	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{}}
+	resp, err := newPool(t).Do(ctx, s.ln.Addr().String(), req, nil, func(*http.Response) bool { return true })
+	if err != nil || resp.Header.Get("Retry-After") != "3" {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	if _, err := io.ReadAll(resp.Body); err == nil {
+		t.Error("the body was read to its end")
+	}
+}
+
+// TestNothingIsSentForACallerWhoLeft guards against work for nobody.
+func TestNothingIsSentForACallerWhoLeft(t *testing.T) {
+	s := serve(t, func(s *server, _ int, _ net.Conn, r *bufio.Reader) { s.read(r) })
+	ctx, cancel := context.WithCancel(context.Background())
+	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{}}
+	_, err := newPool(t).Do(ctx, s.ln.Addr().String(), req, nil, func(*http.Response) bool { return true }, func() bool { cancel(); return true })
+	var e *Error
+	if !errors.As(err, &e) || e.Sent || s.requests.Load() != 0 {
+		t.Errorf("ended with %v, %d requests", err, s.requests.Load())
+	}
+}
