--- a/internal/adapter/enginehttp/enginehttp.go
+++ b/internal/adapter/enginehttp/enginehttp.go
@@ -106,12 +106,13 @@
 	case err != nil:
 		return nil, connected.Load(), failure.Wrap(err, failure.BackendLost, outcomeOf(connected.Load()))
 	}
+	pause := httpheader.Pause(resp.StatusCode, resp.Header)
 	leaving := httpheader.Flag(resp.Header, HeaderLeaving)
 	resp.Header.Del(HeaderLeaving)
 	return &port.BackendAnswer{
 		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body,
 		Refused: resp.Header.Get(HeaderOutcome) == string(failure.NotRun),
-		Pause:   httpheader.Pause(resp.StatusCode, resp.Header),
+		Pause:   pause.For, InvalidPause: pause.Invalid,
 		Leaving: leaving,
 	}, true, nil
 }
--- a/internal/adapter/enginehttp/enginehttp_test.go
+++ b/internal/adapter/enginehttp/enginehttp_test.go
@@ -26,8 +26,8 @@
 		t.Fatal(err)
 	}
 	_ = a.Body.Close()
-	if a.Pause.For != 1500*time.Millisecond || !a.Leaving || http.Header(a.Header).Get(HeaderLeaving) != "" {
-		t.Errorf("pause %+v, leaving %v, header %v", a.Pause, a.Leaving, a.Header)
+	if a.Pause != 1500*time.Millisecond || !a.Leaving || http.Header(a.Header).Get(HeaderLeaving) != "" {
+		t.Errorf("pause %s, leaving %v, header %v", a.Pause, a.Leaving, a.Header)
 	}
 }
 
--- a/internal/app/entry/pause.go
+++ b/internal/app/entry/pause.go
@@ -9,21 +9,22 @@
 
 // recordPause records and logs that a server's answer asks for a pause.
 func (h *Host) recordPause(x *execution, p *placement.Place, a *port.BackendAnswer) {
-	if a.Pause == (serverpause.Demand{}) {
+	d := serverpause.Demand{For: a.Pause, Invalid: a.InvalidPause}
+	if d == (serverpause.Demand{}) {
 		return
 	}
 	now := h.o.Clock.Now()
 	h.mu.Lock()
-	pause, began := h.place.RecordPause(p, a.Pause, now)
+	pause, began := h.place.RecordPause(p, d, now)
 	h.mu.Unlock()
 	switch {
-	case a.Pause.Invalid != "":
+	case d.Invalid != "":
 		h.o.Metrics.Add("server_pauses_invalid", 1)
-		h.o.Log.Info("server pause ignored", "server", p.ServerID, "request_id", x.r.ID, "reason", "the time is neither a decimal number of seconds nor a date", "retry_after", a.Pause.Invalid)
+		h.o.Log.Info("server pause ignored", "server", p.ServerID, "request_id", x.r.ID, "reason", "the time is neither a decimal number of seconds nor a date", "retry_after", d.Invalid)
 	case began:
 		h.o.Metrics.Add("server_pauses", 1)
 		h.o.Log.Info("server asked for a pause", "server", p.ServerID, "address", p.Address, "status", a.Status,
-			"asked_ms", a.Pause.For.Milliseconds(), "pause_ms", pause.Left(now).Milliseconds(), "repeats", pause.Repeats, "request_id", x.r.ID)
+			"asked_ms", d.For.Milliseconds(), "pause_ms", pause.Left(now).Milliseconds(), "repeats", pause.Repeats, "request_id", x.r.ID)
 	}
 }
 
--- a/internal/app/entry/pause_test.go
+++ b/internal/app/entry/pause_test.go
@@ -43,7 +43,7 @@
 func (b *sheddingBackends) Do(_ context.Context, c port.BackendCall) (*port.BackendAnswer, bool, error) {
 	b.calls[c.Address]++
 	if pause := b.sheds[c.Address]; pause > 0 {
-		return &port.BackendAnswer{Status: http.StatusServiceUnavailable, Refused: true, Pause: serverpause.Demand{For: pause}, Body: io.NopCloser(strings.NewReader(""))}, true, nil
+		return &port.BackendAnswer{Status: http.StatusServiceUnavailable, Refused: true, Pause: pause, Body: io.NopCloser(strings.NewReader(""))}, true, nil
 	}
 	return &port.BackendAnswer{Status: http.StatusOK, Header: http.Header{"Content-Type": {"application/json"}}, Body: io.NopCloser(strings.NewReader(completeAnswer)), Leaving: c.Address == b.leaves}, true, nil
 }
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -8,7 +8,6 @@
 	"io"
 	"time"
 
-	"github.com/sesamefork/sesamefork/internal/core/serverpause"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
@@ -166,8 +165,10 @@
 	Body   io.ReadCloser
 	// Refused is set if the server states that it did not start the request.
 	Refused bool
-	// Pause is what the answer says about a time in which the server wants no requests of this host.
-	Pause serverpause.Demand
+	// Pause is the time in which the server wants no requests of this host; 0 if it names none.
+	Pause time.Duration
+	// InvalidPause is the text of such a time that cannot be decoded, cut short; "" otherwise.
+	InvalidPause string
 	// Leaving is set if the answer says that the server's process leaves.
 	Leaving bool
 }
