--- a/internal/adapter/backendconn/backendconn.go
+++ b/internal/adapter/backendconn/backendconn.go
@@ -454,7 +454,7 @@
 	p.idle[c.addr] = append(list, c)
 }
 
-// putBack returns a connection that was not used to the idle ones. It closes one that has not carried a response.
+// putBack returns a connection without a request to the idle ones. It closes one that has never carried a response.
 func (p *Pool) putBack(c *conn) {
 	p.setInUse(c, false)
 	p.mu.Lock()
