--- a/internal/core/dispatch/pause.go
+++ b/internal/core/dispatch/pause.go
@@ -43,8 +43,8 @@
 	return f.pauses.RecordLeaving(c.Server.key, now) && !known
 }
 
-// MaySend reports whether a request may still be sent to the server of an attempt: the server may have left
-// or asked for a pause since it was chosen.
+// MaySend reports whether the request of an attempt may be written to its server, which may leave or ask for a
+// pause while the request waits for a connection.
 func (f *Fleet) MaySend(c *Choice, now time.Time) bool {
 	return c.Server == nil || (!c.Server.Leaving && !f.paused(c.Server, now))
 }
--- a/internal/core/dispatch/pause_test.go
+++ b/internal/core/dispatch/pause_test.go
@@ -263,8 +263,8 @@
 	}
 }
 
-// TestPausesUnderFaults plays random answers, views, restarts and losses, and checks that no paused process is
-// chosen, and that nobody is refused while a server has no pause.
+// TestPausesUnderFaults guards against requests to a paused process, and against refusals while a server has no pause,
+// under random answers, views, restarts and losses.
 func TestPausesUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const servers = 3
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -213,8 +213,8 @@
 	return p.Server != nil && s.Table.RecordLeaving(p.Server, p.incarnation)
 }
 
-// MaySend reports whether a request may still be sent to a place: its server may have left or asked for a pause
-// since the place was reserved.
+// MaySend reports whether a request may be written to the server of a place, which may leave or ask for a pause
+// while the request waits for a connection.
 func (s *State) MaySend(p *Place, now time.Time) bool {
 	return p.Server == nil || (!p.Server.Leaving() && p.Server.PauseLeft(now) == 0)
 }
