--- a/internal/adapter/backendconn/backendconn.go
+++ b/internal/adapter/backendconn/backendconn.go
@@ -162,7 +162,7 @@
 	resp, err := x.readHead(req, matches)
 	x.headRead.Store(true)
 	if err == nil && ctx.Err() != nil {
-		_ = c.Conn.Close() // nobody waits for the body
+		_ = c.Conn.Close() // the caller has left
 	}
 	if err != nil {
 		x.stop()
@@ -221,12 +221,12 @@
 	writeErr error         // of the write; set before written is closed
 }
 
-// headLinger is the time for which the head of a response is read whose caller has left. A server that turned
-// the request away says in it what it asks of this host.
+// headLinger is the longest time for which a connection waits for the head of a response after the caller has left.
+// The head may name a pause that the server asks for.
 const headLinger = 100 * time.Millisecond
 
-// cancel closes the connection. If the caller left before the head of the response arrived, it first waits for
-// the head, for at most headLinger. After another cause someone waits for the end of the request.
+// cancel ends the exchange. If its caller left before the head of the response arrived, the connection stays open
+// for at most headLinger. After any other cause it is closed at once, as the caller waits for the end.
 func (x *exchange) cancel(ctx context.Context) {
 	if x.headRead.Load() || context.Cause(ctx) != context.Canceled {
 		_ = x.c.Conn.Close()
--- a/internal/adapter/enginehttp/enginehttp.go
+++ b/internal/adapter/enginehttp/enginehttp.go
@@ -58,8 +58,8 @@
 // maySendKey is the context key of a call's condition to send.
 type maySendKey struct{}
 
-// dialIfMaySend opens connections, and closes one again if the call that it was opened for must not be sent
-// any more.
+// dialIfMaySend returns a dialer that fails with port.ErrWithheld if the call's condition does not hold once the
+// connection is open.
 func dialIfMaySend(d *net.Dialer) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := d.DialContext(ctx, network, addr)
--- a/internal/app/gateway/log.go
+++ b/internal/app/gateway/log.go
@@ -101,7 +101,7 @@
 )
 
 // logPause logs that a server asks this host for a pause.
-func (g *Gateway) logPause(x *execution, s *dispatch.Server, a *Answer, p serverpause.Pause, now time.Time) {
+func (g *Gateway) logPause(x *execution, s *dispatch.Server, a *Answer, p serverpause.State, now time.Time) {
 	requests, _, _ := s.Load()
 	g.o.Metrics.Add("server_pauses", 1)
 	g.o.Metrics.Add("server_pauses_"+s.Service, 1)
--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -43,7 +43,7 @@
 	probing       bool
 	history       history
 	cache         *cache
-	pause         serverpause.Pause
+	pause         serverpause.State
 	leaving       bool    // an answer of this process said that it leaves
 	meanServiceMS float64 // moving mean of the time an attempt holds a slot, in ms; 0 before the first
 }
@@ -108,10 +108,10 @@
 // RecordPause records that an answer to an attempt at an incarnation of a server asks for a pause. random is
 // in [0, 1). It returns the state of the server's pauses, and whether the answer began one. If another process
 // runs under the server's ID by now, that one may have sent the answer, and pauses too.
-func (t *Table) RecordPause(s *Server, incarnation uint64, d serverpause.Demand, random float64, now time.Time) (p serverpause.Pause, began bool) {
+func (t *Table) RecordPause(s *Server, incarnation uint64, d serverpause.Demand, random float64, now time.Time) (p serverpause.State, began bool) {
 	before := s.pause
 	if incarnation != s.State.Incarnation {
-		if p := (serverpause.Pause{}).After(d, random, now).Succeeded(time.Time{}, now); p.Until.After(before.Until) {
+		if p := (serverpause.State{}).After(d, random, now).Succeeded(time.Time{}, now); p.Until.After(before.Until) {
 			s.pause = p
 		}
 		return s.pause, false
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -74,7 +74,7 @@
 	Considered []Candidate
 	// Refused is the reason why the request is refused, "" if it is sent, and RetryAfter the
 	// time after which the caller should retry. NoUsableServer is set if no server is usable at
-	// all, and ServersPaused if the only ones that could be have asked for pauses.
+	// all, and ServersPaused if one of them would be usable without a pause.
 	Refused        string
 	NoUsableServer bool
 	ServersPaused  bool
--- a/internal/core/dispatch/pause.go
+++ b/internal/core/dispatch/pause.go
@@ -9,18 +9,18 @@
 )
 
 // A server that answers a host 503 with Retry-After gets no requests from that host until the pause is
-// over, whatever else the host hears of it. Then its share of the host's requests rises from 0, as all
-// hosts that it asked would otherwise find it empty and choose it at once.
+// over, whatever else the host hears of it. In the slow start after it the server's share of the host's
+// requests rises from 0: it has no load then, and all hosts would send to it at once.
 
 // Pause returns the state of the pauses that a server asked of this host.
-func (f *Fleet) Pause(s *Server) serverpause.Pause { return f.pauses.Get(s.key) }
+func (f *Fleet) Pause(s *Server) serverpause.State { return f.pauses.Get(s.key) }
 
 func (f *Fleet) paused(s *Server, now time.Time) bool { return f.Pause(s).Left(now) > 0 }
 
 // RecordPause records that an answer to the attempt asks for a pause. It returns the state of the server's
 // pauses, and whether the answer began one. If another process runs under the server's ID by now, that one
 // may have sent the answer, and pauses too.
-func (f *Fleet) RecordPause(c *Choice, d serverpause.Demand, now time.Time) (p serverpause.Pause, began bool) {
+func (f *Fleet) RecordPause(c *Choice, d serverpause.Demand, now time.Time) (p serverpause.State, began bool) {
 	s := c.Server
 	if s == nil {
 		return p, false
@@ -122,7 +122,7 @@
 	return paused
 }
 
-// eachPausedHost calls a function with the rest of the time for which each such host is left out.
+// eachPausedHost calls a function for each of these hosts, with the rest of the time for which it is left out.
 func (f *Fleet) eachPausedHost(j *Job, now time.Time, call func(left time.Duration)) {
 	if j.Forwarded || f.disabled(OtherRegions) {
 		return
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -238,7 +238,7 @@
 // Evacuated reports whether a failure domain is evacuated, so that its servers get no requests.
 func (f *Fleet) Evacuated(domain string) bool { return slices.Contains(f.evacuated, domain) }
 
-// reasonPaused is why a server is not usable that has asked this host for a pause.
+// reasonPaused is the reason of usable for a server that has asked this host for a pause.
 const reasonPaused = "paused"
 
 // usable returns why a server must not be sent new requests; "" if it may.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -201,9 +201,9 @@
 
 // RecordPause records that an answer from a place asks for a pause. It returns the state of the server's
 // pauses, and whether the answer began one.
-func (s *State) RecordPause(p *Place, d serverpause.Demand, now time.Time) (serverpause.Pause, bool) {
+func (s *State) RecordPause(p *Place, d serverpause.Demand, now time.Time) (serverpause.State, bool) {
 	if p.Server == nil {
-		return serverpause.Pause{}, false
+		return serverpause.State{}, false
 	}
 	return s.Table.RecordPause(p.Server, p.incarnation, d, s.o.Random(), now)
 }
--- a/internal/core/serverpause/serverpause.go
+++ b/internal/core/serverpause/serverpause.go
@@ -41,9 +41,9 @@
 	Invalid string
 }
 
-// Pause is the state of the pauses of one server process. The zero value is that of a process that
+// State is what one server process has asked of this host. The zero value is that of a process that
 // never asked for one.
-type Pause struct {
+type State struct {
 	AskedAt time.Time // when the last answer that asked for a pause was received
 	Until   time.Time
 	// Repeats is the number of pauses before this one that each began soon after the one before.
@@ -53,7 +53,7 @@
 }
 
 // After returns the state after an answer that asks for a pause. random is in [0, 1).
-func (p Pause) After(d Demand, random float64, now time.Time) Pause {
+func (p State) After(d Demand, random float64, now time.Time) State {
 	if d.For <= 0 {
 		return p
 	}
@@ -73,14 +73,14 @@
 }
 
 // Leaving reports whether the process has said that it leaves.
-func (p Pause) Leaving() bool { return !p.LeavingSince.IsZero() }
+func (p State) Leaving() bool { return !p.LeavingSince.IsZero() }
 
 // Left returns the rest of the pause; 0 if there is none.
-func (p Pause) Left(now time.Time) time.Duration { return max(0, p.Until.Sub(now)) }
+func (p State) Left(now time.Time) time.Duration { return max(0, p.Until.Sub(now)) }
 
 // Share returns the fraction of its requests that the server may get: 0 in a pause, then rising to 1
 // over SlowStart.
-func (p Pause) Share(now time.Time) float64 {
+func (p State) Share(now time.Time) float64 {
 	if p.Until.IsZero() {
 		return 1
 	}
@@ -90,9 +90,9 @@
 // Succeeded returns the state of the process that replaces one under its ID. heardAfter is a time after
 // which the old process is known to have run: it then sent the answer if that had been received before.
 // Otherwise the new process may have sent it.
-func (p Pause) Succeeded(heardAfter, now time.Time) Pause {
+func (p State) Succeeded(heardAfter, now time.Time) State {
 	if p.Left(now) == 0 || heardAfter.After(p.AskedAt) {
-		return Pause{}
+		return State{}
 	}
 	if latest := p.AskedAt.Add(maxUnprovenPause); p.Until.After(latest) {
 		p.Until = latest
@@ -102,6 +102,6 @@
 }
 
 // expired reports whether the state has no effect any more.
-func (p Pause) expired(now time.Time) bool {
+func (p State) expired(now time.Time) bool {
 	return now.After(p.Until.Add(repeatWindow)) && now.After(p.LeavingSince.Add(leavingRetention))
 }
--- a/internal/core/serverpause/table.go
+++ b/internal/core/serverpause/table.go
@@ -11,17 +11,17 @@
 
 // Table holds the pauses of server processes by their keys (see package incarnation). It is not safe
 // for concurrent use.
-type Table struct{ pauses map[uint32]Pause }
+type Table struct{ pauses map[uint32]State }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{map[uint32]Pause{}} }
+func NewTable() *Table { return &Table{map[uint32]State{}} }
 
 // Get returns the state of a process.
-func (t *Table) Get(key uint32) Pause { return t.pauses[key] }
+func (t *Table) Get(key uint32) State { return t.pauses[key] }
 
 // Record records what an answer of a process says. random is in [0, 1). It returns the state, and whether
 // the answer began a pause.
-func (t *Table) Record(key uint32, d Demand, random float64, now time.Time) (p Pause, began bool) {
+func (t *Table) Record(key uint32, d Demand, random float64, now time.Time) (p State, began bool) {
 	before := t.pauses[key]
 	p = before.After(d, random, now)
 	if p == before {
@@ -42,7 +42,7 @@
 	return true
 }
 
-// Succeed passes a pause on to the process that replaces one under its ID; see Pause.Succeeded.
+// Succeed passes a pause on to the process that replaces one under its ID; see State.Succeeded.
 func (t *Table) Succeed(from, to uint32, heardAfter, now time.Time) {
 	if p := t.pauses[from].Succeeded(heardAfter, now); p.Until.After(t.pauses[to].Until) {
 		t.set(to, p)
@@ -57,7 +57,7 @@
 	}
 }
 
-func (t *Table) set(key uint32, p Pause) {
+func (t *Table) set(key uint32, p State) {
 	if _, ok := t.pauses[key]; !ok && len(t.pauses) >= maxEntries {
 		t.dropFirstToEnd()
 	}
@@ -74,7 +74,7 @@
 	delete(t.pauses, first)
 }
 
-func (p Pause) endsBefore(o Pause) bool {
+func (p State) endsBefore(o State) bool {
 	if !p.Until.Equal(o.Until) {
 		return p.Until.Before(o.Until)
 	}
@@ -86,5 +86,5 @@
 
 // Expire drops the states that have no effect any more.
 func (t *Table) Expire(now time.Time) {
-	maps.DeleteFunc(t.pauses, func(_ uint32, p Pause) bool { return p.expired(now) })
+	maps.DeleteFunc(t.pauses, func(_ uint32, p State) bool { return p.expired(now) })
 }
