design: requirements and interfaces for services short of room and unequal servers

Two deployments are served poorly: engines that are short of slots, and engines of unequal and changing speed. Stubs of the interfaces keep today's behaviour.

--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -311,6 +311,7 @@
 	j := &dispatch.Job{
 		Service: x.service, Permits: x.permits, Remaining: x.deadline.Sub(now), Tried: x.tried,
 		Target: time.Duration(x.route.LatencyTargetMS) * time.Millisecond, Forwarded: x.r.Origin != "",
+		GapTarget:     time.Duration(x.route.GapTargetMS) * time.Millisecond,
 		ServerCrashes: x.admission.ServerCrashes, Priority: x.route.Priority, Release: x.release, Connected: g.o.Backends.Connected,
 	}
 	s, ok := x.record.RoutedService(x.service)
--- a/internal/app/gateway/request.go
+++ b/internal/app/gateway/request.go
@@ -135,6 +135,9 @@
 	// Requests is the number of requests that the server reports, running and queued; -1 if it
 	// reports none.
 	Requests int
+	// WorkTime is the ratio of the time that work takes on the server's machine at the moment of the answer to
+	// the usual one; 0 if the server does not report it.
+	WorkTime float64
 	// Cold is the time for which the server reports that it is still cold.
 	Cold time.Duration
 	// Limit is what the answer says about the limit that the server advertises.
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -28,6 +28,9 @@
 	Remaining time.Duration
 	// Target is the time within which the first byte of the answer should reach the caller.
 	Target time.Duration
+	// GapTarget is the longest pause between the events of a stream with which its answer is still on time; 0
+	// for none.
+	GapTarget time.Duration
 	// Tried is the set of server IDs, region names and entry host IDs at which this request has
 	// failed.
 	Tried map[string]bool
