serverspeed, dispatch: estimates account for the speed of each server

Servers of a service differ in speed (0.55 and 1.2 of the usual time in one deployment) and are slow for moments, but all estimates took them for equal. Work times that servers report now give a factor for each server; estimates are multiplied by it and samples divided by it. Services without reports have factor 1.

Off by the mechanism work-factors.

--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -88,10 +88,12 @@
 	// service.
 	tokensAhead   float64
 	slowdown      float64
+	workFactor    float64 // of the server when it was chosen
 	loss          float64
 	job           *Job
 	key           regionKey
-	firstByteSeen bool // the first byte of the answer has arrived
+	slower        float64 // factor by which the server was slower at the first byte than when it was chosen, at least 1
+	firstByteSeen bool    // the first byte of the answer has arrived
 	startedAt     time.Time
 	limited       bool   // a server was excluded by its limit
 	paused        bool   // a server of the own region has asked for a pause
@@ -267,13 +269,14 @@
 	k := f.serverCost(s, j, uncovered, math.Max(0, shared-covered), now)
 	k.addCopy(j, copied)
 	k.loss += f.domainLoss(s, j) + extraLoss + f.crashLoss(s, j)
-	late := !f.disabled(Deferral) && k.deferIfLate(float64(s.deferred)+factor*float64(s.othersDeferred), s, j, f.speedOf(j.Service).HoldMS())
+	late := !f.disabled(Deferral) && k.deferIfLate(float64(s.deferred)+factor*float64(s.othersDeferred), s, j, f.speedOf(j.Service).HoldMS()*f.steadyFactor(s))
 	k.loss += f.o.Random() * tieBreakLoss
 	c.Considered = append(c.Considered, Candidate{s.ID, k.firstMS, ""})
 	if k.loss < c.loss {
 		c.Server, c.EstimateMS, c.loss, c.UncoveredTokens, c.CopyFrom = s, k.firstMS, k.loss, uncovered, from
 		c.Deferred = late
 		c.tokensAhead, c.slowdown = s.own.prompt+factor*s.others.prompt, slowdown(f.requestsAt(s, now), float64(max(1, s.Slots)))
+		c.workFactor = f.workFactor(s, now)
 	}
 }
 
@@ -303,17 +306,18 @@
 		unhealthy += stalledLoss
 	}
 	estimator := f.speedOf(j.Service)
+	work, steady := f.workFactor(s, now), f.steadyFactor(s)
 	if !j.Engine {
-		k := plainServiceCost(requests, slots, estimator.AnswerMS(), j)
+		k := plainServiceCost(requests, slots, estimator.AnswerMS()*work, j)
 		if !f.disabled(Shares) {
 			k.loss = 0 // rankServers already accounts for the load
 		}
 		return cost{k.loss + unhealthy + excess/1000*delayLoss, k.firstMS + excess}
 	}
 	k := enginePromptCost(engineState{
-		requests: requests, slots: slots, pendingMS: (s.own.prompt + factor*s.others.prompt) / estimator.PrefillTokensPerMS(),
-		prefillShare: (s.prefill.now(now) + factor*s.othersPrefill) / 1000,
-		memory:       s.own.memory + factor*s.others.memory, memoryCapacity: j.MemoryTokens, off: f.o.Off,
+		requests: requests, slots: slots, pendingMS: (s.own.prompt + factor*s.others.prompt) / estimator.PrefillTokensPerMS() * work,
+		prefillShare: (s.prefill.now(now) + factor*s.othersPrefill) / 1000 * steady, work: work, steady: steady,
+		memory: s.own.memory + factor*s.others.memory, memoryCapacity: j.MemoryTokens, off: f.o.Off,
 	}, j, uncovered, repeated, estimator)
 	return cost{k.loss + unhealthy + shortLoss*lateRisk(k.firstMS+excess, j.Target) - shortLoss*lateRisk(k.firstMS, j.Target), k.firstMS}
 }
@@ -371,12 +375,13 @@
 // regionCost returns the cost at an average server of another region, and the number of prompt
 // tokens that are probably not cached there.
 func (f *Fleet) regionCost(r *region, j *Job, now time.Time) (k cost, uncovered float64) {
-	servers, slots := r.capacity(f.requestsPerSlot(j.Service, j.Engine))
+	work := f.usualFactor(j.Service, now)
+	servers, slots := r.capacity(f.requestsPerSlot(j.Service, j.Engine) / work)
 	requests := (r.requests + float64(r.forwarded.requests)) / servers
 	slots = math.Max(1, slots/servers)
 	estimator := f.speedOf(j.Service)
 	if !j.Engine {
-		k = plainServiceCost(requests, slots, estimator.AnswerMS(), j)
+		k = plainServiceCost(requests, slots, estimator.AnswerMS()*work, j)
 		remoteMS := k.firstMS + interRegionRTTMS
 		late := lateRisk(remoteMS, j.Target) - lateRisk(k.firstMS, j.Target)
 		if f.disabled(Shares) {
@@ -386,9 +391,9 @@
 	}
 	repeated := f.repeatedPrefillInRegion(r, j, now)
 	uncovered = j.PromptTokens - float64(sharedTokens(j.Parts)) + repeated
-	pending := (r.prompt + r.forwarded.prompt) / servers / estimator.PrefillTokensPerMS()
+	pending := (r.prompt + r.forwarded.prompt) / servers / estimator.PrefillTokensPerMS() * work
 	k = enginePromptCost(engineState{
-		requests: requests, slots: slots, pendingMS: pending + interRegionRTTMS,
+		requests: requests, slots: slots, pendingMS: pending + interRegionRTTMS, work: work, steady: work,
 		memory: (r.memory + r.forwarded.memory) / servers, memoryCapacity: j.MemoryTokens, off: f.o.Off,
 	}, j, uncovered, repeated, estimator)
 	k.loss += crossRegionLoss
--- a/internal/core/dispatch/cost.go
+++ b/internal/core/dispatch/cost.go
@@ -56,16 +56,17 @@
 	pendingMS              float64 // time for the prefill that is running and queued, in ms
 	prefillShare           float64 // fraction of the time spent on prefill
 	memory, memoryCapacity float64 // tokens of KV cache
+	work, steady           float64 // factors by which work takes longer there, now and without slow moments
 	off                    Mechanisms
 }
 
 // enginePromptCost returns the cost of a prompt of which the engine must prefill uncovered
 // tokens; repeated of these are shared tokens that were already prefilled for other requests.
 func enginePromptCost(e engineState, j *Job, uncovered, repeated float64, estimator *speed.Estimator) cost {
-	prefillMS := uncovered / estimator.PrefillTokensPerMS()
-	step := stepBaseMS + stepPerRequestMS*e.requests
-	first := estimator.BeginMS() + e.pendingMS + prefillMS + (e.pendingMS+prefillMS)/100*step + step
-	first += admissionWaitMS(e, uncovered+j.OutputTokens, estimator.HoldMS())
+	prefillMS := uncovered / estimator.PrefillTokensPerMS() * e.work
+	step := (stepBaseMS + stepPerRequestMS*e.requests) * e.work
+	first := estimator.BeginMS()*e.work + e.pendingMS + prefillMS + (e.pendingMS+prefillMS)/100*step + step
+	first += admissionWaitMS(e, uncovered+j.OutputTokens, estimator.HoldMS()*e.steady)
 	own := shortLoss
 	if j.isLong() {
 		own = longLoss
@@ -101,7 +102,7 @@
 func admissionWaitMS(e engineState, tokens, holdMS float64) float64 {
 	wait := 0.0
 	if over := e.memory + tokens - e.memoryCapacity; over > 0 && e.memoryCapacity > 0 {
-		wait += over / kvReleaseTokensPerMS
+		wait += over / kvReleaseTokensPerMS * e.steady
 	}
 	if over := e.requests + 1 - e.slots; over > 0 {
 		wait += over * holdMS / e.slots
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/serverlimit"
 	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	"github.com/sesamefork/sesamefork/internal/core/serverpause"
+	"github.com/sesamefork/sesamefork/internal/core/serverspeed"
 	"github.com/sesamefork/sesamefork/internal/core/speed"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
@@ -87,10 +88,12 @@
 	speeds           map[string]*speed.Estimator // by service
 	serversByKey     map[uint32]*Server
 	holders          *holders.Table
-	comparisons      map[string]*loadComparison // by service
-	unreportedPlaces []holders.Place            // not yet reported to a control host
-	limits           *serverlimit.Table         // limits that servers advertise, by server key
-	pauses           *serverpause.Table         // pauses that servers asked of this host, by server key
+	comparisons      map[string]*loadComparison      // by service
+	workTimes        map[string]*serverspeed.Service // by service
+	workTimesAt      time.Time                       // latest time given to workTimesOf
+	unreportedPlaces []holders.Place                 // not yet reported to a control host
+	limits           *serverlimit.Table              // limits that servers advertise, by server key
+	pauses           *serverpause.Table              // pauses that servers asked of this host, by server key
 	// limitRefusals are the times of the last requests refused at limits, by service and priority.
 	limitRefusals map[string]map[int]time.Time
 	// nextLimitedPlace is when the last request that was refused at a limit is expected back, by service.
@@ -106,7 +109,8 @@
 		o: o, servers: map[string]*Server{}, departures: map[string]departure{}, restored: map[string]restoration{}, hosts: map[string][]*Host{},
 		regions: map[regionKey]*region{}, chainRates: map[string]chainRate{}, arrivals: map[string]*arrivals{}, holders: holders.NewTable(),
 		serversByKey: map[uint32]*Server{}, speeds: map[string]*speed.Estimator{}, comparisons: map[string]*loadComparison{},
-		limits: serverlimit.NewTable(), pauses: serverpause.NewTable(), limitRefusals: map[string]map[int]time.Time{}, nextLimitedPlace: map[string]time.Time{}, listsGeneration: 1,
+		workTimes: map[string]*serverspeed.Service{},
+		limits:    serverlimit.NewTable(), pauses: serverpause.NewTable(), limitRefusals: map[string]map[int]time.Time{}, nextLimitedPlace: map[string]time.Time{}, listsGeneration: 1,
 	}
 }
 
@@ -325,13 +329,16 @@
 	AnswerMS    float64 `json:"answer_ms"`     // answer time of a plain service with free slots
 	HoldMS      float64 `json:"hold_ms"`       // time for which a request holds a slot of an engine
 	Samples     int     `json:"samples"`       // number of long prompts whose median is the rate
+	// WorkFactors are the factors of the own region's servers by ID, if servers report work times. The speeds
+	// are those of a server with factor 1.
+	WorkFactors map[string]WorkFactor `json:"work_factors,omitempty"`
 }
 
 // Speeds returns the estimated speeds by service.
-func (f *Fleet) Speeds() map[string]Speed {
+func (f *Fleet) Speeds(now time.Time) map[string]Speed {
 	out := make(map[string]Speed, len(f.speeds))
 	for service, e := range f.speeds {
-		out[service] = Speed{e.PrefillTokensPerMS(), e.BeginMS(), e.AnswerMS(), e.HoldMS(), e.Samples()}
+		out[service] = Speed{e.PrefillTokensPerMS(), e.BeginMS(), e.AnswerMS(), e.HoldMS(), e.Samples(), f.workFactors(service, now)}
 	}
 	return out
 }
--- a/internal/core/dispatch/homes.go
+++ b/internal/core/dispatch/homes.go
@@ -70,7 +70,7 @@
 // region's other hosts receives as many requests for it as this one.
 func (f *Fleet) homeCount(j *Job, key string, now time.Time) int {
 	perSecond := f.chainRates[key].now(now) / chainTimeConstant.Seconds() * float64(f.Neighbors())
-	prefillMS := (j.PromptTokens - float64(sharedTokens(j.Parts))) / f.speedOf(j.Service).PrefillTokensPerMS()
+	prefillMS := (j.PromptTokens - float64(sharedTokens(j.Parts))) / f.speedOf(j.Service).PrefillTokensPerMS() * f.usualFactor(j.Service, now)
 	return 1 + int(perSecond*prefillMS/1000/maxHomeUse)
 }
 
--- a/internal/core/dispatch/limit.go
+++ b/internal/core/dispatch/limit.go
@@ -171,7 +171,7 @@
 
 // isMostlyLimited reports whether an engine's limit leaves it less than half of its capacity.
 func (f *Fleet) isMostlyLimited(s *Server) bool {
-	return f.limitedSlots(s, f.requestsPerSlot(s.Service, true)) < s.slots()/2
+	return f.limitedSlots(s, f.requestsPerSlot(s.Service, true)/f.steadyFactor(s)) < s.slots()/2
 }
 
 // minServers keeps figures for each server of a region finite whose servers are all at a low limit.
--- a/internal/core/dispatch/load_test.go
+++ b/internal/core/dispatch/load_test.go
@@ -34,6 +34,9 @@
 	// the short requests that go to an engine of another failure domain.
 	twoDomains bool
 	crossed    int
+	seed       int64
+	sent       map[string]float64 // tokens by engine, set for engines of unequal speed that report it
+	off        Mechanisms
 }
 
 // domainOf returns the failure domain of the host or engine with the given index.
@@ -47,7 +50,7 @@
 const simulationStep = 10 * time.Millisecond
 
 func newSimulatedRegion(seed int64, hosts, engines, chains int) *simulatedRegion {
-	p := &simulatedRegion{rnd: rand.New(rand.NewSource(seed)), backlog: map[string]float64{}, cached: map[string]map[string]bool{}, now: start, prefilled: map[string]bool{}, chains: chains}
+	p := &simulatedRegion{rnd: rand.New(rand.NewSource(seed)), backlog: map[string]float64{}, cached: map[string]map[string]bool{}, now: start, prefilled: map[string]bool{}, chains: chains, seed: seed}
 	p.addHosts(hosts)
 	for i := range engines {
 		p.backlog[fmt.Sprintf("s%d", i)] = 0
@@ -59,7 +62,7 @@
 func (p *simulatedRegion) addHosts(n int) {
 	for i := range n {
 		p.hosts = append(p.hosts, New(Options{
-			Host: fmt.Sprintf("h%02d", i), Region: "west", FailureDomain: p.domainOf(i), Random: p.rnd.Float64, PrefillRate: 38 / 1.25,
+			Host: fmt.Sprintf("h%02d", i), Region: "west", FailureDomain: p.domainOf(i), Random: p.rnd.Float64, PrefillRate: 38 / 1.25, Off: p.off,
 		}))
 	}
 }
@@ -111,7 +114,7 @@
 			p.exchangeLoads()
 		}
 		for id := range p.backlog {
-			p.backlog[id] = max(0, p.backlog[id]-float64(simulationStep.Milliseconds()))
+			p.backlog[id] = max(0, p.backlog[id]-float64(simulationStep.Milliseconds())/p.factor(id, p.now))
 		}
 		kept := active[:0]
 		for _, u := range active {
@@ -120,6 +123,7 @@
 				u.host.Ended(&u.choice, Served, u.first.Sub(p.now), p.now)
 			default:
 				if !u.choice.firstByteSeen && !p.now.Before(u.first) {
+					p.reportWorkTime(u)
 					u.host.FirstByte(&u.choice, 0)
 				}
 				kept = append(kept, u)
@@ -189,7 +193,7 @@
 		}
 	}
 	p.backlog[id] += float64(tokens) / 38
-	wait := p.backlog[id]
+	wait := p.backlog[id] * p.factor(id, p.now)
 	p.waits = append(p.waits, wait)
 	if long {
 		p.long = append(p.long, wait)
--- a/internal/core/dispatch/mechanisms.go
+++ b/internal/core/dispatch/mechanisms.go
@@ -54,6 +54,8 @@
 	// RegionQueries queries entry hosts of other regions for loads that the control hosts do not
 	// report.
 	RegionQueries
+	// WorkFactors accounts for the work times that servers report with their answers.
+	WorkFactors
 )
 
 var mechanismNames = map[string]Mechanisms{
@@ -61,6 +63,7 @@
 	"busy-cost": BusyCost, "homes": Homes, "holders": Holders, "copies": Copies, "own-domain-first": OwnDomainFirst,
 	"silence": StallAvoidance, "health": Health, "other-regions": OtherRegions, "sampling": Sampling, "shares": Shares,
 	"config-from-sender": ConfigFromSender, "isolation": Isolation, "loads-observed": ReportedLoads, "regions-asked": RegionQueries,
+	"work-factors": WorkFactors,
 }
 
 // ParseMechanisms returns the set of the mechanisms with the given names. It fails on an
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/quarantine"
+	"github.com/sesamefork/sesamefork/internal/core/serverspeed"
 	"github.com/sesamefork/sesamefork/internal/core/speed"
 )
 
@@ -59,7 +60,9 @@
 // ignores requests with a copied part, which needs no prefill but is not available at no cost,
 // and deferred requests, which wait for others.
 func (f *Fleet) updateSpeed(c *Choice, took time.Duration) {
-	ms := float64(took) / float64(time.Millisecond)
+	factor := f.firstByteFactor(c, took)
+	c.slower = math.Max(1, factor/math.Max(c.workFactor, serverspeed.MinRatio))
+	ms := float64(took) / float64(time.Millisecond) / factor
 	e := f.speedOf(c.job.Service)
 	switch {
 	case c.Deferred || c.CopyFrom != "" || f.disabled(LearnedSpeeds):
@@ -135,13 +138,13 @@
 		}
 	}
 	if o == Served && c.job.Engine && c.firstByteSeen && !f.disabled(LearnedSpeeds) {
-		f.speedOf(c.job.Service).ObserveHold(float64(now.Sub(c.startedAt)-first) / float64(time.Millisecond))
+		f.speedOf(c.job.Service).ObserveHold(float64(now.Sub(c.startedAt)-first) / float64(time.Millisecond) / f.steadyFactor(s))
 	}
 	switch o {
 	case ConnectionFailed:
 		s.health.recordConnectionFailure(now)
 	case Served, Failed:
-		s.health.recordAnswer(o == Failed, first-time.Duration(c.EstimateMS*float64(time.Millisecond)), now)
+		s.health.recordAnswer(o == Failed, first-c.expectedFirstByte(), now)
 	}
 }
 
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -7,6 +7,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/incarnation"
 	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/registry"
+	"github.com/sesamefork/sesamefork/internal/core/serverspeed"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
@@ -39,6 +40,7 @@
 	// this host and of the region's other ones.
 	deferred, othersDeferred int
 	health                   health
+	workTime                 serverspeed.Estimator
 	prefill                  rate // prefill work sent by this host, in ms per second
 	cache                    *partCache
 	key                      uint32 // identifies the incarnation in messages between hosts
@@ -51,6 +53,8 @@
 	// estimatedSlots is the number of slots that the server's limit leaves to requests, as estimated for
 	// the last choice; 0 before the first one.
 	estimatedSlots float64
+	// estimatedWork is the work factor, as estimated for the last choice; 0 before the first one.
+	estimatedWork float64
 	// expectedCrashes is the expected number of this host's requests at the server that will crash
 	// it.
 	expectedCrashes float64
--- a/internal/core/dispatch/share.go
+++ b/internal/core/dispatch/share.go
@@ -115,7 +115,8 @@
 	servers := f.warmServers(j.Service, now)
 	for _, s := range servers {
 		s.estimatedRequests = f.requestsAt(s, now)
-		s.estimatedSlots = f.slowStartSlots(s, f.limitedSlots(s, f.requestsPerSlot(j.Service, false)), now)
+		s.estimatedWork = f.workFactor(s, now)
+		s.estimatedSlots = f.slowStartSlots(s, f.limitedSlots(s, f.requestsPerSlot(j.Service, false)/s.estimatedWork), now)
 	}
 	own := f.ownPool(j.Service, servers, now)
 	t := &RegionDraw{f.o.Region, own.arrivals, own.capacity, own.waiting}
@@ -149,13 +150,14 @@
 }
 
 func (f *Fleet) ownPool(service string, servers []*Server, now time.Time) pool {
-	slots, requests := 0.0, 0.0
+	slots, usual, requests := 0.0, 0.0, 0.0
 	for _, s := range servers {
 		slots += s.usableSlots()
+		usual += s.usualSlots()
 		requests += s.estimatedRequests
 	}
 	return pool{
-		region: f.o.Region, capacity: slots * f.requestsPerSlot(service, false), arrivals: f.arrivals[service].forecast(now),
+		region: f.o.Region, capacity: usual * f.requestsPerSlot(service, false), arrivals: f.arrivals[service].forecast(now),
 		waiting: math.Max(0, requests-slots),
 	}
 }
@@ -173,7 +175,7 @@
 }
 
 func (f *Fleet) otherPool(key regionKey, r *region, now time.Time) pool {
-	perSlot := f.requestsPerSlot(key.service, false)
+	perSlot := f.requestsPerSlot(key.service, false) * f.workTimesOf(key.service, now).MeanSpeed()
 	_, slots := r.capacity(perSlot)
 	return pool{
 		region: key.region, capacity: slots * perSlot, arrivals: r.trend.forecast(now),
@@ -205,7 +207,7 @@
 	for _, s := range servers {
 		fill := s.fill()
 		preferred := lightLoad && s.FailureDomain == f.o.FailureDomain && fill < ownDomainMaxFill
-		deficit := math.Max(minDeficit, (level-fill)*s.usableSlots())
+		deficit := math.Max(minDeficit, (level-fill)*s.usualSlots())
 		// The smallest of several exponential variates belongs to each server with a
 		// probability proportional to its rate, which is the deficit here.
 		list = append(list, rankedServer{s, preferred, -math.Log(1-f.o.Random()) / deficit})
@@ -242,6 +244,15 @@
 	return s.slots()
 }
 
+// usualSlots returns the number of slots of a server with factor 1 that run as many requests per second as the
+// server's usable slots.
+func (s *Server) usualSlots() float64 {
+	if s.estimatedWork > 0 {
+		return s.usableSlots() / s.estimatedWork
+	}
+	return s.usableSlots()
+}
+
 // fillLevel returns the fill that the servers reach with so many further requests if the
 // emptiest servers are filled first.
 func fillLevel(servers []*Server, requests float64) float64 {
@@ -255,7 +266,7 @@
 			requests -= need
 		}
 		level = s.fill()
-		slots += s.usableSlots()
+		slots += s.usualSlots()
 	}
 	return level + requests/math.Max(1, slots)
 }
