platform, gateway: work times of answers and event intervals are recorded

The fourth figure of X-Server-Load was not read. It is recorded with each answer that is proved to come from the server, also if the request did not run, and shown in learned_speeds and in place chosen (work_factor).

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -210,7 +210,7 @@
 func (g *Gateway) Speeds() map[string]dispatch.Speed {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.fleet.Speeds()
+	return g.fleet.Speeds(g.o.Clock.Now())
 }
 
 // Inflight returns the number of requests in flight.
--- a/internal/app/gateway/log.go
+++ b/internal/app/gateway/log.go
@@ -44,6 +44,9 @@
 		if p := g.fleet.Pause(c.Server); p.Share(now) < 1 {
 			kv = append(kv, "pause_ms", p.Left(now).Milliseconds(), "slow_start_share", p.Share(now))
 		}
+		if w, reported := g.fleet.WorkFactor(c.Server, now); reported {
+			kv = append(kv, "work_factor", w.Factor, "work_factor_source", string(w.Source), "work_factor_age_ms", w.AgeMS)
+		}
 		if c.Deferred {
 			kv = append(kv, "deferred", true)
 		}
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -50,6 +50,7 @@
 	defer func() { _ = answer.Body.Close() }()
 	g.recordCold(c.Server, answer.Cold)
 	g.recordLoad(c, answer.Requests)
+	g.recordWorkTime(c, answer)
 	g.recordLimit(x, c, answer)
 	g.recordPause(x, c, answer)
 	g.recordLeaving(x, c, answer)
@@ -221,6 +222,7 @@
 // their IDs.
 func (g *Gateway) relayStream(x *execution, c *dispatch.Choice, a *Answer, res *result, began time.Time) {
 	reader := bufio.NewReaderSize(a.Body, 4<<10)
+	var events eventTimes
 	for {
 		event, err := readEvent(reader)
 		if err == io.EOF && len(event) == 0 {
@@ -239,6 +241,7 @@
 			return
 		}
 		g.recordProgress(c, res, began)
+		g.recordEvent(c, &events)
 		if x.release == nil {
 			a.Release = g.releaseOf(c.Server)
 			g.bindToRelease(x, a.Head)
@@ -251,6 +254,7 @@
 			}
 			return
 		}
+		events.sentAt = g.o.Clock.Now()
 	}
 }
 
