streampause: risk of pauses from the gap target, pools for long prompts

Engines prefill prompts in chunks between the steps of a batch. Fixed thresholds of 250 and 600 ms of prefill do not reflect a route's gap target or the engine's speed. Where servers report work times, the loss terms use the gap target, the work factor and the steps per event, and long prompts have their homes among the fastest engines. Other services keep the fixed thresholds. The existing dispatch tests pass.

--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -138,6 +138,9 @@
 	if j.Permits(f.o.Region) {
 		f.chooseServer(j, &c, prefer, now)
 	}
+	if c.Server != nil {
+		c.loss -= f.poolLoss(c.Server, j, now)
+	}
 	if !j.Forwarded && !f.disabled(OtherRegions) {
 		f.chooseRegion(j, &c, prefer, now)
 	}
@@ -266,7 +269,7 @@
 	factor := f.unreportedFactor(j.Service, now)
 	k := f.serverCost(s, j, uncovered, math.Max(0, shared-covered), now)
 	k.addCopy(j, copied)
-	k.loss += f.domainLoss(s, j) + extraLoss + f.crashLoss(s, j)
+	k.loss += f.domainLoss(s, j) + extraLoss + f.crashLoss(s, j) + f.poolLoss(s, j, now)
 	late := !f.disabled(Deferral) && k.deferIfLate(float64(s.deferred)+factor*float64(s.othersDeferred), s, j, f.speedOf(j.Service).HoldMS())
 	k.loss += f.o.Random() * tieBreakLoss
 	c.Considered = append(c.Considered, Candidate{s.ID, k.firstMS, ""})
@@ -314,6 +317,7 @@
 		requests: requests, slots: slots, pendingMS: (s.own.prompt + factor*s.others.prompt) / estimator.PrefillTokensPerMS(),
 		prefillShare: (s.prefill.now(now) + factor*s.othersPrefill) / 1000,
 		memory:       s.own.memory + factor*s.others.memory, memoryCapacity: j.MemoryTokens, off: f.o.Off,
+		pauses: f.pauseModelOf(s, j, now),
 	}, j, uncovered, repeated, estimator)
 	return cost{k.loss + unhealthy + shortLoss*lateRisk(k.firstMS+excess, j.Target) - shortLoss*lateRisk(k.firstMS, j.Target), k.firstMS}
 }
--- a/internal/core/dispatch/cost.go
+++ b/internal/core/dispatch/cost.go
@@ -53,9 +53,10 @@
 // engineState is the state of an engine on which its cost depends.
 type engineState struct {
 	requests, slots        float64
-	pendingMS              float64 // time for the prefill that is running and queued, in ms
-	prefillShare           float64 // fraction of the time spent on prefill
-	memory, memoryCapacity float64 // tokens of KV cache
+	pendingMS              float64     // time for the prefill that is running and queued, in ms
+	prefillShare           float64     // fraction of the time spent on prefill
+	memory, memoryCapacity float64     // tokens of KV cache
+	pauses                 *pauseModel // nil for the fixed thresholds of pauseRisk
 	off                    Mechanisms
 }
 
@@ -73,8 +74,12 @@
 	loss := repeated/1000*repeatedPrefillLoss + first/1000*delayLoss
 	loss += own * lateRisk(first, j.Target)
 	if !e.off.Has(PauseCost) {
-		before, after := pauseRisk(e.pendingMS), pauseRisk(e.pendingMS+prefillMS)
-		loss += (after - before) * e.requests * pausedShare * shortLoss
+		added := pauseRisk(e.pendingMS+prefillMS) - pauseRisk(e.pendingMS)
+		if e.pauses != nil {
+			added = e.pauses.added(uncovered)
+			loss += e.pauses.ownLoss(j)
+		}
+		loss += added * e.requests * pausedShare * shortLoss
 	}
 	if !e.off.Has(BusyCost) {
 		loss += own / shortLoss * busyLoss * math.Min(1, e.prefillShare*e.prefillShare)
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -95,6 +95,7 @@
 	limitRefusals map[string]map[int]time.Time
 	// nextLimitedPlace is when the last request that was refused at a limit is expected back, by service.
 	nextLimitedPlace map[string]time.Time
+	streams          streamPauses
 }
 
 // New returns a Fleet without servers.
@@ -107,6 +108,7 @@
 		regions: map[regionKey]*region{}, chainRates: map[string]chainRate{}, arrivals: map[string]*arrivals{}, holders: holders.NewTable(),
 		serversByKey: map[uint32]*Server{}, speeds: map[string]*speed.Estimator{}, comparisons: map[string]*loadComparison{},
 		limits: serverlimit.NewTable(), pauses: serverpause.NewTable(), limitRefusals: map[string]map[int]time.Time{}, nextLimitedPlace: map[string]time.Time{}, listsGeneration: 1,
+		streams: newStreamPauses(),
 	}
 }
 
--- a/internal/core/dispatch/homes.go
+++ b/internal/core/dispatch/homes.go
@@ -88,10 +88,7 @@
 		rank uint64
 	}
 	var best []ranked
-	for _, s := range f.servers {
-		if s.Service != j.Service || s.Leaving || f.isMostlyLimited(s) {
-			continue
-		}
+	for _, s := range f.homeCandidates(j, now) {
 		best = append(best, ranked{s.ID, xxhash.Sum64String(s.ID + "\x00" + key)})
 	}
 	sort.Slice(best, func(a, b int) bool { return best[a].rank > best[b].rank })
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -29,6 +29,7 @@
 		c.Server.own.add(l)
 	}
 	if c.job.Engine {
+		f.recordGapTarget(c.job, now)
 		f.recordChainRequest(sharedChainID(c.job.Parts), now)
 		f.recordHolder(c, now)
 		c.Server.cache.recordUse(c.job.Parts, int(c.job.MemoryTokens), now)
--- /dev/null
+++ b/internal/core/streampause/pool.go
@@ -0,0 +1,119 @@
+package streampause
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Parameters of the pool.
+const (
+	// maxUse is the share of the pool's time that prefill may take. At half of its time a prompt waits on the
+	// mean for about one other prompt.
+	maxUse = 0.5
+	// shrinkUse is the share of the smaller pool's time below which the pool shrinks. The distance to maxUse
+	// keeps the size from changing with the noise of the demand.
+	shrinkUse = 0.35
+	// shrinkInterval is the shortest time between two decreases of the size. Each moves the chains of one
+	// engine, which need another prefill.
+	shrinkInterval = 10 * time.Second
+	// demandTimeConstant is the time constant with which the demand is averaged.
+	demandTimeConstant = 4 * time.Second
+	// minSize is the least number of engines in a pool: one may be lost without the pool being empty.
+	minSize = 2
+	// classWidth is the ratio between neighboring speed classes. Hosts estimate factors with small
+	// differences, and must place an engine in the same class.
+	classWidth = 1.35
+)
+
+// Member is an engine that can be in a pool.
+type Member struct {
+	ID     string
+	Factor float64 // ratio of the time that work usually takes there to the usual time
+}
+
+func (m Member) class() int { return int(math.Round(math.Log(m.Factor) / math.Log(classWidth))) }
+
+// capacity returns the prefill that the engine may take, in ms at factor 1 per second.
+func (m Member) capacity(use float64) float64 { return 1000 / m.Factor * use }
+
+// Pool selects the engines that are homes of long prompts.
+type Pool struct {
+	demand   float64 // in ms at factor 1 per second
+	at       time.Time
+	size     int
+	shrunkAt time.Time
+}
+
+// Update returns the IDs of the pool's engines, fastest first. demandMS is the region's prefill in ms at
+// factor 1 per second. It returns nil if all engines are of the same speed class: no engine is then preferred.
+func (p *Pool) Update(members []Member, demandMS float64, now time.Time) []string {
+	p.average(demandMS, now)
+	order := ordered(members)
+	if len(order) == 0 || order[0].class() == order[len(order)-1].class() {
+		p.size = 0
+		return nil
+	}
+	p.resize(order, now)
+	ids := make([]string, 0, p.size)
+	for _, m := range order[:p.size] {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
+func (p *Pool) average(demandMS float64, now time.Time) {
+	if p.at.IsZero() {
+		p.demand, p.at = demandMS, now
+		return
+	}
+	keep := math.Exp(-max(0, now.Sub(p.at).Seconds()) / demandTimeConstant.Seconds())
+	p.demand, p.at = p.demand*keep+demandMS*(1-keep), now
+}
+
+func (p *Pool) resize(order []Member, now time.Time) {
+	needed, smaller := sizeFor(order, p.demand, maxUse), sizeFor(order, p.demand, shrinkUse)
+	switch {
+	case p.size == 0 || needed > p.size:
+		p.size, p.shrunkAt = needed, now
+	case smaller < p.size && now.Sub(p.shrunkAt) >= shrinkInterval:
+		p.size, p.shrunkAt = p.size-1, now
+	}
+	p.size = min(p.size, len(order))
+}
+
+// sizeFor returns the number of engines that take the demand with a share of their time.
+func sizeFor(order []Member, demand, use float64) int {
+	n := 0
+	for ; n < len(order) && (n < minSize || demand > 0); n++ {
+		demand -= order[n].capacity(use)
+	}
+	return n
+}
+
+// ordered returns the members by speed class, and within a class by the hash of the ID, which is the same at
+// all hosts.
+func ordered(members []Member) []Member {
+	type ranked struct {
+		Member
+		class int
+		hash  uint64
+	}
+	list := make([]ranked, 0, len(members))
+	for _, m := range members {
+		if m.Factor > 0 {
+			list = append(list, ranked{m, m.class(), xxhash.Sum64String(m.ID)})
+		}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.hash, b.hash), cmp.Compare(a.ID, b.ID))
+	})
+	out := make([]Member, 0, len(list))
+	for _, r := range list {
+		out = append(out, r.Member)
+	}
+	return out
+}
