dispatch, gateway: streams avoid the pool of long prompts; pauses are attributed

Hosts did not know why a stream paused for longer than its gap target, and in regions of few hosts all chats went to the one engine that looked best. The gateway now records the engine's state at each such pause, as metrics and one log line per stream. Streams with a gap target are spread by a larger random loss, and random candidates are drawn outside the pool.

--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -42,6 +42,7 @@
 	releaseUnknown bool
 	// mayHaveRun is set once an attempt has ended without proof that it did not run.
 	mayHaveRun bool
+	pauses     eventPauses
 }
 
 // maxRefusals bounds the refused attempts of a request beyond its route's attempts. More
@@ -76,6 +77,7 @@
 		defer cancel()
 		f = g.run(ctx, x)
 	}
+	g.logPauses(x)
 	g.logEnd(x, r, f)
 	endSpan(span, f)
 	return f
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -77,6 +77,8 @@
 	invalidLimitLoggedAt time.Time
 	// invalidPauseLoggedAt is when a demand for a pause that cannot be decoded was last logged.
 	invalidPauseLoggedAt time.Time
+	// streamPauseLoggedAt is when pauses of a stream were last logged.
+	streamPauseLoggedAt time.Time
 
 	streams streamLog
 	control controlList
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -239,6 +239,7 @@
 			return
 		}
 		g.recordProgress(c, res, began)
+		g.recordEventTime(x, c)
 		if x.release == nil {
 			a.Release = g.releaseOf(c.Server)
 			g.bindToRelease(x, a.Head)
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -271,7 +271,7 @@
 	k.addCopy(j, copied)
 	k.loss += f.domainLoss(s, j) + extraLoss + f.crashLoss(s, j) + f.poolLoss(s, j, now)
 	late := !f.disabled(Deferral) && k.deferIfLate(float64(s.deferred)+factor*float64(s.othersDeferred), s, j, f.speedOf(j.Service).HoldMS())
-	k.loss += f.o.Random() * tieBreakLoss
+	k.loss += f.o.Random() * f.tieBreakLossOf(j)
 	c.Considered = append(c.Considered, Candidate{s.ID, k.firstMS, ""})
 	if k.loss < c.loss {
 		c.Server, c.EstimateMS, c.loss, c.UncoveredTokens, c.CopyFrom = s, k.firstMS, k.loss, uncovered, from
--- a/internal/core/dispatch/cost.go
+++ b/internal/core/dispatch/cost.go
@@ -82,7 +82,11 @@
 		loss += added * e.requests * pausedShare * shortLoss
 	}
 	if !e.off.Has(BusyCost) {
-		loss += own / shortLoss * busyLoss * math.Min(1, e.prefillShare*e.prefillShare)
+		share := e.prefillShare
+		if e.pauses != nil && j.isLong() {
+			share = e.pauses.busyShare()
+		}
+		loss += own / shortLoss * busyLoss * math.Min(1, share*share)
 	}
 	return cost{loss, first}
 }
--- a/internal/core/dispatch/homes.go
+++ b/internal/core/dispatch/homes.go
@@ -131,7 +131,7 @@
 		chosen[h.server] = true
 	}
 	for range sampleSize {
-		chosen[f.sample(all)] = true
+		chosen[f.sample(f.withoutPool(j, all, now))] = true
 	}
 	chosen[f.sample(f.inOwnDomain(all))] = true
 	var out []*Server
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -33,6 +33,7 @@
 		f.recordChainRequest(sharedChainID(c.job.Parts), now)
 		f.recordHolder(c, now)
 		c.Server.cache.recordUse(c.job.Parts, int(c.job.MemoryTokens), now)
+		f.recordPrefill(c, now)
 		c.Server.prefill.add(c.UncoveredTokens/f.speedOf(c.job.Service).PrefillTokensPerMS(), now)
 	}
 	c.Server.expectedCrashes += quarantine.CrashProbability(c.job.ServerCrashes)
--- a/internal/core/dispatch/streampauses.go
+++ b/internal/core/dispatch/streampauses.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/streampause"
@@ -14,7 +16,10 @@
 	gapRetention = time.Minute
 	// outsidePoolLoss is the loss of a long prompt at an engine outside the pool. An engine of the pool that
 	// is late with a probability of one half has the same loss.
-	outsidePoolLoss = longLoss / 2
+	outsidePoolLoss = longLoss
+	// streamSpreadLoss is the range of the random loss of a stream at an engine. It exceeds the loss of another
+	// prefill of a chat's shared parts, of some 200 tokens, which would keep all chats at a few engines.
+	streamSpreadLoss = 0.2
 )
 
 // streamPauses is the state from which a host estimates the pauses within streams, by service. It is used
@@ -23,6 +28,7 @@
 	gaps  map[string]gapTarget
 	steps map[string]*streampause.Steps
 	pools map[string]*longPromptPool
+	sent  map[string]*sentPrefill
 	// factors, if set, replaces the estimated factors of servers in tests.
 	factors func(*Server) float64
 }
@@ -40,8 +46,34 @@
 	at      time.Time
 }
 
+// sentPrefill is the prefill that this host sent, as exponentially decaying sums, in tokens.
+type sentPrefill struct {
+	long, all float64
+	at        time.Time
+}
+
+// sentPrefillTimeConstant is the time constant of sentPrefill. At one long prompt per second and host, the
+// share of long prompts is then known within a fifth.
+const sentPrefillTimeConstant = 30 * time.Second
+
+func (p *sentPrefill) add(tokens float64, long bool, now time.Time) {
+	keep := math.Exp(-max(0, now.Sub(p.at).Seconds()) / sentPrefillTimeConstant.Seconds())
+	p.long, p.all, p.at = p.long*keep, p.all*keep+tokens, now
+	if long {
+		p.long += tokens
+	}
+}
+
+// longShare returns the share of long prompts in the prefill; 1 if nothing was sent.
+func (p *sentPrefill) longShare() float64 {
+	if p == nil || p.all <= 0 {
+		return 1
+	}
+	return p.long / p.all
+}
+
 func newStreamPauses() streamPauses {
-	return streamPauses{gaps: map[string]gapTarget{}, steps: map[string]*streampause.Steps{}, pools: map[string]*longPromptPool{}}
+	return streamPauses{gaps: map[string]gapTarget{}, steps: map[string]*streampause.Steps{}, pools: map[string]*longPromptPool{}, sent: map[string]*sentPrefill{}}
 }
 
 // unequal reports whether the servers of a service are known to differ in speed.
@@ -97,6 +129,18 @@
 	e.Add(ms/f.workFactorOf(c.Server, now), stepMS(f.requestsAt(c.Server, now)))
 }
 
+// recordPrefill records the prefill of a request that was sent.
+func (f *Fleet) recordPrefill(c *Choice, now time.Time) {
+	service := c.job.Service
+	if !f.unequal(service) {
+		return
+	}
+	if f.streams.sent[service] == nil {
+		f.streams.sent[service] = &sentPrefill{}
+	}
+	f.streams.sent[service].add(c.UncoveredTokens, c.job.isLong(), now)
+}
+
 // stepMS returns the time of a step of a batch without prefill, in ms at factor 1.
 func stepMS(requests float64) float64 { return stepBaseMS + stepPerRequestMS*requests }
 
@@ -146,9 +190,22 @@
 	return shortLoss * m.risk(m.recentMS*m.engine.Gap.Seconds())
 }
 
-// poolOf returns the engines that are homes of a long prompt; nil if any engine may be.
+// tieBreakLossOf returns the range of the random loss of a server. Otherwise all hosts that act on the same
+// load figures send their streams to the one engine that looks best, and their prefill there pauses all of them.
+func (f *Fleet) tieBreakLossOf(j *Job) float64 {
+	if j.Engine && !j.isLong() && j.GapTarget > 0 && f.unequal(j.Service) {
+		return streamSpreadLoss
+	}
+	return tieBreakLoss
+}
+
+// busyShare returns the fraction of the engine's own time that recent prefill takes. A fast engine takes more
+// prefill than others before long prompts avoid it.
+func (m *pauseModel) busyShare() float64 { return m.recentMS / 1000 * m.engine.Factor }
+
+// poolOf returns the engines that are homes of the service's long prompts; nil if any engine may be.
 func (f *Fleet) poolOf(j *Job, now time.Time) []*Server {
-	if !j.isLong() || f.disabled(Homes) || !f.unequal(j.Service) {
+	if !j.Engine || f.disabled(Homes) || !f.unequal(j.Service) {
 		return nil
 	}
 	p := f.streams.pools[j.Service]
@@ -172,7 +229,7 @@
 		}
 	}
 	var servers []*Server
-	for _, id := range p.Update(members, demand, now) {
+	for _, id := range p.Update(members, demand*f.streams.sent[service].longShare(), now) {
 		servers = append(servers, f.servers[id])
 	}
 	return servers
@@ -181,15 +238,14 @@
 // canBeHome reports whether a server may be a home of shared parts.
 func (f *Fleet) canBeHome(s *Server) bool { return !s.Leaving && !f.isMostlyLimited(s) }
 
-// homeCandidates returns the servers among which the homes of the job's shared parts are chosen.
+// homeCandidates returns the servers among which the homes of the job's shared parts are chosen: the pool for
+// a long prompt, or all servers if there is no pool.
 func (f *Fleet) homeCandidates(j *Job, now time.Time) []*Server {
 	var out []*Server
-	for _, s := range f.poolOf(j, now) {
-		if f.canBeHome(s) {
-			out = append(out, s)
-		}
+	if j.isLong() {
+		out = slices.DeleteFunc(slices.Clone(f.poolOf(j, now)), func(s *Server) bool { return !f.canBeHome(s) })
 	}
-	if out != nil {
+	if len(out) > 0 {
 		return out
 	}
 	for _, s := range f.servers {
@@ -200,18 +256,27 @@
 	return out
 }
 
+// withoutPool returns the servers from which a random candidate is drawn: for a stream with a gap target those
+// outside the pool, if there are any.
+func (f *Fleet) withoutPool(j *Job, servers []*Server, now time.Time) []*Server {
+	pool := f.poolOf(j, now)
+	if pool == nil || j.isLong() || j.GapTarget == 0 {
+		return servers
+	}
+	out := slices.DeleteFunc(slices.Clone(servers), func(s *Server) bool { return slices.Contains(pool, s) })
+	if len(out) == 0 {
+		return servers
+	}
+	return out
+}
+
 // poolLoss returns the loss of a long prompt at a server outside the pool. It orders the servers of the own
 // region and does not count in the choice between regions.
 func (f *Fleet) poolLoss(s *Server, j *Job, now time.Time) float64 {
 	pool := f.poolOf(j, now)
-	if pool == nil {
+	if pool == nil || !j.isLong() || slices.Contains(pool, s) {
 		return 0
 	}
-	for _, one := range pool {
-		if one == s {
-			return 0
-		}
-	}
 	return outsidePoolLoss
 }
 
--- a/internal/core/streampause/pool.go
+++ b/internal/core/streampause/pool.go
@@ -21,7 +21,7 @@
 	// engine, which need another prefill.
 	shrinkInterval = 10 * time.Second
 	// demandTimeConstant is the time constant with which the demand is averaged.
-	demandTimeConstant = 4 * time.Second
+	demandTimeConstant = 8 * time.Second
 	// minSize is the least number of engines in a pool: one may be lost without the pool being empty.
 	minSize = 2
 	// classWidth is the ratio between neighboring speed classes. Hosts estimate factors with small
