--- a/internal/core/dispatch/homes.go
+++ b/internal/core/dispatch/homes.go
@@ -91,7 +91,7 @@
 	var best []ranked
 	for _, s := range f.homeCandidates(j, now) {
 		rank := xxhash.Sum64String(s.ID + "\x00" + key)
-		best = append(best, ranked{s.ID, f.poolWait(s, j, rank), rank})
+		best = append(best, ranked{s.ID, f.poolWait(s, j, rank, now), rank})
 	}
 	sort.Slice(best, func(a, b int) bool {
 		if best[a].wait != best[b].wait {
--- a/internal/core/dispatch/streampauses.go
+++ b/internal/core/dispatch/streampauses.go
@@ -43,6 +43,7 @@
 type longPromptPool struct {
 	pool    streampause.Pool
 	servers []*Server
+	factors map[*Server]float64 // mean factors of the speed classes
 	at      time.Time
 }
 
@@ -214,12 +215,13 @@
 		f.streams.pools[j.Service] = p
 	}
 	if p.at.IsZero() || now.Sub(p.at) >= poolInterval {
-		p.at, p.servers = now, f.updatePool(j.Service, &p.pool, now)
+		p.at = now
+		f.updatePool(j.Service, p, now)
 	}
 	return p.servers
 }
 
-func (f *Fleet) updatePool(service string, p *streampause.Pool, now time.Time) []*Server {
+func (f *Fleet) updatePool(service string, p *longPromptPool, now time.Time) {
 	unreported, demand := f.unreportedFactor(service, now), 0.0
 	var members []streampause.Member
 	for _, s := range f.serversOf(service) {
@@ -228,11 +230,11 @@
 			members = append(members, streampause.Member{ID: s.ID, Factor: f.steadyFactorOf(s)})
 		}
 	}
-	var servers []*Server
-	for _, id := range p.Update(members, demand*f.streams.sent[service].longShare(), now) {
-		servers = append(servers, f.servers[id])
+	p.servers, p.factors = nil, map[*Server]float64{}
+	for _, m := range p.pool.Update(members, demand*f.streams.sent[service].longShare(), now) {
+		s := f.servers[m.ID]
+		p.servers, p.factors[s] = append(p.servers, s), m.Factor
 	}
-	return servers
 }
 
 // canBeHome reports whether a server may be a home of shared parts.
@@ -256,15 +258,14 @@
 	return out
 }
 
-// poolWait returns a number by which the homes of a long prompt are ordered, the smallest first; 0 if the
-// service's servers report no work time. With it each server is the first home of a share of the chains in
-// proportion to its speed.
-func (f *Fleet) poolWait(s *Server, j *Job, rank uint64) float64 {
-	if !j.isLong() || !f.unequal(j.Service) {
+// poolWait returns a number by which the homes of a long prompt are ordered, the smallest first; 0 without a
+// pool. With it each engine is the first home of a share of the chains in proportion to its speed.
+func (f *Fleet) poolWait(s *Server, j *Job, rank uint64, now time.Time) float64 {
+	if !j.isLong() || f.poolOf(j, now) == nil {
 		return 0
 	}
 	const scale = 1 << 53
-	return -math.Log((float64(rank>>11)+1)/scale) * streampause.ClassFactor(f.steadyFactorOf(s))
+	return -math.Log((float64(rank>>11)+1)/scale) * f.streams.pools[j.Service].factors[s]
 }
 
 // withoutPool returns the servers from which a random candidate is drawn: for a stream with a gap target those
--- a/internal/core/dispatch/streampauses_load_test.go
+++ b/internal/core/dispatch/streampauses_load_test.go
@@ -50,18 +50,21 @@
 func newChunkSimulation(seed int64, hosts, fastEvery int, part bool) *chunkSimulation {
 	p := &chunkSimulation{simulatedRegion: newSimulatedRegion(seed, hosts, 10, 100)}
 	p.rnd = rand.New(rand.NewSource(seed))
-	factors := map[string]float64{}
 	for i := range 10 {
 		e := &chunkEngine{id: fmt.Sprintf("s%d", i), factor: 1.2, cached: map[string]bool{}}
 		if i%fastEvery == 0 {
 			e.factor = 0.55
 		}
-		factors[e.id], p.engines = e.factor, append(p.engines, e)
+		p.engines = append(p.engines, e)
 	}
 	for _, h := range p.hosts {
 		h.o.Random, h.o.PrefillRate, h.o.Off = p.rnd.Float64, chunkTokensMS, LearnedSpeeds // known speeds
 		if part {
-			h.streams.factors = func(s *Server) float64 { return factors[s.ID] }
+			estimates := map[string]float64{} // differ by 5% from host to host
+			for _, e := range p.engines {
+				estimates[e.id] = e.factor * (0.95 + 0.1*p.rnd.Float64())
+			}
+			h.streams.factors = func(s *Server) float64 { return estimates[s.ID] }
 		}
 	}
 	return p
--- a/internal/core/streampause/pool.go
+++ b/internal/core/streampause/pool.go
@@ -30,8 +30,8 @@
 	initialUse = 0.5
 	// minSize is the least number of engines in a pool: one may be lost without the pool being empty.
 	minSize = 2
-	// classWidth is the ratio between neighboring speed classes. Hosts estimate factors with small
-	// differences, and must place an engine in the same class.
+	// classWidth is the largest ratio of the factors within a speed class. Classes begin at the fastest engine
+	// that is left: with fixed bounds, hosts whose estimates differ by 5% placed an engine in different classes.
 	classWidth = 1.35
 )
 
@@ -41,13 +41,6 @@
 	Factor float64 // ratio of the time that work usually takes there to the usual time
 }
 
-func (m Member) class() int { return int(math.Round(math.Log(m.Factor) / math.Log(classWidth))) }
-
-// ClassFactor returns the factor that stands for the speed class of an engine. It is the same at all hosts.
-func ClassFactor(factor float64) float64 {
-	return math.Pow(classWidth, float64(Member{Factor: factor}.class()))
-}
-
 // capacity returns the prefill that the engine may take, in ms at factor 1 per second.
 func (m Member) capacity(use float64) float64 { return 1000 / m.Factor * use }
 
@@ -68,22 +61,18 @@
 	spare    float64
 }
 
-// Update returns the IDs of the pool's engines, fastest first. demandMS is the region's prefill in ms at
+// Update returns the pool's engines, fastest first, with the mean factors of their speed classes. demandMS is the region's prefill in ms at
 // factor 1 per second. It returns nil if all engines are of the same speed class: no engine is then preferred.
-func (p *Pool) Update(members []Member, demandMS float64, now time.Time) []string {
+func (p *Pool) Update(members []Member, demandMS float64, now time.Time) []Member {
 	order := ordered(members)
 	p.average(demandMS, initialUse*capacityOf(order, maxUse), now)
-	if len(order) == 0 || order[0].class() == order[len(order)-1].class() {
+	if len(order) == 0 || order[0].Factor == order[len(order)-1].Factor {
 		p.size = 0
 		return nil
 	}
 	p.resize(order, now)
 	p.updateSpare(order, demandMS)
-	ids := make([]string, 0, p.size)
-	for _, m := range order[:p.size] {
-		ids = append(ids, m.ID)
-	}
-	return ids
+	return order[:p.size]
 }
 
 // Spare returns the part of the pool's spare time that is free: 1 while prefill takes no more of its time than
@@ -128,25 +117,31 @@
 }
 
 // ordered returns the members by speed class, and within a class by the hash of the ID, which is the same at
-// all hosts.
+// all hosts. Their factors are replaced by the mean of the class.
 func ordered(members []Member) []Member {
-	type ranked struct {
-		Member
-		class int
-		hash  uint64
-	}
-	list := make([]ranked, 0, len(members))
-	for _, m := range members {
-		if m.Factor > 0 {
-			list = append(list, ranked{m, m.class(), xxhash.Sum64String(m.ID)})
+	list := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Factor <= 0 })
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Or(cmp.Compare(a.Factor, b.Factor), cmp.Compare(a.ID, b.ID)) })
+	for from := 0; from < len(list); {
+		to := from
+		for to < len(list) && list[to].Factor <= list[from].Factor*classWidth {
+			to++
 		}
+		joinClass(list[from:to])
+		from = to
 	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.hash, b.hash), cmp.Compare(a.ID, b.ID))
-	})
-	out := make([]Member, 0, len(list))
-	for _, r := range list {
-		out = append(out, r.Member)
+	return list
+}
+
+// joinClass orders the members of a class and sets their factors to the mean.
+func joinClass(class []Member) {
+	sum := 0.0
+	for _, m := range class {
+		sum += m.Factor
+	}
+	for i := range class {
+		class[i].Factor = sum / float64(len(class))
 	}
-	return out
+	slices.SortFunc(class, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.ID, b.ID))
+	})
 }
--- a/internal/core/streampause/streampause_test.go
+++ b/internal/core/streampause/streampause_test.go
@@ -72,7 +72,10 @@
 		{"the fast engines are lost", 1, testMembers(2, 1.2, 1.2, 2), 2, []string{"s1", "s2"}},
 	} {
 		var p Pool
-		got := p.Update(c.in, c.demand, time.Unix(100, 0))
+		var got []string
+		for _, m := range p.Update(c.in, c.demand, time.Unix(100, 0)) {
+			got = append(got, m.ID)
+		}
 		slices.Sort(got)
 		if len(got) != c.size || (c.want != nil && !slices.Equal(got, c.want)) {
 			t.Errorf("%s: %v, want %d engines: %v", c.name, got, c.size, c.want)
