--- a/internal/core/dispatch/streampauses.go
+++ b/internal/core/dispatch/streampauses.go
@@ -14,8 +14,8 @@
 	poolInterval = 100 * time.Millisecond
 	// gapRetention is how long a service's shortest gap target is kept after the last request with it.
 	gapRetention = time.Minute
-	// outsidePoolLoss is the loss of a long prompt at an engine outside the pool. An engine of the pool that
-	// is late with a probability of one half has the same loss.
+	// outsidePoolLoss is the loss of a long prompt at an engine outside the pool while the pool has spare time:
+	// that of a late answer. With half of it, a twentieth of the chats paused in trials with 24 hosts.
 	outsidePoolLoss = longLoss
 	// streamSpreadLoss is the range of the random loss of a stream at an engine. It exceeds the loss of another
 	// prefill of a chat's shared parts, of some 200 tokens, which would keep all chats at a few engines.
--- a/internal/core/streampause/pool.go
+++ b/internal/core/streampause/pool.go
@@ -44,6 +44,7 @@
 // capacity returns the prefill that the engine may take, in ms at factor 1 per second.
 func (m Member) capacity(use float64) float64 { return 1000 / m.Factor * use }
 
+// capacityOf returns the prefill that the engines may take, in ms at factor 1 per second.
 func capacityOf(members []Member, use float64) float64 {
 	sum := 0.0
 	for _, m := range members {
@@ -61,8 +62,9 @@
 	spare    float64
 }
 
-// Update returns the pool's engines, fastest first, with the mean factors of their speed classes. demandMS is the region's prefill in ms at
-// factor 1 per second. It returns nil if all engines are of the same speed class: no engine is then preferred.
+// Update returns the pool's engines, fastest first, with the mean factors of their speed classes. demandMS is
+// the region's prefill in ms at factor 1 per second. It returns nil if all engines are of the same speed class:
+// no engine is then preferred.
 func (p *Pool) Update(members []Member, demandMS float64, now time.Time) []Member {
 	order := ordered(members)
 	p.average(demandMS, initialUse*capacityOf(order, maxUse), now)
@@ -75,8 +77,8 @@
 	return order[:p.size]
 }
 
-// Spare returns the part of the pool's spare time that is free: 1 while prefill takes no more of its time than
-// it may, and 0 while it takes all of it. Other engines are to take the rest.
+// Spare returns the part of the time not meant for prefill that is free: 1 while prefill takes no more of the
+// pool's time than it may, and 0 while it takes all of it, so that other engines are to take the rest.
 func (p *Pool) Spare() float64 { return p.spare }
 
 func (p *Pool) updateSpare(order []Member, demandMS float64) {
