--- a/internal/core/streampause/streampause_test.go
+++ b/internal/core/streampause/streampause_test.go
@@ -90,7 +90,7 @@
 	for i := range 600 {
 		demand := 2900.0
 		if i/10%2 == 0 {
-			demand = 2100
+			demand = 1200
 		}
 		n := len(p.Update(testMembers(0.5, 0.5, 0.5, 1.2, 1.2, 1.2), demand, now))
 		if n != size {
