--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -242,6 +242,7 @@
 		}
 		g.recordProgress(c, res, began)
 		g.recordEvent(c, &events)
+		g.recordEventTime(x, c)
 		if x.release == nil {
 			a.Release = g.releaseOf(c.Server)
 			g.bindToRelease(x, a.Head)
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -98,6 +98,7 @@
 	limitRefusals map[string]map[int]time.Time
 	// nextLimitedPlace is when the last request that was refused at a limit is expected back, by service.
 	nextLimitedPlace map[string]time.Time
+	streams          streamPauses
 }
 
 // New returns a Fleet without servers.
@@ -111,6 +112,7 @@
 		serversByKey: map[uint32]*Server{}, speeds: map[string]*speed.Estimator{}, comparisons: map[string]*loadComparison{},
 		workTimes: map[string]*serverspeed.Service{},
 		limits:    serverlimit.NewTable(), pauses: serverpause.NewTable(), limitRefusals: map[string]map[int]time.Time{}, nextLimitedPlace: map[string]time.Time{}, listsGeneration: 1,
+		streams: newStreamPauses(),
 	}
 }
 
--- a/internal/core/dispatch/homes.go
+++ b/internal/core/dispatch/homes.go
@@ -85,16 +85,20 @@
 	}
 	type ranked struct {
 		id   string
+		wait float64 // 0 without a pool
 		rank uint64
 	}
 	var best []ranked
-	for _, s := range f.servers {
-		if s.Service != j.Service || s.Leaving || f.isMostlyLimited(s) {
-			continue
-		}
-		best = append(best, ranked{s.ID, xxhash.Sum64String(s.ID + "\x00" + key)})
+	for _, s := range f.homeCandidates(j, now) {
+		rank := xxhash.Sum64String(s.ID + "\x00" + key)
+		best = append(best, ranked{s.ID, f.poolWait(s, j, rank, now), rank})
 	}
-	sort.Slice(best, func(a, b int) bool { return best[a].rank > best[b].rank })
+	sort.Slice(best, func(a, b int) bool {
+		if best[a].wait != best[b].wait {
+			return best[a].wait < best[b].wait
+		}
+		return best[a].rank > best[b].rank
+	})
 	var homes []string
 	for _, r := range best[:min(len(best), f.homeCount(j, key, now), len(homeCoverage))] {
 		homes = append(homes, r.id)
@@ -134,7 +138,7 @@
 		chosen[h.server] = true
 	}
 	for range sampleSize {
-		chosen[f.sample(all)] = true
+		chosen[f.sample(f.withoutPool(j, all, now))] = true
 	}
 	chosen[f.sample(f.inOwnDomain(all))] = true
 	var out []*Server
--- a/internal/core/dispatch/workfactor.go
+++ b/internal/core/dispatch/workfactor.go
@@ -51,6 +51,11 @@
 	return w
 }
 
+// reportsWorkTime reports whether a server of the service has reported a work time lately.
+func (f *Fleet) reportsWorkTime(service string) bool {
+	return f.workTimesOf(service, f.latestTime()).Reports()
+}
+
 func (f *Fleet) updateWorkTimes(service string, w *serverspeed.Service, now time.Time) {
 	var estimators []*serverspeed.Estimator
 	for _, s := range f.servers {
