overload: played load; team shares allow for chance

With few requests per host, chance in the counts of teams had teams rejected that were under their share, and places were given to retries that are later treated as without one.

Teams are cut only if they are clearly above their share, the excess that this admits is repaid, and places go to first attempts.

--- a/internal/core/overload/calendar.go
+++ b/internal/core/overload/calendar.go
@@ -54,7 +54,8 @@
 	return reservablePart * room / slotTime.Seconds()
 }
 
-// retryAfter reserves a time for a retry of a rejected request and returns the time until then.
+// retryAfter reserves a time for a retry of a rejected request and returns the time until then. Only first attempts
+// get a place: the waiting time of a later retry no longer tells whether it had one (kindOf).
 func (c *Controller) retryAfter(s *classState, r Request, now time.Time) (after time.Duration, reason string) {
 	longest := r.Remaining / 3
 	if longest < MinRetryAfter {
@@ -65,6 +66,9 @@
 		spread := float64(longest - MinRetryAfter)
 		return MinRetryAfter + time.Duration(math.Min(1, clean(c.o.Random()))*spread), ReasonNoPlace
 	}
+	if kindOf(r) != fresh {
+		return longest, ReasonNoPlace
+	}
 	elapsed := now.Sub(c.epoch)
 	latest := elapsed + time.Duration(placeLimit*float64(longest))
 	at, ok := s.calendar.reserve(elapsed+MinRetryAfter, latest, s.rate, s.index, c.o.Random)
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -56,7 +56,8 @@
 const (
 	// ReasonReserved means that RetryAfter is the time of a reservation.
 	ReasonReserved = "overloaded: retry at the reserved time"
-	// ReasonNoPlace means that all places before the caller's latest retry are reserved. RetryAfter is that latest time.
+	// ReasonNoPlace means that all places before the caller's latest retry are reserved, or that the request is a retry,
+	// for which none is reserved. RetryAfter is that latest time; without current figures it is random.
 	ReasonNoPlace = "overloaded: no place left in the caller's time"
 	// ReasonNoTime means that the caller's remaining time allows no retry. RetryAfter is 0: no time is to be named.
 	ReasonNoTime = "overloaded: too little time left for a retry"
@@ -151,6 +152,7 @@
 	hosts := math.Max(1, float64(c.o.Hosts()))
 	for i, s := range c.states {
 		s.rate = reservationRate(c.plan.Room[i], s.class.SlotTime) / hosts
+		s.teams.setConstant((clean(s.class.ArrivalsPerSecond) + clean(s.class.ReturnsPerSecond)) / hosts)
 		s.teams.setLevel(s.shares, now)
 		s.own.set(s.shares.fresh)
 	}
@@ -169,7 +171,11 @@
 	if r.Remaining < MinRemaining {
 		return Decision{Reason: ReasonTooLate, Fraction: fraction}
 	}
-	if s.credits[k].take(p) {
+	admitted := s.credits[k].take(p)
+	if k == fresh {
+		s.teams.settle(fraction, admitted)
+	}
+	if admitted {
 		return Decision{Admit: true, Fraction: fraction}
 	}
 	after, reason := c.retryAfter(s, r, now)
--- a/internal/core/overload/overload_test.go
+++ b/internal/core/overload/overload_test.go
@@ -101,6 +101,37 @@
 	}
 }
 
+// Guards against retries that another host, which holds no state of them, does not recognise as told a reservation.
+func TestRetriesAreRecognised(t *testing.T) {
+	c := newTest()
+	c.Update(twoClasses(190, 80), Room{Slots: 100, Requests: 95}, start)
+	seen := map[string]int{}
+	for range 1000 {
+		r := Request{Team: "a", Remaining: 4 * time.Second}
+		d := c.Decide(r, start)
+		if d.Admit {
+			continue
+		}
+		seen[d.Reason]++
+		r.Waited, r.Remaining = d.RetryAfter, r.Remaining-d.RetryAfter
+		if want := map[string]kind{ReasonReserved: reserved, ReasonNoPlace: unplaced}[d.Reason]; kindOf(r) != want {
+			t.Fatalf("%q: kind %v after %v, want %v", d.Reason, kindOf(r), d.RetryAfter, want)
+		}
+	}
+	if seen[ReasonReserved] == 0 || seen[ReasonNoPlace] == 0 {
+		t.Errorf("rejections %v, want both kinds", seen)
+	}
+}
+
+// Guards against a host that goes on with counts and reservations from before a freeze.
+func TestDropsStateAfterFreeze(t *testing.T) {
+	c, _ := busy()
+	c.Served(1, start.Add(3*time.Second))
+	if s := c.states[1]; len(s.teams.byName) != 0 || s.calendar.next != 0 {
+		t.Errorf("%d teams and a calendar up to %v kept", len(s.teams.byName), s.calendar.next)
+	}
+}
+
 // Guards against a permitted backlog that full servers do not lower, or that stays low.
 func TestPermittedBacklog(t *testing.T) {
 	b := newBacklogPart()
