--- a/internal/adapter/settings/types.go
+++ b/internal/adapter/settings/types.go
@@ -92,6 +92,8 @@
 	Directory Directory `toml:"directory"`
 	// Quarantine configures the handling of requests that crash backend servers.
 	Quarantine Quarantine `toml:"quarantine"`
+	// Overload configures the order and the admission of requests if the interface is "platform".
+	Overload Overload `toml:"overload"`
 	// Experiments is for measurements of the policy, not for production use.
 	Experiments Experiments `toml:"experiments"`
 }
@@ -222,7 +224,7 @@
 		},
 		Timing: Timing{ProbeMS: 1000, UpdateMS: 1000, SummaryMS: 2000, LeaseMS: 3000, ClockSkewMS: 5000},
 		Trace:  Trace{Exporter: "none", SampleRatio: 1},
-		Link:   Link{KeepAliveMS: 3000}, Quarantine: defaultQuarantine(),
+		Link:   Link{KeepAliveMS: 3000}, Quarantine: defaultQuarantine(), Overload: Overload{Order: OrderAuto},
 	}
 }
 
@@ -430,6 +432,7 @@
 		c.inRange("retries.window_s", e.Retries.WindowS, 0.1, 600)
 		c.inRange("limits.grace_s", e.Limits.GraceS, 0.5, 3600)
 	}
+	c.overload(e.Overload)
 	if _, f := dispatch.ParseMechanisms(e.Experiments.Off); f != nil {
 		c.fail("experiments.off", "%s", f.Detail)
 	}
