dispatch: wait for a slot by urgency class

A request of an urgent class was expected behind all requests that wait at a server, so it counted as late there, was deferred and went to other regions, although servers start it before the less urgent ones. The estimate now counts the running requests and the waiting ones that are not less urgent: this host's by class, others by the classes' shares of arrivals times slot time. Hosts exchange arrivals by class under keys of service and class.

--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -47,6 +47,12 @@
 	Connected func(address string) bool
 	// Priority is the urgency of the request: 0 is the most urgent.
 	Priority int
+	// Classes is the number of urgency classes of the service, and Class the index of the request's, 0 being the
+	// most urgent; 0 classes if requests of the service are not ordered.
+	Class, Classes int
+	// notLessUrgent is the fraction of the service's work that is of the request's class or of a more urgent one,
+	// as of the last choice.
+	notLessUrgent float64
 	// ColdPerSecond is the rate of requests that a cold server tolerates, per second; 0 for no
 	// limit.
 	ColdPerSecond float64
@@ -133,6 +139,7 @@
 // Choose returns where to send the request.
 func (f *Fleet) Choose(j *Job, now time.Time) Choice {
 	c := Choice{job: j, loss: math.Inf(1)}
+	f.updateUrgencyShare(j, now)
 	prefer := f.preferenceFor(j, now)
 	c.RegionDraw = prefer.draw
 	if j.Permits(f.o.Region) {
@@ -267,7 +274,7 @@
 	k := f.serverCost(s, j, uncovered, math.Max(0, shared-covered), now)
 	k.addCopy(j, copied)
 	k.loss += f.domainLoss(s, j) + extraLoss + f.crashLoss(s, j)
-	late := !f.disabled(Deferral) && k.deferIfLate(float64(s.deferred)+factor*float64(s.othersDeferred), s, j, f.speedOf(j.Service).HoldMS())
+	late := !f.disabled(Deferral) && k.deferIfLate(f.deferredAhead(s, j, now), s, j, f.speedOf(j.Service).HoldMS())
 	k.loss += f.o.Random() * tieBreakLoss
 	c.Considered = append(c.Considered, Candidate{s.ID, k.firstMS, ""})
 	if k.loss < c.loss {
@@ -310,11 +317,11 @@
 		}
 		return cost{k.loss + unhealthy + excess/1000*delayLoss, k.firstMS + excess}
 	}
-	k := enginePromptCost(engineState{
+	k := enginePromptCost(f.urgencyAtServer(engineState{
 		requests: requests, slots: slots, pendingMS: (s.own.prompt + factor*s.others.prompt) / estimator.PrefillTokensPerMS(),
 		prefillShare: (s.prefill.now(now) + factor*s.othersPrefill) / 1000,
 		memory:       s.own.memory + factor*s.others.memory, memoryCapacity: j.MemoryTokens, off: f.o.Off,
-	}, j, uncovered, repeated, estimator)
+	}, s, j, now), j, uncovered, repeated, estimator)
 	return cost{k.loss + unhealthy + shortLoss*lateRisk(k.firstMS+excess, j.Target) - shortLoss*lateRisk(k.firstMS, j.Target), k.firstMS}
 }
 
@@ -387,10 +394,10 @@
 	repeated := f.repeatedPrefillInRegion(r, j, now)
 	uncovered = j.PromptTokens - float64(sharedTokens(j.Parts)) + repeated
 	pending := (r.prompt + r.forwarded.prompt) / servers / estimator.PrefillTokensPerMS()
-	k = enginePromptCost(engineState{
+	k = enginePromptCost(urgencyInRegion(engineState{
 		requests: requests, slots: slots, pendingMS: pending + interRegionRTTMS,
 		memory: (r.memory + r.forwarded.memory) / servers, memoryCapacity: j.MemoryTokens, off: f.o.Off,
-	}, j, uncovered, repeated, estimator)
+	}, j), j, uncovered, repeated, estimator)
 	k.loss += crossRegionLoss
 	return k, uncovered
 }
--- a/internal/core/dispatch/cost.go
+++ b/internal/core/dispatch/cost.go
@@ -56,6 +56,7 @@
 	pendingMS              float64 // time for the prefill that is running and queued, in ms
 	prefillShare           float64 // fraction of the time spent on prefill
 	memory, memoryCapacity float64 // tokens of KV cache
+	overtakes              float64 // waiting requests that are less urgent than the one to be placed
 	off                    Mechanisms
 }
 
@@ -103,7 +104,7 @@
 	if over := e.memory + tokens - e.memoryCapacity; over > 0 && e.memoryCapacity > 0 {
 		wait += over / kvReleaseTokensPerMS
 	}
-	if over := e.requests + 1 - e.slots; over > 0 {
+	if over := e.requests + 1 - e.slots - e.overtakes; over > 0 {
 		wait += over * holdMS / e.slots
 	}
 	return wait
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -83,7 +83,8 @@
 	lastViewAt       time.Time                // time of the last view from a control host
 	lastSweepAt      time.Time                // time of the last sweep
 	chainRates       map[string]chainRate
-	arrivals         map[string]*arrivals        // by plain service
+	arrivals         map[string]*arrivals        // by plain service, and by classKey
+	classes          map[string][]*classWork     // by service, most urgent first
 	speeds           map[string]*speed.Estimator // by service
 	serversByKey     map[uint32]*Server
 	holders          *holders.Table
@@ -106,7 +107,7 @@
 		o: o, servers: map[string]*Server{}, departures: map[string]departure{}, restored: map[string]restoration{}, hosts: map[string][]*Host{},
 		regions: map[regionKey]*region{}, chainRates: map[string]chainRate{}, arrivals: map[string]*arrivals{}, holders: holders.NewTable(),
 		serversByKey: map[uint32]*Server{}, speeds: map[string]*speed.Estimator{}, comparisons: map[string]*loadComparison{},
-		limits: serverlimit.NewTable(), pauses: serverpause.NewTable(), limitRefusals: map[string]map[int]time.Time{}, nextLimitedPlace: map[string]time.Time{}, listsGeneration: 1,
+		classes: map[string][]*classWork{}, limits: serverlimit.NewTable(), pauses: serverpause.NewTable(), limitRefusals: map[string]map[int]time.Time{}, nextLimitedPlace: map[string]time.Time{}, listsGeneration: 1,
 	}
 }
 
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -27,6 +27,7 @@
 		c.Server.deferred++
 	} else {
 		c.Server.own.add(l)
+		c.Server.countClass(c.job, 1)
 	}
 	if c.job.Engine {
 		f.recordChainRequest(sharedChainID(c.job.Parts), now)
@@ -49,6 +50,7 @@
 		if c.Deferred {
 			c.Server.deferred--
 			c.Server.own.add(c.load())
+			c.Server.countClass(c.job, 1)
 		}
 		c.Server.own.prompt = math.Max(0, c.Server.own.prompt-c.UncoveredTokens)
 	}
@@ -129,6 +131,7 @@
 		s.deferred--
 	} else {
 		s.own.requests = max(0, s.own.requests-1)
+		s.countClass(c.job, -1)
 		s.own.memory = math.Max(0, s.own.memory-c.UncoveredTokens-c.job.OutputTokens)
 		if !c.firstByteSeen {
 			s.own.prompt = math.Max(0, s.own.prompt-c.UncoveredTokens)
@@ -137,6 +140,9 @@
 	if o == Served && c.job.Engine && c.firstByteSeen && !f.disabled(LearnedSpeeds) {
 		f.speedOf(c.job.Service).ObserveHold(float64(now.Sub(c.startedAt)-first) / float64(time.Millisecond))
 	}
+	if o == Served && c.firstByteSeen {
+		f.recordSlotTime(c, first, now)
+	}
 	switch o {
 	case ConnectionFailed:
 		s.health.recordConnectionFailure(now)
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -38,6 +38,7 @@
 	// deferred and othersDeferred are the deferred requests, which wait behind all others, of
 	// this host and of the region's other ones.
 	deferred, othersDeferred int
+	ownByClass               []int // requests of own, by urgency class
 	health                   health
 	prefill                  rate // prefill work sent by this host, in ms per second
 	cache                    *partCache
