gateway, platform: urgency header, admission of callers' requests

Hosts told servers nothing of a request's class and noticed full servers only by their rejections. Requests of services with urgency classes now carry their urgency, and the overload controller decides on a caller's request before it is sent anywhere. A rejection is a 503 with Retry-After, one log line, metrics and an entry in the gauge "admission". [overload] order = "off" disables both.

--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -56,12 +56,13 @@
 		Retries:       retry.SharedBudgetOptions{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: seconds(s.Retries.WindowS)},
 		AnnounceEvery: time.Duration(s.Fleet.HeartbeatMS) * time.Millisecond, VerifyKey: s.Link.PublicKey(), Peers: client, CloseLink: client.CloseSession, Backends: servers,
 		CrashWatch: crashes,
-		Clock:      port.SystemClock{}, ReadPrompt: platform.ReadPrompt, Random: rand.Float64, Off: disabled, Tracer: tracer, Log: log, Metrics: m,
+		Clock:      port.SystemClock{}, ReadPrompt: platform.ReadPrompt, Random: rand.Float64, Off: disabled, OrderOff: s.Overload.Order == settings.OrderOff, Tracer: tracer, Log: log, Metrics: m,
 	})
 	m.Gauge("version", func() any { return g.Version() })
 	m.Gauge("config_staleness_ms", func() any { return g.ConfigStaleness().Milliseconds() })
 	m.Gauge("inflight", func() any { return g.Inflight() })
 	m.Gauge("learned_speeds", func() any { return g.Speeds() })
+	m.Gauge("admission", func() any { return g.Admission() })
 	return servePlatform(path, s, g, servers, link, log)
 }
 
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -22,9 +22,11 @@
 	version    uint64
 	route      *configstate.Route
 	service    string
-	team       *configstate.Team   // nil for a request without a team
-	teamRecord *configstate.Record // configuration in which team was looked up
-	charge     *quota.Charge       // quota units taken for the current attempt
+	classes    []configstate.UrgencyClass // of the service; nil if its requests are not ordered
+	class      int                        // index of the request's class
+	team       *configstate.Team          // nil for a request without a team
+	teamRecord *configstate.Record        // configuration in which team was looked up
+	charge     *quota.Charge              // quota units taken for the current attempt
 	sink       Sink
 	deadline   time.Time
 	// subjects are the same for each repeat of the request.
@@ -120,6 +122,7 @@
 		return nil, notRun(failure.PeerRefused, 0, "version %d does not send route %q to service %q", c.Stamp.Version, route.Name, x.service)
 	}
 	x.subjects = subjectsOf(r, team, x.service)
+	g.setClass(x)
 	if r.Origin == "" {
 		g.recordArrival(x)
 	}
@@ -137,6 +140,9 @@
 	if ok && s.Engine == nil {
 		g.fleet.RecordArrival(x.service, now)
 	}
+	if x.classes != nil {
+		g.fleet.RecordClassArrival(x.service, x.class, len(x.classes), x.waited() > 0, now)
+	}
 }
 
 func routesTo(route *configstate.Route, service string) bool {
@@ -220,7 +226,10 @@
 		g.refundQuota(x)
 		return nil, f
 	}
-	c, f := g.choose(ctx, x)
+	var c *dispatch.Choice
+	if f = g.admitByRoom(x); f == nil {
+		c, f = g.choose(ctx, x)
+	}
 	if f != nil {
 		g.o.CrashWatch.Finish(&x.admission)
 		g.refundQuota(x)
@@ -312,7 +321,7 @@
 		Service: x.service, Permits: x.permits, Remaining: x.deadline.Sub(now), Tried: x.tried,
 		Target: time.Duration(x.route.LatencyTargetMS) * time.Millisecond, Forwarded: x.r.Origin != "",
 		GapTarget:     time.Duration(x.route.GapTargetMS) * time.Millisecond,
-		ServerCrashes: x.admission.ServerCrashes, Priority: x.route.Priority, Release: x.release, Connected: g.o.Backends.Connected,
+		ServerCrashes: x.admission.ServerCrashes, Priority: x.route.Priority, Class: x.class, Classes: len(x.classes), Release: x.release, Connected: g.o.Backends.Connected,
 	}
 	s, ok := x.record.RoutedService(x.service)
 	if !ok {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -48,6 +48,8 @@
 	Random     func() float64
 	// Off is the set of dispatch mechanisms that are disabled for an experiment.
 	Off dispatch.Mechanisms
+	// OrderOff disables the order of requests by urgency, and admission.
+	OrderOff bool
 	// Tracer starts a span for each request and attempt; nil disables tracing.
 	Tracer  trace.Tracer
 	Log     logr.Logger
@@ -78,6 +80,8 @@
 	// invalidPauseLoggedAt is when a demand for a pause that cannot be decoded was last logged.
 	invalidPauseLoggedAt time.Time
 
+	overload overloadState
+
 	streams streamLog
 	control controlList
 	access  *access.Limiter
@@ -102,6 +106,7 @@
 		initialized: make(chan struct{}),
 		viewChanged: make(chan struct{}),
 		becameBusy:  make(chan struct{}, 1),
+		overload:    newOverloadState(),
 	}
 	g.streams.log = streamorigin.NewLog()
 	g.control.seeds, g.control.byAddr = o.Seeds, map[string]*controlHost{}
--- /dev/null
+++ b/internal/app/gateway/overload.go
@@ -0,0 +1,289 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sesamefork/sesamefork/internal/core/configstate"
+	"github.com/sesamefork/sesamefork/internal/core/overload"
+	"github.com/sesamefork/sesamefork/internal/failure"
+)
+
+// Limits of the admission of callers' requests.
+const (
+	// admissionInterval is the shortest time between two updates of a controller: its figures arrive four times a
+	// second.
+	admissionInterval = 100 * time.Millisecond
+	// admissionMaxAge is the age of the last view from which a controller gets no updates any more. The controller
+	// itself bounds how long its last plan applies.
+	admissionMaxAge = 1200 * time.Millisecond
+	// minReturnWait is the shortest Retry-After of a rejection. Callers that allow an attempt less than the route's
+	// time by at least as much have waited for one.
+	minReturnWait = 300 * time.Millisecond
+)
+
+// maxRejectionCauses bounds the causes that are counted for a service.
+const maxRejectionCauses = 64
+
+// Urgencies of requests at servers; lower values are served first. A request without one is served like urgency 5.
+const (
+	urgencyFirst, urgencySecond, urgencyOther = 1, 3, 5
+	urgencyLateFirst, urgencyLateOther        = 7, 8
+)
+
+// urgencyOf returns the urgency with which a request is sent to a server; 0 for none.
+func urgencyOf(class, classes int, deferred bool) int {
+	switch {
+	case deferred && class > 0:
+		return urgencyLateOther
+	case deferred:
+		return urgencyLateFirst
+	case classes == 0:
+		return 0
+	case class == 0:
+		return urgencyFirst
+	case class == 1:
+		return urgencySecond
+	}
+	return urgencyOther
+}
+
+// admissionKey identifies a controller: a service, and the regions whose servers may run a request. Requests that
+// may use different regions have different room.
+type admissionKey struct{ service, regions string }
+
+// admissionController is implemented by overload.Controller.
+type admissionController interface {
+	Update(classes []overload.Class, room overload.Room, now time.Time) overload.Plan
+	Decide(r overload.Request, now time.Time) overload.Decision
+	Refused(class int, now time.Time)
+	Served(class int, now time.Time)
+}
+
+// admission is the admission of requests under one key.
+type admission struct {
+	controller admissionController
+	classes    []configstate.UrgencyClass
+	plan       overload.Plan
+	room       overload.Room
+	updatedAt  time.Time
+	rejected   map[string]int64 // by class and cause
+}
+
+// overloadState is the state of admission of all services. It is guarded by Gateway.mu.
+type overloadState struct {
+	record     *configstate.Record // of which classes are known
+	classes    map[string][]configstate.UrgencyClass
+	admissions map[admissionKey]*admission
+	// newController makes the controller of an admission.
+	newController func(overload.Options) admissionController
+}
+
+func newOverloadState() overloadState {
+	return overloadState{
+		admissions:    map[admissionKey]*admission{},
+		newController: func(o overload.Options) admissionController { return overload.New(o) },
+	}
+}
+
+// classesOf returns the urgency classes of a service in a record; nil if its requests are not ordered. The caller
+// holds g.mu.
+func (g *Gateway) classesOf(record *configstate.Record, service string) []configstate.UrgencyClass {
+	if g.o.OrderOff {
+		return nil
+	}
+	o := &g.overload
+	if o.record != record {
+		o.record, o.classes = record, map[string][]configstate.UrgencyClass{}
+	}
+	classes, known := o.classes[service]
+	if !known {
+		classes = record.UrgencyClasses(service)
+		o.classes[service] = classes
+	}
+	return classes
+}
+
+// setClass determines the urgency class of a request.
+func (g *Gateway) setClass(x *execution) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if x.classes = g.classesOf(x.record, x.service); x.classes == nil {
+		return
+	}
+	priority := 0
+	if x.team != nil {
+		priority = x.team.Priority
+	}
+	x.class = configstate.ClassOf(x.classes, priority, x.route.Priority)
+}
+
+// waited returns for how long a caller has waited since its first attempt, as far as the time that it still allows
+// shows; 0 if it has not waited for a Retry-After.
+func (x *execution) waited() time.Duration {
+	used := time.Duration(x.route.TimeoutMS)*time.Millisecond - x.r.Wait
+	if x.r.Wait <= 0 || used < minReturnWait {
+		return 0
+	}
+	return used
+}
+
+// admissionOf returns the admission of a request, which is new if its classes have changed. The caller holds g.mu.
+func (g *Gateway) admissionOf(x *execution) *admission {
+	key := admissionKey{x.service, g.permittedRegions(x)}
+	a := g.overload.admissions[key]
+	if a == nil || !slices.Equal(a.classes, x.classes) {
+		a = &admission{classes: x.classes, rejected: map[string]int64{}}
+		a.controller = g.overload.newController(overload.Options{Random: g.o.Random, Hosts: g.fleet.Neighbors})
+		g.overload.admissions[key] = a
+	}
+	return a
+}
+
+// permittedRegions returns the names of the regions whose servers may run a request, sorted.
+func (g *Gateway) permittedRegions(x *execution) string {
+	var names []string
+	for _, region := range g.o.Regions {
+		if x.permits(region) && !slices.Contains(names, region) {
+			names = append(names, region)
+		}
+	}
+	slices.Sort(names)
+	return strings.Join(names, " ")
+}
+
+// admitByRoom decides whether the room for a caller's request suffices. It returns nil for a request that another
+// host forwarded, for attempts after the first, for streams that are taken up, and for services without urgency
+// classes.
+func (g *Gateway) admitByRoom(x *execution) *failure.Error {
+	if x.classes == nil || x.r.Origin != "" || x.sends > 0 || x.takesUpStream() {
+		return nil
+	}
+	now := g.o.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a := g.admissionOf(x)
+	g.updateAdmission(x, a, now)
+	if a.room.Slots+a.room.Surplus <= 0 {
+		return nil // the choice of a server waits for one or states why none is usable
+	}
+	d := a.controller.Decide(g.admissionRequest(x, now), now)
+	if d.Admit {
+		return nil
+	}
+	g.logRejection(x, a, d, now)
+	return notRun(failure.Overloaded, d.RetryAfter, "service %q is short of room for requests of class %d", x.service, x.class)
+}
+
+func (g *Gateway) admissionRequest(x *execution, now time.Time) overload.Request {
+	r := overload.Request{Class: x.class, Team: x.teamName(), Weight: 1, Waited: x.waited(), Remaining: x.deadline.Sub(now)}
+	if x.team != nil && x.team.Weight > 0 {
+		r.Weight = x.team.Weight
+	}
+	return r
+}
+
+// updateAdmission gives a controller the current figures, unless it had them lately or they are too old.
+func (g *Gateway) updateAdmission(x *execution, a *admission, now time.Time) {
+	if now.Sub(a.updatedAt) < admissionInterval || g.fleet.ViewAge(now) > admissionMaxAge {
+		return
+	}
+	engine := x.isEngine()
+	a.updatedAt, a.room = now, g.fleet.Room(x.service, engine, x.permits, now)
+	var classes []overload.Class
+	for i, l := range g.fleet.ClassLoads(x.service, engine, len(x.classes), now) {
+		c := overload.Class{Priority: i, Target: x.classes[i].Target, SlotTime: l.SlotTime}
+		if x.permits(g.o.Region) || !g.runsHere(x, i) {
+			c.ArrivalsPerSecond, c.ReturnsPerSecond = l.ArrivalsPerSecond, l.ReturnsPerSecond
+		}
+		classes = append(classes, c)
+	}
+	a.plan = a.controller.Update(classes, a.room, now)
+}
+
+// runsHere reports whether the own region's servers may run requests of a class. Such a class takes no room that
+// other regions lend to requests which may not run in the own one.
+func (g *Gateway) runsHere(x *execution, class int) bool {
+	return slices.ContainsFunc(x.record.Routes, func(r configstate.Route) bool {
+		return r.Priority == x.classes[class].Priority && r.SendsTo(x.service) && r.Permits(g.o.Region)
+	})
+}
+
+func (x *execution) isEngine() bool {
+	s, ok := x.record.RoutedService(x.service)
+	return ok && s.Engine != nil
+}
+
+// recordAdmissionAnswer tells the controller of a request's class that a server answered it, or rejected it because
+// the server was full.
+func (g *Gateway) recordAdmissionAnswer(x *execution, a *Answer) {
+	if x.classes == nil {
+		return
+	}
+	now := g.o.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case a.rejectedAsFull():
+		g.admissionOf(x).controller.Refused(x.class, now)
+	case a.Verdict == Ran && !isFailure(a.Status):
+		g.admissionOf(x).controller.Served(x.class, now)
+	}
+}
+
+// rejectedAsFull reports whether the server did not run the request because it had no room. A server that asks for
+// a pause may have another reason.
+func (a *Answer) rejectedAsFull() bool {
+	return a.Verdict == NotRun && a.Status == http.StatusServiceUnavailable && a.Pause.For <= 0
+}
+
+// logRejection counts and logs that a request was rejected before it was sent anywhere.
+func (g *Gateway) logRejection(x *execution, a *admission, d overload.Decision, now time.Time) {
+	class := fmt.Sprintf("class_%d", x.class)
+	if cause := class + " " + d.Reason; a.rejected[cause] > 0 || len(a.rejected) < maxRejectionCauses {
+		a.rejected[cause]++
+	}
+	g.o.Metrics.Add("overload_rejected", 1)
+	g.o.Metrics.Add("overload_rejected_"+x.service+"_"+class, 1)
+	g.o.Log.Info("request rejected by admission", "request_id", x.r.ID, "route", x.route.Name, "team", x.teamName(), "service", x.service, "class", x.class,
+		"cause", d.Reason, "fraction", d.Fraction, "room", a.room.Slots-a.room.Requests, "slots", a.room.Slots, "surplus", a.room.Surplus, "backlog", max(0, a.room.Requests-a.room.Slots),
+		"waited_ms", x.waited().Milliseconds(), "remaining_ms", x.deadline.Sub(now).Milliseconds(), "retry_after_ms", d.RetryAfter.Milliseconds(),
+		"figures_age_ms", now.Sub(a.updatedAt).Milliseconds(), "view_age_ms", g.fleet.ViewAge(now).Milliseconds())
+}
+
+// AdmissionStatus is the state of the admission of a service's requests that the same regions may run.
+type AdmissionStatus struct {
+	Service   string           `json:"service"`
+	Regions   string           `json:"regions"`   // that may run the requests
+	Slots     float64          `json:"slots"`     // usable slots of the region's servers
+	Requests  float64          `json:"requests"`  // requests there
+	Surplus   float64          `json:"surplus"`   // slots that other regions can lend
+	Fractions []float64        `json:"fractions"` // of each class that is admitted, most urgent first
+	Rejected  map[string]int64 `json:"rejected"`  // by class and cause
+	AgeMS     int64            `json:"age_ms"`    // since the last update
+}
+
+// Admission returns the state of admission, by service and regions.
+func (g *Gateway) Admission() []AdmissionStatus {
+	now := g.o.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := []AdmissionStatus{}
+	for key, a := range g.overload.admissions {
+		if a.updatedAt.IsZero() {
+			continue
+		}
+		s := AdmissionStatus{key.service, key.regions, a.room.Slots, a.room.Requests, a.room.Surplus, slices.Clone(a.plan.Fractions), map[string]int64{}, now.Sub(a.updatedAt).Milliseconds()}
+		for cause, n := range a.rejected {
+			s.Rejected[cause] = n
+		}
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b AdmissionStatus) int {
+		return strings.Compare(a.Service+"\x00"+a.Regions, b.Service+"\x00"+b.Regions)
+	})
+	return out
+}
--- a/internal/app/gateway/request.go
+++ b/internal/app/gateway/request.go
@@ -99,6 +99,8 @@
 	CopyFrom string
 	// Deferred queues the request behind all others at the server.
 	Deferred bool
+	// Urgency is the request's place in the order of requests at the server, 1 to 9, 1 first; 0 if it has none.
+	Urgency int
 	// IDReused is set if another process may take over the server's ID. If all connections to the
 	// server have ended, the attempt then fails before anything is sent.
 	IDReused bool
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -33,7 +33,7 @@
 	answer, sent, err := g.o.Backends.Send(ctx, &Attempt{
 		ConnectedOnly: x.release != nil && c.Server.Start != 0,
 		Address:       c.Server.Address, Server: c.Server.ID, Request: x.r, Team: x.teamName(),
-		Remaining: x.deadline.Sub(began), ResumeAfter: x.lastEvent, CopyFrom: c.CopyFrom, Deferred: c.Deferred, IDReused: c.Server.Start != 0,
+		Remaining: x.deadline.Sub(began), ResumeAfter: x.lastEvent, CopyFrom: c.CopyFrom, Deferred: c.Deferred, Urgency: urgencyOf(x.class, len(x.classes), c.Deferred), IDReused: c.Server.Start != 0,
 		MaySend: func() bool { return g.maySend(c) },
 	})
 	if errors.Is(err, ErrWithheld) {
@@ -53,6 +53,7 @@
 	g.recordLimit(x, c, answer)
 	g.recordPause(x, c, answer)
 	g.recordLeaving(x, c, answer)
+	g.recordAdmissionAnswer(x, answer)
 	switch answer.Verdict {
 	case NotRun:
 		return result{stage: retry.Refused, outcome: dispatch.Refused, status: answer.Status,
