--- a/internal/app/gateway/log.go
+++ b/internal/app/gateway/log.go
@@ -25,6 +25,9 @@
 	if x.lastEvent > 0 {
 		kv = append(kv, "resume_after", x.lastEvent, "resumes", x.r.Resumes)
 	}
+	if x.classes != nil {
+		kv = append(kv, "class", x.class)
+	}
 	if t := c.RegionDraw; t != nil {
 		kv = append(kv, "turn", t.Region, "asked_per_s", int(t.ArrivalsPerSecond), "can_run_per_s", int(t.CapacityPerSecond), "waiting", int(t.Waiting))
 	}
--- a/internal/core/dispatch/classes.go
+++ b/internal/core/dispatch/classes.go
@@ -135,6 +135,8 @@
 		return
 	}
 	e.overtakes = e.waitingAhead() - math.Max(math.Min(1, e.waitingAhead()), ahead+1-e.slots)
+	// Prefill that is pending and KV cache are taken to be spread evenly over the requests. This overestimates the
+	// prefill ahead of the job, as running requests have little of it pending.
 	part := (e.requests - e.overtakes) / e.requests
 	e.pendingMS *= part
 	e.memory *= part
--- a/internal/core/dispatch/classes_test.go
+++ b/internal/core/dispatch/classes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -131,3 +132,65 @@
 }
 
 func everywhere(string) bool { return true }
+
+// urgencyRank returns a request's place in the order of an engine's queue.
+func urgencyRank(q *slotRequest) int {
+	if q.deferred {
+		return 2 + q.choice.job.Class
+	}
+	return q.choice.job.Class
+}
+
+// TestUrgentRequestsWhileChatsFillTheEngines sends engines 1.3 times the chats that they can run, and urgent requests
+// for a twentieth of their slots. It guards against estimates by which urgent requests are sent as late ones.
+func TestUrgentRequestsWhileChatsFillTheEngines(t *testing.T) {
+	p := newSlotSimulation(1, 4, map[string]int{"west": 4})
+	r := p.regions[0]
+	var urgent []*slotRequest
+	var estimates, waits float64
+	arrive := func(class int) {
+		h, j := r.hosts[p.rnd.Intn(len(r.hosts))], classJob(class)
+		h.RecordClassArrival("llm", class, 2, false, p.now)
+		c := h.Choose(j, p.now)
+		if c.Refused != "" {
+			return
+		}
+		h.Started(&c, p.now)
+		q := &slotRequest{host: h, choice: c, arrived: p.now, deferred: c.Deferred}
+		e := r.engines[c.Server.ID]
+		at := slices.IndexFunc(e.queue, func(o *slotRequest) bool { return !o.started && urgencyRank(o) > urgencyRank(q) })
+		if at < 0 {
+			at = len(e.queue)
+		}
+		e.queue = slices.Insert(e.queue, at, q)
+		if class == 0 && p.now.Sub(start) > 5*time.Second {
+			urgent, estimates = append(urgent, q), estimates+c.EstimateMS
+		}
+	}
+	for i := range int(20 * time.Second / simulationStep) {
+		if i%25 == 0 {
+			p.exchangeLoads()
+		}
+		for _, e := range r.engines {
+			p.stepEngine(r, e)
+		}
+		for class, part := range []float64{0.05, 1.3} {
+			if p.rnd.Float64() < part*capacity(4)*simulationStep.Seconds() {
+				arrive(class)
+			}
+		}
+		p.now = p.now.Add(simulationStep)
+	}
+	deferred := 0
+	for _, q := range urgent {
+		waits += float64((q.end.Sub(q.arrived) - slotHold).Milliseconds())
+		if q.deferred {
+			deferred++
+		}
+	}
+	n := float64(len(urgent))
+	t.Logf("%.0f urgent requests, %d deferred, mean estimate %.0f ms, mean wait for a slot %.0f ms", n, deferred, estimates/n, waits/n)
+	if n == 0 || deferred > 0 || waits/n > 800 {
+		t.Errorf("of %.0f urgent requests %d were sent as late; they waited for %.0f ms", n, deferred, waits/n)
+	}
+}
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -93,6 +93,6 @@
 func Commands(e *Env) []subcommands.Command {
 	return []subcommands.Command{
 		applyCommand(e), getCommand(e), diffCommand(e), historyCommand(e), validateCommand(e), statusCommand(e),
-		explainCommand(e), drainCommand(e), replicaCommand(e), rescueCommand(e), orderCommand(e), quarantineCommand(e), quotaCommand(e), fleetCommand(e), keygenCommand(e), hashCommand(e),
+		explainCommand(e), drainCommand(e), replicaCommand(e), rescueCommand(e), orderCommand(e), quarantineCommand(e), quotaCommand(e), admissionCommand(e), fleetCommand(e), keygenCommand(e), hashCommand(e),
 	}
 }
