gateway: admission rejects while servers are in reach but full

Admission was skipped if neither the own region nor others had a slot, so that the choice of a server could report why none is usable. Requests that only full regions may run were then forwarded without a limit. Admission is now skipped only if no server is in reach.

Measured: go test -race of internal/app/gateway and platform passes.

--- a/internal/app/gateway/overload.go
+++ b/internal/app/gateway/overload.go
@@ -167,7 +167,7 @@
 	defer g.mu.Unlock()
 	a := g.admissionOf(x)
 	g.updateAdmission(x, a, now)
-	if a.room.Slots+a.room.Surplus <= 0 {
+	if a.room.Slots+a.room.Surplus <= 0 && !g.fleet.InReach(x.service, x.permits, now) {
 		return nil // the choice of a server waits for one or states why none is usable
 	}
 	d := a.controller.Decide(g.admissionRequest(x, now), now)
--- a/internal/app/gateway/overload_test.go
+++ b/internal/app/gateway/overload_test.go
@@ -59,19 +59,21 @@
 		priority           int // of chats
 		off, rejected      bool
 		urgency, updates   int
+		resumeAfter        uint64
 	}{
-		{"urgent, full", "/match/1", "", 8, 2, false, false, 1, 1},
-		{"less urgent, full", "/chat/1", "", 8, 2, false, true, 0, 1},
-		{"less urgent, free", "/chat/1", "", 0, 2, false, false, 3, 1},
-		{"forwarded", "/chat/1", "east", 8, 2, false, false, 3, 0},
-		{"switched off", "/chat/1", "", 8, 2, true, false, 0, 0},
-		{"one priority", "/chat/1", "", 8, 0, false, false, 0, 0},
+		{"urgent, full", "/match/1", "", 8, 2, false, false, 1, 1, 0},
+		{"less urgent, full", "/chat/1", "", 8, 2, false, true, 0, 1, 0},
+		{"less urgent, free", "/chat/1", "", 0, 2, false, false, 3, 1, 0},
+		{"forwarded", "/chat/1", "east", 8, 2, false, false, 3, 0, 0},
+		{"stream that is taken up", "/chat/1", "", 8, 2, false, false, 3, 0, 1},
+		{"switched off", "/chat/1", "", 8, 2, true, false, 0, 0, 0},
+		{"one priority", "/chat/1", "", 8, 0, false, false, 0, 0, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f, controller := newOverloadFixture(t, c.requests, c.priority)
 			f.g.o.OrderOff = c.off
 			r := f.request(c.path)
-			r.Origin = c.origin
+			r.Origin, r.ResumeAfter = c.origin, c.resumeAfter
 			err := f.g.Execute(context.Background(), r, &memorySink{})
 			sent := f.backends.sent()
 			if controller.updates != c.updates {
@@ -93,6 +95,21 @@
 	}
 }
 
+// TestAdmissionWithoutServers guards against a rejection for lack of room that hides that no server is usable, and
+// against requests that are forwarded to a full region because the own one has no server.
+func TestAdmissionWithoutServers(t *testing.T) {
+	for slots, want := range map[uint32]failure.Code{0: failure.NoServer, 16: failure.Overloaded} {
+		f, _ := newOverloadFixture(t, 0, 2)
+		f.g.config.Load().Record.Routes[1].Homes = []string{"east"}
+		f.view(func(v *pb.FleetView) {
+			v.Regions = []*pb.RegionLoad{{Region: "east", Service: "llm", Servers: slots / 8, Slots: slots, Requests: slots}}
+		})
+		if err := f.g.Execute(context.Background(), f.request("/chat/1"), &memorySink{}); err == nil || err.Code != want {
+			t.Errorf("%d slots in the other region: %v, want %s", slots, err, want)
+		}
+	}
+}
+
 // TestAdmissionFigures guards against a controller that learns nothing of callers that waited or of servers that
 // reject requests as full, and against updates by old figures.
 func TestAdmissionFigures(t *testing.T) {
--- a/internal/core/dispatch/classes.go
+++ b/internal/core/dispatch/classes.go
@@ -222,6 +222,17 @@
 	return r
 }
 
+// InReach reports whether a server is known, in a region for which permits holds, that may be sent requests of the
+// service, whether it has free capacity or not.
+func (f *Fleet) InReach(service string, permits func(region string) bool, now time.Time) bool {
+	for key, r := range f.regions {
+		if key.service == service && permits(key.region) && r.servers+r.limitedServers > 0 && now.Sub(r.asOf) <= maxRegionAge {
+			return true
+		}
+	}
+	return permits(f.o.Region) && len(f.warmServers(service, now)) > 0
+}
+
 // surplus returns this region's part of the slots that other regions can lend. Regions without a surplus of their own
 // are assumed to draw on it equally.
 func (f *Fleet) surplus(service string, engine bool, permits func(region string) bool, now time.Time) float64 {
