--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -48,6 +48,8 @@
 	Random     func() float64
 	// Off is the set of dispatch mechanisms that are disabled for an experiment.
 	Off dispatch.Mechanisms
+	// OrderOff disables the order of requests by urgency, and admission.
+	OrderOff bool
 	// Tracer starts a span for each request and attempt; nil disables tracing.
 	Tracer  trace.Tracer
 	Log     logr.Logger
@@ -80,6 +82,8 @@
 	// streamPauseLoggedAt is when pauses of a stream were last logged.
 	streamPauseLoggedAt time.Time
 
+	overload overloadState
+
 	streams streamLog
 	control controlList
 	access  *access.Limiter
@@ -104,6 +108,7 @@
 		initialized: make(chan struct{}),
 		viewChanged: make(chan struct{}),
 		becameBusy:  make(chan struct{}, 1),
+		overload:    newOverloadState(),
 	}
 	g.streams.log = streamorigin.NewLog()
 	g.control.seeds, g.control.byAddr = o.Seeds, map[string]*controlHost{}
--- a/internal/core/dispatch/cost.go
+++ b/internal/core/dispatch/cost.go
@@ -58,6 +58,7 @@
 	memory, memoryCapacity float64     // tokens of KV cache
 	work, steady           float64     // factors by which work takes longer there, now and without slow moments
 	pauses                 *pauseModel // nil for the fixed thresholds of pauseRisk
+	overtakes              float64     // waiting requests that are less urgent than the one to be placed
 	off                    Mechanisms
 }
 
@@ -113,7 +114,7 @@
 	if over := e.memory + tokens - e.memoryCapacity; over > 0 && e.memoryCapacity > 0 {
 		wait += over / kvReleaseTokensPerMS * e.steady
 	}
-	if over := e.requests + 1 - e.slots; over > 0 {
+	if over := e.requests + 1 - e.slots - e.overtakes; over > 0 {
 		wait += over * holdMS / e.slots
 	}
 	return wait
