gateway: admission counts only requests that could be sent, and waits for the start

Arrivals were counted before the team's quota and for requests that no region may run, so a team far beyond its quota took the room of others: half of a region's slots stayed free while less urgent requests were rejected. A host that had just started rejected requests on the few servers and the arrival rates that it knew by then.

--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -142,9 +142,6 @@
 	if ok && s.Engine == nil {
 		g.fleet.RecordArrival(x.service, now)
 	}
-	if x.classes != nil {
-		g.fleet.RecordClassArrival(x.service, x.class, len(x.classes), x.waited() > 0, now)
-	}
 }
 
 func routesTo(route *configstate.Route, service string) bool {
--- a/internal/app/gateway/overload.go
+++ b/internal/app/gateway/overload.go
@@ -167,9 +167,14 @@
 	defer g.mu.Unlock()
 	a := g.admissionOf(x)
 	g.updateAdmission(x, a, now)
-	if a.room.Slots+a.room.Surplus <= 0 && !g.fleet.InReach(x.service, x.permits, now) {
+	if !g.fleet.InReach(x.service, x.permits, now) {
 		return nil // the choice of a server waits for one or states why none is usable
 	}
+	// A request beyond its team's quota, or that no region in reach may run, is no demand for the room.
+	g.fleet.RecordClassArrival(x.service, x.class, len(x.classes), x.waited() > 0, now)
+	if g.startup.AwaitsServers(now) {
+		return nil // the slots and the arrivals that are known yet are too few for a decision
+	}
 	d := a.controller.Decide(g.admissionRequest(x, now), now)
 	if d.Admit {
 		return nil
--- a/internal/app/gateway/overload_test.go
+++ b/internal/app/gateway/overload_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/holders"
 	"github.com/sesamefork/sesamefork/internal/core/overload"
 	"github.com/sesamefork/sesamefork/internal/core/serverload"
@@ -134,6 +135,29 @@
 	}
 }
 
+// TestAdmissionWhileStarting guards against rejections by a host that does not know all servers yet.
+func TestAdmissionWhileStarting(t *testing.T) {
+	f, c := newOverloadFixture(t, 8, 2)
+	f.g.startup = dispatch.NewStartup(f.clock.Now(), 0, 0)
+	if err := f.g.Execute(context.Background(), f.request("/chat/1"), &memorySink{}); err != nil || c.last.Remaining != 0 {
+		t.Errorf("failure %v, decided on %+v", err, c.last)
+	}
+}
+
+// TestDemandWithinReach guards against arrivals that no region may run and that would take room from others.
+func TestDemandWithinReach(t *testing.T) {
+	f, c := newOverloadFixture(t, 0, 2)
+	f.g.config.Load().Record.Routes[1].Homes = []string{"south"}
+	for range 2 {
+		_ = f.g.Execute(context.Background(), f.request("/chat/1"), &memorySink{})
+		f.clock.advance(admissionMaxAge / 3)
+	}
+	_ = f.g.Execute(context.Background(), f.request("/match/1"), &memorySink{})
+	if c.updates == 0 || c.classes[1].ArrivalsPerSecond != 0 {
+		t.Errorf("%d updates, classes %+v", c.updates, c.classes)
+	}
+}
+
 // TestUrgency guards against a late request that is served before one that can be in time.
 func TestUrgency(t *testing.T) {
 	got := []int{urgencyOf(0, 0, false), urgencyOf(0, 0, true)}
