backendconn: bound heads, interim and skipped responses in bytes, lines and time

Cause: http.ReadResponse read from an unbounded reader, so that an endless status line, header field or header section grew in memory, and interim and late responses were skipped without end, until the caller's deadline.

Change: a head is read ahead up to 64 KiB and 512 lines, and within 2 s of its first byte; the heads that are skipped for one request up to 64 KiB in total, their bodies up to 1 MiB in total. Beyond a bound the connection is closed and the request fails as sent. Heads over 8 KiB count toward a budget of the host (package membudget). The socket buffer of a connection is 128 KiB instead of growing to 6 MiB.

--- a/internal/adapter/backendconn/backendconn.go
+++ b/internal/adapter/backendconn/backendconn.go
@@ -23,6 +23,7 @@
 	"github.com/juju/errors"
 
 	"github.com/sesamefork/sesamefork/internal/failure"
+	"github.com/sesamefork/sesamefork/internal/membudget"
 )
 
 // Options configures a Pool.
@@ -36,6 +37,10 @@
 	MaxIdlePerAddr int
 	// LocalIP is the source address of connections; nil for any.
 	LocalIP net.IP
+	// HeadTimeout limits the time from the first byte of a response's head to its end (default 2 s).
+	HeadTimeout time.Duration
+	// Budget bounds the heads of responses that are held at once, beyond 8 KiB of each; nil for no bound.
+	Budget *membudget.Budget
 }
 
 // Pool holds idle connections by address.
@@ -52,13 +57,17 @@
 
 // New returns an empty pool.
 func New(o Options) *Pool {
+	if o.HeadTimeout == 0 {
+		o.HeadTimeout = defaultHeadTimeout
+	}
 	return &Pool{o: o, idle: map[string][]*conn{}, reusedAfter: map[string]time.Duration{}, inUse: map[string]int{}}
 }
 
 type conn struct {
 	net.Conn
 	addr      string
-	br        *bufio.Reader
+	br        *bufio.Reader // of source
+	source    *source
 	expires   time.Time // not reused from this time on
 	idleSince time.Time // zero until it has carried a response
 	inUse     bool      // counted in Pool.inUse
@@ -95,9 +104,6 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
-// maxSkippedBodyBytes limits the body of a skipped response to another request.
-const maxSkippedBodyBytes = 1 << 20
-
 // Do sends the request with its body and returns the response once its head has
 // arrived. matches reports whether a response belongs to the request; other
 // responses are skipped. The caller must close the response's body; after a body
@@ -156,7 +162,7 @@
 		p.putBack(c)
 		return nil, &Error{Cause: context.Cause(ctx)}
 	}
-	x := &exchange{p: p, c: c, written: make(chan struct{})}
+	x := &exchange{p: p, c: c, written: make(chan struct{}), head: p.o.Budget.NewHold(freeHeadBytes)}
 	x.stop = context.AfterFunc(ctx, func() { x.cancel(ctx) })
 	go x.write(req, body)
 	resp, err := x.readHead(req, matches)
@@ -166,6 +172,7 @@
 	}
 	if err != nil {
 		x.stop()
+		x.head.Release()
 		_ = c.Conn.Close()
 		<-x.written
 		p.setInUse(c, false)
@@ -216,9 +223,10 @@
 	c        *conn
 	stop     func() bool
 	headRead atomic.Bool
-	written  chan struct{} // closed when the write of the request has ended
-	sent     bool          // any byte of the request was written; set before written is closed
-	writeErr error         // of the write; set before written is closed
+	head     *membudget.Hold // of the bytes of the response's head
+	written  chan struct{}   // closed when the write of the request has ended
+	sent     bool            // any byte of the request was written; set before written is closed
+	writeErr error           // of the write; set before written is closed
 }
 
 // headLinger is the longest time for which a connection waits for the head of a response after the caller has left.
@@ -263,22 +271,34 @@
 	x.sent, x.writeErr = cw.n > 0, err
 }
 
-// readHead reads up to the head of the response that belongs to the request.
+// readHead reads up to the head of the response that belongs to the request. Interim responses and late responses to
+// earlier requests are skipped, up to maxSkippedHeadBytes and maxSkippedBodyBytes.
 func (x *exchange) readHead(req *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
+	heads, bodies := maxSkippedHeadBytes, int64(maxSkippedBodyBytes)
 	for {
+		size, err := x.awaitHead()
+		if err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(x.c.br, req)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		interim := resp.StatusCode >= 100 && resp.StatusCode < 200
+		if !interim && matches(resp) {
+			return resp, nil
+		}
+		if heads -= size; heads <= 0 {
+			return nil, errSkippedTooLong
+		}
+		if interim {
 			continue
 		}
-		if matches(resp) {
-			return resp, nil
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, bodies))
+		if bodies -= n; bodies <= 0 {
+			return nil, errSkippedTooLong
 		}
-		// A late response to an earlier request: the next one on the connection may match.
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes))
-		if err != nil || n == maxSkippedBodyBytes || resp.Close || !selfDelimited(resp) {
+		if err != nil || resp.Close || !selfDelimited(resp) {
 			return nil, failure.New(failure.BackendLost, failure.Unknown, "the connection carried a response to another request")
 		}
 	}
@@ -323,7 +343,8 @@
 	b.done = true
 	x := b.x
 	x.p.setInUse(x.c, false)
-	if !x.stop() || !complete || b.resp.Close || !selfDelimited(b.resp) || x.c.br.Buffered() > 0 {
+	x.head.Release()
+	if !x.stop() || !complete || b.resp.Close || !selfDelimited(b.resp) || x.c.unread() {
 		_ = x.c.Conn.Close()
 		return
 	}
@@ -384,7 +405,9 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, 4<<10)}, nil
+	limitReceiveBuffer(nc)
+	src := &source{conn: nc}
+	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(src, readBufferBytes), source: src}, nil
 }
 
 // recordReuse records that a connection was open at the end of its idle time.
