entry, enginehttp: bound heads and the sum of answers on the product's own interface

Cause: heads of up to 10 MiB were read, an answer of up to 64 MiB and an event of up to 4 MiB counted toward no bound of the host, and a forwarded answer had no bound at all.

Change: heads are bounded to 64 KiB, the sum of answers and events by the host's answer budget, forwarded answers to 64 MiB. An answer over the bound counts as its server's failure; a stream that was left unread for a second or more and then broke off does not. Calls to the client directory read heads of at most 64 KiB.

--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -5,7 +5,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"net/http"
 	"os"
 	"time"
 
@@ -89,10 +88,10 @@
 		Lease: ms(s.Timing.LeaseMS), Skew: ms(s.Timing.ClockSkewMS), StallTimeout: ms(s.Limits.StallTimeoutMS),
 		MaxBody: s.Limits.MaxBodyBytes, MaxExplained: s.Limits.MaxExplained,
 		Peers: client, CloseLink: client.CloseSession, Backends: backends, Clock: port.SystemClock{}, CrashWatch: crashes,
-		Log: log, Metrics: m, Tracer: t,
+		Log: log, Metrics: m, Tracer: t, AnswerBudget: daemon.AnswerBudget(s.Limits.MemoryMB),
 	}
 	if s.Directory.URL != "" {
-		o.Directory = &directory.HTTP{URL: s.Directory.URL, Client: &http.Client{Timeout: time.Second}}
+		o.Directory = &directory.HTTP{URL: s.Directory.URL, Client: directory.NewClient()}
 	}
 	return entry.New(o)
 }
--- a/internal/adapter/directory/directory.go
+++ b/internal/adapter/directory/directory.go
@@ -18,6 +18,17 @@
 	Client *http.Client
 }
 
+// Limits on a call.
+const (
+	callTimeout  = time.Second
+	maxHeadBytes = 64 << 10 // without it, net/http reads heads of up to 10 MiB
+)
+
+// NewClient returns a client for HTTP. Responses' bodies are not read.
+func NewClient() *http.Client {
+	return &http.Client{Timeout: callTimeout, Transport: &http.Transport{Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: maxHeadBytes}}
+}
+
 // listing is the published document.
 type listing struct {
 	TTLMS int64                 `json:"ttl_ms"`
--- a/internal/app/entry/forward.go
+++ b/internal/app/entry/forward.go
@@ -16,6 +16,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/retry"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+	"github.com/sesamefork/sesamefork/internal/membudget"
 	"github.com/sesamefork/sesamefork/internal/port"
 )
 
@@ -56,6 +57,8 @@
 	var hd Head
 	var headed bool
 	var body []byte
+	hold := h.o.AnswerBudget.NewHold(freeAnswerBytes)
+	defer hold.Release()
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
@@ -76,6 +79,12 @@
 		case *pb.ForwardFrame_Head:
 			hd, headed = headOf(f.Head, p.Region), true
 		case *pb.ForwardFrame_Chunk:
+			if len(body)+len(f.Chunk) > maxAnswerBytes {
+				return result{stage: retry.MidAnswer, err: failure.New(failure.Truncated, failure.Unknown, "the answer is over %d bytes", maxAnswerBytes), connected: true}
+			}
+			if !hold.Grow(2 * int64(len(f.Chunk))) { // append copies the body as it grows
+				return result{stage: retry.MidAnswer, err: membudget.ErrSpent, connected: true}
+			}
 			if !x.r.Stream {
 				body = append(body, f.Chunk...)
 				continue
@@ -83,6 +92,7 @@
 			if err := x.sendData(hd, f.Chunk); err != nil {
 				return sinkFailed(err)
 			}
+			hold.Release()
 			x.countToken(h)
 		case *pb.ForwardFrame_End:
 			return h.endForward(x, hd, headed, body, f.End)
--- a/internal/app/entry/host.go
+++ b/internal/app/entry/host.go
@@ -28,6 +28,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/retry"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+	"github.com/sesamefork/sesamefork/internal/membudget"
 	"github.com/sesamefork/sesamefork/internal/port"
 )
 
@@ -60,7 +61,9 @@
 	Clock      port.Clock
 	Log        logr.Logger
 	Metrics    port.GaugedMetrics
-	Tracer     trace.Tracer
+	// AnswerBudget limits the answers and events that are held at once, beyond 64 KiB of each; nil for no limit.
+	AnswerBudget *membudget.Budget
+	Tracer       trace.Tracer
 }
 
 // Factors, intervals and limits that are not settings.
--- a/internal/app/entry/local.go
+++ b/internal/app/entry/local.go
@@ -14,6 +14,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/placement"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
 	"github.com/sesamefork/sesamefork/internal/failure"
+	"github.com/sesamefork/sesamefork/internal/membudget"
 	"github.com/sesamefork/sesamefork/internal/port"
 )
 
@@ -23,6 +24,13 @@
 	maxEventBytes  = 4 << 20
 )
 
+// freeAnswerBytes is the part of an answer or an event that does not count toward the host's budget.
+const freeAnswerBytes = 64 << 10
+
+// unreadTolerance is the time for which a stream may be left unread before its end says nothing of its server. Servers
+// give up writes that make no progress for seconds.
+const unreadTolerance = time.Second
+
 // eventStream is the media type of server-sent events.
 const eventStream = "text/event-stream"
 
@@ -88,14 +96,16 @@
 
 // relayWhole sends on an answer that is not a stream, once it has been received completely.
 func (h *Host) relayWhole(ctx context.Context, x *execution, body io.Reader, hd Head, stall *time.Timer) result {
-	data, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes+1))
+	held := &membudget.Reader{R: body, Hold: h.o.AnswerBudget.NewHold(freeAnswerBytes), Factor: 2}
+	defer held.Hold.Release()
+	data, err := io.ReadAll(io.LimitReader(held, maxAnswerBytes+1))
 	if err != nil {
-		return result{stage: retry.MidAnswer, connected: callerCanceled(ctx),
+		return result{stage: retry.MidAnswer, connected: errors.Is(err, membudget.ErrSpent) || callerCanceled(ctx),
 			err: failure.New(failure.BackendLost, failure.Unknown, "the answer broke off: %s", err)}
 	}
 	stall.Stop()
 	if len(data) > maxAnswerBytes {
-		return result{stage: retry.MidAnswer, err: failure.New(failure.Truncated, failure.Unknown, "the answer is over %d bytes", maxAnswerBytes), connected: true}
+		return result{stage: retry.MidAnswer, err: failure.New(failure.Truncated, failure.Unknown, "the answer is over %d bytes", maxAnswerBytes)}
 	}
 	if err := x.sendHead(hd); err != nil {
 		return sinkFailed(err)
@@ -115,19 +125,25 @@
 // relayStream sends on a stream event by event. The stream is complete with its last event; one
 // that breaks before can be resumed after the events sent.
 func (h *Host) relayStream(ctx context.Context, x *execution, body io.Reader, hd Head, stall *time.Timer) result {
-	reader := bufio.NewReaderSize(body, 4096)
+	held := &membudget.Reader{R: body, Hold: h.o.AnswerBudget.NewHold(freeAnswerBytes), Factor: 2}
+	defer held.Hold.Release()
+	reader := bufio.NewReaderSize(held, 4096)
+	var unread time.Duration // the longest time for which the caller kept the stream from being read
 	for {
 		event, err := readEvent(reader)
 		if err != nil {
 			return result{
-				stage: retry.MidAnswer, connected: callerCanceled(ctx),
+				stage: retry.MidAnswer, connected: err == membudget.ErrSpent || unread >= unreadTolerance || callerCanceled(ctx),
 				err: failure.New(failure.BackendLost, failure.Unknown, "the stream broke off after %d tokens: %s", x.relayed, err),
 			}
 		}
 		stall.Reset(h.o.StallTimeout)
+		readAt := h.o.Clock.Now()
 		if err := x.sendData(hd, event); err != nil {
 			return sinkFailed(err)
 		}
+		unread = max(unread, h.o.Clock.Now().Sub(readAt))
+		held.Hold.Release()
 		if x.ended {
 			return result{stage: retry.Answered, connected: true}
 		}
--- a/internal/app/gateway/answerbuffer.go
+++ b/internal/app/gateway/answerbuffer.go
@@ -28,9 +28,6 @@
 	return &answerBuffer{hold: g.o.AnswerBudget.NewHold(freeAnswerBytes)}
 }
 
-// errNotHeld is the error of an answer that does not fit into the host's memory. The request may have run.
-var errNotHeld = failure.New(failure.Truncated, failure.Unknown, "the answer does not fit into the host's memory for answers")
-
 // errAnswerTooLong is the error of an answer over maxAnswerBytes.
 var errAnswerTooLong = failure.New(failure.Truncated, failure.Unknown, "the answer is over %d bytes", maxAnswerBytes)
 
@@ -71,7 +68,7 @@
 // newChunk adds a chunk of n bytes.
 func (b *answerBuffer) newChunk(n int64) ([]byte, error) {
 	if !b.hold.Grow(n) {
-		return nil, errNotHeld
+		return nil, membudget.ErrSpent
 	}
 	chunk := make([]byte, n)
 	b.chunks = append(b.chunks, chunk)
@@ -84,7 +81,7 @@
 	case b.size+int64(len(chunk)) > maxAnswerBytes:
 		return errAnswerTooLong
 	case !b.hold.Grow(int64(cap(chunk))):
-		return errNotHeld
+		return membudget.ErrSpent
 	}
 	b.chunks = append(b.chunks, chunk)
 	b.size += int64(len(chunk))
--- a/internal/app/gateway/answerlimits.go
+++ b/internal/app/gateway/answerlimits.go
@@ -7,6 +7,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
 	"github.com/sesamefork/sesamefork/internal/failure"
+	"github.com/sesamefork/sesamefork/internal/membudget"
 )
 
 // unreadTolerance is the time for which a stream may be left unread before its end says nothing of its server.
@@ -16,11 +17,11 @@
 // endsForMemory ends an attempt whose answer does not fit into the host's memory. The server is not at fault, so the
 // attempt does not count as its failure.
 func (g *Gateway) endsForMemory(err error, res *result) bool {
-	if err != errNotHeld {
+	if err != membudget.ErrSpent {
 		return false
 	}
 	g.o.Metrics.Add("answers_not_held", 1)
-	res.stage, res.outcome, res.err = retry.MidAnswer, dispatch.CallerEnded, errNotHeld
+	res.stage, res.outcome, res.err = retry.MidAnswer, dispatch.CallerEnded, membudget.ErrSpent
 	return true
 }
 
--- a/internal/app/gateway/eventreader.go
+++ b/internal/app/gateway/eventreader.go
@@ -39,7 +39,7 @@
 	if needed := len(event) + len(line); needed > cap(event) {
 		grown := max(needed, 2*cap(event))
 		if !e.hold.Grow(int64(grown - cap(event))) {
-			return nil, errNotHeld
+			return nil, membudget.ErrSpent
 		}
 		event = append(make([]byte, 0, grown), event...)
 	}
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -13,6 +13,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/quota"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
 	"github.com/sesamefork/sesamefork/internal/failure"
+	"github.com/sesamefork/sesamefork/internal/membudget"
 )
 
 // execution is the state of a request in flight.
@@ -287,7 +288,7 @@
 // mayRetry reports whether the route, the deadline and the retry budget that all entry hosts
 // share allow another attempt.
 func (g *Gateway) mayRetry(ctx context.Context, x *execution, res result) bool {
-	if ctx.Err() != nil || x.deadline.Sub(g.o.Clock.Now()) < minAttemptTime || res.stage == retry.Answered || x.releaseUnknown || res.err == errNotHeld {
+	if ctx.Err() != nil || x.deadline.Sub(g.o.Clock.Now()) < minAttemptTime || res.stage == retry.Answered || x.releaseUnknown || res.err == membudget.ErrSpent {
 		return false
 	}
 	if res.err != nil && res.err.IsCrashRefusal() {
--- a/internal/app/gateway/forward.go
+++ b/internal/app/gateway/forward.go
@@ -11,6 +11,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/retry"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+	"github.com/sesamefork/sesamefork/internal/membudget"
 	"github.com/sesamefork/sesamefork/internal/port"
 )
 
@@ -84,7 +85,7 @@
 			}
 			g.bindToRelease(x, hd)
 			if !body.hold.Grow(int64(len(f.Chunk))) {
-				g.endForwardAtLimit(errNotHeld, res)
+				g.endForwardAtLimit(membudget.ErrSpent, res)
 				return
 			}
 			if f := x.sendEvent(hd, f.Chunk); f != nil {
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -1,7 +1,12 @@
 // Package membudget bounds the bytes that a process holds for answers that it has not passed on.
 package membudget
 
-import "sync/atomic"
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/sesamefork/sesamefork/internal/failure"
+)
 
 // shareFactor bounds what one holder may have: shareFactor times what is left of the budget. A few large answers can
 // use nearly all of it (two of 16 MiB fit into 36 MiB), and many that grow without end always leave some of it to others:
@@ -89,3 +94,22 @@
 
 // counted returns how many of a number of bytes count toward the budget.
 func (h *Hold) counted(bytes int64) int64 { return max(0, bytes-h.free) }
+
+// ErrSpent is the error of a Reader whose bytes the budget does not allow.
+var ErrSpent = failure.New(failure.Truncated, failure.Unknown, "the answer does not fit into the host's memory for answers")
+
+// Reader counts each byte that is read Factor times toward a hold, for a buffer that is copied as it grows.
+type Reader struct {
+	R      io.Reader
+	Hold   *Hold
+	Factor int64
+}
+
+// Read implements io.Reader.
+func (r *Reader) Read(p []byte) (int, error) {
+	n, err := r.R.Read(p)
+	if n > 0 && !r.Hold.Grow(int64(n)*r.Factor) {
+		return 0, ErrSpent
+	}
+	return n, err
+}
