callerhttp, gateway: callers take answers part by part; failed answers are released once

Cause: a caller of the product's own interface that takes nothing held its answer without a time limit. An answer whose head could not be sent was released before a second try to send it.

Change: each part of 64 KiB must be taken within 15 s, as on the routed path. Whoever buffers an answer releases it.

--- a/internal/adapter/callerhttp/body.go
+++ b/internal/adapter/callerhttp/body.go
@@ -69,19 +69,38 @@
 // Data implements entry.Sink.
 func (s *sink) Data(data []byte) error {
 	if s.stream {
-		if _, err := s.w.Write(data); err != nil {
-			return errors.Trace(err)
-		}
-		return errors.Trace(s.rc.Flush())
+		return s.write(data)
 	}
 	header := s.w.Header()
 	header.Set(HeaderOutcome, string(failure.Done))
 	header.Set("Content-Length", strconv.Itoa(len(data)))
 	s.w.WriteHeader(s.status)
-	_, err := s.w.Write(data)
-	return errors.Trace(err)
+	return s.write(data)
+}
+
+// A caller must take each part of an answer within partTimeout, so that a host holds no answer for one that takes
+// nothing.
+const (
+	partBytes   = 64 << 10
+	partTimeout = 15 * time.Second
+)
+
+// write sends data part by part.
+func (s *sink) write(data []byte) error {
+	for len(data) > 0 {
+		n := min(len(data), partBytes)
+		_ = s.rc.SetWriteDeadline(time.Now().Add(partTimeout)) // not supported by writers of tests
+		if _, err := s.w.Write(data[:n]); err != nil {
+			return errors.Trace(err)
+		}
+		data = data[n:]
+	}
+	return errors.Trace(s.rc.Flush())
 }
 
+// endDeadline removes the deadline of the last part from the connection, on which other answers may follow.
+func (s *sink) endDeadline() { _ = s.rc.SetWriteDeadline(time.Time{}) }
+
 // setOutcome sets the outcome trailer of a stream.
 func (s *sink) setOutcome(outcome failure.Outcome) {
 	if s.stream && s.headSent {
--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -354,6 +354,7 @@
 		attribute.String("sesame.request_id", q.ID), attribute.String("sesame.team", q.Team), attribute.String("sesame.target", q.Target)))
 	defer span.End()
 	s := &sink{w: w, stream: q.Stream, rc: http.NewResponseController(w)}
+	defer s.endDeadline()
 	began := time.Now()
 	f := h.host.Execute(ctx, q, s)
 	outcome := failure.Done
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -272,8 +272,8 @@
 	return g.fleet.UntilUsable(g.job(x, now), now)
 }
 
+// deliver sends an answer to the caller. The caller of deliver releases it.
 func deliver(x *execution, answer *bufferedAnswer) *failure.Error {
-	defer answer.body.release()
 	answer.head.Length = answer.body.size
 	if err := x.sink.Head(answer.head); err != nil {
 		return failure.Wrap(err, failure.Canceled, failure.Unknown)
