--- a/internal/app/gateway/endless_test.go
+++ b/internal/app/gateway/endless_test.go
@@ -96,6 +96,19 @@
 	}
 }
 
+// TestHeadOfALongAnswer guards against a HEAD request that fails because its answer states a length over the limit.
+func TestHeadOfALongAnswer(t *testing.T) {
+	f := newFixture(t)
+	f.backends.answer = func(int, *Attempt) (*Answer, bool, error) {
+		return &Answer{Head: Head{Status: 200, Header: http.Header{}, Length: maxAnswerBytes + 1}, Body: http.NoBody}, true, nil
+	}
+	r := f.request("/stock/1")
+	r.Method = http.MethodHead
+	if fail := f.g.Execute(context.Background(), r, &memorySink{}); fail != nil {
+		t.Error(fail)
+	}
+}
+
 // TestEndlessForwardEnds guards against a forwarded answer that another host sends without end.
 func TestEndlessForwardEnds(t *testing.T) {
 	f := newFixture(t)
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -188,9 +188,13 @@
 			body.release()
 		}
 	}()
-	err := body.readAll(a.Body, a.Head.Length)
+	length := a.Head.Length
+	if x.r.Method == http.MethodHead {
+		length = 0 // the header states the length of an answer that is not sent
+	}
+	err := body.readAll(a.Body, length)
 	unstated := body.size
-	if a.Head.Length >= 0 {
+	if length >= 0 {
 		unstated = 0
 	}
 	if g.endsForMemory(err, unstated, res) {
