gateway: a head that the host has no memory for is not its server's failure

The attempt ended as a connection failure, so a server with a head over 8 KiB counted as failing and the request was repeated while the budget was spent.

--- a/internal/adapter/backendconn/head.go
+++ b/internal/adapter/backendconn/head.go
@@ -42,7 +42,6 @@
 var (
 	errHeadTooLong    = failure.New(failure.Truncated, failure.Unknown, "the head of the response is over %d bytes or %d lines", maxHeadBytes, maxHeadLines)
 	errHeadTooSlow    = failure.New(failure.Truncated, failure.Unknown, "the head of the response was not complete in time")
-	errHeadNotHeld    = failure.New(failure.Truncated, failure.Unknown, "the head of the response is over %d bytes, and the host's memory for answers is spent", freeHeadBytes)
 	errSkippedTooLong = failure.New(failure.Truncated, failure.Unknown, "over %d bytes of heads or %d of bodies of interim responses and of responses to other requests", maxSkippedHeadBytes, maxSkippedBodyBytes)
 )
 
@@ -104,7 +103,7 @@
 }
 
 // readHeadBytes reads the head of a response up to and including the empty line that ends it. The hold counts the
-// head's buffer.
+// head's buffer; the error is membudget.ErrSpent if the budget does not allow it.
 func readHeadBytes(r *bufio.Reader, hold *membudget.Hold) ([]byte, error) {
 	hold.Release() // of a head that was skipped
 	var head []byte
@@ -117,7 +116,7 @@
 		if needed := len(head) + len(part); needed > cap(head) {
 			grown := max(needed, 2*cap(head))
 			if !hold.Grow(int64(grown - cap(head))) {
-				return nil, errHeadNotHeld
+				return nil, membudget.ErrSpent
 			}
 			head = append(make([]byte, 0, grown), head...)
 		}
--- a/internal/app/gateway/endless_test.go
+++ b/internal/app/gateway/endless_test.go
@@ -109,6 +109,35 @@
 	}
 }
 
+// TestHeadOverTheBudget guards against a server that counts as failing, and a request that is repeated, because this host
+// has no memory for the head of an answer.
+func TestHeadOverTheBudget(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("A", strings.Repeat("x", 32<<10))
+	})}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Close() })
+	f := newFixture(t)
+	f.g.o.AnswerBudget = membudget.New(1)
+	pool := backendconn.New(backendconn.Options{DialTimeout: time.Minute, IdleTimeout: time.Minute, Budget: f.g.o.AnswerBudget})
+	f.g.o.Backends = &connBackends{pool: pool, addr: ln.Addr().String()}
+	x, fail := f.g.begin(context.Background(), f.request("/stock/1"), &memorySink{})
+	if fail != nil {
+		t.Fatal(fail)
+	}
+	res := f.g.attemptServer(context.Background(), x, f.g.place(x))
+	if res.outcome != dispatch.CallerEnded || res.err == nil || res.err.Outcome != failure.Unknown || f.g.mayRetry(context.Background(), x, res) {
+		t.Errorf("ended with %d, %v", res.outcome, res.err)
+	}
+	if used := f.g.o.AnswerBudget.Used(); used != 0 {
+		t.Errorf("%d bytes held at the end", used)
+	}
+}
+
 // TestEndlessForwardEnds guards against a forwarded answer that another host sends without end.
 func TestEndlessForwardEnds(t *testing.T) {
 	f := newFixture(t)
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -16,6 +16,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/retry"
 	"github.com/sesamefork/sesamefork/internal/core/serverpause"
 	"github.com/sesamefork/sesamefork/internal/failure"
+	"github.com/sesamefork/sesamefork/internal/membudget"
 )
 
 // Limits on one answer held in memory. Options.AnswerBudget limits the sum of all.
@@ -44,6 +45,10 @@
 		if sent {
 			stage = retry.Sent
 		}
+		var res result
+		if errors.Is(err, membudget.ErrSpent) && g.endsForMemory(membudget.ErrSpent, 0, &res) { // for the answer's head
+			return res
+		}
 		g.recordServerLost(c.Server, err)
 		return result{stage: stage, outcome: dispatch.ConnectionFailed, err: failure.New(failure.BackendLost, failure.Unknown, "%s", err)}
 	}
