--- a/internal/app/gateway/answerlimits.go
+++ b/internal/app/gateway/answerlimits.go
@@ -34,9 +34,9 @@
 }
 
 // endsUnread ends an attempt whose stream broke off after it was left unread because its caller reads slowly. The
-// server may have cut it off for that, so the attempt does not count as its failure.
+// server may have cut it off for that, so the attempt does not count as its failure. An event over the limit does.
 func (g *Gateway) endsUnread(unread time.Duration, err error, res *result) bool {
-	if err == nil || err == io.EOF || unread < unreadTolerance {
+	if err == nil || err == io.EOF || err == errEventTooLong || unread < unreadTolerance {
 		return false
 	}
 	g.o.Metrics.Add("unread_streams_cut", 1)
--- a/internal/app/gateway/endless_test.go
+++ b/internal/app/gateway/endless_test.go
@@ -171,6 +171,20 @@
 	}
 }
 
+// TestEndlessEventLeftUnread guards against a server that does not count as failing when it sends an event without end to
+// a caller that has read slowly before.
+func TestEndlessEventLeftUnread(t *testing.T) {
+	f := newFixture(t)
+	x, _ := f.g.begin(context.Background(), f.request("/match/1"), &pausingSink{f: f, pause: unreadTolerance})
+	f.backends.answer = func(int, *Attempt) (*Answer, bool, error) {
+		body := io.MultiReader(strings.NewReader(event1), &repeatingReader{text: "x", unit: 64 << 10})
+		return &Answer{Head: Head{Status: 200, Header: http.Header{}, Length: -1}, Body: io.NopCloser(body)}, true, nil
+	}
+	if res := f.g.attemptServer(context.Background(), x, f.g.place(x)); res.outcome != dispatch.ConnectionFailed || res.err == nil {
+		t.Errorf("ended with %d, %v", res.outcome, res.err)
+	}
+}
+
 // pausingSink takes the first event only after a pause.
 type pausingSink struct {
 	memorySink
--- a/internal/app/gateway/eventreader.go
+++ b/internal/app/gateway/eventreader.go
@@ -15,6 +15,9 @@
 	hold *membudget.Hold // of the last event
 }
 
+// errEventTooLong is the error of an event over maxEventBytes.
+var errEventTooLong = failure.New(failure.Truncated, failure.Unknown, "an event is over %d bytes", maxEventBytes)
+
 // next reads one event up to and including the empty line that ends it. At the end of the stream it returns io.EOF, or
 // io.ErrUnexpectedEOF after part of an event.
 func (e *eventReader) next() ([]byte, error) {
@@ -23,7 +26,7 @@
 	for {
 		line, err := e.r.ReadSlice('\n')
 		if len(event)+len(line) > maxEventBytes {
-			return nil, failure.New(failure.Truncated, failure.Unknown, "an event is over %d bytes", maxEventBytes)
+			return nil, errEventTooLong
 		}
 		if event, err = e.add(event, line, err); err != nil && err != bufio.ErrBufferFull {
 			return event, err
