--- a/internal/adapter/backendconn/endless_test.go
+++ b/internal/adapter/backendconn/endless_test.go
@@ -110,6 +110,26 @@
 	}
 }
 
+// TestHeadAtItsTimeout guards against a response that is returned although its connection was closed at the head's
+// timeout, so that its body breaks off.
+func TestHeadAtItsTimeout(t *testing.T) {
+	s := serve(t, func(s *server, _ int, nc net.Conn, r *bufio.Reader) {
+		s.read(r)
+		write(nc, "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 2\r\n\r\n")
+		write(nc, "ok")
+		_, _ = r.ReadByte() // returns when the host closes the connection
+	})
+	p := newPool(t)
+	p.o.HeadTimeout = time.Microsecond
+	for range 300 {
+		body, err := roundTrip(p, s, "r", nil)
+		p.Close() // each round trip takes a new connection
+		if body != "ok" && !errors.Is(err, errHeadTooSlow) {
+			t.Fatalf("got %q, %v", body, err)
+		}
+	}
+}
+
 // FuzzHead guards against a head that is read ahead differently from what net/http reads, and against one beyond the
 // bounds.
 func FuzzHead(f *testing.F) {
--- a/internal/adapter/backendconn/head.go
+++ b/internal/adapter/backendconn/head.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"io"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/failure"
@@ -78,17 +77,12 @@
 	if _, err := x.c.br.Peek(1); err != nil {
 		return 0, err
 	}
-	var tooSlow atomic.Bool
-	t := time.AfterFunc(x.p.o.HeadTimeout, func() {
-		tooSlow.Store(true)
-		_ = x.c.Conn.Close()
-	})
-	defer t.Stop()
+	t := time.AfterFunc(x.p.o.HeadTimeout, func() { _ = x.c.Conn.Close() })
 	head, err := readHeadBytes(x.c.br, x.head)
-	switch {
-	case tooSlow.Load():
-		return 0, errHeadTooSlow
-	case err != nil:
+	if !t.Stop() {
+		return 0, errHeadTooSlow // also with a whole head: the connection is closed before its body is read
+	}
+	if err != nil {
 		return 0, err
 	}
 	x.c.putBack(head)
