--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -399,6 +399,5 @@
 		panic(http.ErrAbortHandler) // the head was sent: abort, so that the caller cannot take the answer for a complete one
 	}
 	data, _ := json.Marshal(problem.Of(f, q.ID))
-	_, _ = s.w.Write([]byte("event: error\ndata: " + string(data) + "\n\n"))
-	_ = s.rc.Flush()
+	_ = s.write([]byte("event: error\ndata: " + string(data) + "\n\n")) // with its own deadline: that of the last event may have passed
 }
