--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -354,6 +354,7 @@
 		attribute.String("sesame.request_id", q.ID), attribute.String("sesame.team", q.Team), attribute.String("sesame.target", q.Target)))
 	defer span.End()
 	s := &sink{w: w, stream: q.Stream, rc: http.NewResponseController(w)}
+	defer s.endDeadline()
 	began := time.Now()
 	f := h.host.Execute(ctx, q, s)
 	outcome := failure.Done
@@ -398,6 +399,5 @@
 		panic(http.ErrAbortHandler) // the head was sent: abort, so that the caller cannot take the answer for a complete one
 	}
 	data, _ := json.Marshal(problem.Of(f, q.ID))
-	_, _ = s.w.Write([]byte("event: error\ndata: " + string(data) + "\n\n"))
-	_ = s.rc.Flush()
+	_ = s.write([]byte("event: error\ndata: " + string(data) + "\n\n")) // with its own deadline: that of the last event may have passed
 }
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -13,6 +13,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/quota"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
 	"github.com/sesamefork/sesamefork/internal/failure"
+	"github.com/sesamefork/sesamefork/internal/membudget"
 )
 
 // execution is the state of a request in flight.
@@ -175,12 +176,20 @@
 // bufferedAnswer is a complete answer that has not been sent to the caller.
 type bufferedAnswer struct {
 	head Head
-	body []byte
+	body *answerBuffer
+}
+
+// release gives back the memory of an answer; nil for none.
+func (b *bufferedAnswer) release() {
+	if b != nil {
+		b.body.release()
+	}
 }
 
 // run makes attempts until one is answered or no other is allowed.
 func (g *Gateway) run(ctx context.Context, x *execution) *failure.Error {
 	var fallback *bufferedAnswer
+	defer func() { fallback.release() }()
 	for {
 		c, f := g.admitAttempt(ctx, x)
 		if f != nil {
@@ -192,6 +201,7 @@
 			g.refundQuota(x)
 		}
 		if res.fallback != nil {
+			fallback.release()
 			fallback = res.fallback
 		}
 		d := retry.Decide(retry.Attempt{
@@ -270,13 +280,14 @@
 	return g.fleet.UntilUsable(g.job(x, now), now)
 }
 
+// deliver sends an answer to the caller. The caller of deliver releases it.
 func deliver(x *execution, answer *bufferedAnswer) *failure.Error {
-	answer.head.Length = int64(len(answer.body))
+	answer.head.Length = answer.body.size
 	if err := x.sink.Head(answer.head); err != nil {
 		return failure.Wrap(err, failure.Canceled, failure.Unknown)
 	}
 	x.headSent = true
-	if err := x.sink.Data(answer.body); err != nil {
+	if err := answer.body.sendTo(x.sink); err != nil {
 		return failure.Wrap(err, failure.Canceled, failure.Unknown)
 	}
 	return nil
@@ -285,7 +296,7 @@
 // mayRetry reports whether the route, the deadline and the retry budget that all entry hosts
 // share allow another attempt.
 func (g *Gateway) mayRetry(ctx context.Context, x *execution, res result) bool {
-	if ctx.Err() != nil || x.deadline.Sub(g.o.Clock.Now()) < minAttemptTime || res.stage == retry.Answered || x.releaseUnknown {
+	if ctx.Err() != nil || x.deadline.Sub(g.o.Clock.Now()) < minAttemptTime || res.stage == retry.Answered || x.releaseUnknown || res.err == membudget.ErrSpent {
 		return false
 	}
 	if res.err != nil && res.err.IsCrashRefusal() {
