overload: a wait is recognised from a fifth of the route's time

New requests then got nothing, and reservations no precedence. The wait that counts is now a fifth of the route's time, at least 300 ms as before, and reservations lie beyond it.

--- a/internal/app/gateway/overload.go
+++ b/internal/app/gateway/overload.go
@@ -20,9 +20,9 @@
 	// admissionMaxAge is the age of the last view from which a controller gets no updates any more. The controller
 	// itself bounds how long its last plan applies.
 	admissionMaxAge = 1200 * time.Millisecond
-	// minReturnWait is the shortest Retry-After of a rejection. Callers that allow an attempt less than the route's
-	// time by at least as much have waited for one.
-	minReturnWait = 300 * time.Millisecond
+	// minReturnShare is the part of the route's time by which a caller must allow less than that to count as one that
+	// waited for a Retry-After. Callers of one route state times that differ by up to 15%.
+	minReturnShare = 0.2
 )
 
 // maxRejectionCauses bounds the causes that are counted for a service.
@@ -125,12 +125,17 @@
 // shows; 0 if it has not waited for a Retry-After.
 func (x *execution) waited() time.Duration {
 	used := time.Duration(x.route.TimeoutMS)*time.Millisecond - x.r.Wait
-	if x.r.Wait <= 0 || used < minReturnWait {
+	if x.r.Wait <= 0 || used < x.recognizedWait() {
 		return 0
 	}
 	return used
 }
 
+// recognizedWait returns the shortest wait for a Retry-After that a caller's stated time shows.
+func (x *execution) recognizedWait() time.Duration {
+	return max(overload.MinRetryAfter, time.Duration(minReturnShare*float64(x.route.TimeoutMS)*float64(time.Millisecond)))
+}
+
 // admissionOf returns the admission of a request, which is new if its classes have changed. The caller holds g.mu.
 func (g *Gateway) admissionOf(x *execution) *admission {
 	key := admissionKey{x.service, g.permittedRegions(x)}
@@ -184,7 +189,7 @@
 }
 
 func (g *Gateway) admissionRequest(x *execution, now time.Time) overload.Request {
-	r := overload.Request{Class: x.class, Team: x.teamName(), Weight: 1, Waited: x.waited(), Remaining: x.deadline.Sub(now)}
+	r := overload.Request{Class: x.class, Team: x.teamName(), Weight: 1, Waited: x.waited(), Remaining: x.deadline.Sub(now), Recognized: x.recognizedWait()}
 	if x.team != nil && x.team.Weight > 0 {
 		r.Weight = x.team.Weight
 	}
@@ -254,7 +259,7 @@
 	g.o.Metrics.Add("overload_rejected", 1)
 	g.o.Metrics.Add("overload_rejected_"+x.service+"_"+class, 1)
 	g.o.Log.Info("request rejected by admission", "request_id", x.r.ID, "route", x.route.Name, "team", x.teamName(), "service", x.service, "class", x.class,
-		"cause", d.Reason, "fraction", d.Fraction, "room", a.room.Slots-a.room.Requests, "slots", a.room.Slots, "surplus", a.room.Surplus, "backlog", max(0, a.room.Requests-a.room.Slots),
+		"cause", d.Reason, "fraction", d.Fraction, "room", a.room.Slots-a.room.Requests, "slots", a.room.Slots, "surplus", a.room.Surplus, "backlog", max(0, a.room.Requests-a.room.Slots), "demand", a.plan.Demand, "class_room", a.plan.Room,
 		"waited_ms", x.waited().Milliseconds(), "remaining_ms", x.deadline.Sub(now).Milliseconds(), "retry_after_ms", d.RetryAfter.Milliseconds(),
 		"figures_age_ms", now.Sub(a.updatedAt).Milliseconds(), "view_age_ms", g.fleet.ViewAge(now).Milliseconds())
 }
--- a/internal/app/gateway/overload_test.go
+++ b/internal/app/gateway/overload_test.go
@@ -120,14 +120,14 @@
 	for _, answer := range []*Answer{notRunAnswer(NotRun), streamAnswer(event1, false), pause, pause} {
 		f.backends.answer = func(int, *Attempt) (*Answer, bool, error) { return answer, true, nil }
 		r := f.request("/chat/1")
-		r.Wait = 4500 * time.Millisecond // of the route's 5 s
+		r.Wait = 3750 * time.Millisecond // of the route's 5 s
 		_ = f.g.Execute(context.Background(), r, &memorySink{})
 		f.clock.advance(admissionMaxAge / 3)
 	}
 	if c.refused != 2 || c.served != 1 || c.updates != 4 {
 		t.Errorf("%d rejections by both servers, %d served, %d updates", c.refused, c.served, c.updates)
 	}
-	if c.last.Waited != 500*time.Millisecond || c.classes[1].ReturnsPerSecond <= 0 || c.classes[1].ArrivalsPerSecond != 0 || c.classes[0].ReturnsPerSecond != 0 {
+	if c.last.Waited != 1250*time.Millisecond || c.classes[1].ReturnsPerSecond <= 0 || c.classes[1].ArrivalsPerSecond != 0 || c.classes[0].ReturnsPerSecond != 0 {
 		t.Errorf("request %+v, classes %+v", c.last, c.classes)
 	}
 	if _ = f.g.Execute(context.Background(), f.request("/chat/1"), &memorySink{}); c.updates != 4 {
@@ -144,6 +144,18 @@
 	}
 }
 
+// TestStatedTimesVary guards against first attempts that count as retries since their callers state less than the
+// route's time.
+func TestStatedTimesVary(t *testing.T) {
+	f, c := newOverloadFixture(t, 0, 2)
+	r := f.request("/chat/1")
+	r.Wait = 4250 * time.Millisecond // 15% less than the route's 5 s
+	_ = f.g.Execute(context.Background(), r, &memorySink{})
+	if c.last.Waited != 0 || c.last.Recognized != time.Second {
+		t.Errorf("decided on %+v", c.last)
+	}
+}
+
 // TestDemandWithinReach guards against arrivals that no region may run and that would take room from others.
 func TestDemandWithinReach(t *testing.T) {
 	f, c := newOverloadFixture(t, 0, 2)
--- a/internal/core/overload/calendar.go
+++ b/internal/core/overload/calendar.go
@@ -71,7 +71,7 @@
 	}
 	elapsed := now.Sub(c.epoch)
 	latest := elapsed + time.Duration(placeLimit*float64(longest))
-	at, ok := s.calendar.reserve(elapsed+MinRetryAfter, latest, s.rate, s.index, c.o.Random)
+	at, ok := s.calendar.reserve(elapsed+max(MinRetryAfter, r.Recognized), latest, s.rate, s.index, c.o.Random)
 	if !ok {
 		return longest, ReasonNoPlace
 	}
--- a/internal/core/overload/load_test.go
+++ b/internal/core/overload/load_test.go
@@ -171,7 +171,7 @@
 	p.rates[returned][x.class]++
 	remaining := playDeadline[x.class] - waited
 	if p.admission {
-		d := p.hosts[x.host].Decide(Request{x.class, fmt.Sprint(x.team), 1, waited, remaining}, start.Add(p.now))
+		d := p.hosts[x.host].Decide(Request{Class: x.class, Team: fmt.Sprint(x.team), Weight: 1, Waited: waited, Remaining: remaining}, start.Add(p.now))
 		p.countFair(x, d.Admit)
 		if !d.Admit {
 			p.refuse(x, d.RetryAfter, d.Reason == ReasonReserved)
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -42,6 +42,8 @@
 	Weight    float64       // of the team
 	Waited    time.Duration // since the caller's first attempt, as far as it is known
 	Remaining time.Duration // until the caller's deadline
+	// Recognized is the shortest wait that Waited shows, as callers' stated times vary; at least MinRetryAfter applies.
+	Recognized time.Duration
 }
 
 // Decision is the result of Decide.
@@ -199,11 +201,12 @@
 }
 
 // kindOf returns the kind of a request. Reserved times are at most placeLimit of a third of the caller's time, and a
-// caller without a place is told the whole third. So the waiting time separates the two at any host, without state.
+// caller without a place is told the whole third. So the waiting time separates the two at any host, without state,
+// except for some of the callers that state less than the usual time.
 func kindOf(r Request) kind {
 	third := (max(r.Waited, 0) + max(r.Remaining, 0)) / 3
 	switch {
-	case r.Waited < MinRetryAfter:
+	case r.Waited < max(MinRetryAfter, r.Recognized):
 		return fresh
 	case float64(r.Waited) < (1+placeLimit)/2*float64(third):
 		return reserved
--- a/internal/core/overload/overload_test.go
+++ b/internal/core/overload/overload_test.go
@@ -169,7 +169,7 @@
 			room := Room{number.Draw(t, "slots"), number.Draw(t, "requests"), number.Draw(t, "surplus")}
 			checkPlan(t, c, c.Update(classes, room, now), room, now)
 			for range rapid.IntRange(0, 20).Draw(t, "requests") {
-				r := Request{rapid.IntRange(-1, 5).Draw(t, "class"), "t", number.Draw(t, "weight"), span.Draw(t, "waited"), span.Draw(t, "remaining")}
+				r := Request{rapid.IntRange(-1, 5).Draw(t, "class"), "t", number.Draw(t, "weight"), span.Draw(t, "waited"), span.Draw(t, "remaining"), span.Draw(t, "recognized")}
 				d := c.Decide(r, now)
 				if d.RetryAfter != 0 && (d.Admit || d.RetryAfter < MinRetryAfter || d.RetryAfter > r.Remaining/3) {
 					t.Fatalf("Retry-After %v of %v", d.RetryAfter, r.Remaining)
