gateway: the log line of paused streams has one field 'event'

The number of the event after a pause was logged under the key of the line's own event, so that a reader of the JSON line saw the number only.

--- a/internal/app/gateway/pauses.go
+++ b/internal/app/gateway/pauses.go
@@ -126,7 +126,7 @@
 	}
 	w := x.pauses.worst
 	g.o.Log.Info("stream paused", "request_id", x.r.ID, "route", x.route.Name, "service", x.service, "server", w.server, "pauses", x.pauses.count,
-		"longest_ms", w.took.Milliseconds(), "gap_target_ms", x.route.GapTargetMS, "cause", string(w.cause), "event", w.nextEvent,
+		"longest_ms", w.took.Milliseconds(), "gap_target_ms", x.route.GapTargetMS, "cause", string(w.cause), "next_event", w.nextEvent,
 		"pending_prefill_ms", int(w.state.PendingMS), "recent_prefill_ms_per_s", int(w.state.RecentMS), "server_requests", int(w.state.Requests), "slots", int(w.state.Slots),
 		"work_factor", w.state.WorkFactor, "steady_factor", w.state.SteadyFactor)
 }
