gateway: a slow caller is no pause of its server; one lock per event

Cause: recordEventTime counted the time in which this host waited for a slow caller as a pause of the server's stream, and as an event interval for the steps per event. recordEvent, which leaves such intervals out, took g.mu a second time for each event.

Change: one recordEvent with one lock per event records both. An interval counts only if the last event was sent to the caller within maxSendTime.

--- a/internal/app/gateway/pauses.go
+++ b/internal/app/gateway/pauses.go
@@ -31,6 +31,9 @@
 	pendingShare = 0.4
 	// crowdedShare is the share of a server's slots from which its batch is crowded.
 	crowdedShare = 0.8
+	// maxSendTime is the time for sending an event to the caller above which the interval to the next one is not that of
+	// the server: this host then reads the event only after it has waited for the caller.
+	maxSendTime = 10 * time.Millisecond
 	// pauseLogInterval is the shortest time between two log lines about pauses.
 	pauseLogInterval = 100 * time.Millisecond
 )
@@ -38,7 +41,8 @@
 // eventPauses is the record of the pauses between the events of a stream.
 type eventPauses struct {
 	server  *dispatch.Server // that sent the last event
-	eventAt time.Time        // zero before the first event
+	eventAt time.Time        // arrival of the last event; zero before the first one
+	sentAt  time.Time        // when that event had been sent to the caller
 	state   dispatch.StreamState
 	count   int
 	worst   eventPause
@@ -53,28 +57,40 @@
 	state     dispatch.StreamState
 }
 
-// recordEventTime records that a complete event of a stream has arrived. It does nothing for a route without a
-// gap target.
-func (g *Gateway) recordEventTime(x *execution, c *dispatch.Choice) {
-	gap := time.Duration(x.route.GapTargetMS) * time.Millisecond
-	if gap <= 0 || c.Server == nil {
+// recordEvent records that a complete event of a stream has arrived, and the interval to the one before it.
+func (g *Gateway) recordEvent(x *execution, c *dispatch.Choice) {
+	if c.Server == nil {
 		return
 	}
+	gap := time.Duration(x.route.GapTargetMS) * time.Millisecond
 	now := g.o.Clock.Now()
 	p := &x.pauses
 	interval, resumed := now.Sub(p.eventAt), p.server != c.Server
-	g.mu.Lock()
-	state := g.fleet.StreamStateOf(c, now)
-	if !p.eventAt.IsZero() && !resumed {
-		g.fleet.RecordEventSpacing(c, interval, now)
-	}
-	g.mu.Unlock()
-	if !p.eventAt.IsZero() && interval > gap {
+	known := !p.eventAt.IsZero() && p.sentAt.Sub(p.eventAt) <= maxSendTime
+	state := g.recordInterval(c, interval, known && !resumed, gap > 0, now)
+	if known && gap > 0 && interval > gap {
 		g.recordStreamPause(x, c, interval, causeOf(p.state, state, resumed, gap), state)
 	}
 	p.server, p.eventAt, p.state = c.Server, now, state
 }
 
+// recordInterval gives the fleet the interval between two events, if it is known and that of one server. It returns
+// the state of the server if the stream has a gap target.
+func (g *Gateway) recordInterval(c *dispatch.Choice, interval time.Duration, known, hasGap bool, now time.Time) (state dispatch.StreamState) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if known {
+		g.fleet.RecordEventInterval(c, interval, now)
+	}
+	if hasGap {
+		state = g.fleet.StreamStateOf(c, now)
+	}
+	if hasGap && known {
+		g.fleet.RecordEventSpacing(c, interval, now)
+	}
+	return state
+}
+
 func (g *Gateway) recordStreamPause(x *execution, c *dispatch.Choice, took time.Duration, cause pauseCause, state dispatch.StreamState) {
 	p := &x.pauses
 	if p.count++; p.count == 1 {
--- a/internal/app/gateway/pauses_test.go
+++ b/internal/app/gateway/pauses_test.go
@@ -72,3 +72,30 @@
 		t.Errorf("want one line about two pauses, got %s", log)
 	}
 }
+
+// slowSink advances the clock while it takes an event.
+type slowSink struct {
+	memorySink
+	clock *fakeClock
+}
+
+func (s *slowSink) Data(b []byte) error {
+	s.clock.advance(time.Second)
+	return s.memorySink.Data(b)
+}
+
+// TestSlowCallerIsNoPause guards against pauses that are counted for a server while the caller did not read.
+func TestSlowCallerIsNoPause(t *testing.T) {
+	f := newFixture(t)
+	rec := baseRecord()
+	rec.Routes[0].GapTargetMS = 400
+	f.install(8, rec)
+	var log strings.Builder
+	f.g.o.Log = funcr.New(func(_, args string) { log.WriteString(args) }, funcr.Options{})
+	f.backends.answer = func(int, *Attempt) (*Answer, bool, error) {
+		return streamAnswer(event1+event2+event3, false), true, nil
+	}
+	if err := f.g.Execute(context.Background(), f.request("/match/1"), &slowSink{clock: f.clock}); err != nil || strings.Contains(log.String(), "stream paused") {
+		t.Errorf("failure %v, log %s", err, log.String())
+	}
+}
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -244,7 +244,6 @@
 	reader := &eventReader{r: bufio.NewReaderSize(a.Body, 4<<10), hold: g.o.AnswerBudget.NewHold(freeAnswerBytes)}
 	defer reader.hold.Release()
 	var unread time.Duration // the longest time for which the caller kept the stream from being read
-	var events eventTimes
 	for {
 		event, err := reader.next()
 		if err == io.EOF && len(event) == 0 {
@@ -266,8 +265,7 @@
 			return
 		}
 		g.recordProgress(c, res, began)
-		g.recordEvent(c, &events)
-		g.recordEventTime(x, c)
+		g.recordEvent(x, c)
 		if x.release == nil {
 			a.Release = g.releaseOf(c.Server)
 			g.bindToRelease(x, a.Head)
@@ -275,7 +273,8 @@
 		a.Release = x.release
 		readAt := g.o.Clock.Now()
 		f := x.sendEvent(a.Head, event)
-		unread = max(unread, g.o.Clock.Now().Sub(readAt))
+		x.pauses.sentAt = g.o.Clock.Now()
+		unread = max(unread, x.pauses.sentAt.Sub(readAt))
 		if f != nil {
 			res.stage, res.outcome, res.err = retry.MidAnswer, dispatch.CallerEnded, f
 			if f.Code == failure.BackendLost {
@@ -283,7 +282,6 @@
 			}
 			return
 		}
-		events.sentAt = g.o.Clock.Now()
 	}
 }
 
