gateway: admission after outages and configuration changes

Cause: without a server in reach a controller was updated with no slots, and that plan rejected the requests of the first 100 ms after a server came back. An answer to a request of an earlier configuration replaced the controller of the current classes. Admissions of services that lost their classes stayed in memory and in the status.

Change: a plan made without a server in reach decides on nothing. Answers only count for an admission with the request's classes. A new configuration drops the admissions whose classes it changes.

Result: TestAdmissionAfterAnOutage and TestAdmissionAfterAConfigurationChange fail before and pass now.

--- a/internal/app/gateway/overload.go
+++ b/internal/app/gateway/overload.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -70,6 +71,7 @@
 	plan       overload.Plan
 	room       overload.Room
 	updatedAt  time.Time
+	inReach    bool             // a server was in reach at the last update; otherwise the plan is for no slots
 	rejected   map[string]int64 // by class and cause
 }
 
@@ -98,15 +100,27 @@
 	o := &g.overload
 	if o.record != record {
 		o.record, o.classes = record, map[string][]configstate.UrgencyClass{}
+		o.dropOldAdmissions()
 	}
+	return o.classesOf(service)
+}
+
+func (o *overloadState) classesOf(service string) []configstate.UrgencyClass {
 	classes, known := o.classes[service]
 	if !known {
-		classes = record.UrgencyClasses(service)
+		classes = o.record.UrgencyClasses(service)
 		o.classes[service] = classes
 	}
 	return classes
 }
 
+// dropOldAdmissions drops the admissions of services whose classes are others in the record, or that have none there.
+func (o *overloadState) dropOldAdmissions() {
+	maps.DeleteFunc(o.admissions, func(key admissionKey, a *admission) bool {
+		return !slices.Equal(a.classes, o.classesOf(key.service))
+	})
+}
+
 // setClass determines the urgency class of a request.
 func (g *Gateway) setClass(x *execution) {
 	g.mu.Lock()
@@ -171,13 +185,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	a := g.admissionOf(x)
-	g.updateAdmission(x, a, now)
-	if !g.fleet.InReach(x.service, x.permits, now) {
+	inReach := g.fleet.InReach(x.service, x.permits, now)
+	g.updateAdmission(x, a, inReach, now)
+	if !inReach {
 		return nil // the choice of a server waits for one or states why none is usable
 	}
 	// A request beyond its team's quota, or that no region in reach may run, is no demand for the room.
 	g.fleet.RecordClassArrival(x.service, x.class, len(x.classes), x.waited() > 0, now)
-	if g.startup.AwaitsServers(now) {
+	if g.startup.AwaitsServers(now) || !a.inReach {
 		return nil // the slots and the arrivals that are known yet are too few for a decision
 	}
 	d := a.controller.Decide(g.admissionRequest(x, now), now)
@@ -197,11 +212,12 @@
 }
 
 // updateAdmission gives a controller the current figures, unless it had them lately or they are too old.
-func (g *Gateway) updateAdmission(x *execution, a *admission, now time.Time) {
+func (g *Gateway) updateAdmission(x *execution, a *admission, inReach bool, now time.Time) {
 	if now.Sub(a.updatedAt) < admissionInterval || g.fleet.ViewAge(now) > admissionMaxAge {
 		return
 	}
 	engine := x.isEngine()
+	a.inReach = inReach
 	a.updatedAt, a.room = now, g.fleet.Room(x.service, engine, x.permits, now)
 	var classes []overload.Class
 	for i, l := range g.fleet.ClassLoads(x.service, engine, len(x.classes), now) {
@@ -228,7 +244,7 @@
 }
 
 // recordAdmissionAnswer tells the controller of a request's class that a server answered it, or rejected it because
-// the server was full.
+// the server was full. An answer to a request with the classes of an earlier configuration is left out.
 func (g *Gateway) recordAdmissionAnswer(x *execution, a *Answer) {
 	if x.classes == nil {
 		return
@@ -236,11 +252,13 @@
 	now := g.o.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	current := g.overload.admissions[admissionKey{x.service, g.permittedRegions(x)}]
 	switch {
+	case current == nil || !slices.Equal(current.classes, x.classes):
 	case a.rejectedAsFull():
-		g.admissionOf(x).controller.Refused(x.class, now)
+		current.controller.Refused(x.class, now)
 	case a.Verdict == Ran && !isFailure(a.Status):
-		g.admissionOf(x).controller.Served(x.class, now)
+		current.controller.Served(x.class, now)
 	}
 }
 
--- a/internal/app/gateway/overload_test.go
+++ b/internal/app/gateway/overload_test.go
@@ -180,3 +180,52 @@
 		t.Errorf("urgencies %v, want %v", got, want)
 	}
 }
+
+// TestAdmissionAfterAnOutage guards against rejections by a plan for no slots while a server has just come back.
+func TestAdmissionAfterAnOutage(t *testing.T) {
+	f, c := newOverloadFixture(t, 0, 2)
+	for _, back := range []bool{false, true} {
+		f.view(func(v *pb.FleetView) {
+			v.Regions = nil
+			for _, s := range v.Servers {
+				if s.Sequence, s.Leaving = 2, !back; back {
+					s.Id = "new-" + s.Id
+				}
+			}
+		})
+		_ = f.g.Execute(context.Background(), f.request("/chat/1"), &memorySink{})
+	}
+	if len(f.backends.sent()) != 1 || c.updates != 1 {
+		t.Errorf("sent %d times after %d updates", len(f.backends.sent()), c.updates)
+	}
+}
+
+// TestAdmissionAfterAConfigurationChange guards against answers to requests of an earlier configuration that replace
+// the controller of the current one, and against a status of services that have no classes any more.
+func TestAdmissionAfterAConfigurationChange(t *testing.T) {
+	f, c := newOverloadFixture(t, 0, 2)
+	made := 0
+	f.g.overload.newController = func(overload.Options) admissionController { made++; return c }
+	rec := *f.g.config.Load().Record
+	rec.Routes = slices.Clone(rec.Routes)
+	rec.Routes[1].LatencyTargetMS = 2000
+	f.backends.answer = func(int, *Attempt) (*Answer, bool, error) {
+		if made == 1 { // a request under the new configuration comes while this one runs
+			f.install(9, rec)
+			f.backends.answer = func(int, *Attempt) (*Answer, bool, error) { return streamAnswer(event1, false), true, nil }
+			_ = f.g.Execute(context.Background(), f.request("/chat/2"), &memorySink{})
+		}
+		return streamAnswer(event1, false), true, nil
+	}
+	_ = f.g.Execute(context.Background(), f.request("/chat/1"), &memorySink{})
+	if made != 2 || c.served != 1 || len(f.g.Admission()) != 1 {
+		t.Errorf("%d controllers, %d answers, status %+v", made, c.served, f.g.Admission())
+	}
+	same := rec
+	same.Routes = slices.Clone(rec.Routes)
+	same.Routes[1].Priority = same.Routes[0].Priority
+	f.install(10, same)
+	if _ = f.g.Execute(context.Background(), f.request("/chat/3"), &memorySink{}); len(f.g.Admission()) != 0 {
+		t.Errorf("status %+v of a service without classes", f.g.Admission())
+	}
+}
