dispatch: arrivals of classes stay known, slot times follow the server's speed

Cause: an entry of arrivals was dropped a minute after its creation unless callers of this host sent such requests; for one view interval the host then assumed that the region has no requests of the class. The slot time counted at most the prefill of a server with factor 1, so it was too short at slow servers and too long at fast ones that had a wait.

Change: reading the arrivals of a class keeps its entry. The expected prefill in the slot time is multiplied by the server's steady factor, which is 1 without work times.

--- a/internal/core/dispatch/classes.go
+++ b/internal/core/dispatch/classes.go
@@ -80,18 +80,19 @@
 }
 
 // arrivalsOf returns the arrivals under a key. It adds an empty entry for a missing one, so that the next view brings
-// the arrivals at other hosts.
+// the arrivals at other hosts, and keeps it while it is read, though no caller of this host sends such requests.
 func (f *Fleet) arrivalsOf(key string, now time.Time) *arrivals {
 	a := f.arrivals[key]
 	if a == nil {
 		a = &arrivals{at: now}
 		f.arrivals[key] = a
 	}
+	a.count, a.at = a.decayed(now), now
 	return a
 }
 
 // recordSlotTime records how long a request held a slot. The wait for the slot does not count: of the time to the
-// first byte, at most the expected prefill does.
+// first byte, at most the expected prefill at a server of this speed does.
 func (f *Fleet) recordSlotTime(c *Choice, first time.Duration, now time.Time) {
 	j := c.job
 	if j.Classes == 0 {
@@ -102,6 +103,7 @@
 	if j.Engine {
 		firstMS = e.BeginMS() + (c.tokensAhead+c.UncoveredTokens)/e.PrefillTokensPerMS()
 	}
+	firstMS *= f.steadyFactor(c.Server)
 	first = max(first, 0)
 	held := now.Sub(c.startedAt) - first + min(first, time.Duration(firstMS*float64(time.Millisecond)))
 	f.workOf(j.Service, j.Classes)[j.Class].addSlotTime(float64(held) / float64(time.Millisecond))
--- a/internal/core/dispatch/classes_test.go
+++ b/internal/core/dispatch/classes_test.go
@@ -88,6 +88,38 @@
 	}
 }
 
+// TestArrivalsOfOtherHostsStay guards against a class that counts as without requests once a minute at a host whose own
+// callers send none.
+func TestArrivalsOfOtherHostsStay(t *testing.T) {
+	f, v := newTestFleet(1), testView(1)
+	v.Loads = serverload.Encode(serverload.Loads{serverload.ServiceKey(classKey("llm", 0, false)): {Requests: 500}})
+	for i := range 300 {
+		now := start.Add(time.Duration(i) * 300 * time.Millisecond)
+		if got := f.ClassLoads("llm", true, 1, now)[0].ArrivalsPerSecond; i > 0 && got != 5 {
+			t.Fatalf("%v arrivals per second after %s, want 5", got, now.Sub(start))
+		}
+		f.ApplyView(v, FullScope, now)
+	}
+}
+
+// TestSlotTimeOfSlowServer guards against a slot time that leaves out a part of the prefill at a slow server.
+func TestSlotTimeOfSlowServer(t *testing.T) {
+	held := func(factor float64) time.Duration {
+		f := newTestFleet(1)
+		f.RecordWorkTime(&Choice{Server: f.servers["s0"]}, factor, start)
+		j := classJob(0)
+		j.Remaining = time.Minute
+		c := f.Choose(j, start)
+		f.Started(&c, start)
+		f.FirstByte(&c, 5*time.Second)
+		f.Ended(&c, Served, 5*time.Second, start.Add(5*time.Second))
+		return f.ClassLoads("llm", true, 2, start)[0].SlotTime
+	}
+	if usual, slow := held(1), held(2); slow < usual*19/10 || slow > usual*21/10 {
+		t.Errorf("slot times of a prefill %s, and %s at factor 2", usual, slow)
+	}
+}
+
 // TestRoom guards against room at servers that must not be used, and in regions that cannot lend any.
 func TestRoom(t *testing.T) {
 	region := func(name string, requests uint32, ageMS uint64) *pb.RegionLoad {
