dispatch: room at limited servers follows their speed

Cause: Room took the requests per slot of a server with factor 1 for the slots that a limit leaves, unlike the choice of a server (preferenceFor, isMostlyLimited). At a slower server requests hold their slots for longer, so the room was understated and requests were rejected.

Change: Room divides by the steady factor, 1 without work times.

--- a/internal/core/dispatch/classes.go
+++ b/internal/core/dispatch/classes.go
@@ -218,7 +218,7 @@
 	}
 	perSlot, factor := f.requestsPerSlot(service, engine), f.unreportedFactor(service, now)
 	for _, s := range f.warmServers(service, now) {
-		r.Slots += f.slowStartSlots(s, f.limitedSlots(s, perSlot), now)
+		r.Slots += f.slowStartSlots(s, f.limitedSlots(s, perSlot/f.steadyFactor(s)), now)
 		r.Requests += f.requestsAt(s, now) + float64(s.deferred) + factor*float64(s.othersDeferred)
 	}
 	return r
--- a/internal/core/dispatch/classes_test.go
+++ b/internal/core/dispatch/classes_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/core/holders"
 	"github.com/sesamefork/sesamefork/internal/core/overload"
+	"github.com/sesamefork/sesamefork/internal/core/serverlimit"
 	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
@@ -149,6 +150,21 @@
 	}
 }
 
+// TestRoomOfSlowLimitedServer guards against room that a limited server is said to lack because its requests hold their
+// slots for longer than the usual one's.
+func TestRoomOfSlowLimitedServer(t *testing.T) {
+	slots := func(factor float64) float64 {
+		f := newTestFleet(1)
+		c := &Choice{Server: f.servers["s0"]}
+		f.RecordWorkTime(c, factor, start)
+		f.RecordLimit(c, serverlimit.Advertisement{PerSecond: 1, Named: true}, true, start)
+		return f.Room("llm", true, only("west"), start).Slots
+	}
+	if usual, slow := slots(1), slots(2); usual <= 0 || math.Abs(slow-2*usual) > 1e-9 {
+		t.Errorf("%v usable slots, and %v at factor 2", usual, slow)
+	}
+}
+
 // TestUrgentRequestsWhileChatsFillTheEngines sends engines 1.3 times the chats that they can run, and urgent requests
 // for a twentieth of their slots. It guards against estimates by which urgent requests are sent as late ones.
 func TestUrgentRequestsWhileChatsFillTheEngines(t *testing.T) {
--- a/internal/core/dispatch/streampauses.go
+++ b/internal/core/dispatch/streampauses.go
@@ -96,7 +96,7 @@
 	return f.workFactor(s, now)
 }
 
-// recordGapTarget records the gap target of a request, which long prompts at the service must heed.
+// recordGapTarget records the gap target of a request. The loss of long prompts at the service depends on the shortest one.
 func (f *Fleet) recordGapTarget(j *Job, now time.Time) {
 	last := f.streams.gaps[j.Service]
 	if j.GapTarget > 0 && (last.gap == 0 || j.GapTarget <= last.gap || now.Sub(last.at) > gapRetention) {
@@ -152,8 +152,8 @@
 	recentMS    float64 // prefill sent recently, in ms at factor 1 per second
 }
 
-// pauseModelOf returns the model of an engine; nil if today's fixed thresholds apply, as the service's servers
-// report no work time or its streams have no gap target.
+// pauseModelOf returns the model of an engine; nil if the fixed thresholds of pauseRisk apply, as the service's
+// servers report no work time or its streams have no gap target.
 func (f *Fleet) pauseModelOf(s *Server, j *Job, now time.Time) *pauseModel {
 	gap := f.gapTargetOf(j, now)
 	if gap == 0 || !f.unequal(j.Service) {
