dispatch: InReach does not sort the servers of a service

Cause: gateway.admitByRoom calls InReach for each request of a service with urgency classes; where no other region may run it, that collected and sorted all of the service's servers.

Change: InReach stops at the first warm server. No change of results: go test -run 'Room|Class|Share' ./internal/core/dispatch and -run Admission ./internal/app/gateway pass. The cost was not measured.

--- a/internal/core/dispatch/classes.go
+++ b/internal/core/dispatch/classes.go
@@ -232,7 +232,15 @@
 			return true
 		}
 	}
-	return permits(f.o.Region) && len(f.warmServers(service, now)) > 0
+	if !permits(f.o.Region) {
+		return false
+	}
+	for _, s := range f.servers { // not warmServers, which sorts: this is called for each request
+		if s.Service == service && f.isWarm(s, now) {
+			return true
+		}
+	}
+	return false
 }
 
 // surplus returns this region's part of the slots that other regions can lend. Regions without a surplus of their own
--- a/internal/core/dispatch/share.go
+++ b/internal/core/dispatch/share.go
@@ -186,7 +186,12 @@
 // warmServers returns the usable servers of a service in the own region that are not cold,
 // sorted by ID.
 func (f *Fleet) warmServers(service string, now time.Time) []*Server {
-	return slices.DeleteFunc(f.serversOf(service), func(s *Server) bool { return f.usable(s, now) != "" || f.cold(s, now) })
+	return slices.DeleteFunc(f.serversOf(service), func(s *Server) bool { return !f.isWarm(s, now) })
+}
+
+// isWarm reports whether a server is usable and not cold.
+func (f *Fleet) isWarm(s *Server, now time.Time) bool {
+	return f.usable(s, now) == "" && !f.cold(s, now)
 }
 
 // rankServers draws a random order of preference of a plain service's servers in the own
