--- a/internal/core/dispatch/classes.go
+++ b/internal/core/dispatch/classes.go
@@ -65,6 +65,25 @@
 	SlotTime          time.Duration
 }
 
+// WorkParts returns for each class the part of the work of all classes that it and the more urgent ones are; 1 if
+// nothing is known.
+func WorkParts(loads []ClassLoad) []float64 {
+	out := make([]float64, len(loads))
+	sum := 0.0
+	for i, l := range loads {
+		sum += (l.ArrivalsPerSecond + l.ReturnsPerSecond) * l.SlotTime.Seconds()
+		out[i] = sum
+	}
+	for i := range out {
+		if sum > 0 {
+			out[i] /= sum
+		} else {
+			out[i] = 1
+		}
+	}
+	return out
+}
+
 // ClassLoads returns the loads of a service's n urgency classes, most urgent first. SlotTime is that of this host's
 // own requests, or the service's mean until one has ended.
 func (f *Fleet) ClassLoads(service string, engine bool, n int, now time.Time) []ClassLoad {
@@ -80,18 +99,19 @@
 }
 
 // arrivalsOf returns the arrivals under a key. It adds an empty entry for a missing one, so that the next view brings
-// the arrivals at other hosts.
+// the arrivals at other hosts, and keeps it while it is read, though no caller of this host sends such requests.
 func (f *Fleet) arrivalsOf(key string, now time.Time) *arrivals {
 	a := f.arrivals[key]
 	if a == nil {
 		a = &arrivals{at: now}
 		f.arrivals[key] = a
 	}
+	a.count, a.at = a.decayed(now), now
 	return a
 }
 
 // recordSlotTime records how long a request held a slot. The wait for the slot does not count: of the time to the
-// first byte, at most the expected prefill does.
+// first byte, at most the expected prefill at a server of this speed does.
 func (f *Fleet) recordSlotTime(c *Choice, first time.Duration, now time.Time) {
 	j := c.job
 	if j.Classes == 0 {
@@ -102,6 +122,7 @@
 	if j.Engine {
 		firstMS = e.BeginMS() + (c.tokensAhead+c.UncoveredTokens)/e.PrefillTokensPerMS()
 	}
+	firstMS *= f.steadyFactor(c.Server)
 	first = max(first, 0)
 	held := now.Sub(c.startedAt) - first + min(first, time.Duration(firstMS*float64(time.Millisecond)))
 	f.workOf(j.Service, j.Classes)[j.Class].addSlotTime(float64(held) / float64(time.Millisecond))
@@ -112,17 +133,7 @@
 	if j.notLessUrgent = 1; j.leastUrgent() {
 		return
 	}
-	sum, before := 0.0, 0.0
-	for i, l := range f.ClassLoads(j.Service, j.Engine, j.Classes, now) {
-		work := (l.ArrivalsPerSecond + l.ReturnsPerSecond) * l.SlotTime.Seconds()
-		sum += work
-		if i <= j.Class {
-			before += work
-		}
-	}
-	if sum > 0 {
-		j.notLessUrgent = before / sum
-	}
+	j.notLessUrgent = WorkParts(f.ClassLoads(j.Service, j.Engine, j.Classes, now))[j.Class]
 }
 
 // leastUrgent reports whether no request of the service is less urgent than the job's.
@@ -210,13 +221,13 @@
 // Room returns the free capacity of a service's servers for requests that the regions for which permits holds may
 // run.
 func (f *Fleet) Room(service string, engine bool, permits func(region string) bool, now time.Time) overload.Room {
-	r := overload.Room{Surplus: f.surplus(service, engine, permits, now)}
+	r := overload.Room{Surplus: f.Surplus(service, engine, 1, permits, now)}
 	if !permits(f.o.Region) {
 		return r
 	}
 	perSlot, factor := f.requestsPerSlot(service, engine), f.unreportedFactor(service, now)
 	for _, s := range f.warmServers(service, now) {
-		r.Slots += f.slowStartSlots(s, f.limitedSlots(s, perSlot), now)
+		r.Slots += f.slowStartSlots(s, f.limitedSlots(s, perSlot/f.steadyFactor(s)), now)
 		r.Requests += f.requestsAt(s, now) + float64(s.deferred) + factor*float64(s.othersDeferred)
 	}
 	return r
@@ -230,19 +241,29 @@
 			return true
 		}
 	}
-	return permits(f.o.Region) && len(f.warmServers(service, now)) > 0
+	if !permits(f.o.Region) {
+		return false
+	}
+	for _, s := range f.servers { // not warmServers, which sorts: this is called for each request
+		if s.Service == service && f.isWarm(s, now) {
+			return true
+		}
+	}
+	return false
 }
 
-// surplus returns this region's part of the slots that other regions can lend. Regions without a surplus of their own
-// are assumed to draw on it equally.
-func (f *Fleet) surplus(service string, engine bool, permits func(region string) bool, now time.Time) float64 {
+// Surplus returns this region's part of the slots that other regions can lend to requests of a class. part is the part
+// of their requests that is not less urgent: those of the less urgent ones, which wait behind the class, are taken to
+// be free. Without it a region whose own servers are lost rejects urgent requests while others run less urgent ones.
+// Regions without a surplus of their own are assumed to draw on it equally.
+func (f *Fleet) Surplus(service string, engine bool, part float64, permits func(region string) bool, now time.Time) float64 {
 	sum, drawing := 0.0, 1.0
 	for key, r := range f.regions {
 		if key.service != service || now.Sub(r.asOf) > maxRegionAge {
 			continue
 		}
 		_, slots := r.capacity(f.requestsPerSlot(service, engine))
-		spare := slots*lendable - r.requests - float64(r.forwarded.requests)
+		spare := slots*lendable - part*r.requests - float64(r.forwarded.requests)
 		switch {
 		case spare <= 0:
 			drawing++
--- a/internal/core/dispatch/classes_test.go
+++ b/internal/core/dispatch/classes_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/core/holders"
 	"github.com/sesamefork/sesamefork/internal/core/overload"
+	"github.com/sesamefork/sesamefork/internal/core/serverlimit"
 	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
@@ -88,6 +89,38 @@
 	}
 }
 
+// TestArrivalsOfOtherHostsStay guards against a class that counts as without requests once a minute at a host whose own
+// callers send none.
+func TestArrivalsOfOtherHostsStay(t *testing.T) {
+	f, v := newTestFleet(1), testView(1)
+	v.Loads = serverload.Encode(serverload.Loads{serverload.ServiceKey(classKey("llm", 0, false)): {Requests: 500}})
+	for i := range 300 {
+		now := start.Add(time.Duration(i) * 300 * time.Millisecond)
+		if got := f.ClassLoads("llm", true, 1, now)[0].ArrivalsPerSecond; i > 0 && got != 5 {
+			t.Fatalf("%v arrivals per second after %s, want 5", got, now.Sub(start))
+		}
+		f.ApplyView(v, FullScope, now)
+	}
+}
+
+// TestSlotTimeOfSlowServer guards against a slot time that leaves out a part of the prefill at a slow server.
+func TestSlotTimeOfSlowServer(t *testing.T) {
+	held := func(factor float64) time.Duration {
+		f := newTestFleet(1)
+		f.RecordWorkTime(&Choice{Server: f.servers["s0"]}, factor, start)
+		j := classJob(0)
+		j.Remaining = time.Minute
+		c := f.Choose(j, start)
+		f.Started(&c, start)
+		f.FirstByte(&c, 5*time.Second)
+		f.Ended(&c, Served, 5*time.Second, start.Add(5*time.Second))
+		return f.ClassLoads("llm", true, 2, start)[0].SlotTime
+	}
+	if usual, slow := held(1), held(2); slow < usual*19/10 || slow > usual*21/10 {
+		t.Errorf("slot times of a prefill %s, and %s at factor 2", usual, slow)
+	}
+}
+
 // TestRoom guards against room at servers that must not be used, and in regions that cannot lend any.
 func TestRoom(t *testing.T) {
 	region := func(name string, requests uint32, ageMS uint64) *pb.RegionLoad {
@@ -117,6 +150,34 @@
 	}
 }
 
+// TestSurplusOfAClass guards against urgent requests that are rejected while other regions run less urgent ones.
+func TestSurplusOfAClass(t *testing.T) {
+	f, v := New(Options{Host: "h1", Region: "west", FailureDomain: "w1"}), testView(1)
+	v.Regions = []*pb.RegionLoad{{Region: "east", Service: "llm", Servers: 2, Slots: 100, Requests: 100}}
+	f.ApplyView(v, FullScope, start)
+	loads := []ClassLoad{{ArrivalsPerSecond: 10, SlotTime: time.Second}, {ReturnsPerSecond: 15, SlotTime: 2 * time.Second}}
+	for i, want := range []float64{65, 0} {
+		if got := f.Surplus("llm", true, WorkParts(loads)[i], func(string) bool { return true }, start); math.Abs(got-want) > 1e-9 {
+			t.Errorf("class %d may use %v slots of the other region, want %v", i, got, want)
+		}
+	}
+}
+
+// TestRoomOfSlowLimitedServer guards against room that a limited server is said to lack because its requests hold their
+// slots for longer than the usual one's.
+func TestRoomOfSlowLimitedServer(t *testing.T) {
+	slots := func(factor float64) float64 {
+		f := newTestFleet(1)
+		c := &Choice{Server: f.servers["s0"]}
+		f.RecordWorkTime(c, factor, start)
+		f.RecordLimit(c, serverlimit.Advertisement{PerSecond: 1, Named: true}, true, start)
+		return f.Room("llm", true, only("west"), start).Slots
+	}
+	if usual, slow := slots(1), slots(2); usual <= 0 || math.Abs(slow-2*usual) > 1e-9 {
+		t.Errorf("%v usable slots, and %v at factor 2", usual, slow)
+	}
+}
+
 // TestUrgentRequestsWhileChatsFillTheEngines sends engines 1.3 times the chats that they can run, and urgent requests
 // for a twentieth of their slots. It guards against estimates by which urgent requests are sent as late ones.
 func TestUrgentRequestsWhileChatsFillTheEngines(t *testing.T) {
