--- a/internal/core/dispatch/cold_test.go
+++ b/internal/core/dispatch/cold_test.go
@@ -158,16 +158,19 @@
 // TestColdBoundAcrossHosts checks that all hosts of a region together send a cold server no
 // more requests in any second than it tolerates, over random regions.
 func TestColdBoundAcrossHosts(t *testing.T) {
+	t.Parallel()
 	checkColdBound(t, func(*coldRegion) {})
 }
 
 // TestColdBoundWhileHostsAreCutOff guards against senders that no control host answers.
 func TestColdBoundWhileHostsAreCutOff(t *testing.T) {
+	t.Parallel()
 	checkColdBound(t, func(r *coldRegion) { r.cutsOff = true })
 }
 
 // TestColdBoundWhileControlHostsAreApart guards against one sender in each failure domain.
 func TestColdBoundWhileControlHostsAreApart(t *testing.T) {
+	t.Parallel()
 	checkColdBound(t, func(r *coldRegion) { r.apartSince = start.Add(time.Second) })
 }
 
--- a/internal/core/dispatch/crashing_load_test.go
+++ b/internal/core/dispatch/crashing_load_test.go
@@ -329,6 +329,7 @@
 // healthy request may be refused as crashing. Without recognition it crashes one engine after
 // another.
 func TestCrashingRequestAmongManyHosts(t *testing.T) {
+	t.Parallel()
 	const (
 		window  = 6 * time.Second
 		allowed = 3
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,18 +34,18 @@
 	return v
 }
 
-var jobCount int // makes the last part of each job's prompt unique
+var jobCount atomic.Int64 // makes the last part of each job's prompt unique
 
 func shortJob() *Job {
-	jobCount++
-	return &Job{Service: "llm", Engine: true, MemoryTokens: 180_000, PromptTokens: 800, OutputTokens: 290, Parts: []Part{{"a", 120}, {"b", 80}, {fmt.Sprint("own", jobCount), 600}},
+	own := fmt.Sprint("own", jobCount.Add(1))
+	return &Job{Service: "llm", Engine: true, MemoryTokens: 180_000, PromptTokens: 800, OutputTokens: 290, Parts: []Part{{"a", 120}, {"b", 80}, {own, 600}},
 		Permits: func(string) bool { return true }, Remaining: 15 * time.Second, Target: time.Second, Tried: map[string]bool{}, ColdPerSecond: 2.6}
 }
 
 func longJob(chain string) *Job {
 	j := shortJob()
 	j.PromptTokens, j.OutputTokens = 9200, 50
-	j.Parts = []Part{{"top", 2500}, {chain, 3800}, {fmt.Sprint("own", jobCount), 2900}}
+	j.Parts = []Part{{"top", 2500}, {chain, 3800}, {j.Parts[2].ID, 2900}}
 	return j
 }
 
--- a/internal/core/dispatch/limit_test.go
+++ b/internal/core/dispatch/limit_test.go
@@ -208,6 +208,7 @@
 
 // TestServerGetsNoMoreThanItAdvertisesUnderFaults guards against limits that hosts exceed together.
 func TestServerGetsNoMoreThanItAdvertisesUnderFaults(t *testing.T) {
+	t.Parallel()
 	sent := 0
 	rapid.Check(t, func(rt *rapid.T) {
 		hosts := rapid.SampledFrom([]int{2, 3, 5, 8, 12, 40}).Draw(rt, "hosts")
@@ -236,6 +237,7 @@
 
 // TestLargeRegionKeepsALimit guards against limits that grow with the number of hosts.
 func TestLargeRegionKeepsALimit(t *testing.T) {
+	t.Parallel()
 	for _, perSecond := range []float64{0.3, 300} {
 		r := newLimitedRegion(1, 300)
 		r.demand = 1
@@ -273,6 +275,7 @@
 
 // TestLimitLeavesItsShareInUse guards against a mend that sends limited servers next to nothing.
 func TestLimitLeavesItsShareInUse(t *testing.T) {
+	t.Parallel()
 	for _, hosts := range []int{2, 3, 8, 40} {
 		for _, perSecond := range []float64{0.3, 1, 2.5, 10, 100} {
 			r := newLimitedRegion(1, hosts)
@@ -289,6 +292,7 @@
 
 // TestEndOfALimitIsLearned guards against limits that stay after the server has raised or withdrawn them.
 func TestEndOfALimitIsLearned(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		hosts         int
 		before, after float64
--- a/internal/core/dispatch/load_test.go
+++ b/internal/core/dispatch/load_test.go
@@ -217,6 +217,7 @@
 // prompt is complete, the short answers that a pause makes late, and the shared parts that are
 // prefilled again.
 func TestLoadOnARegion(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name            string
 		hosts, engines  int
@@ -267,6 +268,7 @@
 // short requests must stay in their own, while half of them crossed without a preference, and
 // callers must not wait longer than with one failure domain.
 func TestShortRequestsStayInTheirFailureDomain(t *testing.T) {
+	t.Parallel()
 	const hosts, engines, chains = 24, 40, 300
 	var p99, longP95, crossed float64
 	for seed := range int64(seedsPerLoad) {
--- a/internal/core/dispatch/service_load_test.go
+++ b/internal/core/dispatch/service_load_test.go
@@ -337,6 +337,7 @@
 // servers; each region's peak is 1.8 times its mean and at another time. Hosts that choose the
 // best server by themselves on the same old figures all choose the same server.
 func TestManyHostsShareASmallService(t *testing.T) {
+	t.Parallel()
 	seven := map[string]int{"east": 3, "south": 2, "west": 2}
 	three := map[string]int{"east": 1, "south": 1, "west": 1}
 	for _, c := range []struct {
@@ -387,6 +388,7 @@
 // TestNoRegionIdlesAtTheLimit checks that at 95% of the capacity of all servers, too, no
 // region's servers are idle while another region's queues are full.
 func TestNoRegionIdlesAtTheLimit(t *testing.T) {
+	t.Parallel()
 	p := newSimulatedService(1, 294, map[string]int{"east": 3, "south": 2, "west": 2})
 	p.run(serviceDurationS, 0.95)
 	if idle := p.idleShare(); idle > maxIdleShare {
--- a/internal/core/dispatch/speeds_load_test.go
+++ b/internal/core/dispatch/speeds_load_test.go
@@ -42,6 +42,7 @@
 // TestLoadOnEnginesOfUnequalSpeed guards against prompts that wait at slow engines while fast ones are idle, and
 // against an engine that keeps its load while it is slow, or does not get it back afterwards.
 func TestLoadOnEnginesOfUnequalSpeed(t *testing.T) {
+	t.Parallel()
 	var late, fast [2]float64 // with and without factors
 	for i, off := range []Mechanisms{0, WorkFactors} {
 		var s4 [3]float64
--- a/internal/core/dispatch/streampauses_load_test.go
+++ b/internal/core/dispatch/streampauses_load_test.go
@@ -220,6 +220,7 @@
 // TestPausesAtUnequalEngines guards against long prompts that pause the chats at slow engines: without the
 // gap target and the pool, prompts go to engines that pause all of their streams.
 func TestPausesAtUnequalEngines(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		hosts, fastEvery int
 		paused           float64 // share of the chats, at most
