--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -94,11 +94,11 @@
 	// service.
 	tokensAhead   float64
 	slowdown      float64
-	workFactor    float64 // of the server when it was chosen
+	workFactor    float64 // of the server at the choice
 	loss          float64
 	job           *Job
 	key           regionKey
-	slower        float64 // factor by which the server was slower at the first byte than when it was chosen, at least 1
+	slower        float64 // ratio of the server's factor at the first byte to workFactor, at least 1
 	firstByteSeen bool    // the first byte of the answer has arrived
 	startedAt     time.Time
 	limited       bool   // a server was excluded by its limit
--- a/internal/core/overload/calendar.go
+++ b/internal/core/overload/calendar.go
@@ -55,7 +55,7 @@
 }
 
 // retryAfter reserves a time for a retry of a rejected request and returns the time until then. Only first attempts
-// get a place: the waiting time of a later retry no longer tells whether it had one (kindOf).
+// get a place: the waiting time of a second retry does not tell whether it had one (kindOf).
 func (c *Controller) retryAfter(s *classState, r Request, now time.Time) (after time.Duration, reason string) {
 	longest := r.Remaining / 3
 	if longest < MinRetryAfter {
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -69,8 +69,8 @@
 
 // Parameters of decisions.
 const (
-	// MinRemaining is the remaining time below which no answer is possible: half of the median of 101 ms that the first
-	// event of an idle engine was measured to take.
+	// MinRemaining is the remaining time below which no answer is possible: an idle engine takes longer to its first
+	// event.
 	MinRemaining = 50 * time.Millisecond
 	// MinRetryAfter is the shortest time after which a caller is asked to retry, and the shortest wait of a retry that
 	// counts as one that waited.
