peerlink: a whole window passes in a round trip

Cause: yamux returns a stream's window once half of it has been read. A read across that point returned a little more than half, so that the rest was less than half and was not returned: the other end could send only about 256 KiB of 512 KiB in a round trip. An answer in frames of 64 KiB always met this; one large frame did not.

Change: a read ends where yamux returns the window, so that each whole window that was read is returned at once. The window, and so the memory of a stream, stays at 512 KiB.

--- a/internal/adapter/peerlink/stream.go
+++ b/internal/adapter/peerlink/stream.go
@@ -130,8 +130,14 @@
 	// Guarded by gate.mu.
 	reads  int // in progress; they go on after Close until the other end closes the stream
 	closed bool
+	// untilUpdate is the number of bytes that are read until yamux lets the other end send as many again; 0 for
+	// windowUpdate. Only reads use it, and a stream has one at a time.
+	untilUpdate int
 }
 
+// windowUpdate is the number of bytes read after which yamux lets the other end send more.
+const windowUpdate = maxStreamWindow / 2
+
 // Read reads from the stream. Once the link has ended, it reads what was received before, and then
 // returns errLinkEnded.
 func (s *linkStream) Read(p []byte) (int, error) {
@@ -159,10 +165,16 @@
 	return n, nil
 }
 
-// readSome reads from the stream. yamux may return bytes with the error of a message that lets the other end
+// readSome reads from the stream, at most until the next update of the window: an update for more than half of the
+// window would leave less than half to read, for which yamux sends none, so that the other end could send only half a
+// window in a round trip. yamux may return bytes with the error of a message that lets the other end
 // send more. Later reads then return only what has arrived.
 func (s *linkStream) readSome(p []byte) (int, error) {
-	n, err := s.Stream.Read(p)
+	if s.untilUpdate == 0 {
+		s.untilUpdate = windowUpdate
+	}
+	n, err := s.Stream.Read(p[:min(len(p), s.untilUpdate)])
+	s.untilUpdate -= n
 	if n > 0 && err != nil {
 		_ = s.SetReadDeadline(passedDeadline)
 		return n, nil
