peerlink: unread data of forwards counts toward the budget for answers

Cause: a host held up to 512 KiB of each forwarded answer that its caller did not take, outside its budget for answers. And a host that sent a forwarded answer waited at the stream's window, until the link ended, if the reader had closed the stream: yamux does not end such a write.

Change: the client of a link counts what it has received and not read of each forward, beyond 16 KiB. A frame that the budget does not allow is left out and the stream ends as an answer of a server does (gateway: outcome unknown, no further attempt, no failure of the other host). The bytes are given back when they are read or yamux has dropped the stream. A write that still waits a keep-alive interval after the other end has closed the stream fails.

Measured: six slow forwards of 1 MiB in a budget of 1 MiB stay within it, some end for it, and others beside them are whole; with 6 MiB none ends (go test ./internal/adapter/peerlink -count=50 -run 'TestUnreadForwards|TestSenderOf|TestBytesOf').

Not counted: the spare capacity of yamux's buffers, one frame of each link.

--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -27,6 +27,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/registry"
 	"github.com/sesamefork/sesamefork/internal/daemon"
 	"github.com/sesamefork/sesamefork/internal/failure"
+	"github.com/sesamefork/sesamefork/internal/membudget"
 	"github.com/sesamefork/sesamefork/internal/port"
 )
 
@@ -79,7 +80,7 @@
 	return o, nil
 }
 
-func newHost(s *settings.Entry, client *peerlink.Client, backends *enginehttp.Client, t *tracing.Tracer, m *metrics.Set, log logr.Logger) *entry.Host {
+func newHost(s *settings.Entry, client *peerlink.Client, backends *enginehttp.Client, answers *membudget.Budget, t *tracing.Tracer, m *metrics.Set, log logr.Logger) *entry.Host {
 	crashes := newCrashWatch(s, ms(s.Timing.LeaseMS)/registry.MissedAnnouncements, m, log)
 	o := entry.Options{
 		ID: s.Host.ID, Region: s.Host.Region, FailureDomain: s.Host.FailureDomain,
@@ -88,7 +89,7 @@
 		Lease: ms(s.Timing.LeaseMS), Skew: ms(s.Timing.ClockSkewMS), StallTimeout: ms(s.Limits.StallTimeoutMS),
 		MaxBody: s.Limits.MaxBodyBytes, MaxExplained: s.Limits.MaxExplained,
 		Peers: client, CloseLink: client.CloseSession, Backends: backends, Clock: port.SystemClock{}, CrashWatch: crashes,
-		Log: log, Metrics: m, Tracer: t, AnswerBudget: daemon.AnswerBudget(s.Limits.MemoryMB),
+		Log: log, Metrics: m, Tracer: t, AnswerBudget: answers,
 	}
 	if s.Directory.URL != "" {
 		o.Directory = &directory.HTTP{URL: s.Directory.URL, Client: directory.NewClient()}
@@ -124,12 +125,13 @@
 	}
 	defer tracer.Shutdown()
 	m := metrics.New(true)
-	link.Count, link.Log = m.LinkBytes, log
+	answers := daemon.AnswerBudget(s.Limits.MemoryMB)
+	link.Count, link.Log, link.Budget = m.LinkBytes, log, answers
 	client := peerlink.NewClient(link)
 	defer client.Close()
 	backends := enginehttp.New()
 	defer backends.Close()
-	host := newHost(s, client, backends, tracer, m, log)
+	host := newHost(s, client, backends, answers, tracer, m, log)
 	peers, err := peerlink.NewServer(s.Listen.Peer, link, host, log)
 	if err != nil {
 		return nil, err
--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -36,7 +36,8 @@
 	m := metrics.New(true)
 	m.Gauge("log_dropped_over_rate", func() any { n, _ := out.Dropped(); return n })
 	m.Gauge("log_dropped_slow_output", func() any { _, n := out.Dropped(); return n })
-	link.Count, link.Log, link.LeaveTimeout = m.LinkBytes, log, leaveTimeout(s)
+	answers := daemon.AnswerBudget(s.Limits.MemoryMB)
+	link.Count, link.Log, link.LeaveTimeout, link.Budget = m.LinkBytes, log, leaveTimeout(s), answers
 	client := peerlink.NewClient(link)
 	defer client.Close()
 	tracer, err := tracing.New(s.Trace, s.Host, "sesame-entry")
@@ -48,7 +49,6 @@
 	if fault != nil {
 		return fault
 	}
-	answers := daemon.AnswerBudget(s.Limits.MemoryMB)
 	servers := platform.NewServersWithin(daemon.HostIP(s.Listen.Peer), answers)
 	crashes := newCrashWatch(s, time.Duration(s.Fleet.HeartbeatMS)*time.Millisecond, m, log)
 	g := gateway.New(gateway.Options{
--- a/internal/adapter/peerlink/client.go
+++ b/internal/adapter/peerlink/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+	"github.com/sesamefork/sesamefork/internal/membudget"
 	"github.com/sesamefork/sesamefork/internal/port"
 )
 
@@ -32,6 +33,8 @@
 	Log          logr.Logger // receives a line when a link ends
 	// Count, if not nil, is called with the number of bytes of each write and read.
 	Count func(sent, received int)
+	// Budget limits the unread data of all forwards that a client has opened, beyond 16 KiB of each; nil for no limit.
+	Budget *membudget.Budget
 }
 
 // countBytes returns conn, wrapped so that its reads and writes call Count.
@@ -286,6 +289,7 @@
 	if err != nil {
 		return nil, false, failure.Wrap(err, failure.PeerUnreachable, failure.NotRun)
 	}
+	session.gate.count(stream, c.o.Budget)
 	f := &forwardStream{stream: stream, end: sync.OnceFunc(session.endForward)}
 	f.stop = context.AfterFunc(ctx, func() { _ = stream.Close() })
 	if err := f.send(req, body); err != nil {
@@ -337,5 +341,6 @@
 func (f *forwardStream) Close() error {
 	f.stop()
 	defer f.end()
+	defer f.stream.gate.abandon(f.stream)
 	return errors.Trace(f.stream.Close())
 }
--- a/internal/adapter/peerlink/frameconn.go
+++ b/internal/adapter/peerlink/frameconn.go
@@ -13,9 +13,13 @@
 const (
 	headerSize   = 12
 	typeOffset   = 1
+	flagsOffset  = 2
+	streamOffset = 4
 	lengthOffset = 8
 	typeData     = 0
+	typeUpdate   = 1
 	typeGoAway   = 3
+	flagsEnd     = 0x4 | 0x8 // the sender closes, or resets, the stream
 )
 
 // frameConn is the connection of a session. It passes frames on whole, as yamux holds a stream's lock
@@ -73,7 +77,7 @@
 }
 
 // readFrame reads the next frame. It leaves out the data of a frame that is longer than a stream's
-// window, which yamux rejects by its header.
+// window, which yamux rejects by its header. A frame whose data may not be held is passed on as an empty one.
 func (c *frameConn) readFrame() error {
 	header := c.buf[:headerSize]
 	if _, err := io.ReadFull(c.br, header); err != nil {
@@ -84,7 +88,10 @@
 	if header[typeOffset] == typeGoAway {
 		c.peerLeavesOnce.Do(func() { close(c.peerLeaves) })
 	}
-	size := binary.BigEndian.Uint32(header[lengthOffset:])
+	id, size := binary.BigEndian.Uint32(header[streamOffset:]), binary.BigEndian.Uint32(header[lengthOffset:])
+	if header[typeOffset] <= typeUpdate && binary.BigEndian.Uint16(header[flagsOffset:])&flagsEnd != 0 {
+		defer c.gate.recordRemoteEnd(id)
+	}
 	if header[typeOffset] != typeData || size > maxStreamWindow {
 		return nil
 	}
@@ -98,7 +105,10 @@
 	if _, err := io.ReadFull(c.br, c.frame[headerSize:]); err != nil {
 		return err
 	}
-	c.gate.received(int(size))
+	if !c.gate.received(id, int(size)) {
+		binary.BigEndian.PutUint32(c.frame[lengthOffset:], 0)
+		c.frame = c.frame[:headerSize]
+	}
 	return nil
 }
 
--- a/internal/adapter/peerlink/server.go
+++ b/internal/adapter/peerlink/server.go
@@ -19,6 +19,9 @@
 // incoming is the server's end of a forward's stream.
 type incoming struct {
 	s *linkStream
+	// sendTime bounds the time for which Send waits after the other end has closed the stream. An end that still reads
+	// lets this one send more within a round trip.
+	sendTime time.Duration
 }
 
 // Body implements port.IncomingStream.
@@ -49,6 +52,7 @@
 	go func() {
 		var b [1]byte
 		_, _ = s.s.Read(b[:]) // returns when the stream or the session ends
+		_ = s.s.SetWriteDeadline(time.Now().Add(s.sendTime))
 		cancel()
 	}()
 	return ctx, cancel
@@ -243,7 +247,7 @@
 	}
 	_ = stream.SetReadDeadline(time.Time{})
 	if req.GetForward() != nil || req.GetRoutedForward() != nil {
-		s.handler.HandleForward(ctx, req, incoming{stream})
+		s.handler.HandleForward(ctx, req, incoming{stream, s.o.KeepAlive})
 		return
 	}
 	s.serveCalls(ctx, stream, req)
--- a/internal/adapter/peerlink/stream.go
+++ b/internal/adapter/peerlink/stream.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/yamux"
 
 	"github.com/sesamefork/sesamefork/internal/failure"
+	"github.com/sesamefork/sesamefork/internal/membudget"
 )
 
 // errLinkEnded is the error of reads on a link that is about to shut down.
@@ -21,13 +22,8 @@
 	reads   int // in progress
 	ended   bool
 	unread  int // bytes of streams' data that were received and not read
-}
-
-// received records that data of a stream was received.
-func (g *readGate) received(n int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.unread += n
+	// holds are the streams whose unread data counts toward a budget, by ID.
+	holds map[uint32]*linkStream
 }
 
 // unfinished returns the number of streams that were not closed, and of bytes that were received and not read.
@@ -43,7 +39,7 @@
 }
 
 func newReadGate() *readGate {
-	g := &readGate{streams: map[*linkStream]bool{}}
+	g := &readGate{streams: map[*linkStream]bool{}, holds: map[uint32]*linkStream{}}
 	g.idle = sync.NewCond(&g.mu)
 	return g
 }
@@ -61,6 +57,9 @@
 		for s := range g.streams {
 			_ = s.Stream.SetReadDeadline(passedDeadline)
 		}
+		for _, s := range g.holds {
+			g.releaseIfDone(s)
+		}
 	}
 	for g.reads > 0 {
 		g.idle.Wait()
@@ -86,18 +85,26 @@
 	return true
 }
 
-// countRead records that n bytes were read after the end.
-func (g *readGate) countRead(n int) {
+// countRead records that n bytes of a stream were read after the end.
+func (g *readGate) countRead(s *linkStream, n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.countReadLocked(s, n)
+}
+
+// countReadLocked is countRead with g.mu held.
+func (g *readGate) countReadLocked(s *linkStream, n int) {
 	g.unread -= n
+	if s.held != nil {
+		s.held.Shrink(int64(n))
+	}
 }
 
 // leave ends a read that returned n bytes.
 func (g *readGate) leave(s *linkStream, n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.unread -= n
+	g.countReadLocked(s, n)
 	s.reads--
 	g.forgetIfDone(s)
 	if g.reads--; g.reads == 0 {
@@ -130,6 +137,7 @@
 	// Guarded by gate.mu.
 	reads  int // in progress; they go on after Close until the other end closes the stream
 	closed bool
+	unreadHold
 	// untilUpdate is the number of bytes that are read until yamux lets the other end send as many again; 0 for
 	// windowUpdate. Only reads use it, and a stream has one at a time.
 	untilUpdate int
@@ -139,11 +147,17 @@
 const windowUpdate = maxStreamWindow / 2
 
 // Read reads from the stream. Once the link has ended, it reads what was received before, and then
-// returns errLinkEnded.
+// returns errLinkEnded. If the budget did not allow a part of the data, it returns membudget.ErrSpent.
 func (s *linkStream) Read(p []byte) (int, error) {
+	if s.gate.isSpent(s) {
+		return 0, membudget.ErrSpent
+	}
 	if s.gate.enter(s) {
 		n, err := s.readSome(p)
 		s.gate.leave(s, n)
+		if err != nil && s.gate.isSpent(s) {
+			return 0, membudget.ErrSpent
+		}
 		if err == nil || isNotAccepted(err) || !s.gate.hasEnded() {
 			return n, err
 		}
@@ -155,7 +169,7 @@
 // deadline has passed.
 func (s *linkStream) readAfterEnd(p []byte) (int, error) {
 	n, err := s.readSome(p)
-	s.gate.countRead(n)
+	s.gate.countRead(s, n)
 	switch {
 	case isNotAccepted(err):
 		return 0, err
--- a/internal/app/gateway/forward.go
+++ b/internal/app/gateway/forward.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/sesamefork/sesamefork/internal/app/access"
 	"github.com/sesamefork/sesamefork/internal/app/forward"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
@@ -62,6 +64,10 @@
 	headReceived := false
 	for {
 		frame, err := stream.Recv()
+		if errors.Is(err, membudget.ErrSpent) { // for data that is unread
+			g.endForwardAtLimit(membudget.ErrSpent, res)
+			return
+		}
 		if err != nil {
 			res.stage, res.outcome = retry.Sent, dispatch.ConnectionFailed
 			outcome := failure.As(err, failure.Unknown).Outcome
