entry: no further attempt for an answer that memory does not allow

Cause: an answer or event that did not fit into the host's budget for answers was an attempt that broke off, so the host sent an idempotent request again, up to three times, each needing the same memory. A forward whose unread data was over the budget counted as a failure of the other host.

Change: such an attempt ends the request with the budget's error (code answer-truncated instead of backend-lost, outcome unknown), as the gateway does.

--- a/internal/app/entry/execute.go
+++ b/internal/app/entry/execute.go
@@ -14,6 +14,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
 	"github.com/sesamefork/sesamefork/internal/failure"
+	"github.com/sesamefork/sesamefork/internal/membudget"
 )
 
 // execution is the state of one request in flight on this host.
@@ -178,7 +179,7 @@
 // mayRetry reports whether another attempt is allowed. After a failed attempt it charges the
 // next one to the retry budget.
 func (h *Host) mayRetry(ctx context.Context, x *execution, res result) bool {
-	if ctx.Err() != nil || x.attempts >= x.view.Record.Policy.MaxAttempts {
+	if ctx.Err() != nil || x.attempts >= x.view.Record.Policy.MaxAttempts || res.err == membudget.ErrSpent {
 		return false
 	}
 	if res.stage == retry.Answered {
--- a/internal/app/entry/forward.go
+++ b/internal/app/entry/forward.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
@@ -61,6 +62,9 @@
 	defer hold.Release()
 	for {
 		frame, err := stream.Recv()
+		if errors.Is(err, membudget.ErrSpent) { // for data that is unread
+			return notHeld()
+		}
 		if err != nil {
 			stage, outcome := retry.Sent, failure.As(err, failure.Unknown).Outcome
 			switch {
@@ -83,7 +87,7 @@
 				return result{stage: retry.MidAnswer, err: failure.New(failure.Truncated, failure.Unknown, "the answer is over %d bytes", maxAnswerBytes), connected: true}
 			}
 			if !hold.Grow(2 * int64(len(f.Chunk))) { // append copies the body as it grows
-				return result{stage: retry.MidAnswer, err: membudget.ErrSpent, connected: true}
+				return notHeld()
 			}
 			if !x.r.Stream {
 				body = append(body, f.Chunk...)
--- a/internal/app/entry/local.go
+++ b/internal/app/entry/local.go
@@ -99,8 +99,11 @@
 	held := &membudget.Reader{R: body, Hold: h.o.AnswerBudget.NewHold(freeAnswerBytes), Factor: 2}
 	defer held.Hold.Release()
 	data, err := io.ReadAll(io.LimitReader(held, maxAnswerBytes+1))
+	if errors.Is(err, membudget.ErrSpent) {
+		return notHeld()
+	}
 	if err != nil {
-		return result{stage: retry.MidAnswer, connected: errors.Is(err, membudget.ErrSpent) || callerCanceled(ctx),
+		return result{stage: retry.MidAnswer, connected: callerCanceled(ctx),
 			err: failure.New(failure.BackendLost, failure.Unknown, "the answer broke off: %s", err)}
 	}
 	stall.Stop()
@@ -116,6 +119,12 @@
 	return result{stage: retry.Answered, connected: true}
 }
 
+// notHeld returns the result of an attempt whose answer does not fit into the host's memory for answers, which says
+// nothing of the server. Another attempt would need the same memory (see mayRetry).
+func notHeld() result {
+	return result{stage: retry.MidAnswer, err: membudget.ErrSpent, connected: true}
+}
+
 // sinkFailed returns the result of an attempt whose answer the caller did not accept.
 func sinkFailed(err error) result {
 	f := failure.Wrap(err, failure.Canceled, failure.Unknown)
@@ -131,9 +140,12 @@
 	var unread time.Duration // the longest time for which the caller kept the stream from being read
 	for {
 		event, err := readEvent(reader)
+		if errors.Is(err, membudget.ErrSpent) {
+			return notHeld()
+		}
 		if err != nil {
 			return result{
-				stage: retry.MidAnswer, connected: err == membudget.ErrSpent || unread >= unreadTolerance || callerCanceled(ctx),
+				stage: retry.MidAnswer, connected: unread >= unreadTolerance || callerCanceled(ctx),
 				err: failure.New(failure.BackendLost, failure.Unknown, "the stream broke off after %d tokens: %s", x.relayed, err),
 			}
 		}
