ctl: bounds on what sesamectl reads

Cause: sesamectl read answers, files and standard input without limit, and heads of up to 10 MiB, so one faulty control host could take all memory of its machine.

Change: answers, files and standard input end at 64 MiB and heads at 64 KiB. After an answer over a limit the next control host is asked.

Measured: an endless body and a large head of one control host no longer keep the command from the next one's answer; without the limits both tests fail (go test ./internal/ctl -run 'TestReadsAreBounded|TestEndlessAnswersOf').

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
@@ -37,7 +36,7 @@
 
 // NewClient returns a client for a comma-separated list of control hosts' base URLs.
 func NewClient(servers, key string) *Client {
-	return &Client{BaseURLs: strings.Split(servers, ","), Key: key, HTTP: &http.Client{}, AttemptTimeout: defaultAttempt}
+	return &Client{BaseURLs: strings.Split(servers, ","), Key: key, HTTP: &http.Client{Transport: transport}, AttemptTimeout: defaultAttempt}
 }
 
 // Do calls the control hosts in order until one responds. Repeating a call that got no
@@ -80,7 +79,7 @@
 		return false, failure.Wrap(err, failure.PeerUnreachable, failure.Unknown)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
+	data, err := readBounded(resp.Body)
 	if err != nil {
 		return false, failure.Wrap(err, failure.PeerUnreachable, failure.Unknown)
 	}
@@ -113,7 +112,7 @@
 // ReadRecord reads a configuration record from a TOML or JSON file and returns it as
 // JSON. Keys that are unknown to this build are preserved.
 func ReadRecord(path string) (json.RawMessage, error) {
-	data, err := os.ReadFile(path)
+	data, err := readFile(path)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.BadRequest, "")
 	}
--- a/internal/ctl/keys.go
+++ b/internal/ctl/keys.go
@@ -37,7 +37,7 @@
 		name: "hash", synopsis: "hash a key from standard input for use in a record",
 		usage: "hash < keyfile\n  Example: printf %s \"$KEY\" | sesamectl hash",
 		run: func(context.Context, []string) subcommands.ExitStatus {
-			data, err := io.ReadAll(os.Stdin)
+			data, err := readBounded(os.Stdin)
 			if err != nil {
 				return e.fail(err)
 			}
