dispatch: a stalled engine of a pool counts as outside

Cause: stalledLoss (3.0) is less than outsidePoolLoss (4.5), so long prompts stayed at a pool of which all engines were cut off from the host and silent. Change: poolLoss also applies to an engine of the pool that is stalled. It applies only to services with a pool. Result: TestPoolBehindACutLink fails before and passes now.

--- a/internal/core/dispatch/failures_test.go
+++ b/internal/core/dispatch/failures_test.go
@@ -173,6 +173,25 @@
 	}
 }
 
+// TestPoolBehindACutLink guards against long prompts that stay at the engines of a pool although all of them are cut
+// off and send nothing, while another engine would get them without the pool.
+func TestPoolBehindACutLink(t *testing.T) {
+	f, now := settledPool(t)
+	for _, id := range []string{"s1", "s4"} {
+		s := f.servers[id]
+		s.own.requests, s.progressAt = 1, now.Add(-stalledAfter-time.Millisecond)
+	}
+	for _, chain := range []string{"a", "b", "c"} {
+		j := longJob(chain)
+		j.Parts[0].Tokens, j.Parts[1].Tokens = 1000, 1500 // another prefill of these costs less than a stall
+		j.PromptTokens = float64(sharedTokens(j.Parts) + j.Parts[2].Tokens)
+		j.Permits = only("west")
+		if c := f.Choose(j, now); c.Server == nil || slices.Contains([]string{"s1", "s4"}, c.Server.ID) {
+			t.Errorf("a prompt of chain %s was sent to %s", chain, c.Server.ID)
+		}
+	}
+}
+
 // TestPoolBehindRefusedConnections guards against long prompts for engines of the pool that refuse connections.
 func TestPoolBehindRefusedConnections(t *testing.T) {
 	f, now := settledPool(t)
--- a/internal/core/dispatch/streampauses.go
+++ b/internal/core/dispatch/streampauses.go
@@ -283,10 +283,12 @@
 }
 
 // poolLoss returns the loss of a long prompt at a server outside the pool. It orders the servers of the own
-// region and does not count in the choice between regions.
+// region and does not count in the choice between regions. A stalled server of the pool counts as outside:
+// stalledLoss is less than outsidePoolLoss, so that prompts would stay at a pool of which all engines are cut off.
 func (f *Fleet) poolLoss(s *Server, j *Job, now time.Time) float64 {
 	pool := f.poolOf(j, now)
-	if pool == nil || !j.isLong() || slices.Contains(pool, s) {
+	avoided := s.stalled(now) && !f.disabled(StallAvoidance)
+	if pool == nil || !j.isLong() || (slices.Contains(pool, s) && !avoided) {
 		return 0
 	}
 	return outsidePoolLoss * f.streams.pools[j.Service].pool.Spare()
