Admission counts the age of loads from a late view's request

Cause: a view from any control host counted as current when it arrived. A host that was frozen while it waited for a view updated its controllers with figures from before the freeze, and a view without loads made old loads look current. Change: Fleet.LoadsAge is the age of the last view with the loads of other hosts. A view that takes longer than a request for it may (1.2 s) is as old as the request.

--- a/internal/app/gateway/overload.go
+++ b/internal/app/gateway/overload.go
@@ -19,7 +19,7 @@
 	// admissionInterval is the shortest time between two updates of a controller: its figures arrive four times a
 	// second.
 	admissionInterval = 100 * time.Millisecond
-	// admissionMaxAge is the age of the last view from which a controller gets no updates any more. The controller
+	// admissionMaxAge is the age of other hosts' loads from which a controller gets no updates any more. The controller
 	// itself bounds how long its last plan applies.
 	admissionMaxAge = 1200 * time.Millisecond
 	// minReturnShare is the part of the route's time by which a caller must allow less than that to count as one that
@@ -217,7 +217,7 @@
 
 // updateAdmission gives a controller the current figures, unless it had them lately or they are too old.
 func (g *Gateway) updateAdmission(x *execution, a *admission, inReach bool, now time.Time) {
-	if now.Sub(a.updatedAt) < admissionInterval || g.fleet.ViewAge(now) > admissionMaxAge {
+	if now.Sub(a.updatedAt) < admissionInterval || g.fleet.LoadsAge(now) > admissionMaxAge {
 		return
 	}
 	engine := x.isEngine()
@@ -288,7 +288,7 @@
 	g.o.Log.Info("request rejected by admission", "request_id", x.r.ID, "route", x.route.Name, "team", x.teamName(), "service", x.service, "class", x.class,
 		"cause", d.Reason, "fraction", d.Fraction, "room", a.room.Slots-a.room.Requests, "slots", a.room.Slots, "surplus", a.surplus[x.class], "backlog", max(0, a.room.Requests-a.room.Slots), "demand", a.plan.Demand, "class_room", a.plan.Room,
 		"waited_ms", x.waited().Milliseconds(), "remaining_ms", x.deadline.Sub(now).Milliseconds(), "retry_after_ms", d.RetryAfter.Milliseconds(),
-		"figures_age_ms", now.Sub(a.updatedAt).Milliseconds(), "view_age_ms", g.fleet.ViewAge(now).Milliseconds())
+		"figures_age_ms", now.Sub(a.updatedAt).Milliseconds(), "view_age_ms", g.fleet.LoadsAge(now).Milliseconds())
 }
 
 // AdmissionStatus is the state of the admission of a service's requests that the same regions may run.
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -82,6 +82,7 @@
 	restored         map[string]restoration   // by failure domain
 	coldDurations    map[string]time.Duration // by service
 	lastViewAt       time.Time                // time of the last view from a control host
+	loadsAsOf        time.Time                // time of the loads of the region's other hosts
 	lastSweepAt      time.Time                // time of the last sweep
 	chainRates       map[string]chainRate
 	arrivals         map[string]*arrivals        // by plain service, and by classKey
@@ -133,6 +134,9 @@
 	// control host to the arrival of the view with it on this host: an exchange between control
 	// hosts, a view, and the network delays between them.
 	maxViewDelay = 900 * time.Millisecond
+	// maxViewWait is the time after which a host gives up a request for a view. A view that took longer
+	// reached a host that did not run in the meantime, and its loads may be as old as the request.
+	maxViewWait = 1200 * time.Millisecond
 	// maxRegionAge is the age of another region's figures up to which requests are sent there.
 	// The figures arrive three times a second and are 0.4 s old by then, so older ones mean
 	// that the network path there is probably cut. A request that is sent into a cut is lost.
@@ -173,9 +177,20 @@
 // FullScope is the scope for the view of a control host that is near and up to date.
 var FullScope = ViewScope{Loads: true, Fleet: true}
 
+// asOf returns the time of a view's loads. It is the request's if the host did not run in the meantime.
+func (s ViewScope) asOf(now time.Time) time.Time {
+	if s.RequestedAt.IsZero() || now.Sub(s.RequestedAt) <= maxViewWait {
+		return now
+	}
+	return s.RequestedAt
+}
+
 // ApplyView applies a view received from a control host.
 func (f *Fleet) ApplyView(v *pb.FleetView, scope ViewScope, now time.Time) {
 	f.lastViewAt = now
+	if scope.Loads {
+		f.loadsAsOf = scope.asOf(now)
+	}
 	f.applyEvacuated(v.Evacuated, v.EvacuationRevision, now)
 	f.applyRestored(v.Restored, now)
 	for _, m := range v.Servers {
@@ -369,6 +384,14 @@
 	return now.Sub(f.lastViewAt)
 }
 
+// LoadsAge returns the age of the loads of the region's other entry hosts; without any, that of the last view.
+func (f *Fleet) LoadsAge(now time.Time) time.Duration {
+	if f.loadsAsOf.IsZero() {
+		return f.ViewAge(now)
+	}
+	return now.Sub(f.loadsAsOf)
+}
+
 // Loads returns the load that this host causes at each server, to be reported to the region's
 // other hosts.
 func (f *Fleet) Loads(now time.Time) serverload.Loads {
