--- a/internal/app/gateway/failures_test.go
+++ b/internal/app/gateway/failures_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"math"
+	"net/http"
 	"testing"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/holders"
 	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	"github.com/sesamefork/sesamefork/internal/failure"
@@ -120,3 +122,36 @@
 		t.Errorf("room %+v, want 8 slots and 16 requests", c.room)
 	}
 }
+
+// slowBody gives one byte, and then nothing until its caller's deadline, which it lets pass.
+type slowBody struct {
+	expire func()
+	begun  bool
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if !b.begun {
+		b.begun = true
+		return copy(p, "x"), nil
+	}
+	b.expire()
+	return 0, context.DeadlineExceeded
+}
+
+func (b *slowBody) Close() error { return nil }
+
+// TestSlowAnswerIsNoFailure guards against a server that counts as failing because its answer arrived slowly until the
+// caller's deadline.
+func TestSlowAnswerIsNoFailure(t *testing.T) {
+	for _, path := range []string{"/stock/1", "/match/1"} {
+		f := newFixture(t)
+		x, _ := f.g.begin(context.Background(), f.request(path), &memorySink{})
+		ctx, cancel := context.WithCancel(context.Background())
+		f.backends.answer = func(int, *Attempt) (*Answer, bool, error) {
+			return &Answer{Head: Head{Status: 200, Header: http.Header{}, Length: -1}, Body: &slowBody{expire: cancel}}, true, nil
+		}
+		if res := f.g.attempt(ctx, x, f.g.place(x)); res.outcome != dispatch.CallerEnded || res.err == nil {
+			t.Errorf("%s: ended with %d, %v", path, res.outcome, res.err)
+		}
+	}
+}
--- a/internal/core/dispatch/failures_test.go
+++ b/internal/core/dispatch/failures_test.go
@@ -311,3 +311,19 @@
 		t.Errorf("room %+v, others %+v", r, s.others)
 	}
 }
+
+// TestLoadsWithoutViews guards against requests of other hosts that are forgotten since no views arrive, and against
+// ones that servers report meanwhile and that do not count.
+func TestLoadsWithoutViews(t *testing.T) {
+	f, v := newTestFleet(1), testView(1)
+	v.Loads = serverload.Encode(serverload.Loads{holders.Key("s0"): {Requests: 50}})
+	f.ApplyView(v, FullScope, start)
+	s, now := f.servers["s0"], start.Add(3*time.Second)
+	before := f.requestsAt(s, now)
+	for range 50 {
+		f.RecordReportedRequests(&Choice{Server: s}, 100, now)
+	}
+	if after := f.requestsAt(s, now); before != 50 || after < 95 {
+		t.Errorf("%.1f requests, and %.1f while the server reports 100", before, after)
+	}
+}
