overload: played load of changes while demand exceeds room by half

Cause: the effects of a hot key, added hosts, a slow host and a revoked key on what callers get in an overload had no test.

--- a/internal/core/overload/load_test.go
+++ b/internal/core/overload/load_test.go
@@ -83,6 +83,12 @@
 	past    []figures
 	rates   [2][2]float64 // decaying counts by class of arrivals and returns
 	result  result
+	// delay returns how long a host takes until it handles a request or a view; nil for no time.
+	delay func(host int) time.Duration
+	// revokedAt is the time from which hosts refuse the key of team 0 before they decide; 0 for never.
+	revokedAt time.Duration
+	// decided is called with each decision; nil for none.
+	decided func(x *playRequest, admitted bool)
 }
 
 // result counts callers.
@@ -163,16 +169,40 @@
 func (p *play) attempt(x *playRequest) {
 	x.host = p.r.IntN(len(p.hosts))
 	waited := p.now - x.first
+	if waited >= MinRetryAfter {
+		p.result.returned++
+	}
+	if d := p.delayOf(x.host); d > 0 {
+		p.after(d, func() { p.decide(x, waited) })
+		return
+	}
+	p.decide(x, waited)
+}
+
+func (p *play) delayOf(host int) time.Duration {
+	if p.delay == nil {
+		return 0
+	}
+	return p.delay(host)
+}
+
+// decide lets the host of a request decide on it, unless its key is revoked.
+func (p *play) decide(x *playRequest, waited time.Duration) {
+	if x.team == 0 && p.revokedAt > 0 && p.now >= p.revokedAt {
+		return
+	}
 	returned := 0
 	if waited >= MinRetryAfter {
 		returned = 1
-		p.result.returned++
 	}
 	p.rates[returned][x.class]++
-	remaining := playDeadline[x.class] - waited
+	remaining := playDeadline[x.class] - (p.now - x.first)
 	if p.admission {
 		d := p.hosts[x.host].Decide(Request{Class: x.class, Team: fmt.Sprint(x.team), Weight: 1, Waited: waited, Remaining: remaining}, start.Add(p.now))
 		p.countFair(x, d.Admit)
+		if p.decided != nil {
+			p.decided(x, d.Admit)
+		}
 		if !d.Admit {
 			p.refuse(x, d.RetryAfter, d.Reason == ReasonReserved)
 			return
@@ -300,7 +330,7 @@
 	if f.slots > 0 {
 		p.hosts[i].Update(classes, Room{Slots: f.slots, Requests: f.requests}, start.Add(p.now))
 	}
-	p.after(250*time.Millisecond, func() { p.update(i) })
+	p.after(250*time.Millisecond+p.delayOf(i), func() { p.update(i) })
 }
 
 // sum adds up the seconds [from, to) of some classes.
