--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -161,7 +161,7 @@
 
 // fixture is a gateway of region west and the fakes that it uses.
 type fixture struct {
-	t        *testing.T
+	t        testing.TB
 	g        *Gateway
 	clock    *fakeClock
 	backends *fakeBackends
@@ -189,7 +189,7 @@
 // testRegions are the failure domains of tests and their regions.
 var testRegions = map[string]string{"w1": "west", "w2": "west", "e1": "east", "n1": "north"}
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	t.Helper()
 	f := newStartingFixture(t)
 	f.clock.advance(time.Minute) // past the waits of a starting host
@@ -199,7 +199,7 @@
 }
 
 // newStartingFixture returns a gateway without a configuration or a view.
-func newStartingFixture(t *testing.T) *fixture {
+func newStartingFixture(t testing.TB) *fixture {
 	t.Helper()
 	f := &fixture{t: t, clock: &fakeClock{now: time.Unix(1000, 0)}, backends: &fakeBackends{}, peers: &fakePeers{}}
 	f.g = New(Options{
--- a/internal/app/gateway/overload_test.go
+++ b/internal/app/gateway/overload_test.go
@@ -38,7 +38,7 @@
 
 // newOverloadFixture returns a gateway with two engines of 8 slots and so many requests at each, and with a fake
 // controller. Chats, of the given priority, are less urgent than matches.
-func newOverloadFixture(t *testing.T, requests uint32, priority int) (*fixture, *fakeController) {
+func newOverloadFixture(t testing.TB, requests uint32, priority int) (*fixture, *fakeController) {
 	f, c, rec := newFixture(t), &fakeController{}, baseRecord()
 	f.g.overload.newController = func(overload.Options) admissionController { return c }
 	rec.Routes[0].LatencyTargetMS, rec.Routes[1].LatencyTargetMS, rec.Routes[1].Priority = 800, 3000, priority
--- a/internal/app/gateway/stale_control_host_test.go
+++ b/internal/app/gateway/stale_control_host_test.go
@@ -82,7 +82,7 @@
 	return nil, false, failure.New(failure.PeerUnreachable, failure.NotRun, "no forwards here")
 }
 
-func testBlob(t *testing.T, version uint64, rec configstate.Record) *pb.ConfigBlob {
+func testBlob(t testing.TB, version uint64, rec configstate.Record) *pb.ConfigBlob {
 	t.Helper()
 	raw, err := json.Marshal(&rec)
 	if err != nil {
