gateway: added hosts apply admission from the first complete view on

Cause: a host admitted all requests for up to 3.5 s after its start, the time in which it may not know all servers, also if its control host has known them for long. Added to an overload, such hosts send more than there is room for. Change: a view states the uptime of its control host; after the first view of one that has run for an announcement interval and the delay of a view, admission applies. Control hosts that state none are treated as before. Measured (go test ./internal/app/gateway -run TestAddedHost): the row of a control host that knows all servers fails without the change, passes with it.

--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -54,6 +54,7 @@
 type Fleet struct {
 	o       FleetOptions
 	replica *Replica
+	started time.Time
 	epoch   uint64        // distinguishes the versions of this process from those of an earlier one
 	leaving chan struct{} // closed when this host leaves: sync requests are then answered at once
 
@@ -96,7 +97,7 @@
 // NewFleet returns the Fleet of a replica's host and attaches it to the replica.
 func NewFleet(o FleetOptions, r *Replica) *Fleet {
 	f := &Fleet{
-		o: o, replica: r, epoch: uint64(o.Clock.Now().UnixNano()), waker: newWaker(), leaving: make(chan struct{}),
+		o: o, replica: r, started: o.Clock.Now(), epoch: uint64(o.Clock.Now().UnixNano()), waker: newWaker(), leaving: make(chan struct{}),
 		streams: streamorigin.NewLog(), cursors: map[string]exchangeCursor{}, controlDomains: map[string]string{},
 		reg: registry.New(registry.Options{
 			Region: o.Region, FailureDomain: o.FailureDomain, Regions: o.Regions,
--- a/internal/app/control/view.go
+++ b/internal/app/control/view.go
@@ -79,6 +79,7 @@
 	v := &pb.FleetView{
 		Epoch: f.epoch, Version: f.reg.Version(), Evacuated: f.evacuations.Evacuated, EvacuationRevision: f.evacuations.EvacuationRevision,
 		HomeRegion: f.o.Region, HomeDomain: f.o.FailureDomain, StalenessMs: uint64(f.replica.Staleness().Milliseconds()),
+		UptimeMs: uint64(now.Sub(f.started).Milliseconds()),
 	}
 	for _, c := range f.reg.Controls(now) {
 		if age := now.Sub(c.LoadsAt); age <= registry.ControlLease {
--- a/internal/app/gateway/changes_test.go
+++ b/internal/app/gateway/changes_test.go
@@ -7,8 +7,12 @@
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
+	"github.com/sesamefork/sesamefork/internal/core/dispatch"
+	"github.com/sesamefork/sesamefork/internal/core/holders"
 	"github.com/sesamefork/sesamefork/internal/core/overload"
+	"github.com/sesamefork/sesamefork/internal/core/serverload"
 	"github.com/sesamefork/sesamefork/internal/failure"
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
 // withManyRoutes returns the record with so many further routes, each to a path of its own.
@@ -115,3 +119,41 @@
 		t.Errorf("another key: %v, classes %+v", err, c.classes)
 	}
 }
+
+// TestAddedHostUnderOverload guards against a host that sends requests before it has a view, and against one that
+// applies no admission although its first view comes from a control host that knows all servers.
+func TestAddedHostUnderOverload(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		uptime  time.Duration // of the control host
+		decides bool
+	}{
+		{"the control host has just started", 300 * time.Millisecond, false},
+		{"the control host knows all servers", time.Minute, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f, controller := newOverloadFixture(t, 12, 2)
+			rec := *f.g.config.Load().Record
+			f.g = newStartingFixture(t).g
+			f.g.o.Clock, f.g.o.Backends = f.clock, f.backends
+			f.g.overload.newController = func(overload.Options) admissionController { return controller }
+			f.g.startup = dispatch.NewStartup(f.clock.Now(), 0, 0)
+			if err := f.g.Execute(context.Background(), &Request{ID: "r", Host: "h", Path: "/chat/1", Arrived: f.clock.Now(), Wait: 40 * time.Millisecond}, &memorySink{}); err == nil || err.Code != failure.NotReady {
+				t.Fatalf("without a view: %v", err)
+			}
+			f.install(8, rec)
+			f.view(func(v *pb.FleetView) {
+				v.Regions, v.UptimeMs = nil, uint64(c.uptime.Milliseconds())
+				v.Loads = serverload.Encode(serverload.Loads{holders.Key("llm1"): {Requests: 12}, holders.Key("llm2"): {Requests: 12}})
+			})
+			f.g.signalInitialized()
+			err := f.g.Execute(context.Background(), f.request("/chat/1"), &memorySink{})
+			if rejected := err != nil && err.Code == failure.Overloaded; rejected != c.decides {
+				t.Errorf("less urgent request: %v", err)
+			}
+			if err := f.g.Execute(context.Background(), f.request("/match/1"), &memorySink{}); err != nil {
+				t.Errorf("urgent request: %v", err)
+			}
+		})
+	}
+}
--- a/internal/app/gateway/overload.go
+++ b/internal/app/gateway/overload.go
@@ -196,7 +196,7 @@
 	}
 	// A request beyond its team's quota, or that no region in reach may run, is no demand for the room.
 	g.fleet.RecordClassArrival(x.service, x.class, len(x.classes), x.waited() > 0, now)
-	if g.startup.AwaitsServers(now) || !a.inReach {
+	if !g.startup.KnowsServers(now) || !a.inReach {
 		return nil // the slots and the arrivals that are known yet are too few for a decision
 	}
 	d := a.controller.Decide(g.admissionRequest(x, now), now)
--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -280,6 +280,9 @@
 	defer g.mu.Unlock()
 	now := g.o.Clock.Now()
 	g.fleet.ApplyView(v, scope, now)
+	if scope.Loads {
+		g.startup.RecordView(milliseconds(v.UptimeMs))
+	}
 	for _, change := range g.fleet.MergeLimits(v.Limits, now) {
 		g.logLimit(change.Server, change.Before, scope.Source, "")
 	}
--- a/internal/core/dispatch/startup.go
+++ b/internal/core/dispatch/startup.go
@@ -30,6 +30,7 @@
 	announceEvery time.Duration
 	off           Mechanisms
 	waiting       int
+	knowsServers  bool
 }
 
 // NewStartup returns a Startup for a host that starts now, with servers that announce
@@ -59,6 +60,15 @@
 // AwaitsServers reports whether servers may exist that have not been reported since the start.
 func (s *Startup) AwaitsServers(now time.Time) bool { return s.untilServers(now) > 0 }
 
+// RecordView records a view with the region's servers and loads from a control host that has run for uptime. Within an
+// announcement interval and the delay of a view it has heard of all servers.
+func (s *Startup) RecordView(uptime time.Duration) {
+	s.knowsServers = s.knowsServers || uptime >= s.announceEvery+maxViewDelay
+}
+
+// KnowsServers reports whether all servers that announce themselves have been reported since the start.
+func (s *Startup) KnowsServers(now time.Time) bool { return s.knowsServers || !s.AwaitsServers(now) }
+
 func (s *Startup) untilServers(now time.Time) time.Duration {
 	return s.untilConfig(now) + s.announceEvery + maxViewDelay
 }
