--- a/internal/core/overload/load_test.go
+++ b/internal/core/overload/load_test.go
@@ -361,8 +361,6 @@
 		{name: "hot team", usual: 0.75, burst: 1.08, hot: 8, kept: 0.9},
 		// Callers that repeat at once reserve several places each and use one.
 		{name: "repeats at once", usual: 0.7, burst: 2.6, repeatsAtOnce: true, kept: 0.7},
-		// Hosts without figures admit more than their share, which takes the room of reservations that other hosts made.
-		{name: "a quarter of the hosts cut off", usual: 0.7, burst: 2.6, cutHosts: 4, kept: 0.85},
 		{name: "slot time long", usual: 0.7, burst: 2.6, slotError: 1.4, kept: 0.9},
 		{name: "slot time short", usual: 0.7, burst: 2.6, slotError: 0.7, kept: 0.9},
 	} {
@@ -370,16 +368,33 @@
 			if s.slotError != 0 && s.hosts != 80 {
 				continue
 			}
-			t.Run(fmt.Sprintf("%s/%d", s.name, s.hosts), func(t *testing.T) {
-				without := s.play(t)
-				s.admission = true
-				s.check(t, s.play(t), without)
-				s.admission = false
-			})
+			t.Run(fmt.Sprintf("%s/%d", s.name, s.hosts), s.compare)
 		}
 	}
 }
 
+// TestOverloadWithHostsCutOff guards against hosts without figures that take the room of reservations which other hosts
+// made.
+func TestOverloadWithHostsCutOff(t *testing.T) {
+	for _, hosts := range []int{80, 300} {
+		t.Run(fmt.Sprint(hosts), withHostsCutOff(hosts).compare)
+	}
+}
+
+// TestOverloadWithOneOfFourHostsCutOff guards against the same with few hosts.
+func TestOverloadWithOneOfFourHostsCutOff(t *testing.T) { withHostsCutOff(4).compare(t) }
+
+func withHostsCutOff(hosts int) scenario {
+	return scenario{name: "a quarter of the hosts cut off", usual: 0.7, burst: 2.6, cutHosts: 4, hosts: hosts, kept: 0.9}
+}
+
+// compare plays a load without and with admission, and checks the latter.
+func (s scenario) compare(t *testing.T) {
+	without := s.play(t)
+	s.admission = true
+	s.check(t, s.play(t), without)
+}
+
 // servedPart returns the part of a class's requests of the seconds [from, to) that were answered in time.
 func (r result) servedPart(class int, from, to time.Duration) float64 {
 	return sum(from, to, r.served[class]) / sum(from, to, r.first[class])
