dispatch: send no request to an engine that it would overfill while another has room

The memory of an engine was only a term of its cost, so a long prompt went to an engine whose KV cache it exceeded if that engine held its shared parts. The estimate also left out cached shared parts, which cannot be evicted while requests use them: it was about half of what engines held.

Package enginememory estimates what requests hold, each shared part of this host's requests once and the reports of other hosts scaled by this host's own ratio, and says whether a request fits by the figures and with what other hosts may have sent since. Candidates are compared by that before their loss. If no engine has room, the choice is made as before, and the request waits at an engine. Without a stated memory, choices are the same.

--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"github.com/sesamefork/sesamefork/internal/core/enginememory"
 )
 
 // Job describes a request for the choice of a server.
@@ -101,9 +103,10 @@
 	slower        float64 // ratio of the server's factor at the first byte to workFactor, at least 1
 	firstByteSeen bool    // the first byte of the answer has arrived
 	startedAt     time.Time
-	limited       bool   // a server was excluded by its limit
-	paused        bool   // a server of the own region has asked for a pause
-	limitRevision uint64 // revision of the server's limit that was known when the request was sent
+	fill          enginememory.Fill // of the chosen server, with the request
+	limited       bool              // a server was excluded by its limit
+	paused        bool              // a server of the own region has asked for a pause
+	limitRevision uint64            // revision of the server's limit that was known when the request was sent
 }
 
 // Parameters of the estimate. A loss is in the unit described in cost.go.
@@ -202,10 +205,19 @@
 }
 
 func (f *Fleet) chooseServer(j *Job, c *Choice, prefer preference, now time.Time) {
-	var cold, slowStarting []*Server
 	locations := f.locationsOf(j, now)
+	candidates := f.candidates(j, locations, now)
+	f.chooseAmong(candidates, j, c, locations, prefer, now)
+	if !c.fits() {
+		f.chooseAmong(f.othersWithRoom(candidates, j, now), j, c, locations, prefer, now)
+	}
+}
+
+// chooseAmong makes the best of the candidates the choice, if it is better than the present one.
+func (f *Fleet) chooseAmong(candidates []*Server, j *Job, c *Choice, locations chainLocations, prefer preference, now time.Time) {
+	var cold, slowStarting []*Server
 	regionLoss := prefer.regionLoss(f.o.Region)
-	for _, s := range f.candidates(j, locations, now) {
+	for _, s := range candidates {
 		reason := f.usable(s, now)
 		c.paused = c.paused || (reason == reasonPaused && j.runsAt(s))
 		if j.Tried[s.ID] {
@@ -233,8 +245,8 @@
 		}
 		f.evaluate(s, j, c, locations, regionLoss+prefer.serverLoss(s), now)
 	}
-	// A cold server is used only if no warm one is expected to meet the target.
-	if c.Server != nil && c.EstimateMS < float64(j.Target.Milliseconds()) {
+	// A cold server is used only if no warm one has room and is expected to meet the target.
+	if c.fits() && c.EstimateMS < float64(j.Target.Milliseconds()) {
 		return
 	}
 	for _, s := range cold {
@@ -245,7 +257,7 @@
 		f.evaluate(s, j, c, locations, regionLoss+prefer.serverLoss(s), now)
 	}
 	// Nor is a server used beyond its share in a slow start otherwise.
-	if c.Server != nil && c.EstimateMS < float64(j.Target.Milliseconds()) {
+	if c.fits() && c.EstimateMS < float64(j.Target.Milliseconds()) {
 		return
 	}
 	for _, s := range slowStarting {
@@ -282,8 +294,10 @@
 	late := !f.disabled(Deferral) && k.deferIfLate(f.deferredAhead(s, j, now), s, j, f.speedOf(j.Service).HoldMS()*f.steadyFactor(s))
 	k.loss += f.o.Random() * f.tieBreakLossOf(j)
 	c.Considered = append(c.Considered, Candidate{s.ID, k.firstMS, ""})
-	if k.loss < c.loss {
+	fill := f.fillWith(s, j, k.firstMS, now)
+	if c.isWorseThan(fill, k.loss) {
 		c.Server, c.EstimateMS, c.loss, c.UncoveredTokens, c.CopyFrom = s, k.firstMS, k.loss, uncovered, from
+		c.fill = fill
 		c.Deferred = late
 		c.tokensAhead, c.slowdown = s.own.prompt+factor*s.others.prompt, slowdown(f.requestsAt(s, now), float64(max(1, s.Slots)))
 		c.workFactor = f.workFactor(s, now)
@@ -346,6 +360,9 @@
 // chooseRegion makes another region the choice if its loss, which includes the penalties for
 // leaving the region, is lower than that of the best server of the own region.
 func (f *Fleet) chooseRegion(j *Job, c *Choice, prefer preference, now time.Time) {
+	// Figures of other regions are averages, so only a full engine is distinguished from the others.
+	c.fill = max(c.fill, enginememory.Tight)
+	ownFull := c.Server != nil && !c.fits()
 	var names []string
 	for name := range f.hosts {
 		names = append(names, name)
@@ -376,7 +393,8 @@
 		k, uncovered := f.regionCost(r, j, now)
 		k.loss += prefer.regionLoss(name) + f.regionCrashLoss(r, j)
 		c.Considered = append(c.Considered, Candidate{name, k.firstMS, ""})
-		if k.loss < c.loss {
+		if fill := f.fillInRegion(r, j, ownFull, k.firstMS); c.isWorseThan(fill, k.loss) {
+			c.fill = fill
 			c.Server, c.Host, c.EstimateMS, c.loss, c.key = nil, h, k.firstMS, k.loss, key
 			c.UncoveredTokens, c.CopyFrom, c.Deferred = uncovered, "", false
 		}
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -10,6 +10,7 @@
 	"sort"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/core/enginememory"
 	"github.com/sesamefork/sesamefork/internal/core/holders"
 	"github.com/sesamefork/sesamefork/internal/core/registry"
 	"github.com/sesamefork/sesamefork/internal/core/serverlimit"
@@ -100,6 +101,7 @@
 	// nextLimitedPlace is when the last request that was refused at a limit is expected back, by service.
 	nextLimitedPlace map[string]time.Time
 	streams          streamPauses
+	heldRatios       map[string]*enginememory.Ratio // by service
 }
 
 // New returns a Fleet without servers.
@@ -113,7 +115,7 @@
 		serversByKey: map[uint32]*Server{}, speeds: map[string]*speed.Estimator{}, comparisons: map[string]*loadComparison{},
 		workTimes: map[string]*serverspeed.Service{}, classes: map[string][]*classWork{},
 		limits: serverlimit.NewTable(), pauses: serverpause.NewTable(), limitRefusals: map[string]map[int]time.Time{}, nextLimitedPlace: map[string]time.Time{}, listsGeneration: 1,
-		streams: newStreamPauses(),
+		streams: newStreamPauses(), heldRatios: map[string]*enginememory.Ratio{},
 	}
 }
 
--- a/internal/core/dispatch/mechanisms.go
+++ b/internal/core/dispatch/mechanisms.go
@@ -56,6 +56,8 @@
 	RegionQueries
 	// WorkFactors accounts for the work times that servers report with their answers.
 	WorkFactors
+	// MemoryRoom avoids engines whose estimated memory a request would exceed.
+	MemoryRoom
 )
 
 var mechanismNames = map[string]Mechanisms{
@@ -63,7 +65,7 @@
 	"busy-cost": BusyCost, "homes": Homes, "holders": Holders, "copies": Copies, "own-domain-first": OwnDomainFirst,
 	"silence": StallAvoidance, "health": Health, "other-regions": OtherRegions, "sampling": Sampling, "shares": Shares,
 	"config-from-sender": ConfigFromSender, "isolation": Isolation, "loads-observed": ReportedLoads, "regions-asked": RegionQueries,
-	"work-factors": WorkFactors,
+	"work-factors": WorkFactors, "memory-room": MemoryRoom,
 }
 
 // ParseMechanisms returns the set of the mechanisms with the given names. It fails on an
--- a/internal/core/dispatch/mechanisms_test.go
+++ b/internal/core/dispatch/mechanisms_test.go
@@ -52,6 +52,10 @@
 			f.ApplyView(v, FullScope, start)
 			f.servers["s0"].own.prompt = 1500 // a short wait
 		}, func(c Choice) bool { return c.Server != nil && c.Server.ID == "s0" }},
+		{"memory room", MemoryRoom, func(f *Fleet) { // little work, but most of the memory of s0 is held
+			f.servers["s0"].others = load{requests: 1, memory: 179_500}
+			f.servers["s1"].others = load{requests: 4, prompt: 9000, memory: 9000}
+		}, func(c Choice) bool { return c.Server != nil && c.Server.ID == "s1" }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			choose := func(off Mechanisms) Choice {
--- /dev/null
+++ b/internal/core/dispatch/memory.go
@@ -0,0 +1,139 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/sesamefork/sesamefork/internal/core/enginememory"
+)
+
+// A request goes to an engine whose estimated memory it would exceed only if no other engine has room; the loss
+// decides among engines that are alike in that. Services whose configuration states no memory of their engines are not
+// affected. Package enginememory has the decision.
+
+// maxSearchedForRoom bounds the engines outside the sample that are evaluated when none of the sample has room. The
+// cost of a choice then stays that of a few more candidates, and hosts spread over the engines with room.
+const maxSearchedForRoom = 4
+
+// fits reports whether a server is chosen that is not expected to exceed its memory by the request.
+func (c *Choice) fits() bool { return c.Server != nil && c.fill != enginememory.Full }
+
+// isWorseThan reports whether a candidate is to replace the choice so far.
+func (c *Choice) isWorseThan(fill enginememory.Fill, loss float64) bool {
+	if (c.Server == nil && c.Host == nil) || fill == c.fill {
+		return loss < c.loss
+	}
+	return fill < c.fill
+}
+
+// hasMemory reports whether the job is for engines whose memory is known.
+func (j *Job) hasMemory() bool { return j.Engine && j.MemoryTokens > 0 }
+
+// memoryRequest returns the memory that the job occupies at an engine while it runs.
+func (j *Job) memoryRequest() enginememory.Request {
+	r := enginememory.Request{Own: math.Max(0, j.PromptTokens-float64(sharedTokens(j.Parts))) + j.OutputTokens}
+	for i := 0; i < len(j.Parts)-1; i++ {
+		r.Shared = append(r.Shared, enginememory.Part{ID: j.Parts[i].ID, Tokens: float64(j.Parts[i].Tokens)})
+	}
+	return r
+}
+
+// memoryAt returns the estimated state of an engine's memory.
+func (f *Fleet) memoryAt(s *Server, j *Job, now time.Time) enginememory.Engine {
+	factor := f.unreportedFactor(j.Service, now)
+	return enginememory.Engine{
+		Capacity: j.MemoryTokens, Own: s.holding.Tokens(), Others: factor * s.others.memory * f.heldRatio(j.Service).At(now),
+		OthersPerSecond: factor * s.othersPrefill * f.speedOf(j.Service).PrefillTokensPerMS() * kvWrittenPerPrefillToken,
+		OtherHosts:      f.Neighbors() - 1,
+	}
+}
+
+// fillWith returns whether an engine has room for the job. Room does not make an engine preferable to one that answers
+// before the caller's deadline, nor room for what other hosts may have sent to one that answers within the target.
+func (f *Fleet) fillWith(s *Server, j *Job, firstMS float64, now time.Time) enginememory.Fill {
+	if !j.hasMemory() || f.disabled(MemoryRoom) {
+		return enginememory.HasRoom
+	}
+	if firstMS > float64(j.Remaining.Milliseconds()) {
+		return enginememory.Full
+	}
+	fill := f.memoryAt(s, j, now).FillWith(s.holding.Needs(j.memoryRequest()))
+	if j.Target > 0 && firstMS > float64(j.Target.Milliseconds()) {
+		fill = max(fill, enginememory.Tight)
+	}
+	return fill
+}
+
+// fillInRegion returns whether an average engine of another region has room for the job: Tight or Full, as its figures
+// are averages. A region that answers after the target is not preferred to a full engine of the own one, where the wait
+// for memory is usually shorter.
+func (f *Fleet) fillInRegion(r *region, j *Job, ownFull bool, firstMS float64) enginememory.Fill {
+	if !j.hasMemory() || f.disabled(MemoryRoom) {
+		return enginememory.Tight
+	}
+	if ownFull && firstMS > float64(min(j.Remaining, j.Target).Milliseconds()) {
+		return enginememory.Full
+	}
+	servers, _ := r.capacity(f.requestsPerSlot(j.Service, true))
+	e := enginememory.Engine{Capacity: j.MemoryTokens, Others: (r.memory + r.forwarded.memory) / math.Max(minServers, servers)}
+	return max(enginememory.Tight, e.FillWith(j.PromptTokens+j.OutputTokens))
+}
+
+// othersWithRoom returns a few engines with room for the job that are not among the candidates, from a random one on.
+func (f *Fleet) othersWithRoom(candidates []*Server, j *Job, now time.Time) []*Server {
+	if !j.hasMemory() || f.disabled(MemoryRoom) {
+		return nil
+	}
+	all := f.serversOf(j.Service)
+	if len(all) <= len(candidates) {
+		return nil
+	}
+	need := j.memoryRequest()
+	var out []*Server
+	first := int(f.o.Random() * float64(len(all)))
+	for i := range all {
+		s := all[(first+i)%len(all)]
+		if j.Tried[s.ID] || slices.Contains(candidates, s) || f.usable(s, now) != "" {
+			continue
+		}
+		if f.memoryAt(s, j, now).FillWith(s.holding.Needs(need)) == enginememory.Full {
+			continue
+		}
+		if out = append(out, s); len(out) == maxSearchedForRoom {
+			break
+		}
+	}
+	return out
+}
+
+// heldRatio returns the ratio between what requests for a service hold at its engines and what hosts report of it.
+func (f *Fleet) heldRatio(service string) *enginememory.Ratio {
+	r := f.heldRatios[service]
+	if r == nil {
+		r = &enginememory.Ratio{}
+		f.heldRatios[service] = r
+	}
+	return r
+}
+
+// sampleHeldRatio adds the choice's request, which is about to be sent, to the service's ratio.
+func (f *Fleet) sampleHeldRatio(c *Choice, now time.Time) {
+	if c.job.hasMemory() {
+		f.heldRatio(c.job.Service).Add(c.Server.holding.Needs(c.job.memoryRequest()), c.load().memory, now)
+	}
+}
+
+// hold records that the choice's request occupies memory at its server.
+func (c *Choice) hold() {
+	if c.job.hasMemory() {
+		c.Server.holding.Add(c.job.memoryRequest())
+	}
+}
+
+// unhold records that the choice's request no longer occupies memory at its server.
+func (c *Choice) unhold() {
+	if c.job.hasMemory() {
+		c.Server.holding.Remove(c.job.memoryRequest())
+	}
+}
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -28,6 +28,8 @@
 		c.Server.deferred++
 	} else {
 		c.Server.own.add(l)
+		f.sampleHeldRatio(c, now)
+		c.hold()
 		c.Server.countClass(c.job, 1)
 	}
 	if c.job.Engine {
@@ -53,6 +55,7 @@
 		if c.Deferred {
 			c.Server.deferred--
 			c.Server.own.add(c.load())
+			c.hold()
 			c.Server.countClass(c.job, 1)
 		}
 		c.Server.own.prompt = math.Max(0, c.Server.own.prompt-c.UncoveredTokens)
@@ -137,6 +140,7 @@
 	} else {
 		s.own.requests = max(0, s.own.requests-1)
 		s.countClass(c.job, -1)
+		c.unhold()
 		s.own.memory = math.Max(0, s.own.memory-c.UncoveredTokens-c.job.OutputTokens)
 		if !c.firstByteSeen {
 			s.own.prompt = math.Max(0, s.own.prompt-c.UncoveredTokens)
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/core/enginememory"
 	"github.com/sesamefork/sesamefork/internal/core/incarnation"
 	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/registry"
@@ -31,8 +32,11 @@
 	senders senderPositions
 	pace    pace
 
-	own    load // requests of this host in flight
-	others load // those of the region's other entry hosts, as last reported
+	own load // requests of this host in flight
+	// holding is the memory that own occupies, with the shared parts that were cached before; empty if the
+	// engine's memory is not known.
+	holding enginememory.Holding
+	others  load // those of the region's other entry hosts, as last reported
 	// othersPrefill is the prefill work sent by the region's other entry hosts, in ms per
 	// second.
 	othersPrefill float64
