gateway: reject a prompt larger than every engine's memory at once

A prompt that exceeds the KV cache of every engine of its service was sent to an engine that cannot run it. The expected length of the answer does not count, so a prompt that fits is never rejected. Services without a stated memory are not affected.

--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -9,6 +9,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/dispatch"
+	"github.com/sesamefork/sesamefork/internal/core/enginememory"
 	"github.com/sesamefork/sesamefork/internal/core/quarantine"
 	"github.com/sesamefork/sesamefork/internal/core/quota"
 	"github.com/sesamefork/sesamefork/internal/core/retry"
@@ -124,6 +125,9 @@
 	case !routesTo(route, x.service):
 		return nil, notRun(failure.PeerRefused, 0, "version %d does not send route %q to service %q", c.Stamp.Version, route.Name, x.service)
 	}
+	if f := x.exceedsMemory(); f != nil {
+		return nil, f
+	}
 	x.subjects = subjectsOf(r, team, x.service)
 	g.setClass(x)
 	if r.Origin == "" {
@@ -132,6 +136,16 @@
 	return x, nil
 }
 
+// exceedsMemory returns the failure of a prompt that is larger than the memory of every engine of its service, which
+// no retry can change; nil for others.
+func (x *execution) exceedsMemory() *failure.Error {
+	s, ok := x.record.RoutedService(x.service)
+	if !ok || s.Engine == nil || x.r.Prompt == nil || !enginememory.Exceeds(float64(x.r.Prompt.Tokens), float64(s.Engine.MemoryTokens)) {
+		return nil
+	}
+	return notRun(failure.BodyTooLarge, 0, "a prompt of %d tokens does not fit into the %d tokens of an engine of service %q", x.r.Prompt.Tokens, s.Engine.MemoryTokens, x.service)
+}
+
 // recordArrival counts a caller's request for the retry budget and, unless its service runs on
 // model engines, for the arrival rate of the service.
 func (g *Gateway) recordArrival(x *execution) {
