dispatch: fill an engine only to half for 2 s after a crash by memory

An engine that crashed by memory looks the emptiest to all hosts after its restart. An engine process that is replaced under its ID without notice, while its estimate was above 0.9 of its memory, now counts as crashed by memory; its successor has room up to half of its memory until 2 s after it is known or warm. Requests that were in flight are repeated as before, and go where there is room. The log has each such crash ("server replaced after a crash by memory") and "memory_full" with a choice for which no engine had room.

--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -398,6 +398,9 @@
 	if c.Server != nil && g.fleet.ColdReason(c.Server, now) != "" {
 		g.o.Metrics.Add("sent_to_cold_servers", 1)
 	}
+	if c.Refused == "" && c.Overfills() {
+		g.o.Metrics.Add("sent_to_full_engines", 1)
+	}
 	if !c.NoUsableServer || !g.startup.AwaitsServers(now) {
 		g.logChoice(x, &c, now)
 	}
--- a/internal/app/gateway/log.go
+++ b/internal/app/gateway/log.go
@@ -50,6 +50,9 @@
 		if w, reported := g.fleet.WorkFactor(c.Server, now); reported {
 			kv = append(kv, "work_factor", w.Factor, "work_factor_source", string(w.Source), "work_factor_age_ms", w.AgeMS)
 		}
+		if c.Overfills() {
+			kv = append(kv, "memory_full", true)
+		}
 		if c.Deferred {
 			kv = append(kv, "deferred", true)
 		}
@@ -62,6 +65,14 @@
 	g.o.Log.Info("place chosen", kv...)
 }
 
+// logMemoryCrashes logs the servers that replace one that counts as crashed by memory.
+func (g *Gateway) logMemoryCrashes() {
+	for _, s := range g.fleet.TakeMemoryCrashes() {
+		g.o.Metrics.Add("servers_crashed_by_memory", 1)
+		g.o.Log.Info("server replaced after a crash by memory", "server", s.ID, "start", s.Start, "service", s.Service, "failure_domain", s.FailureDomain)
+	}
+}
+
 // logColdChanges logs each server that has become cold or warm for this host, with the
 // announcement that decided it.
 func (g *Gateway) logColdChanges() {
--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -288,4 +288,5 @@
 	g.budget.SetHosts(g.fleet.HostCount())
 	g.updateCrashWatch()
 	g.logColdChanges()
+	g.logMemoryCrashes()
 }
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -102,6 +102,7 @@
 	nextLimitedPlace map[string]time.Time
 	streams          streamPauses
 	heldRatios       map[string]*enginememory.Ratio // by service
+	memoryCrashes    []*Server                      // see TakeMemoryCrashes
 }
 
 // New returns a Fleet without servers.
--- a/internal/core/dispatch/memory.go
+++ b/internal/core/dispatch/memory.go
@@ -45,7 +45,7 @@
 	return enginememory.Engine{
 		Capacity: j.MemoryTokens, Own: s.holding.Tokens(), Others: factor * s.others.memory * f.heldRatio(j.Service).At(now),
 		OthersPerSecond: factor * s.othersPrefill * f.speedOf(j.Service).PrefillTokensPerMS() * kvWrittenPerPrefillToken,
-		OtherHosts:      f.Neighbors() - 1,
+		OtherHosts:      f.Neighbors() - 1, Refilling: s.memoryRestart.Refilling(s.ColdUntil, now),
 	}
 }
 
@@ -58,7 +58,9 @@
 	if firstMS > float64(j.Remaining.Milliseconds()) {
 		return enginememory.Full
 	}
-	fill := f.memoryAt(s, j, now).FillWith(s.holding.Needs(j.memoryRequest()))
+	e := f.memoryAt(s, j, now)
+	s.memoryRestart.Observe(e, now)
+	fill := e.FillWith(s.holding.Needs(j.memoryRequest()))
 	if j.Target > 0 && firstMS > float64(j.Target.Milliseconds()) {
 		fill = max(fill, enginememory.Tight)
 	}
@@ -124,6 +126,36 @@
 	}
 }
 
+// observeConnectionFailure records the state of the memory of the choice's server when an attempt there breaks off,
+// before the attempt's own memory is taken off: the server's process may have crashed.
+func (f *Fleet) observeConnectionFailure(c *Choice, now time.Time) {
+	if c.job.hasMemory() && !f.disabled(MemoryRoom) {
+		c.Server.memoryRestart.Observe(f.memoryAt(c.Server, c.job, now), now)
+	}
+}
+
+// crashedByMemory reports whether the server's process, which runs no more, counts as crashed by memory.
+func (s *Server) crashedByMemory() bool {
+	return !s.Leaving && s.memoryRestart.CrashedByMemory(s.AnnouncedAt)
+}
+
+// refillMemory makes a server that replaces one that crashed by memory get only part of its memory filled at first.
+func (f *Fleet) refillMemory(s *Server, now time.Time) {
+	s.memoryRestart.Refill(now)
+	f.memoryCrashes = append(f.memoryCrashes, s)
+}
+
+// TakeMemoryCrashes returns, for the log, the servers whose predecessors under their ID count as crashed by memory and
+// have been found replaced since the last call.
+func (f *Fleet) TakeMemoryCrashes() []*Server {
+	out := f.memoryCrashes
+	f.memoryCrashes = nil
+	return out
+}
+
+// Overfills reports whether the request was sent to an engine whose estimated memory it exceeds, as no engine had room.
+func (c *Choice) Overfills() bool { return c.Server != nil && c.fill == enginememory.Full }
+
 // hold records that the choice's request occupies memory at its server.
 func (c *Choice) hold() {
 	if c.job.hasMemory() {
--- a/internal/core/dispatch/memory_load_test.go
+++ b/internal/core/dispatch/memory_load_test.go
@@ -21,7 +21,8 @@
 	reports [][]serverload.Loads // by step, of each host
 	hold    time.Duration        // from the first byte to the end of an answer
 	chains  int                  // number of chains of the long prompts
-	lost    int                  // index from which hosts report nothing any more
+	running int                  // number of hosts that run; the others report nothing and send nothing any more
+	stopped bool                 // hosts receive no views
 	crashes int
 	refused int
 	sent    int
@@ -47,7 +48,7 @@
 )
 
 func newMemorySimulation(seed int64, hosts, engines int, off Mechanisms) *memorySimulation {
-	p := &memorySimulation{rnd: rand.New(rand.NewSource(seed)), now: start, hold: 5 * time.Second, chains: 300, lost: hosts}
+	p := &memorySimulation{rnd: rand.New(rand.NewSource(seed)), now: start, hold: 5 * time.Second, chains: 300, running: hosts}
 	for i := range hosts {
 		p.hosts = append(p.hosts, New(Options{Host: fmt.Sprintf("h%02d", i), Region: "west", FailureDomain: "w1", Random: p.rnd.Float64, PrefillRate: 38, Off: off}))
 	}
@@ -60,10 +61,13 @@
 // exchange records the hosts' loads and gives every host those that are memoryFigureAge old.
 func (p *memorySimulation) exchange() {
 	now := make([]serverload.Loads, len(p.hosts))
-	for i, h := range p.hosts[:p.lost] {
+	for i, h := range p.hosts[:p.running] {
 		now[i] = h.Loads(p.now)
 	}
 	p.reports = append(p.reports, now)
+	if p.stopped {
+		return
+	}
 	old := p.reports[max(0, len(p.reports)-1-int(memoryFigureAge/memoryStep))]
 	for i, h := range p.hosts {
 		v := testView(len(p.engines))
@@ -112,7 +116,7 @@
 
 func (p *memorySimulation) arrive(j *Job) {
 	j.Permits = only("west")
-	h := p.hosts[p.rnd.Intn(len(p.hosts))]
+	h := p.hosts[p.rnd.Intn(p.running)]
 	c := h.Choose(j, p.now)
 	p.sent++
 	if c.Server == nil {
@@ -156,6 +160,11 @@
 		return
 	}
 	p.crashes++
+	p.restart(e)
+}
+
+// restart ends the engine's process and its requests, and starts another one.
+func (p *memorySimulation) restart(e *memoryEngine) {
 	for _, q := range e.requests {
 		q.host.Ended(&q.choice, ConnectionFailed, 0, p.now)
 	}
@@ -174,6 +183,7 @@
 		if !q.choice.firstByteSeen && !p.now.Before(q.first) {
 			q.host.FirstByte(&q.choice, q.first.Sub(q.choice.startedAt))
 			q.host.Progress(&q.choice, p.now)
+			q.host.RecordReportedRequests(&q.choice, len(e.requests), p.now)
 		}
 		kept = append(kept, q)
 	}
@@ -202,3 +212,30 @@
 		t.Error("no engine crashes without the mechanism, so the effect was not tested")
 	}
 }
+
+// TestMemoryUnderFaults guards against engines that crash by memory, and requests that are refused, when hosts choose on
+// wrong figures: those of a lost host are missing though its requests run on, no figures arrive, or an engine was
+// restarted under its ID.
+func TestMemoryUnderFaults(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]func(p *memorySimulation){
+		"host lost":        func(p *memorySimulation) { p.running -= 2 },
+		"figures stopped":  func(p *memorySimulation) { p.stopped = true },
+		"engine restarted": func(p *memorySimulation) { p.restart(p.engines[3]) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range int64(seedsPerLoad) {
+				p := newMemorySimulation(seed, 12, 12, 0)
+				p.run(8*time.Second, 30, 28)
+				fault(p)
+				p.run(time.Second, 30, 28)
+				p.stopped = false
+				p.run(5*time.Second, 30, 28)
+				t.Logf("seed %d: %d sent, %d refused, %d engines crashed, at most %.2f of an engine's memory used", seed, p.sent, p.refused, p.crashes, p.peak)
+				if p.crashes > 0 || p.refused > 0 {
+					t.Errorf("seed %d: %d engines crashed, %d requests refused", seed, p.crashes, p.refused)
+				}
+			}
+		})
+	}
+}
--- a/internal/core/dispatch/memory_test.go
+++ b/internal/core/dispatch/memory_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/core/enginememory"
 	"github.com/sesamefork/sesamefork/internal/core/holders"
+	"github.com/sesamefork/sesamefork/internal/core/incarnation"
 	"github.com/sesamefork/sesamefork/internal/core/serverload"
 )
 
@@ -137,3 +139,79 @@
 		t.Errorf("%g tokens are left", got)
 	}
 }
+
+// TestRestartAfterACrashByMemory guards against an engine that is filled at once after its memory crashed it, as it
+// looks the emptiest to all hosts, and against other restarts and later requests that are treated like that.
+func TestRestartAfterACrashByMemory(t *testing.T) {
+	for name, c := range map[string]struct {
+		held  uint32
+		gone  bool // reported as gone before its successor
+		after time.Duration
+		want  string
+	}{
+		"crash by memory":             {170_000, false, 0, "s1"},
+		"reported as gone":            {170_000, true, 0, "s1"},
+		"later":                       {170_000, false, enginememory.RefillTime, "s0"},
+		"crash with little in memory": {90_000, false, 0, "s0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := fleetWithMemory(c.held, 60_000)
+			f.setMissingStart(f.servers["s0"], 1)
+			first := Choice{Server: f.servers["s0"], job: longJob("chain")}
+			f.Started(&first, start)
+			f.Ended(&first, ConnectionFailed, 0, start)
+			now := start.Add(time.Second)
+			if c.gone {
+				f.MarkGone("s0", 1, now)
+			}
+			view := func(now time.Time) {
+				v := testView(2)
+				v.Regions, v.Servers[0].Start = nil, 2
+				v.Loads = serverload.Encode(serverload.Loads{
+					incarnation.Key("s0", 2): {Requests: 1, MemoryTokens: 85_000}, holders.Key("s1"): {Requests: 1, PromptTokens: 20_000, MemoryTokens: 100_000},
+				})
+				f.ApplyView(v, FullScope, now)
+			}
+			view(now)
+			now = now.Add(c.after)
+			view(now)
+			next := longJob("other")
+			next.Parts = next.Parts[2:] // no shared parts, so that no engine is a home
+			if got := f.Choose(next, now); got.Server == nil || got.Server.ID != c.want {
+				t.Errorf("chose %+v of %v, want %s", got.Server, got.Considered, c.want)
+			}
+			if crashes := len(f.TakeMemoryCrashes()); (crashes == 1) != (c.held > 160_000) {
+				t.Errorf("%d crashes by memory are reported", crashes)
+			}
+		})
+	}
+}
+
+// TestRetriesAfterACrashAreSpread guards against requests of a crashed engine that all go to the same other engine and
+// crash it too.
+func TestRetriesAfterACrashAreSpread(t *testing.T) {
+	f := fleetWithMemory(60_000, 145_000, 145_000, 145_000, 145_000)
+	var inFlight []*Choice
+	for i := range 10 {
+		c := Choice{Server: f.servers["s0"], job: longJob(fmt.Sprint("chain", i))}
+		c.job.Parts[0].ID = fmt.Sprint("top", i)
+		f.Started(&c, start)
+		inFlight = append(inFlight, &c)
+	}
+	for _, c := range inFlight {
+		f.Ended(c, ConnectionFailed, 0, start)
+	}
+	for _, c := range inFlight {
+		c.job.Tried["s0"] = true
+		next := f.Choose(c.job, start)
+		if next.Server == nil {
+			t.Fatal("a request is not repeated")
+		}
+		f.Started(&next, start)
+	}
+	for id, s := range f.servers {
+		if held := s.holding.Tokens() + s.others.memory; held > 180_000 {
+			t.Errorf("%s holds %.0f tokens, more than its memory", id, held)
+		}
+	}
+}
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -134,6 +134,9 @@
 		return
 	}
 	s := c.Server
+	if o == ConnectionFailed {
+		f.observeConnectionFailure(c, now)
+	}
 	s.expectedCrashes = math.Max(0, s.expectedCrashes-quarantine.CrashProbability(c.job.ServerCrashes))
 	if c.Deferred && !c.firstByteSeen {
 		s.deferred--
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -35,8 +35,9 @@
 	own load // requests of this host in flight
 	// holding is the memory that own occupies, with the shared parts that were cached before; empty if the
 	// engine's memory is not known.
-	holding enginememory.Holding
-	others  load // those of the region's other entry hosts, as last reported
+	holding       enginememory.Holding
+	memoryRestart enginememory.Restart
+	others        load // those of the region's other entry hosts, as last reported
 	// othersPrefill is the prefill work sent by the region's other entry hosts, in ms per
 	// second.
 	othersPrefill float64
@@ -99,6 +100,8 @@
 	at          time.Time
 	starts      incarnation.History
 	announcedAt time.Time // time of its last announcement
+	// crashedByMemory is set if the incarnation counts as crashed by memory.
+	crashedByMemory bool
 }
 
 func (f *Fleet) applyServer(m *pb.FleetServer, source string, now time.Time) {
@@ -132,11 +135,12 @@
 func (f *Fleet) serverFor(m *pb.FleetServer, now time.Time) *Server {
 	var starts, replaced incarnation.History
 	var announcedAt time.Time // of the process that is replaced
+	crashedByMemory := false
 	if d, ok := f.departures[m.Id]; ok {
 		if d.starts.Compare(m.Start, now.Sub(d.at) > f.announcementTTL()) != incarnation.Newer {
 			return nil
 		}
-		starts, replaced, announcedAt = d.starts, d.starts, d.announcedAt
+		starts, replaced, announcedAt, crashedByMemory = d.starts, d.starts, d.announcedAt, d.crashedByMemory
 		delete(f.departures, m.Id)
 	}
 	if s := f.servers[m.Id]; s != nil {
@@ -148,6 +152,7 @@
 			return s
 		}
 		starts, replaced, announcedAt = s.starts, s.starts, s.AnnouncedAt
+		crashedByMemory = crashedByMemory || s.crashedByMemory()
 		s.replaced, s.Leaving = true, true
 		f.drop(s)
 	}
@@ -157,6 +162,9 @@
 	if replaced.Current != 0 {
 		f.succeedPause(s.ID, replaced, announcedAt, s, now)
 	}
+	if crashedByMemory {
+		f.refillMemory(s, now)
+	}
 	return s
 }
 
@@ -190,7 +198,7 @@
 	if !ok {
 		d.at = now
 		if s != nil {
-			d.starts, d.announcedAt = s.starts, s.AnnouncedAt
+			d.starts, d.announcedAt, d.crashedByMemory = s.starts, s.AnnouncedAt, s.crashedByMemory()
 		}
 	}
 	d.starts.Advance(start)
--- a/internal/core/enginememory/enginememory_test.go
+++ b/internal/core/enginememory/enginememory_test.go
@@ -100,3 +100,35 @@
 		t.Errorf("%.2f, want the bound", got)
 	}
 }
+
+// TestRestart guards against a crash that counts as one by memory though the engine was nearly full long before only,
+// and against a refill that ends early, late, or during a cold phase.
+func TestRestart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var r Restart
+	if r.CrashedByMemory(now) || r.Refilling(time.Time{}, now) {
+		t.Error("a new engine counts as crashed")
+	}
+	r.Observe(Engine{Capacity: 100, Own: 95}, now)
+	r.Observe(Engine{Capacity: 100, Own: 10}, now.Add(time.Second))
+	if !r.CrashedByMemory(now.Add(FigureAge / 2)) {
+		t.Error("a crash while nearly full does not count")
+	}
+	if r.CrashedByMemory(now.Add(time.Second)) {
+		t.Error("a crash counts though the engine ran on after it was nearly full")
+	}
+	r.Refill(now)
+	for name, c := range map[string]struct {
+		cold, at time.Duration
+		want     bool
+	}{
+		"at first":        {0, RefillTime - 1, true},
+		"afterwards":      {0, RefillTime, false},
+		"after the cold":  {3 * time.Second, 3*time.Second + RefillTime - 1, true},
+		"long afterwards": {3 * time.Second, 3*time.Second + RefillTime, false},
+	} {
+		if got := r.Refilling(now.Add(c.cold), now.Add(c.at)); got != c.want {
+			t.Errorf("%s: refilling %v", name, got)
+		}
+	}
+}
