dispatch: bound the search for an engine with room

If all engines of a sample are full, a host looked at all engines of the region, and sorted them once more. It now looks at 256 at most, from a random one on, and computes the memory that a request needs once for all candidates.

--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -55,6 +55,8 @@
 	// notLessUrgent is the fraction of the service's work that is of the request's class or of a more urgent one,
 	// as of the last choice.
 	notLessUrgent float64
+	// memory is the result of memoryRequest; nil before its first call.
+	memory *enginememory.Request
 	// ColdPerSecond is the rate of requests that a cold server tolerates, per second; 0 for no
 	// limit.
 	ColdPerSecond float64
@@ -206,10 +208,11 @@
 
 func (f *Fleet) chooseServer(j *Job, c *Choice, prefer preference, now time.Time) {
 	locations := f.locationsOf(j, now)
-	candidates := f.candidates(j, locations, now)
+	all := f.serversOf(j.Service)
+	candidates := f.candidates(all, j, locations, now)
 	f.chooseAmong(candidates, j, c, locations, prefer, now)
 	if !c.fits() {
-		f.chooseAmong(f.othersWithRoom(candidates, j, now), j, c, locations, prefer, now)
+		f.chooseAmong(f.othersWithRoom(all, candidates, j, now), j, c, locations, prefer, now)
 	}
 }
 
--- a/internal/core/dispatch/homes.go
+++ b/internal/core/dispatch/homes.go
@@ -115,10 +115,9 @@
 	sampleSize        = 1
 )
 
-// candidates returns the servers to evaluate for a job, sorted by ID. It returns all servers of
-// the service if none of the sampled ones is usable.
-func (f *Fleet) candidates(j *Job, locations chainLocations, now time.Time) []*Server {
-	all := f.serversOf(j.Service)
+// candidates returns those of all servers of the service to evaluate for a job, sorted by ID. It
+// returns all if none of the sampled ones is usable.
+func (f *Fleet) candidates(all []*Server, j *Job, locations chainLocations, now time.Time) []*Server {
 	if !j.Engine && !f.disabled(Shares) {
 		return all // chosen by rankServers
 	}
@@ -126,7 +125,7 @@
 		return all
 	}
 	if j.Release != nil {
-		all = slices.DeleteFunc(all, func(s *Server) bool { return s.Release != *j.Release })
+		all = slices.DeleteFunc(slices.Clone(all), func(s *Server) bool { return s.Release != *j.Release })
 	}
 	chosen := map[*Server]bool{}
 	for _, id := range locations.homes {
--- a/internal/core/dispatch/memory.go
+++ b/internal/core/dispatch/memory.go
@@ -16,6 +16,10 @@
 // cost of a choice then stays that of a few more candidates, and hosts spread over the engines with room.
 const maxSearchedForRoom = 4
 
+// maxVisitedForRoom bounds the engines whose memory is looked at in that search, so that a choice in a large region
+// whose engines are all full stays well under 1 ms.
+const maxVisitedForRoom = 256
+
 // fits reports whether a server is chosen that is not expected to exceed its memory by the request.
 func (c *Choice) fits() bool { return c.Server != nil && c.fill != enginememory.Full }
 
@@ -30,8 +34,17 @@
 // hasMemory reports whether the job is for engines whose memory is known.
 func (j *Job) hasMemory() bool { return j.Engine && j.MemoryTokens > 0 }
 
-// memoryRequest returns the memory that the job occupies at an engine while it runs.
+// memoryRequest returns the memory that the job occupies at an engine while it runs. It is determined once, as each
+// candidate is compared with it.
 func (j *Job) memoryRequest() enginememory.Request {
+	if j.memory == nil {
+		r := j.newMemoryRequest()
+		j.memory = &r
+	}
+	return *j.memory
+}
+
+func (j *Job) newMemoryRequest() enginememory.Request {
 	r := enginememory.Request{Own: math.Max(0, j.PromptTokens-float64(sharedTokens(j.Parts))) + j.OutputTokens}
 	for i := 0; i < len(j.Parts)-1; i++ {
 		r.Shared = append(r.Shared, enginememory.Part{ID: j.Parts[i].ID, Tokens: float64(j.Parts[i].Tokens)})
@@ -82,19 +95,15 @@
 	return max(enginememory.Tight, e.FillWith(j.PromptTokens+j.OutputTokens))
 }
 
-// othersWithRoom returns a few engines with room for the job that are not among the candidates, from a random one on.
-func (f *Fleet) othersWithRoom(candidates []*Server, j *Job, now time.Time) []*Server {
-	if !j.hasMemory() || f.disabled(MemoryRoom) {
-		return nil
-	}
-	all := f.serversOf(j.Service)
-	if len(all) <= len(candidates) {
+// othersWithRoom returns a few of all engines with room for the job that are not among the candidates, from a random one on.
+func (f *Fleet) othersWithRoom(all, candidates []*Server, j *Job, now time.Time) []*Server {
+	if !j.hasMemory() || f.disabled(MemoryRoom) || len(all) <= len(candidates) {
 		return nil
 	}
 	need := j.memoryRequest()
 	var out []*Server
 	first := int(f.o.Random() * float64(len(all)))
-	for i := range all {
+	for i := range min(len(all), maxVisitedForRoom) {
 		s := all[(first+i)%len(all)]
 		if j.Tried[s.ID] || slices.Contains(candidates, s) || f.usable(s, now) != "" {
 			continue
