dispatch: load of TestMemoryUnderFaults at which engines crash without the mechanism

At 28 long prompts per second no engine crashed without it either, so the test showed nothing. It now sends 36.

--- a/internal/core/dispatch/memory_load_test.go
+++ b/internal/core/dispatch/memory_load_test.go
@@ -226,11 +226,11 @@
 		t.Run(name, func(t *testing.T) {
 			for seed := range int64(seedsPerLoad) {
 				p := newMemorySimulation(seed, 12, 12, 0)
-				p.run(8*time.Second, 30, 28)
+				p.run(8*time.Second, 30, 36)
 				fault(p)
-				p.run(time.Second, 30, 28)
+				p.run(time.Second, 30, 36)
 				p.stopped = false
-				p.run(5*time.Second, 30, 28)
+				p.run(5*time.Second, 30, 36)
 				t.Logf("seed %d: %d sent, %d refused, %d engines crashed, at most %.2f of an engine's memory used", seed, p.sent, p.refused, p.crashes, p.peak)
 				if p.crashes > 0 || p.refused > 0 {
 					t.Errorf("seed %d: %d engines crashed, %d requests refused", seed, p.crashes, p.refused)
