dispatch: choices change only while an engine is short of memory

An engine with room for all, but late, ranked below one in time whatever their losses, so the mechanism changed choices of services whose engines had plenty of memory. Now only full engines rank below others, and an engine that other hosts may have filled since their figures has a loss. If the engines with room answer after the deadline, full ones are chosen as before, where the request waits.

--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -106,6 +106,8 @@
 	firstByteSeen bool    // the first byte of the answer has arrived
 	startedAt     time.Time
 	fill          enginememory.Fill // of the chosen server, with the request
+	sawFull       bool              // a candidate of the own region was full
+	anyFill       bool              // full engines are chosen like others, as those with room answer after the deadline
 	limited       bool              // a server was excluded by its limit
 	paused        bool              // a server of the own region has asked for a pause
 	limitRevision uint64            // revision of the server's limit that was known when the request was sent
@@ -211,9 +213,13 @@
 	all := f.serversOf(j.Service)
 	candidates := f.candidates(all, j, locations, now)
 	f.chooseAmong(candidates, j, c, locations, prefer, now)
-	if !c.fits() {
+	if c.sawFull && !c.fits() {
 		f.chooseAmong(f.othersWithRoom(all, candidates, j, now), j, c, locations, prefer, now)
 	}
+	if c.sawFull && c.Server != nil && c.EstimateMS > float64(j.Remaining.Milliseconds()) {
+		c.Server, c.loss, c.Considered, c.anyFill = nil, math.Inf(1), nil, true
+		f.chooseAmong(candidates, j, c, locations, prefer, now)
+	}
 }
 
 // chooseAmong makes the best of the candidates the choice, if it is better than the present one.
@@ -297,7 +303,7 @@
 	late := !f.disabled(Deferral) && k.deferIfLate(f.deferredAhead(s, j, now), s, j, f.speedOf(j.Service).HoldMS()*f.steadyFactor(s))
 	k.loss += f.o.Random() * f.tieBreakLossOf(j)
 	c.Considered = append(c.Considered, Candidate{s.ID, k.firstMS, ""})
-	fill := f.fillWith(s, j, k.firstMS, now)
+	fill := c.consider(f.fillWith(s, j, now), &k)
 	if c.isWorseThan(fill, k.loss) {
 		c.Server, c.EstimateMS, c.loss, c.UncoveredTokens, c.CopyFrom = s, k.firstMS, k.loss, uncovered, from
 		c.fill = fill
@@ -363,8 +369,6 @@
 // chooseRegion makes another region the choice if its loss, which includes the penalties for
 // leaving the region, is lower than that of the best server of the own region.
 func (f *Fleet) chooseRegion(j *Job, c *Choice, prefer preference, now time.Time) {
-	// Figures of other regions are averages, so only a full engine is distinguished from the others.
-	c.fill = max(c.fill, enginememory.Tight)
 	ownFull := c.Server != nil && !c.fits()
 	var names []string
 	for name := range f.hosts {
--- a/internal/core/dispatch/memory.go
+++ b/internal/core/dispatch/memory.go
@@ -25,10 +25,27 @@
 
 // isWorseThan reports whether a candidate is to replace the choice so far.
 func (c *Choice) isWorseThan(fill enginememory.Fill, loss float64) bool {
-	if (c.Server == nil && c.Host == nil) || fill == c.fill {
+	full, chosenFull := fill == enginememory.Full, c.fill == enginememory.Full
+	if (c.Server == nil && c.Host == nil) || full == chosenFull {
 		return loss < c.loss
 	}
-	return fill < c.fill
+	return chosenFull
+}
+
+// tightLoss is the loss of an engine that other hosts may have filled since their last figures: that of a request that
+// is certain to fail, as an engine that crashes by memory also ends its other requests.
+const tightLoss = errorLoss
+
+// consider adds the loss for a candidate's fill to its cost and returns the fill by which it is compared.
+func (c *Choice) consider(fill enginememory.Fill, k *cost) enginememory.Fill {
+	c.sawFull = c.sawFull || fill == enginememory.Full
+	switch {
+	case c.anyFill:
+		return enginememory.HasRoom
+	case fill == enginememory.Tight:
+		k.loss += tightLoss
+	}
+	return fill
 }
 
 // hasMemory reports whether the job is for engines whose memory is known.
@@ -62,37 +79,28 @@
 	}
 }
 
-// fillWith returns whether an engine has room for the job. Room does not make an engine preferable to one that answers
-// before the caller's deadline, nor room for what other hosts may have sent to one that answers within the target.
-func (f *Fleet) fillWith(s *Server, j *Job, firstMS float64, now time.Time) enginememory.Fill {
+// fillWith returns whether an engine has room for the job.
+func (f *Fleet) fillWith(s *Server, j *Job, now time.Time) enginememory.Fill {
 	if !j.hasMemory() || f.disabled(MemoryRoom) {
 		return enginememory.HasRoom
 	}
-	if firstMS > float64(j.Remaining.Milliseconds()) {
-		return enginememory.Full
-	}
 	e := f.memoryAt(s, j, now)
 	s.memoryRestart.Observe(e, now)
-	fill := e.FillWith(s.holding.Needs(j.memoryRequest()))
-	if j.Target > 0 && firstMS > float64(j.Target.Milliseconds()) {
-		fill = max(fill, enginememory.Tight)
-	}
-	return fill
+	return e.FillWith(s.holding.Needs(j.memoryRequest()))
 }
 
-// fillInRegion returns whether an average engine of another region has room for the job: Tight or Full, as its figures
-// are averages. A region that answers after the target is not preferred to a full engine of the own one, where the wait
+// fillInRegion returns whether an average engine of another region has room for the job. A region that answers after the target is not preferred to a full engine of the own one, where the wait
 // for memory is usually shorter.
 func (f *Fleet) fillInRegion(r *region, j *Job, ownFull bool, firstMS float64) enginememory.Fill {
 	if !j.hasMemory() || f.disabled(MemoryRoom) {
-		return enginememory.Tight
+		return enginememory.HasRoom
 	}
 	if ownFull && firstMS > float64(min(j.Remaining, j.Target).Milliseconds()) {
 		return enginememory.Full
 	}
 	servers, _ := r.capacity(f.requestsPerSlot(j.Service, true))
 	e := enginememory.Engine{Capacity: j.MemoryTokens, Others: (r.memory + r.forwarded.memory) / math.Max(minServers, servers)}
-	return max(enginememory.Tight, e.FillWith(j.PromptTokens+j.OutputTokens))
+	return e.FillWith(j.PromptTokens + j.OutputTokens)
 }
 
 // othersWithRoom returns a few of all engines with room for the job that are not among the candidates, from a random one on.
--- a/internal/core/dispatch/memory_test.go
+++ b/internal/core/dispatch/memory_test.go
@@ -215,3 +215,34 @@
 		}
 	}
 }
+
+// TestRoomIsNoUseAfterTheDeadline guards against the refusal of a request because the engine with room answers too
+// late, though a full one lets it wait for less.
+func TestRoomIsNoUseAfterTheDeadline(t *testing.T) {
+	f := fleetWithMemory(178_000, 0)
+	f.servers["s1"].others.prompt = 600_000
+	if c := f.Choose(longJob("chain"), start); c.Server == nil || c.Server.ID != "s0" {
+		t.Errorf("chose %+v, refused %q", c.Server, c.Refused)
+	}
+}
+
+// TestRoomEverywhere guards against any effect on choices while no engine is short of memory.
+func TestRoomEverywhere(t *testing.T) {
+	choices := func(off Mechanisms) (out []string) {
+		f := fleetWithMemory(10_000, 40_000, 0, 20_000)
+		f.o.Off = off
+		f.servers["s1"].others.prompt = 40_000 // late there
+		for i := range 40 {
+			c := f.Choose(longJob(fmt.Sprint("chain", i%3)), start)
+			f.Started(&c, start)
+			out = append(out, fmt.Sprint(c.Server.ID, c.EstimateMS, c.Considered))
+		}
+		return out
+	}
+	with, without := choices(0), choices(MemoryRoom)
+	for i := range with {
+		if with[i] != without[i] {
+			t.Fatalf("choice %d is %s, without the mechanism %s", i, with[i], without[i])
+		}
+	}
+}
