dispatch: the fill of a candidate is its loss or its order, not both in one function; comments

consider() added a loss, recorded that an engine was full, and returned the fill by which a candidate is compared; evaluate now does the last two and fillLoss is a function of its own. Choices are the same: the tests of memory, pools, restarts and retries pass.

--- a/internal/app/entry/budget_test.go
+++ b/internal/app/entry/budget_test.go
@@ -14,8 +14,8 @@
 	"github.com/sesamefork/sesamefork/internal/membudget"
 )
 
-// TestNoRetryForWantOfMemory guards against a host that sends a request again, and asks another server for
-// the answer that it can't hold, and against failures that are no longer retried although memory is not the reason.
+// TestNoRetryForWantOfMemory guards against a host that asks another server for an answer which does not fit into its
+// memory, and against broken answers that are not retried while the budget is spent.
 func TestNoRetryForWantOfMemory(t *testing.T) {
 	const ample = 1 << 20
 	large := strings.Repeat("x", 2*freeAnswerBytes)
--- a/internal/app/gateway/overload.go
+++ b/internal/app/gateway/overload.go
@@ -19,7 +19,7 @@
 	// admissionInterval is the shortest time between two updates of a controller: its figures arrive four times a
 	// second.
 	admissionInterval = 100 * time.Millisecond
-	// admissionMaxAge is the age of other hosts' loads from which a controller gets no updates any more. The controller
+	// admissionMaxAge is the age of other hosts' loads from which a controller gets no updates. The controller
 	// itself bounds how long its last plan applies.
 	admissionMaxAge = 1200 * time.Millisecond
 	// minReturnShare is the part of the route's time by which a caller must allow less than that to count as one that
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -105,9 +105,9 @@
 	slower        float64 // ratio of the server's factor at the first byte to workFactor, at least 1
 	firstByteSeen bool    // the first byte of the answer has arrived
 	startedAt     time.Time
-	fill          enginememory.Fill // of the chosen server, with the request
+	fill          enginememory.Fill // of the chosen server or region
 	sawFull       bool              // a candidate of the own region was full
-	anyFill       bool              // full engines are chosen like others, as those with room answer after the deadline
+	anyFill       bool              // full engines count as having room: those with room answer after the deadline
 	limited       bool              // a server was excluded by its limit
 	paused        bool              // a server of the own region has asked for a pause
 	limitRevision uint64            // revision of the server's limit that was known when the request was sent
@@ -289,7 +289,8 @@
 }
 
 // evaluate computes the loss of sending the request to a server, and makes the server the
-// choice if that is the lowest so far. extraLoss is added to the server's own loss.
+// choice if that is the lowest so far, among servers that are alike in having room for it in
+// their memory. extraLoss is added to the server's own loss.
 func (f *Fleet) evaluate(s *Server, j *Job, c *Choice, locations chainLocations, extraLoss float64, now time.Time) {
 	shared := float64(sharedTokens(j.Parts))
 	covered := f.coveredTokens(s, j, locations, now)
@@ -303,7 +304,12 @@
 	late := !f.disabled(Deferral) && k.deferIfLate(f.deferredAhead(s, j, now), s, j, f.speedOf(j.Service).HoldMS()*f.steadyFactor(s))
 	k.loss += f.o.Random() * f.tieBreakLossOf(j)
 	c.Considered = append(c.Considered, Candidate{s.ID, k.firstMS, ""})
-	fill := c.consider(f.fillWith(s, j, now), &k)
+	fill := f.fillWith(s, j, now)
+	c.sawFull = c.sawFull || fill == enginememory.Full
+	if c.anyFill {
+		fill = enginememory.HasRoom
+	}
+	k.loss += fillLoss(fill)
 	if c.isWorseThan(fill, k.loss) {
 		c.Server, c.EstimateMS, c.loss, c.UncoveredTokens, c.CopyFrom = s, k.firstMS, k.loss, uncovered, from
 		c.fill = fill
--- a/internal/core/dispatch/failures_test.go
+++ b/internal/core/dispatch/failures_test.go
@@ -49,7 +49,7 @@
 	return f, now
 }
 
-// TestRoomOfLostServers guards against room at servers that the last view no longer heard, or that refuse connections.
+// TestRoomOfLostServers guards against room at servers whose announcements have expired, or that refuse connections.
 func TestRoomOfLostServers(t *testing.T) {
 	f, v := newTestFleet(3), testView(3)
 	v.Loads = serverload.Encode(serverload.Loads{holders.Key("s0"): {Requests: 100}, holders.Key("s1"): {Requests: 100}, holders.Key("s2"): {Requests: 100}})
@@ -97,7 +97,7 @@
 	}
 }
 
-// TestArrivalsOfALostHost guards against a class that keeps the arrivals at a host that the loads no longer contain.
+// TestArrivalsOfALostHost guards against arrivals of a class at a host that is missing in the loads.
 func TestArrivalsOfALostHost(t *testing.T) {
 	f, v := newTestFleet(1), testView(1)
 	v.Loads = serverload.Encode(serverload.Loads{serverload.ServiceKey(classKey("llm", 0, false)): {Requests: 500}})
@@ -246,7 +246,7 @@
 	}
 }
 
-// TestFactorsAfterReportsStop guards against a server that keeps its last speed though it reports none any more, and
+// TestFactorsAfterReportsStop guards against a server that keeps its last speed though its reports have stopped, and
 // against factors that stay once no server reports.
 func TestFactorsAfterReportsStop(t *testing.T) {
 	f := newTestFleet(3)
--- a/internal/core/dispatch/memory.go
+++ b/internal/core/dispatch/memory.go
@@ -37,16 +37,12 @@
 // is certain to fail, as an engine that crashes by memory also ends its other requests.
 const tightLoss = errorLoss
 
-// consider adds the loss for a candidate's fill to its cost and returns the fill by which it is compared.
-func (c *Choice) consider(fill enginememory.Fill, k *cost) enginememory.Fill {
-	c.sawFull = c.sawFull || fill == enginememory.Full
-	switch {
-	case c.anyFill:
-		return enginememory.HasRoom
-	case fill == enginememory.Tight:
-		k.loss += tightLoss
+// fillLoss returns the loss of an engine for its fill.
+func fillLoss(fill enginememory.Fill) float64 {
+	if fill == enginememory.Tight {
+		return tightLoss
 	}
-	return fill
+	return 0
 }
 
 // hasMemory reports whether the job is for engines whose memory is known.
@@ -181,8 +177,8 @@
 	}
 }
 
-// unhold records that the choice's request no longer occupies memory at its server.
-func (c *Choice) unhold() {
+// release ends what hold began.
+func (c *Choice) release() {
 	if c.job.hasMemory() {
 		c.Server.holding.Remove(c.job.memoryRequest())
 	}
--- a/internal/core/dispatch/memory_load_test.go
+++ b/internal/core/dispatch/memory_load_test.go
@@ -21,7 +21,7 @@
 	reports [][]serverload.Loads // by step, of each host
 	hold    time.Duration        // from the first byte to the end of an answer
 	chains  int                  // number of chains of the long prompts
-	running int                  // number of hosts that run; the others report nothing and send nothing any more
+	running int                  // number of hosts that run; the others report and send nothing
 	stopped bool                 // hosts receive no views
 	crashes int
 	refused int
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -143,7 +143,7 @@
 	} else {
 		s.own.requests = max(0, s.own.requests-1)
 		s.countClass(c.job, -1)
-		c.unhold()
+		c.release()
 		s.own.memory = math.Max(0, s.own.memory-c.UncoveredTokens-c.job.OutputTokens)
 		if !c.firstByteSeen {
 			s.own.prompt = math.Max(0, s.own.prompt-c.UncoveredTokens)
