callerhttp: the test of the logs waits for their lines

TestNoPromptTextAndNoKeysInLogsAndMetrics failed once: the log had no line of the answered request. The handler flushes an answer before it logs the request, and the test read the log as soon as it had the answers. With a delay of 0.5 s before that line the test failed at once; now it closes the server first, which waits for the handlers, and passes with the delay too. The check is the same.

--- a/internal/adapter/callerhttp/callerhttp_test.go
+++ b/internal/adapter/callerhttp/callerhttp_test.go
@@ -59,6 +59,7 @@
 // testHost is an entry host with a simulated engine.
 type testHost struct {
 	url    string
+	server *httptest.Server
 	engine *httptest.Server
 	logs   bytes.Buffer
 	m      *metrics.Set
@@ -95,7 +96,7 @@
 	backendhttp.Mount(router, host)
 	callerhttp.Mount(router, host, callerhttp.Limits{MaxBodyBytes: 64 << 10, BodyTimeout: 300 * time.Millisecond}, log)
 	srv := httptest.NewServer(router)
-	b.url = srv.URL
+	b.url, b.server = srv.URL, srv
 	er := mux.NewRouter()
 	standin.NewEngine(standin.EngineOptions{ID: "e", Models: []string{"m"}, Slots: 10_000, PrefillRate: 1e9, Decode: decode, CacheBlocks: 100}).Mount(er)
 	b.engine = httptest.NewServer(er)
@@ -244,6 +245,7 @@
 	if !strings.Contains(string(text), id) {
 		t.Fatalf("explain: %s", text)
 	}
+	b.server.Close() // returns when the requests' lines are logged, which follow the answers
 	if !strings.Contains(b.logs.String(), id) {
 		t.Fatalf("the log does not contain the request ID: %s", b.logs.String())
 	}
