peerlink, gateway: bytes that are no text fail nothing but their own request

Cause: the bytes were copied into protobuf fields of type string, which cannot be encoded unless they are UTF-8. attemptForward took the error for a failed connection and left the other host out for 2 s, for all callers; a call with such a message closed the link with all other calls on it, and serveCalls dropped the error of a response. Evidence: link ended at each attempt with no failure of the network; the new line "message invalid" names the field type and the reason.

Mend: header values, request IDs and URIs are carried whole. A message that cannot be encoded or decoded, or is too large, fails its own call with an answer, is logged and counted (peer_messages_invalid), and says nothing about the other host (dispatch.NotSent).

--- a/cmd/sesame-control/main.go
+++ b/cmd/sesame-control/main.go
@@ -132,7 +132,7 @@
 		link.TLS = peerTLS.Config
 	}
 	m := metrics.New(true)
-	link.Count, link.Log, link.LeaveTimeout = m.LinkBytes, log, leaveTimeout(s.Link.KeepAlive())
+	link.Count, link.Metrics, link.Log, link.LeaveTimeout = m.LinkBytes, m, log, leaveTimeout(s.Link.KeepAlive())
 	client := peerlink.NewClient(link)
 	defer client.Close()
 	r, err := control.NewReplica(control.Options{
--- a/cmd/sesame-control/platform.go
+++ b/cmd/sesame-control/platform.go
@@ -49,7 +49,7 @@
 	m := metrics.New(true)
 	m.Gauge("log_dropped_over_rate", func() any { n, _ := out.Dropped(); return n })
 	m.Gauge("log_dropped_slow_output", func() any { _, n := out.Dropped(); return n })
-	link := peerlink.Options{Key: key, KeepAlive: s.Link.KeepAlive(), Local: daemon.HostIP(s.Listen.Peer), LeaveTimeout: leaveTimeout(s.Link.KeepAlive()), Count: m.LinkBytes, Log: log}
+	link := peerlink.Options{Key: key, KeepAlive: s.Link.KeepAlive(), Local: daemon.HostIP(s.Listen.Peer), LeaveTimeout: leaveTimeout(s.Link.KeepAlive()), Count: m.LinkBytes, Metrics: m, Log: log}
 	client := peerlink.NewClient(link)
 	defer client.Close()
 	r, err := control.NewReplica(control.Options{
--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -126,7 +126,7 @@
 	defer tracer.Shutdown()
 	m := metrics.New(true)
 	answers := daemon.AnswerBudget(s.Limits.MemoryMB)
-	link.Count, link.Log, link.Budget = m.LinkBytes, log, answers
+	link.Count, link.Metrics, link.Log, link.Budget = m.LinkBytes, m, log, answers
 	client := peerlink.NewClient(link)
 	defer client.Close()
 	backends := enginehttp.New()
--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -37,7 +37,7 @@
 	m.Gauge("log_dropped_over_rate", func() any { n, _ := out.Dropped(); return n })
 	m.Gauge("log_dropped_slow_output", func() any { _, n := out.Dropped(); return n })
 	answers := daemon.AnswerBudget(s.Limits.MemoryMB)
-	link.Count, link.Log, link.LeaveTimeout, link.Budget = m.LinkBytes, log, leaveTimeout(s), answers
+	link.Count, link.Metrics, link.Log, link.LeaveTimeout, link.Budget = m.LinkBytes, m, log, leaveTimeout(s), answers
 	client := peerlink.NewClient(link)
 	defer client.Close()
 	tracer, err := tracing.New(s.Trace, s.Host, "sesame-entry")
--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
@@ -278,6 +279,9 @@
 	if len(q.Kind) > maxKindBytes || len(q.Key) > maxKeyBytes {
 		return failure.New(failure.BadRequest, failure.NotRun, "%s or %s is too long", HeaderKind, HeaderIdempotencyKey)
 	}
+	if !utf8.ValidString(q.Kind) || !utf8.ValidString(q.Key) {
+		return failure.New(failure.BadRequest, failure.NotRun, "%s or %s is not valid UTF-8", HeaderKind, HeaderIdempotencyKey)
+	}
 	if id, err := uuid.Parse(q.Key); err == nil && id.Version() == 7 {
 		sec, nsec := id.Time().UnixTime()
 		q.IssuedMS = time.Unix(sec, nsec).UnixMilli()
--- a/internal/adapter/peerlink/client.go
+++ b/internal/adapter/peerlink/client.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 	"github.com/hashicorp/yamux"
 	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
@@ -30,7 +31,9 @@
 	// (default two keep-alive intervals). It should exceed the keep-alive interval, after which a silent link
 	// is closed.
 	LeaveTimeout time.Duration
-	Log          logr.Logger // receives a line when a link ends
+	Log          logr.Logger // receives a line when a link ends, and for each invalid message
+	// Metrics counts invalid messages; nil for none.
+	Metrics port.Metrics
 	// Count, if not nil, is called with the number of bytes of each write and read.
 	Count func(sent, received int)
 	// Budget limits the unread data of all forwards that a client has opened, beyond 16 KiB of each; nil for no limit.
@@ -267,14 +270,43 @@
 	}
 	resp, err := session.call(ctx, req)
 	if err != nil {
+		c.o.reportInvalid(err, addr, req)
 		return nil, err
 	}
 	if r := resp.Refusal; r != nil {
-		return resp, failure.New(failure.Code(r.Code), failure.NotRun, "%s", r.Detail)
+		f := failure.New(failure.Code(r.Code), failure.NotRun, "%s", r.Detail)
+		if f.Code == failure.MessageInvalid {
+			f.Outcome = failure.Unknown // the call ran, and its response is lost
+			c.o.reportInvalid(f, addr, req)
+		}
+		return resp, f
 	}
 	return resp, nil
 }
 
+// reportInvalid logs and counts a message that could not be written or read because it is invalid; it ignores other
+// errors.
+func (o *Options) reportInvalid(err error, remote string, m proto.Message) {
+	if !isNotWritten(err) && !isUndecodable(err) {
+		return
+	}
+	o.Log.Info("message invalid", "remote", remote, "type", messageType(m), "reason", failure.As(err, "").Detail)
+	if o.Metrics != nil {
+		o.Metrics.Add("peer_messages_invalid", 1)
+	}
+}
+
+// messageType returns the name of a message's body, or of the message itself if it has none.
+func messageType(m proto.Message) string {
+	r := m.ProtoReflect()
+	if bodies := r.Descriptor().Oneofs().ByName("body"); bodies != nil {
+		if f := r.WhichOneof(bodies); f != nil {
+			return string(f.Name())
+		}
+	}
+	return string(r.Descriptor().Name())
+}
+
 // chunkSize is the maximum size of a body chunk, in bytes.
 const chunkSize = 64 << 10
 
@@ -297,6 +329,10 @@
 		if isNotAccepted(err) {
 			return nil, false, errPeerLeaves
 		}
+		if isNotWritten(err) {
+			c.o.reportInvalid(err, addr, req)
+			return nil, false, err
+		}
 		return nil, true, failure.Wrap(err, failure.PeerUnreachable, failure.Unknown)
 	}
 	return f, true, nil
--- a/internal/adapter/peerlink/peerlink_test.go
+++ b/internal/adapter/peerlink/peerlink_test.go
@@ -192,8 +192,14 @@
 		}
 		f.Add(b.Bytes())
 	}
-	f.Fuzz(func(_ *testing.T, data []byte) {
-		_ = ReadMessage(bytes.NewReader(data), &pb.Request{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := &pb.Request{}
+		if ReadMessage(bytes.NewReader(data), m) != nil {
+			return
+		}
+		if err := WriteMessage(io.Discard, m); err != nil {
+			t.Errorf("%q was read and cannot be written: %s", data, err)
+		}
 	})
 }
 
--- a/internal/adapter/peerlink/server.go
+++ b/internal/adapter/peerlink/server.go
@@ -19,6 +19,7 @@
 // incoming is the server's end of a forward's stream.
 type incoming struct {
 	s *linkStream
+	o *Options
 	// sendTime bounds the time for which Send waits after the other end has closed the stream. An end that still reads
 	// lets this one send more within a round trip.
 	sendTime time.Duration
@@ -44,7 +45,11 @@
 }
 
 // Send implements port.IncomingStream.
-func (s incoming) Send(f *pb.ForwardFrame) error { return WriteMessage(s.s, f) }
+func (s incoming) Send(f *pb.ForwardFrame) error {
+	err := WriteMessage(s.s, f)
+	s.o.reportInvalid(err, s.s.RemoteAddr().String(), f)
+	return err
+}
 
 // CancelOnClose implements port.IncomingStream.
 func (s incoming) CancelOnClose(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -247,7 +252,7 @@
 	}
 	_ = stream.SetReadDeadline(time.Time{})
 	if req.GetForward() != nil || req.GetRoutedForward() != nil {
-		s.handler.HandleForward(ctx, req, incoming{stream, s.o.KeepAlive})
+		s.handler.HandleForward(ctx, req, incoming{stream, &s.o, s.o.KeepAlive})
 		return
 	}
 	s.serveCalls(ctx, stream, req)
@@ -256,7 +261,7 @@
 // serveCalls serves the calls on a stream concurrently and sends each response when it
 // is ready. The stream stays open as long as its session.
 func (s *Server) serveCalls(ctx context.Context, stream *linkStream, req *pb.Request) {
-	var writeMu sync.Mutex
+	w := &responseWriter{server: s, stream: stream}
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	for {
@@ -265,19 +270,56 @@
 			defer calls.Done()
 			resp := s.handler.HandleRequest(ctx, req)
 			resp.Call = req.Call
-			writeMu.Lock()
-			defer writeMu.Unlock()
-			_ = stream.SetWriteDeadline(time.Now().Add(requestTimeout))
-			_ = WriteMessage(stream, resp)
+			w.write(resp)
 		}(req)
-		req = new(pb.Request)
-		if err := ReadMessage(stream, req); err != nil {
+		var err error
+		if req, err = s.nextCall(stream, w); err != nil {
 			s.sendRefusal(stream, err)
 			return
 		}
 	}
 }
 
+// nextCall returns the next request that can be decoded, and refuses those before it.
+func (s *Server) nextCall(stream *linkStream, w *responseWriter) (*pb.Request, error) {
+	for {
+		req := new(pb.Request)
+		err := ReadMessage(stream, req)
+		if !isUndecodable(err) || req.Call == 0 {
+			return req, err
+		}
+		s.o.reportInvalid(err, stream.RemoteAddr().String(), req)
+		w.write(&pb.Response{Call: req.Call, Refusal: refusalOf(failure.As(err, failure.NotRun))})
+	}
+}
+
+// responseWriter writes the responses to the calls on one stream.
+type responseWriter struct {
+	server *Server
+	stream *linkStream
+	mu     sync.Mutex
+}
+
+// write writes a response. If it cannot be encoded, its caller gets a refusal in its place, as the other calls on the
+// stream go on.
+func (w *responseWriter) write(resp *pb.Response) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = w.stream.SetWriteDeadline(time.Now().Add(requestTimeout))
+	err := WriteMessage(w.stream, resp)
+	if isNotWritten(err) {
+		w.server.o.reportInvalid(err, w.stream.RemoteAddr().String(), resp)
+		err = WriteMessage(w.stream, invalidMessage(resp.Call, err))
+	}
+	if err != nil {
+		w.server.log.V(1).Info("response not sent", "remote", w.stream.RemoteAddr().String(), "call", resp.Call, "reason", err.Error())
+	}
+}
+
+func refusalOf(f *failure.Error) *pb.Refusal {
+	return &pb.Refusal{Code: string(f.Code), Detail: f.Detail}
+}
+
 // sendRefusal reports an invalid frame to the other end, unless the stream has ended.
 func (s *Server) sendRefusal(stream *linkStream, err error) {
 	f := failure.As(err, failure.NotRun)
@@ -285,5 +327,5 @@
 		return // the stream ended
 	}
 	_ = stream.SetWriteDeadline(time.Now().Add(requestTimeout))
-	_ = WriteMessage(stream, &pb.Response{Refusal: &pb.Refusal{Code: string(f.Code), Detail: f.Detail}})
+	_ = WriteMessage(stream, &pb.Response{Refusal: refusalOf(f)})
 }
--- a/internal/adapter/peerlink/session.go
+++ b/internal/adapter/peerlink/session.go
@@ -155,6 +155,11 @@
 	s.pending[number] = answer
 	req.Call = number
 	if err := WriteMessage(s.stream, req); err != nil {
+		if isNotWritten(err) {
+			delete(s.pending, number)
+			s.closeIfDoneLocked()
+			return nil, 0, err
+		}
 		if s.endCallsLocked(err) {
 			return nil, 0, errPeerLeaves
 		}
@@ -167,7 +172,12 @@
 func (s *session) receive(stream *linkStream) {
 	for {
 		resp := new(pb.Response)
-		if err := ReadMessage(stream, resp); err != nil {
+		err := ReadMessage(stream, resp)
+		if isUndecodable(err) && resp.Call != 0 {
+			resp = invalidMessage(resp.Call, err)
+			err = nil
+		}
+		if err != nil {
 			s.mu.Lock()
 			s.endCallsLocked(err)
 			s.mu.Unlock()
@@ -185,6 +195,11 @@
 	}
 }
 
+// invalidMessage returns the response to a call whose own response cannot be sent or read.
+func invalidMessage(call uint64, err error) *pb.Response {
+	return &pb.Response{Call: call, Refusal: &pb.Refusal{Code: string(failure.MessageInvalid), Detail: failure.As(err, "").Detail}}
+}
+
 // endCallsLocked ends the calls because of an error of their stream. If the other end did not accept the
 // stream, it leaves, and forwards go on; otherwise the link is closed. It reports the former. The caller
 // holds s.mu.
--- a/internal/app/entry/forward.go
+++ b/internal/app/entry/forward.go
@@ -38,11 +38,13 @@
 	req.Body = &pb.Request_Forward{Forward: h.forwardMessage(x)}
 	stream, sent, err := h.o.Peers.Open(ctx, p.Address, req, x.r.Body)
 	if err != nil {
-		stage := retry.BeforeSend
+		res := result{stage: retry.BeforeSend, err: failure.As(err, failure.Unknown)}
 		if sent {
-			stage = retry.Sent
+			res.stage = retry.Sent
 		}
-		return result{stage: stage, err: failure.As(err, failure.Unknown)}
+		// The host is not at fault if the message cannot be encoded.
+		res.connected = !sent && (failure.Is(err, failure.MessageInvalid) || failure.Is(err, failure.BodyTooLarge))
+		return res
 	}
 	defer func() { _ = stream.Close() }()
 	return h.readForward(ctx, x, p, stream, stall)
@@ -147,12 +149,13 @@
 	f := &pb.Forward{
 		RequestId: r.ID, AttemptId: fmt.Sprintf("%s.%d", r.ID, x.attempts), Path: append(slices.Clone(r.Path), h.o.ID),
 		Team: r.Team, Kind: r.Kind, Model: r.Target, Service: r.Service, Idempotent: r.Idempotent,
-		Method: r.Method, Uri: r.URI, BodySize: uint64(len(r.Body)), ResumeTokens: uint32(x.relayed),
+		Method: r.Method, BodySize: uint64(len(r.Body)), ResumeTokens: uint32(x.relayed),
 		Stream: r.Stream, Priority: int32(r.Priority), Key: r.Key, OriginRegion: r.Origin,
 	}
 	if !r.Deadline.IsZero() {
 		f.DeadlineMs = max(1, r.Deadline.Sub(h.o.Clock.Now()).Milliseconds())
 	}
+	f.Uri, f.UriLatin1 = forward.Text(r.URI)
 	f.Headers = forward.Headers(forwardableHeaders(r.Header))
 	return f
 }
@@ -223,7 +226,7 @@
 func (h *Host) forwardedRequest(v *view, f *pb.Forward, body []byte) *Request {
 	r := &Request{
 		ID: f.AttemptId, Team: f.Team, Kind: f.Kind, Target: f.Model, Service: f.Service, Idempotent: f.Idempotent,
-		Method: f.Method, URI: f.Uri, Header: forward.ReadHeaders(f.Headers), Body: body, Stream: f.Stream, Priority: int(f.Priority),
+		Method: f.Method, URI: forward.ReadText(f.Uri, f.UriLatin1), Header: forward.ReadHeaders(f.Headers), Body: body, Stream: f.Stream, Priority: int(f.Priority),
 		Key: f.Key, Resume: int(f.ResumeTokens), Path: f.Path, Origin: f.OriginRegion, Weight: 1,
 	}
 	if t, ok := v.Record.Team(f.Team); ok {
--- a/internal/app/entry/once.go
+++ b/internal/app/entry/once.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/sesamefork/sesamefork/internal/app/forward"
 	"github.com/sesamefork/sesamefork/internal/core/ledger"
 	"github.com/sesamefork/sesamefork/internal/core/membership"
 	"github.com/sesamefork/sesamefork/internal/failure"
@@ -172,12 +173,7 @@
 // answerOf returns the answer as the ledger stores it. A body over the limit is omitted: a
 // resend then receives the outcome without the answer.
 func (h *Host) answerOf(x *execution, c *captureSink) *pb.LedgerAnswer {
-	a := &pb.LedgerAnswer{Status: uint32(c.head.Status), Region: c.head.Region}
-	for name, values := range c.head.Header {
-		for _, v := range values {
-			a.Headers = append(a.Headers, &pb.Header{Name: name, Value: v})
-		}
-	}
+	a := &pb.LedgerAnswer{Status: uint32(c.head.Status), Region: c.head.Region, Headers: forward.Headers(c.head.Header)}
 	if len(c.body) > x.view.Record.Ledger.MaxAnswerBytes {
 		a.Omitted = true
 		return a
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -5,17 +5,45 @@
 import (
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
-// Headers encodes HTTP headers.
+// Text encodes a string of a caller or backend server for a string field of a message, which must be valid UTF-8. A
+// string that is not is encoded byte by byte as ISO 8859-1.
+func Text(s string) (text string, latin1 bool) {
+	if utf8.ValidString(s) {
+		return s, false
+	}
+	characters := make([]rune, len(s))
+	for i := range len(s) {
+		characters[i] = rune(s[i])
+	}
+	return string(characters), true
+}
+
+// ReadText decodes what Text encoded.
+func ReadText(text string, latin1 bool) string {
+	if !latin1 {
+		return text
+	}
+	out := make([]byte, 0, len(text))
+	for _, character := range text {
+		out = append(out, byte(character))
+	}
+	return string(out)
+}
+
+// Headers encodes HTTP headers. Values may hold any bytes that HTTP allows (obs-text, RFC 9110, section 5.5).
 func Headers(h http.Header) []*pb.Header {
 	var out []*pb.Header
 	for name, values := range h {
 		for _, v := range values {
-			out = append(out, &pb.Header{Name: name, Value: v})
+			field := &pb.Header{Name: name}
+			field.Value, field.Latin1 = Text(v)
+			out = append(out, field)
 		}
 	}
 	return out
@@ -25,7 +53,7 @@
 func ReadHeaders(list []*pb.Header) http.Header {
 	out := http.Header{}
 	for _, e := range list {
-		out.Add(e.Name, e.Value)
+		out.Add(e.Name, ReadText(e.Value, e.Latin1))
 	}
 	return out
 }
--- a/internal/app/gateway/forward.go
+++ b/internal/app/gateway/forward.go
@@ -28,11 +28,14 @@
 	req.Body = &pb.Request_RoutedForward{RoutedForward: g.newForward(x, began)}
 	stream, sent, err := g.o.Peers.Open(ctx, c.Host.Peer, req, nil)
 	if err != nil {
-		stage := retry.BeforeSend
-		if sent {
-			stage = retry.Sent
+		res := result{stage: retry.BeforeSend, outcome: dispatch.ConnectionFailed, err: failure.As(err, failure.Unknown)}
+		switch {
+		case sent:
+			res.stage = retry.Sent
+		case failure.Is(err, failure.MessageInvalid), failure.Is(err, failure.BodyTooLarge):
+			res.outcome = dispatch.NotSent
 		}
-		return result{stage: stage, outcome: dispatch.ConnectionFailed, err: failure.As(err, failure.Unknown)}
+		return res
 	}
 	defer func() { _ = stream.Close() }()
 	res := result{}
@@ -43,11 +46,13 @@
 func (g *Gateway) newForward(x *execution, now time.Time) *pb.RoutedForward {
 	left := x.route.Attempts - x.ran
 	m := &pb.RoutedForward{
-		RequestId: x.r.ID, Route: x.route.Name, Service: x.service, Method: x.r.Method, Uri: x.r.URI, Host: x.r.Host,
+		Route: x.route.Name, Service: x.service, Method: x.r.Method, Host: x.r.Host,
 		Body: x.r.Body, RemainingMs: x.deadline.Sub(now).Milliseconds(), OriginRegion: g.o.Region,
 		ResumeAfter: x.lastEvent, Attempts: uint32(max(1, left)), Headers: forward.Headers(x.r.Header),
 		Team: x.teamName(), KeyHash: x.r.Key.Hash, Release: x.release,
 	}
+	m.RequestId, m.RequestIdLatin1 = forward.Text(x.r.ID)
+	m.Uri, m.UriLatin1 = forward.Text(x.r.URI)
 	return m
 }
 
@@ -181,8 +186,9 @@
 	if configstate.Newer(req.Stamp, g.stamp()) && (g.o.Off.Has(dispatch.ConfigFromSender) || !g.catchUp(ctx, req)) {
 		return notRun(failure.NotReady, 0, "version %d is in force here, the sender has version %d", g.Version(), req.Stamp.GetVersion())
 	}
+	uri := forward.ReadText(f.Uri, f.UriLatin1)
 	r := &Request{
-		ID: f.RequestId, Method: f.Method, Host: f.Host, URI: f.Uri, Path: pathOf(f.Uri), Header: forward.ReadHeaders(f.Headers), Body: f.Body,
+		ID: forward.ReadText(f.RequestId, f.RequestIdLatin1), Method: f.Method, Host: f.Host, URI: uri, Path: pathOf(uri), Header: forward.ReadHeaders(f.Headers), Body: f.Body,
 		Arrived: g.o.Clock.Now(), Wait: max(time.Millisecond, time.Duration(f.RemainingMs)*time.Millisecond),
 		ResumeAfter: f.ResumeAfter, Origin: f.OriginRegion, attempts: int(f.Attempts), service: f.Service, release: f.Release, team: f.Team, Key: access.Credential{Hash: f.KeyHash, Fault: "the request was forwarded without a key"},
 		traceparent: req.Traceparent,
--- a/internal/app/gateway/trace.go
+++ b/internal/app/gateway/trace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
@@ -21,10 +22,15 @@
 	}
 	ctx = port.WithTraceparent(ctx, parent)
 	return g.o.Tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(
-		attribute.String("sesame.request_id", r.ID), attribute.String("sesame.origin", r.Origin),
+		requestID(r), attribute.String("sesame.origin", r.Origin),
 	))
 }
 
+// requestID returns the span attribute of a request's ID. A batch of spans with invalid text cannot be exported.
+func requestID(r *Request) attribute.KeyValue {
+	return attribute.String("sesame.request_id", strings.ToValidUTF8(r.ID, "\uFFFD"))
+}
+
 // startAttempt starts the span of one attempt at the chosen server or region.
 func (g *Gateway) startAttempt(ctx context.Context, x *execution, c *dispatch.Choice) (context.Context, trace.Span) {
 	name, to := "attempt", ""
@@ -34,7 +40,7 @@
 		name, to = "forward", c.Host.ID
 	}
 	return g.o.Tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
-		attribute.String("sesame.request_id", x.r.ID), attribute.String("sesame.to", to), attribute.Int("sesame.attempt", x.sends),
+		requestID(x.r), attribute.String("sesame.to", to), attribute.Int("sesame.attempt", x.sends),
 	))
 }
 
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -76,6 +77,7 @@
 	QuotaUnknown      Code = "quota-unknown"
 	StreamUnknown     Code = "stream-unknown"
 	StreamMoved       Code = "stream-moved"
+	MessageInvalid    Code = "message-invalid"
 	Internal          Code = "internal"
 )
 
@@ -129,6 +131,7 @@
 	QuotaUnknown:      "No control host in reach tells what is left of the team's quota",
 	StreamUnknown:     "The release at which the stream began is not known",
 	StreamMoved:       "The route of the stream goes to another service now",
+	MessageInvalid:    "A message between hosts cannot be encoded or decoded",
 	Internal:          "Internal error",
 }
 
@@ -137,7 +140,7 @@
 type Error struct {
 	Code       Code
 	Outcome    Outcome
-	Detail     string
+	Detail     string        // valid UTF-8
 	RetryAfter time.Duration // zero if a retry would be pointless
 	EntryHosts []string      // entry hosts to use instead
 	Version    uint64        // current configuration version, for VersionConflict
@@ -146,14 +149,18 @@
 
 // New returns an Error with a formatted detail.
 func New(code Code, outcome Outcome, format string, args ...any) *Error {
-	return &Error{Code: code, Outcome: outcome, Detail: fmt.Sprintf(format, args...)}
+	return &Error{Code: code, Outcome: outcome, Detail: validText(fmt.Sprintf(format, args...))}
 }
 
 // Wrap returns an Error caused by err. The detail is err's text.
 func Wrap(err error, code Code, outcome Outcome) *Error {
-	return &Error{Code: code, Outcome: outcome, Detail: err.Error(), Cause: err}
+	return &Error{Code: code, Outcome: outcome, Detail: validText(err.Error()), Cause: err}
 }
 
+// validText replaces bytes that are not valid UTF-8. Details may quote what a caller or a server sent, and messages
+// between hosts carry them as text.
+func validText(s string) string { return strings.ToValidUTF8(s, "\uFFFD") }
+
 // Error implements error.
 func (e *Error) Error() string {
 	return string(e.Code) + ": " + e.Detail
