platform: announcements that no message can carry are refused

Cause: decodeAnnouncement and leave took the ID from the path as it was. It then stood in each view and each exchange, which cannot be encoded. Evidence: with the link mended and these announcements still accepted, each sync of the zone logs "message invalid", type fleet_view.

--- a/internal/adapter/backendhttp/backendhttp.go
+++ b/internal/adapter/backendhttp/backendhttp.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"unicode/utf8"
 
 	"github.com/gorilla/mux"
 
@@ -116,8 +117,8 @@
 // ParseAnnouncement validates an announcement and converts it to a peer message.
 func ParseAnnouncement(id string, a Announcement) (*pb.BackendState, *failure.Error) {
 	switch {
-	case id == "" || len(id) > maxIDBytes:
-		return nil, failure.New(failure.BadRequest, "", "the ID is empty or over %d bytes", maxIDBytes)
+	case id == "" || len(id) > maxIDBytes || !utf8.ValidString(id):
+		return nil, failure.New(failure.BadRequest, "", "the ID is empty, over %d bytes or not valid UTF-8", maxIDBytes)
 	case a.Kind != backend.KindEngine && a.Kind != backend.KindService:
 		return nil, failure.New(failure.BadRequest, "", "kind: %q is not engine or service", a.Kind)
 	case len(a.Models) == 0 || len(a.Models) > maxModels:
--- a/internal/adapter/callerhttp/callerhttp_test.go
+++ b/internal/adapter/callerhttp/callerhttp_test.go
@@ -20,6 +20,7 @@
 	"github.com/go-logr/logr"
 	"github.com/gorilla/mux"
 	"go.opentelemetry.io/otel/trace/noop"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/sesamefork/sesamefork/internal/adapter/backendhttp"
 	"github.com/sesamefork/sesamefork/internal/adapter/callerhttp"
@@ -258,9 +259,21 @@
 	}
 }
 
+// TestUnreadableKeyAndKindAreRefused guards against requests whose headers no message between hosts can carry.
+func TestUnreadableKeyAndKindAreRefused(t *testing.T) {
+	b := newTestHost(t, 0)
+	for _, name := range []string{callerhttp.HeaderIdempotencyKey, callerhttp.HeaderKind} {
+		resp := b.do(t, "POST", "/v1/chat/completions", "team", goodChat, map[string]string{name: "caf\xe9"})
+		if resp.StatusCode != http.StatusBadRequest {
+			t.Errorf("%s: answered with %d", name, resp.StatusCode)
+		}
+	}
+}
+
 func FuzzAnnouncement(f *testing.F) {
 	f.Add("id", `{"address":"127.0.0.1:9","kind":"engine","models":["m"],"slots":4}`)
 	f.Add("", `{"slots":-1}`)
+	f.Add("i-\xff", `{"address":"127.0.0.1:9","kind":"engine","models":["m"],"slots":4}`)
 	f.Fuzz(func(t *testing.T, id, body string) {
 		var a backendhttp.Announcement
 		if json.Unmarshal([]byte(body), &a) != nil {
@@ -270,6 +283,9 @@
 		if (st == nil) == (err == nil) {
 			t.Errorf("state %v, error %v", st, err)
 		}
+		if _, err := proto.Marshal(st); err != nil {
+			t.Errorf("%q, %q cannot be encoded: %s", id, body, err)
+		}
 	})
 }
 
--- a/internal/adapter/operatorhttp/operatorhttp.go
+++ b/internal/adapter/operatorhttp/operatorhttp.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/go-logr/logr"
 	"github.com/gorilla/mux"
@@ -264,6 +265,9 @@
 }
 
 func (h *Handler) changeReplica(w http.ResponseWriter, r *http.Request, operator, replace string) error {
+	if !utf8.ValidString(replace) {
+		return failure.New(failure.BadRequest, failure.NotRun, "the replica's ID is not valid UTF-8")
+	}
 	var b ReplicaBody
 	if err := decodeBody(r, &b); err != nil {
 		return err
