control: an operator's order does not follow a later one

A control host that had been frozen for 3.5 s had an order applied that its operator had long repeated elsewhere and followed by a later one.

Cause: an evacuation and its withdrawal have no version. Change proposed an order however long it had waited, although its caller had left, and the leader appended it. Evidence: the host logged 'change acknowledged' for the old order after it had been woken, and all replicas applied it. Orders to engines, changes of replicas and the lifting of a quarantine had the same fault.

Mend: the replica that takes an order states the log index that it has applied, then checks that the caller still waits: its end of the connection is open, and the order was not in the socket for over a second. The leader appends the order only if its log has no entry on the same subject after that index. So an order that waits after it was taken is superseded by any later one, over changes of leader and restarts too, and one that was not taken finds its caller gone. A replica that is only behind catches up and takes the order again.

--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -118,10 +118,31 @@
 		problem.Write(w, f, "")
 		return
 	}
+	if f := checkWaited(r); f != nil {
+		h.log.Info("order refused", "order", r.Method+" "+r.URL.Path, "reason", f.Detail)
+		problem.Write(w, f, "")
+		return
+	}
 	h.host.SetDraining(r.Method == http.MethodPost)
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// maxOrderWait is how long an order may wait in the socket, as it does while the process is frozen. An operator repeats
+// an unanswered order or sends another after it.
+const maxOrderWait = time.Second
+
+// checkWaited returns the failure of an order whose operator has left, or that waited too long.
+func checkWaited(r *http.Request) *failure.Error {
+	c := port.CallerConnOf(r.Context())
+	if c == nil {
+		return nil
+	}
+	if waited := c.UnreadFor(); c.HasLeft() || waited > maxOrderWait {
+		return failure.New(failure.Canceled, failure.NotRun, "the operator has left, or the order waited for %d ms (limit %d ms)", waited.Milliseconds(), maxOrderWait.Milliseconds())
+	}
+	return nil
+}
+
 func (h *Handler) ready(w http.ResponseWriter, _ *http.Request) {
 	if f := h.host.Ready(); f != nil {
 		problem.Write(w, f, "")
--- a/internal/adapter/problem/status.go
+++ b/internal/adapter/problem/status.go
@@ -58,6 +58,8 @@
 	failure.SuspectedPart:     http.StatusServiceUnavailable,
 	failure.OverQuota:         http.StatusTooManyRequests,
 	failure.QuotaUnknown:      http.StatusServiceUnavailable,
+	failure.MessageInvalid:    http.StatusBadGateway,
+	failure.OrderSuperseded:   http.StatusConflict,
 	failure.Internal:          http.StatusInternalServerError,
 }
 
--- a/internal/app/control/group_test.go
+++ b/internal/app/control/group_test.go
@@ -64,6 +64,8 @@
 	clock port.Clock         // for hosts started later; nil for the system clock
 	// drop, unless nil, selects the consensus messages to an address that are lost.
 	drop func(addr string, m *pb.RaftMessage) bool
+	// answer, unless nil, may answer a call in place of the host; nil passes the call on.
+	answer func(req *pb.Request) *pb.Response
 }
 
 type member struct {
@@ -79,8 +81,13 @@
 // Call implements port.Peers.
 func (g *group) Call(ctx context.Context, addr string, req *pb.Request) (*pb.Response, error) {
 	g.mu.Lock()
-	m, drop := g.up[addr], g.drop
+	m, drop, answer := g.up[addr], g.drop, g.answer
 	g.mu.Unlock()
+	if answer != nil {
+		if resp := answer(req); resp != nil {
+			return resp, nil
+		}
+	}
 	if m == nil {
 		return nil, failure.New(failure.PeerUnreachable, failure.NotRun, "%s is down", addr)
 	}
--- a/internal/app/control/issuershares.go
+++ b/internal/app/control/issuershares.go
@@ -139,7 +139,7 @@
 func (r *Replica) commitIssuerShares(ctx context.Context, from, to *pb.IssuerShares) {
 	ctx, cancel := context.WithTimeout(ctx, repairStepTimeout)
 	defer cancel()
-	res, err := r.commit(ctx, &pb.Command{IssuerShares: to})
+	res, err := r.commit(ctx, &pb.Command{IssuerShares: to}, nil)
 	if err == nil && res.Code != "" {
 		err = failure.New(res.Code, failure.NotRun, "%s", res.Detail)
 	}
--- a/internal/app/control/members.go
+++ b/internal/app/control/members.go
@@ -13,8 +13,9 @@
 
 // executeReplicaChange adds the replica at an address as a learner. If c.Replace is set, it then
 // waits until the learner has caught up, promotes it to a voter and removes the replaced replica:
-// three membership changes in the log, one at a time.
-func (r *Replica) executeReplicaChange(ctx context.Context, c *pb.ReplicaChange) (*pb.ProposeResult, error) {
+// three membership changes in the log, one at a time. It is superseded by any other membership change after
+// appliedIndex.
+func (r *Replica) executeReplicaChange(ctx context.Context, c *pb.ReplicaChange, appliedIndex uint64) (*pb.ProposeResult, error) {
 	id, err := r.fetchStoreID(ctx, c.Address)
 	if err != nil {
 		return nil, err
@@ -24,7 +25,7 @@
 			return nil, err
 		}
 	}
-	if err := r.changeMembers(ctx, func(m *pb.RaftMembers) { addMember(m, id, c.Address) }); err != nil {
+	if err := r.changeMembers(ctx, &appliedIndex, func(m *pb.RaftMembers) { addMember(m, id, c.Address) }); err != nil {
 		return nil, err
 	}
 	if c.Replace == "" {
@@ -33,10 +34,10 @@
 	if err := r.awaitCaughtUp(ctx, id); err != nil {
 		return nil, err
 	}
-	if err := r.changeMembers(ctx, func(m *pb.RaftMembers) { promote(m, id) }); err != nil {
+	if err := r.changeMembers(ctx, &appliedIndex, func(m *pb.RaftMembers) { promote(m, id) }); err != nil {
 		return nil, err
 	}
-	if err := r.changeMembers(ctx, func(m *pb.RaftMembers) { remove(m, c.Replace) }); err != nil {
+	if err := r.changeMembers(ctx, &appliedIndex, func(m *pb.RaftMembers) { remove(m, c.Replace) }); err != nil {
 		return nil, err
 	}
 	return &pb.ProposeResult{Leader: r.o.Host, Detail: id + " replaced " + c.Replace}, nil
@@ -77,18 +78,26 @@
 }
 
 // changeMembers commits one membership change and waits until it is applied. While an earlier
-// change is pending, it retries once per tick. An edit without effect succeeds at once.
-func (r *Replica) changeMembers(ctx context.Context, edit func(*pb.RaftMembers)) error {
+// change is pending, it retries once per tick. An edit without effect succeeds at once. The change is refused if the
+// members have changed since the log index, which becomes that of the change.
+func (r *Replica) changeMembers(ctx context.Context, since *uint64, edit func(*pb.RaftMembers)) error {
 	for {
 		unchanged := false
 		done, err := r.propose(ctx, func() (uint64, uint64, error) {
-			current := r.node.Status().Members
-			next := proto.Clone(current).(*pb.RaftMembers)
+			st := r.node.Status()
+			if st.MembersIndex > *since {
+				return 0, 0, supersededError("replicas", st.MembersIndex, *since)
+			}
+			next := proto.Clone(st.Members).(*pb.RaftMembers)
 			edit(next)
-			if unchanged = proto.Equal(current, next); unchanged {
+			if unchanged = proto.Equal(st.Members, next); unchanged {
 				return 0, 0, nil
 			}
-			return r.node.ProposeMembers(next)
+			index, term, err := r.node.ProposeMembers(next)
+			if err == nil {
+				*since = index
+			}
+			return index, term, err
 		})
 		if failure.Is(err, failure.MembershipPending) && ctx.Err() == nil {
 			time.Sleep(r.o.Tick)
--- a/internal/app/control/operate.go
+++ b/internal/app/control/operate.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -23,7 +24,10 @@
 	if c.ChangeId == "" {
 		c.ChangeId = randomID()
 	}
-	return r.runOnLeader(ctx, &pb.Propose{Command: c})
+	if p := (&pb.Propose{Command: c}); !isOperatorOrder(p) {
+		return r.runOnLeader(ctx, p)
+	}
+	return r.order(ctx, &pb.OperatorOrder{Command: c})
 }
 
 // Current returns the newest accepted change by a linearizable read: the leader confirms its role
@@ -60,12 +64,12 @@
 
 // Order sends an order to an engine through the leader.
 func (r *Replica) Order(ctx context.Context, o *pb.Order) (*pb.ProposeResult, error) {
-	return r.runOnLeader(ctx, &pb.Propose{Order: o})
+	return r.order(ctx, &pb.OperatorOrder{Order: o})
 }
 
 // ChangeReplica adds or replaces a replica through the leader.
 func (r *Replica) ChangeReplica(ctx context.Context, c *pb.ReplicaChange) (*pb.ProposeResult, error) {
-	return r.runOnLeader(ctx, &pb.Propose{Replica: c})
+	return r.order(ctx, &pb.OperatorOrder{Replica: c})
 }
 
 func randomID() string {
@@ -146,19 +150,20 @@
 	switch {
 	case p.Command != nil:
 		return r.executeChange(ctx, p.Command)
-	case p.Order != nil:
-		return r.executeOrder(ctx, p.Order)
-	case p.Replica != nil:
-		return r.executeReplicaChange(ctx, p.Replica)
+	case p.OperatorOrder != nil:
+		return r.executeOperatorOrder(ctx, p.OperatorOrder)
 	case p.Read:
 		return r.executeRead(ctx)
 	}
-	return nil, failure.New(failure.BadRequest, failure.NotRun, "the proposal is empty")
+	return nil, errEmptyProposal
 }
 
+// errEmptyProposal also answers kinds of proposals that this build does not know.
+var errEmptyProposal = failure.New(failure.BadRequest, failure.NotRun, "the proposal is empty")
+
 func (r *Replica) executeChange(ctx context.Context, c *pb.Command) (*pb.ProposeResult, error) {
-	if c.Evacuate != "" || c.Restore != "" || c.Quarantine != nil || c.Lift != nil {
-		return r.commitChange(ctx, c)
+	if c.Quarantine != nil {
+		return r.commitChange(ctx, c, nil)
 	}
 	parsed, err := configstate.Parse(c.Record)
 	schema := recordSchema(c.Record)
@@ -173,12 +178,13 @@
 		return nil, failure.Wrap(err, failure.InvalidRecord, failure.NotRun)
 	}
 	c.SchemaVersion = schema
-	return r.commitChange(ctx, c)
+	return r.commitChange(ctx, c, nil)
 }
 
-func (r *Replica) commitChange(ctx context.Context, c *pb.Command) (*pb.ProposeResult, error) {
+// commitChange commits a command, with appliedIndex only if no later entry supersedes it; see checkSuperseded.
+func (r *Replica) commitChange(ctx context.Context, c *pb.Command, appliedIndex *uint64) (*pb.ProposeResult, error) {
 	c.TimeMs = r.o.Clock.Now().UnixMilli()
-	res, err := r.commit(ctx, c)
+	res, err := r.commit(ctx, c, appliedIndex)
 	if err != nil {
 		return nil, err
 	}
@@ -189,13 +195,20 @@
 	return out, resultError(out)
 }
 
-// commit proposes a command and waits until it is applied.
-func (r *Replica) commit(ctx context.Context, c *pb.Command) (configstate.Result, error) {
+// commit proposes a command and waits until it is applied. With appliedIndex it is refused if it is superseded.
+func (r *Replica) commit(ctx context.Context, c *pb.Command, appliedIndex *uint64) (configstate.Result, error) {
 	data, err := proto.Marshal(c)
 	if err != nil {
 		return configstate.Result{}, failure.Wrap(err, failure.Internal, failure.NotRun)
 	}
-	done, err := r.propose(ctx, func() (uint64, uint64, error) { return r.node.Propose(data) })
+	done, err := r.propose(ctx, func() (uint64, uint64, error) {
+		if appliedIndex != nil {
+			if err := r.checkSuperseded(configstate.Subject(c), *appliedIndex); err != nil {
+				return 0, 0, err
+			}
+		}
+		return r.node.Propose(data)
+	})
 	if err != nil {
 		return configstate.Result{}, err
 	}
@@ -258,7 +271,7 @@
 
 // executeOrder reserves a fencing number in the log, checks the leader's lease and sends the order
 // to the engine. Load orders take a token of the weight store's rate limit first.
-func (r *Replica) executeOrder(ctx context.Context, o *pb.Order) (*pb.ProposeResult, error) {
+func (r *Replica) executeOrder(ctx context.Context, o *pb.Order, appliedIndex uint64) (*pb.ProposeResult, error) {
 	if o.Action == "load" {
 		if wait := r.loadBucket.take(r.o.Clock.Now()); wait > 0 {
 			return nil, failure.New(failure.Overloaded, failure.NotRun, "rate limit of the weight store exceeded").WithRetryAfter(wait)
@@ -266,6 +279,9 @@
 	}
 	var fence uint64 // the entry's log index, which is unique once committed
 	done, err := r.propose(ctx, func() (uint64, uint64, error) {
+		if err := r.checkSuperseded(configstate.SubjectOfEngineOrders, appliedIndex); err != nil {
+			return 0, 0, err
+		}
 		data, err := proto.Marshal(&pb.Command{OrderCounter: r.machine.OrderCounter() + 1})
 		if err != nil {
 			return 0, 0, failure.Wrap(err, failure.Internal, failure.NotRun)
@@ -283,6 +299,9 @@
 	if err := r.checkGate(ctx); err != nil {
 		return nil, err
 	}
+	if last := r.engineFences.raise(o.Address, fence); last > fence {
+		return nil, supersededError("engine at "+o.Address, last, fence)
+	}
 	ctx, cancel := context.WithTimeout(ctx, r.o.MaxOrderDuration)
 	defer cancel()
 	checked, err := r.o.Engines.Order(ctx, o.Address, port.Order{
@@ -294,6 +313,24 @@
 	return &pb.ProposeResult{Fence: fence, FenceChecked: checked, Leader: r.o.Host}, nil
 }
 
+// engineFences holds the fencing number of the last order to each engine, so that an order that waited does not follow
+// a later one to an engine that ignores the numbers.
+type engineFences struct {
+	mu   sync.Mutex
+	last map[string]uint64 // by address
+}
+
+// raise records an order's fencing number and returns the highest one of the engine.
+func (f *engineFences) raise(addr string, fence uint64) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.last == nil {
+		f.last = map[string]uint64{}
+	}
+	f.last[addr] = max(f.last[addr], fence)
+	return f.last[addr]
+}
+
 // checkGate treats every engine as one that ignores fencing numbers, because only its answer shows
 // whether it checks them.
 func (r *Replica) checkGate(ctx context.Context) error {
--- a/internal/app/control/peer.go
+++ b/internal/app/control/peer.go
@@ -85,6 +85,9 @@
 		return nil, failure.New(failure.NoLeader, failure.NotRun, "%s is shutting down", r.o.Host)
 	}
 	defer r.proposals.end()
+	if isOperatorOrder(p) {
+		return nil, errNoAppliedIndex
+	}
 	leader := false
 	if err := r.post(ctx, func() { leader = r.node.Role() == consensus.Leader }); err != nil {
 		return nil, err
--- a/internal/app/control/replica.go
+++ b/internal/app/control/replica.go
@@ -75,6 +75,7 @@
 	o              Options
 	node           *consensus.Node
 	machine        *configstate.Machine
+	orders         *configstate.OrderIndex
 	gate           *fencing.Gate
 	loadBucket     *tokenBucket
 	documentCipher cipher.AEAD
@@ -92,6 +93,7 @@
 	published       atomic.Pointer[Published]
 	reports         *reports
 	proposals       *proposals
+	engineFences    engineFences
 	wg              sync.WaitGroup
 	fleet           *Fleet // nil in a group whose record lists the hosts
 	verdicts        *verdicts
@@ -166,6 +168,7 @@
 			return err
 		}
 	}
+	r.orders = configstate.NewOrderIndex(snap.Index)
 	r.applyIssuerShares(snap.Index)
 	r.node = consensus.New(consensus.Options{
 		ID: r.o.Identity.Store, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Seed: r.o.Seed, NoLeases: r.o.NoOrders,
@@ -287,6 +290,7 @@
 			return err
 		}
 		r.publish()
+		r.orders = configstate.NewOrderIndex(s.Index)
 		r.applyIssuerShares(s.Index)
 	}
 	before := r.machine.Version()
@@ -309,15 +313,25 @@
 	return nil
 }
 
+// commandOf returns the command in a log entry; nil for an entry without one.
+func commandOf(e *pb.RaftEntry) *pb.Command {
+	if consensus.EntryType(e.Type) != consensus.EntryNormal || len(e.Data) == 0 {
+		return nil
+	}
+	c := new(pb.Command)
+	if err := proto.Unmarshal(e.Data, c); err != nil {
+		return nil
+	}
+	return c
+}
+
 func (r *Replica) applyEntry(e *pb.RaftEntry) {
 	var res configstate.Result
-	if consensus.EntryType(e.Type) == consensus.EntryNormal && len(e.Data) > 0 {
-		c := new(pb.Command)
-		if err := proto.Unmarshal(e.Data, c); err == nil {
-			res = r.machine.Apply(c)
-			if c.IssuerShares != nil {
-				r.applyIssuerShares(e.Index)
-			}
+	if c := commandOf(e); c != nil {
+		res = r.machine.Apply(c)
+		r.orders.Record(e.Index, c)
+		if c.IssuerShares != nil {
+			r.applyIssuerShares(e.Index)
 		}
 	}
 	w, ok := r.waiters[e.Index]
--- a/internal/core/consensus/node.go
+++ b/internal/core/consensus/node.go
@@ -244,6 +244,9 @@
 	return index
 }
 
+// Unapplied returns the entries of the log that are not applied, committed or not. The caller must not modify them.
+func (n *Node) Unapplied() []*pb.RaftEntry { return n.log.between(n.log.applied, n.log.last()) }
+
 // Ready returns the pending actions; see the type Ready.
 func (n *Node) Ready() Ready {
 	var rd Ready
@@ -305,6 +308,8 @@
 	Commit  uint64
 	Applied uint64
 	Members *pb.RaftMembers
+	// MembersIndex is the log index of Members, or of the snapshot that holds them.
+	MembersIndex uint64
 	// CommittedMembers are the members before a membership change that is not
 	// committed yet; nil if there is no such change.
 	CommittedMembers *pb.RaftMembers
@@ -326,7 +331,7 @@
 func (n *Node) Status() Status {
 	s := Status{
 		ID: n.o.ID, Role: n.role, Term: n.term, Leader: n.leader,
-		Commit: n.log.commit, Applied: n.log.applied, Members: n.members,
+		Commit: n.log.commit, Applied: n.log.applied, Members: n.members, MembersIndex: n.membersIndex,
 	}
 	if n.membersIndex > n.log.commit {
 		s.CommittedMembers = n.log.membersAt(n.log.commit)
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/failure"
+	"github.com/sesamefork/sesamefork/internal/port"
 )
 
 // CallerServer is an HTTP server that shuts down without losing a request. net/http closes the
@@ -56,11 +57,19 @@
 	s.srv = &http.Server{
 		Handler: s.handleDraining(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: s.stateChanged,
 		BaseContext: func(net.Listener) context.Context { return requests },
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ConnContext: withConn,
 	}
 	return s
 }
 
+// withConn returns the context of the requests on a connection.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	if conn, ok := callerConnOf(c); ok {
+		ctx = port.WithCallerConn(ctx, conn)
+	}
+	return context.WithValue(ctx, connKey{}, c)
+}
+
 // connKey is the context key of a request's connection.
 type connKey struct{}
 
--- a/internal/daemon/readable.go
+++ b/internal/daemon/readable.go
@@ -2,6 +2,7 @@
 
 import (
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -45,3 +46,36 @@
 	})
 	return received
 }
+
+// HasLeft implements port.CallerConn.
+func (c *callerConn) HasLeft() bool {
+	left := false
+	open := control(c.Conn, func(fd int) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(p, 0)
+		left = err == nil && n == 1 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return left || !open
+}
+
+// UnreadFor implements port.CallerConn. It is 0 for anything that is not a TCP socket.
+func (c *callerConn) UnreadFor() time.Duration {
+	var since time.Duration
+	control(c.Conn, func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			since = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return since
+}
+
+// control calls f with the descriptor of a socket. It reports false if the socket is closed, and does not call f for
+// anything that is not a socket.
+func control(socket any, f func(fd int)) (open bool) {
+	s, ok := socket.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	return err == nil && raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
+}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -78,6 +78,7 @@
 	StreamUnknown     Code = "stream-unknown"
 	StreamMoved       Code = "stream-moved"
 	MessageInvalid    Code = "message-invalid"
+	OrderSuperseded   Code = "order-superseded"
 	Internal          Code = "internal"
 )
 
@@ -131,6 +132,7 @@
 	QuotaUnknown:      "No control host in reach tells what is left of the team's quota",
 	StreamUnknown:     "The release at which the stream began is not known",
 	StreamMoved:       "The route of the stream goes to another service now",
+	OrderSuperseded:   "A later order may have been accepted",
 	MessageInvalid:    "A message between hosts cannot be encoded or decoded",
 	Internal:          "Internal error",
 }
