gateway, control: an unnamed stream goes on only at a proved release

Cause: a host that has just started takes the release of the servers that it knows for the only one there was. Evidence: no stream that was named, and none beside servers of both releases, joined two. The new line 'release of an unnamed stream' says who proved a release, or why nobody did.

Mend: control hosts keep when each release of a service was last announced in any region, and since when they have heard all of them. An entry host goes on with an unnamed stream if a control host has known all servers for as long as streams may be taken up, and they ran one release; else it refuses the request as not run. It asks only then, so that syncs and forwards are as before.

--- a/internal/app/control/controls.go
+++ b/internal/app/control/controls.go
@@ -28,6 +28,35 @@
 	}
 }
 
+// controlForgottenAfter is the time without a message after which a control host that is no member of the group counts
+// as gone for good.
+const controlForgottenAfter = 15 * time.Minute
+
+// controlContactTimeout is the time without a message after which a control host may know servers that are not known
+// here: a few exchanges.
+const controlContactTimeout = 5 * exchangeInterval
+
+// hearsAllControlsLocked reports whether messages of all other control hosts arrive, as far as they are known here.
+func (f *Fleet) hearsAllControlsLocked(now time.Time) bool {
+	live := map[string]bool{f.o.Peer: true}
+	for _, c := range f.reg.KnownControls() {
+		if live[c.Peer] = now.Sub(c.LastSeen) < controlContactTimeout; !live[c.Peer] && now.Sub(c.LastSeen) < controlForgottenAfter {
+			return false
+		}
+	}
+	for _, addr := range f.replica.MemberAddresses() {
+		if !live[addr] {
+			return false
+		}
+	}
+	for addr := range f.controlDomains {
+		if _, known := live[addr]; !known {
+			return false
+		}
+	}
+	return true
+}
+
 func sameControl(a, b *pb.ControlHost) bool {
 	return a.Peer == b.Peer && a.FailureDomain == b.FailureDomain && a.Heard == b.Heard
 }
--- a/internal/app/control/exchange.go
+++ b/internal/app/control/exchange.go
@@ -115,7 +115,7 @@
 	next = exchangeCursor{prompts: last.prompts, streams: last.streams, hosts: f.reg.Version(), controls: f.controlsVersion}
 	x = &pb.ControlExchange{
 		Store: f.replica.o.Identity.Store, Peer: f.o.Peer, Operator: f.o.Operator,
-		Region: f.o.Region, FailureDomain: f.o.FailureDomain,
+		Region: f.o.Region, FailureDomain: f.o.FailureDomain, UptimeMs: max(1, age(f.started, now)),
 	}
 	if f.reg.RepresentsDomain(f.o.Peer, now) {
 		x.Loads = f.regionLoadsLocked(now)
@@ -147,6 +147,7 @@
 		x.ServerLoads = serverload.Encode(f.reg.OwnedLoads())
 		x.Limits, next.limits = f.reg.LimitsSince(last.limits)
 	}
+	x.Releases, next.releases = f.releases.Since(last.releases, now)
 	x.Prompts = holders.Encode(places)
 	x.Quarantine, next.verdicts = f.replica.verdictsSince(last.verdicts, maxExchangeRecords, quarantine.AllRecords)
 	return x, next
@@ -195,7 +196,7 @@
 func (f *Fleet) addControlsLocked(x *pb.ControlExchange, now time.Time) {
 	for _, c := range f.reg.Controls(now) {
 		if c.FailureDomain == f.o.FailureDomain {
-			x.Controls = append(x.Controls, &pb.ControlHeard{Store: c.Store, Peer: c.Peer, Operator: c.Operator, AgeMs: uint32(age(c.LastSeen, now))})
+			x.Controls = append(x.Controls, &pb.ControlHeard{Store: c.Store, Peer: c.Peer, Operator: c.Operator, AgeMs: uint32(age(c.LastSeen, now)), UptimeMs: age(c.StartedAt, now)})
 		}
 	}
 }
@@ -222,24 +223,33 @@
 // that were sent as keys only are known here.
 func (f *Fleet) applyExchange(x *pb.ControlExchange) (complete bool) {
 	now := f.o.Clock.Now()
+	startedAt := now.Add(-milliseconds(x.UptimeMs))
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if old := f.reg.Control(x.Peer); old != nil && x.UptimeMs > 0 && startedAt.Sub(old.StartedAt) > exchangeTimeout {
+		c := f.cursors[x.Peer] // another process than the one that received the records
+		c.releases = 0
+		f.cursors[x.Peer] = c
+	}
 	f.reg.UpdateControl(registry.Control{
 		Store: x.Store, Peer: x.Peer, Operator: x.Operator, Region: x.Region, FailureDomain: x.FailureDomain,
-		LastSeen: now, Loads: x.Loads, LoadsAt: now, ServerLoads: serverload.Decode(x.ServerLoads),
+		LastSeen: now, StartedAt: startedAt, Loads: x.Loads, LoadsAt: now, ServerLoads: serverload.Decode(x.ServerLoads),
 	})
 	if x.Region == f.o.Region {
 		f.reg.MergeLimits(x.Limits, now)
 	}
+	f.releases.Merge(x.Releases, now)
+	f.releases.RecordStart(startedAt)
 	for _, c := range x.ControlHosts {
 		if c.FailureDomain != "" {
 			f.controlDomains[c.Peer] = c.FailureDomain
 		}
 	}
 	for _, c := range x.Controls {
+		f.releases.RecordStart(now.Add(-milliseconds(c.UptimeMs)))
 		if c.Peer != f.o.Peer {
 			f.reg.UpdateReportedControl(registry.Control{
-				Store: c.Store, Peer: c.Peer, Operator: c.Operator, Region: x.Region, FailureDomain: x.FailureDomain, LastSeen: now.Add(-milliseconds(uint64(c.AgeMs))),
+				Store: c.Store, Peer: c.Peer, Operator: c.Operator, StartedAt: now.Add(-milliseconds(c.UptimeMs)), Region: x.Region, FailureDomain: x.FailureDomain, LastSeen: now.Add(-milliseconds(uint64(c.AgeMs))),
 			})
 		}
 	}
@@ -267,6 +277,7 @@
 			continue
 		}
 		lastSeen := now.Add(-milliseconds(s.AgeMs))
+		f.releases.Record(s.Service, s.Release, lastSeen)
 		f.reg.Announce(registry.Server{
 			ID: s.Id, Start: s.Start, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain, Sequence: s.Sequence,
 			Slots: int(s.Slots), Leaving: s.Leaving, Release: s.Release, LastSeen: lastSeen, FirstSeen: now.Add(-milliseconds(s.FirstSeenMs)),
--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/core/holders"
 	"github.com/sesamefork/sesamefork/internal/core/registry"
+	"github.com/sesamefork/sesamefork/internal/core/releases"
 	"github.com/sesamefork/sesamefork/internal/core/rendezvous"
 	"github.com/sesamefork/sesamefork/internal/core/streamorigin"
 	"github.com/sesamefork/sesamefork/internal/failure"
@@ -64,6 +65,7 @@
 	wokenVersion uint64                    // version at which waiting sync requests were last woken
 	prompts      holders.Log               // places to which the region's entry hosts sent prompts
 	streams      *streamorigin.Log         // origins of streams that entry hosts reported
+	releases     *releases.History         // of the servers of all regions
 	cursors      map[string]exchangeCursor // by peer address of another control host
 	// evacuations is the state of evacuations that views contain, and evacuationsVersion the version
 	// of its last change.
@@ -92,13 +94,14 @@
 	controls       uint64 // version of the list of control hosts
 	limits         uint64 // version of the limits that servers advertise
 	streams        uint64 // position in the log of streams' origins
+	releases       uint64 // revision of the releases
 }
 
 // NewFleet returns the Fleet of a replica's host and attaches it to the replica.
 func NewFleet(o FleetOptions, r *Replica) *Fleet {
 	f := &Fleet{
 		o: o, replica: r, started: o.Clock.Now(), epoch: uint64(o.Clock.Now().UnixNano()), waker: newWaker(), leaving: make(chan struct{}),
-		streams: streamorigin.NewLog(), cursors: map[string]exchangeCursor{}, controlDomains: map[string]string{},
+		streams: streamorigin.NewLog(), releases: releases.New(o.Clock.Now()), cursors: map[string]exchangeCursor{}, controlDomains: map[string]string{},
 		reg: registry.New(registry.Options{
 			Region: o.Region, FailureDomain: o.FailureDomain, Regions: o.Regions,
 			ServerLease: o.ServerLease, HostLease: hostLease,
@@ -151,6 +154,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	updated := f.reg.Announce(s, now)
+	f.releases.Record(s.Service, s.Release, now)
 	f.wakeLocked()
 	if updated {
 		f.o.Log.Info("backend server announced", "server", s.ID, "start", s.Start, "service", s.Service, "address", s.Address,
@@ -232,6 +236,8 @@
 			f.reg.Expire(last, now)
 			f.refreshControlsLocked(now)
 			f.streams.Expire(f.streamRetention(), now)
+			f.releases.Expire(now)
+			f.releases.SetComplete(f.hearsAllControlsLocked(now), now)
 			f.wakeLocked()
 			f.mu.Unlock()
 			last = now
@@ -253,10 +259,16 @@
 	return defaultStreamRetention
 }
 
-// originOf returns the origin of a stream; an empty message if it is not known.
+// originOf returns the origin of a stream, an empty message if it is not known, or the recent releases of a service.
 func (f *Fleet) originOf(q *pb.StreamQuery) *pb.StreamOrigins {
+	now := f.o.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if q.Service != "" {
+		f.releases.SetComplete(f.hearsAllControlsLocked(now), now)
+		recent, complete := f.releases.Within(q.Service, milliseconds(q.WithinMs), now)
+		return &pb.StreamOrigins{RecentReleases: recent, Complete: complete}
+	}
 	o, ok := f.streams.Origin(q.Stream)
 	if !ok {
 		return &pb.StreamOrigins{}
--- a/internal/app/control/streams_test.go
+++ b/internal/app/control/streams_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -66,3 +67,68 @@
 		t.Errorf("two releases: %v", v.Regions)
 	}
 }
+
+// TestReleasesReachOtherRegions guards against control hosts that take the release of their own region for the only one,
+// or that claim to know all while others are out of contact.
+func TestReleasesReachOtherRegions(t *testing.T) {
+	clock := &manualClock{now: time.Unix(1000, 0)}
+	domains := []string{"d0", "d1", "e0"}
+	fleets := map[string]*Fleet{}
+	newFleet := func(domain string) {
+		fleets[domain] = newFleetAt(t, clock, "control-"+domain, domain, worldRegions[domain], worldRegions, []string{"control-d0", "control-d1", "control-e0"})
+	}
+	for _, domain := range domains {
+		newFleet(domain)
+	}
+	exchange := func(d time.Duration, but string) {
+		for end := clock.Now().Add(d); clock.Now().Before(end); clock.advance(exchangeInterval) {
+			for _, from := range domains {
+				for _, to := range domains {
+					if from != to && from != but && to != but {
+						x, next := fleets[from].buildExchange("control-" + to)
+						fleets[to].applyExchange(x)
+						fleets[from].cursors["control-"+to] = next
+					}
+				}
+				fleets[from].releases.SetComplete(fleets[from].hearsAllControlsLocked(clock.Now()), clock.Now())
+			}
+		}
+	}
+	announce := func(domain, id, release string, sequence uint64) {
+		m := (&worldServer{w: &coldWorld{clock: clock}, id: id}).message(1, sequence, 0)
+		m.Release, m.FailureDomain = release, domain
+		if _, err := fleets[domain].Announce(m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	const within = 5 * time.Second
+	check := func(when string, want []string, complete bool, asked ...string) {
+		t.Helper()
+		for _, domain := range asked {
+			resp := fleets[domain].replica.HandleRequest(context.Background(), &pb.Request{Body: &pb.Request_StreamQuery{StreamQuery: &pb.StreamQuery{Service: "llm", WithinMs: uint64(within.Milliseconds())}}})
+			if m := resp.GetStreamOrigins(); !slices.Equal(m.GetRecentReleases(), want) || m.GetComplete() != complete {
+				t.Errorf("%s the control host of %s answers %v, complete: %v", when, domain, m.GetRecentReleases(), m.GetComplete())
+			}
+		}
+	}
+	exchange(time.Second, "")
+	announce("d0", "s0", "v1", 1)
+	exchange(time.Second, "")
+	check("soon after the start", []string{"v1"}, false, domains...)
+	exchange(within, "")
+	check("later", []string{"v1"}, true, domains...)
+	announce("e0", "s9", "v2", 1)
+	exchange(time.Second, "")
+	check("with a release in another region", []string{"v1", "v2"}, true, domains...)
+	exchange(2*time.Second, "e0")
+	check("while a control host is out of contact", []string{"v1", "v2"}, false, domains...)
+	exchange(within, "")
+	for range 20 {
+		announce("d1", "s1", "v1", 2)
+		exchange(time.Second, "")
+	}
+	check("after the other release has ended", []string{"v1"}, true, domains...)
+	newFleet("d1")
+	exchange(2*time.Second, "")
+	check("after a control host has started", []string{"v1"}, false, domains...)
+}
--- a/internal/app/gateway/streams.go
+++ b/internal/app/gateway/streams.go
@@ -78,7 +78,7 @@
 // if these are not known.
 func (g *Gateway) takeUp(ctx context.Context, x *execution) *failure.Error {
 	if x.r.Resumes == "" {
-		return g.bindToOnlyRelease(x)
+		return g.bindToOnlyRelease(ctx, x)
 	}
 	began := g.o.Clock.Now()
 	stream := streamorigin.Key(x.r.Resumes)
@@ -97,20 +97,53 @@
 	return nil
 }
 
-// bindToOnlyRelease binds a stream whose first attempt is not named to the release of its service, if this
-// host knows a single one.
-func (g *Gateway) bindToOnlyRelease(x *execution) *failure.Error {
+// bindToOnlyRelease binds a stream whose first attempt is not named to the release of its service, if no other one can
+// have begun it: a control host has known all servers for as long as streams may be taken up, and they ran one release.
+// The servers that this host knows now do not prove it, as others may have left or have ended with the last process of
+// this host.
+func (g *Gateway) bindToOnlyRelease(ctx context.Context, x *execution) *failure.Error {
 	service := x.route.Service(hashFraction(x.r.ID))
 	g.mu.Lock()
 	release, only := g.fleet.OnlyRelease(service)
 	g.mu.Unlock()
-	if !only {
-		return notRun(failure.StreamUnknown, 0, "the request does not name the attempt that began the stream, and service %q runs several releases", service)
+	reason, source := "several releases serve", ""
+	if only {
+		source, reason = g.provesOnlyRelease(ctx, service, release, x.record.StreamRetention())
 	}
+	g.o.Log.Info("release of an unnamed stream", "request_id", x.r.ID, "resume_after", x.r.ResumeAfter, "service", service, "release", release,
+		"source", source, "reason", reason)
+	if source == "" {
+		g.o.Metrics.Add("streams_of_unknown_origin", 1)
+		return notRun(failure.StreamUnknown, 0, "the request does not name the attempt that began the stream, and the release of service %q is not certain: %s", service, reason)
+	}
+	g.o.Metrics.Add("streams_taken_up", 1)
 	x.service, x.release = service, &release
 	return nil
 }
 
+// provesOnlyRelease asks the control hosts for the releases that a service ran within a time. It returns one that knows
+// all and names this release only, or why there is none. Control hosts that name another release refute it.
+func (g *Gateway) provesOnlyRelease(ctx context.Context, service, release string, within time.Duration) (source, reason string) {
+	query := &pb.StreamQuery{Service: service, WithinMs: uint64(within.Milliseconds())}
+	near, far := g.controlHostsByDistance()
+	for _, addrs := range [][]string{near, far} {
+		for _, a := range g.askControlHosts(ctx, addrs, query, func(originAnswer) bool { return false }) {
+			for _, other := range a.m.GetRecentReleases() {
+				if other != release {
+					return "", "release " + other + " served until lately"
+				}
+			}
+			if a.m.GetComplete() && len(a.m.RecentReleases) == 1 {
+				source = a.addr
+			}
+		}
+		if source != "" {
+			return source, ""
+		}
+	}
+	return "", "no control host in reach has known all servers for long enough"
+}
+
 // findOrigin returns the origin of a stream and the control host that knows it, or "this host"; "" if none
 // does within a time.
 func (g *Gateway) findOrigin(ctx context.Context, stream uint64, within time.Duration) (o streamorigin.Origin, source string) {
@@ -152,30 +185,45 @@
 
 // queryOrigin asks control hosts for the origin of a stream and returns the first one that is found.
 func (g *Gateway) queryOrigin(ctx context.Context, addrs []string, stream uint64) (streamorigin.Origin, string) {
+	knows := func(a originAnswer) bool { return len(a.m.GetService()) == 1 && len(a.m.GetRelease()) == 1 }
+	answers := g.askControlHosts(ctx, addrs, &pb.StreamQuery{Stream: stream}, knows)
+	if n := len(answers); n > 0 && knows(answers[n-1]) {
+		a := answers[n-1]
+		return streamorigin.Origin{Service: a.m.Service[0], Release: a.m.Release[0]}, a.addr
+	}
+	return streamorigin.Origin{}, ""
+}
+
+// originAnswer is a control host's answer to a query.
+type originAnswer struct {
+	m    *pb.StreamOrigins // nil if it did not answer
+	addr string
+}
+
+// askControlHosts sends a query to control hosts at once. It returns the answers in the order of their arrival, up to
+// the first one that is enough.
+func (g *Gateway) askControlHosts(ctx context.Context, addrs []string, query *pb.StreamQuery, enough func(originAnswer) bool) (list []originAnswer) {
 	ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
 	defer cancel()
-	type answer struct {
-		m    *pb.StreamOrigins
-		addr string
-	}
-	answers := make(chan answer, len(addrs))
+	answers := make(chan originAnswer, len(addrs))
 	for _, addr := range addrs {
 		go func() {
 			req := g.newPeerRequest()
-			req.Body = &pb.Request_StreamQuery{StreamQuery: &pb.StreamQuery{Stream: stream}}
+			req.Body = &pb.Request_StreamQuery{StreamQuery: query}
 			resp, err := g.o.Peers.Call(ctx, addr, req)
 			if err != nil {
 				resp = nil
 			}
-			answers <- answer{resp.GetStreamOrigins(), addr}
+			answers <- originAnswer{resp.GetStreamOrigins(), addr}
 		}()
 	}
 	for range addrs {
-		if a := <-answers; len(a.m.GetService()) == 1 && len(a.m.GetRelease()) == 1 {
-			return streamorigin.Origin{Service: a.m.Service[0], Release: a.m.Release[0]}, a.addr
+		a := <-answers
+		if list = append(list, a); enough(a) {
+			return list
 		}
 	}
-	return streamorigin.Origin{}, ""
+	return list
 }
 
 // bindToRelease binds a stream to the release of the server that writes it, once that is known, and records it
--- a/internal/core/registry/hosts.go
+++ b/internal/core/registry/hosts.go
@@ -39,6 +39,7 @@
 type Control struct {
 	Store, Peer, Operator, Region, FailureDomain string
 	LastSeen                                     time.Time
+	StartedAt                                    time.Time // of its process
 	// Loads are the loads of its region, as received at LoadsAt.
 	Loads       []*pb.RegionLoad
 	LoadsAt     time.Time
