--- a/internal/adapter/backendconn/backendconn.go
+++ b/internal/adapter/backendconn/backendconn.go
@@ -10,6 +10,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -21,6 +22,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/sesamefork/sesamefork/internal/failure"
 	"github.com/sesamefork/sesamefork/internal/membudget"
@@ -104,19 +106,22 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
+// Match reports whether a response belongs to the request. mayBeLate reports whether the server may have sent the
+// response before the request: one that does not name its request may then belong to an earlier one on the connection.
+type Match func(r *http.Response, mayBeLate func() bool) bool
+
 // Do sends the request with its body and returns the response once its head has
-// arrived. matches reports whether a response belongs to the request; other
-// responses are skipped. The caller must close the response's body; after a body
+// arrived. Responses that do not match are skipped. The caller must close the response's body; after a body
 // read to its end, the connection is reused. Canceling ctx closes the connection, after
 // a short wait for the head of the response (see headLinger).
-func (p *Pool) Do(ctx context.Context, addr string, req *http.Request, body []byte, matches func(*http.Response) bool, conditions ...Condition) (*http.Response, error) {
+func (p *Pool) Do(ctx context.Context, addr string, req *http.Request, body []byte, matches Match, conditions ...Condition) (*http.Response, error) {
 	c, _ := p.takeIdle(addr)
 	return p.do(ctx, c, addr, req, body, matches, conditions)
 }
 
 // DoSameProcess is like Do, but returns an error with ServerLost set instead of opening a connection if
 // the server closed its idle connections early: another process may listen at the address.
-func (p *Pool) DoSameProcess(ctx context.Context, addr string, req *http.Request, body []byte, matches func(*http.Response) bool, conditions ...Condition) (*http.Response, error) {
+func (p *Pool) DoSameProcess(ctx context.Context, addr string, req *http.Request, body []byte, matches Match, conditions ...Condition) (*http.Response, error) {
 	c, closedEarly := p.takeIdle(addr)
 	if c == nil && closedEarly && !p.Connected(addr) {
 		return nil, &Error{ServerLost: true, Cause: errIdleClosed}
@@ -126,7 +131,7 @@
 
 // DoConnected is like Do, but sends the request only while another connection to the address is open, or on
 // one that has carried a response. Otherwise it returns an error with ServerLost set.
-func (p *Pool) DoConnected(ctx context.Context, addr string, req *http.Request, body []byte, matches func(*http.Response) bool, conditions ...Condition) (*http.Response, error) {
+func (p *Pool) DoConnected(ctx context.Context, addr string, req *http.Request, body []byte, matches Match, conditions ...Condition) (*http.Response, error) {
 	c, _ := p.takeIdle(addr)
 	if c != nil {
 		return p.do(ctx, c, addr, req, body, matches, conditions)
@@ -146,7 +151,7 @@
 var errNotConnected = errors.New("no connection to the server is open")
 
 // do sends the request on an idle connection, or on a new one if c is nil.
-func (p *Pool) do(ctx context.Context, c *conn, addr string, req *http.Request, body []byte, matches func(*http.Response) bool, conditions []Condition) (*http.Response, error) {
+func (p *Pool) do(ctx context.Context, c *conn, addr string, req *http.Request, body []byte, matches Match, conditions []Condition) (*http.Response, error) {
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, addr); err != nil {
@@ -162,7 +167,8 @@
 		p.putBack(c)
 		return nil, &Error{Cause: context.Cause(ctx)}
 	}
-	x := &exchange{p: p, c: c, written: make(chan struct{}), head: p.o.Budget.NewHold(freeHeadBytes)}
+	x := &exchange{p: p, c: c, written: make(chan struct{}), head: p.o.Budget.NewHold(freeHeadBytes), first: c.idleSince.IsZero()}
+	x.unasked, x.began = !x.first && (c.unread() || !c.reusable()), time.Now()
 	x.stop = context.AfterFunc(ctx, func() { x.cancel(ctx) })
 	go x.write(req, body)
 	resp, err := x.readHead(req, matches)
@@ -226,6 +232,9 @@
 	head     *membudget.Hold // of the bytes of the response's head
 	written  chan struct{}   // closed when the write of the request has ended
 	sent     bool            // any byte of the request was written; set before written is closed
+	first    bool            // request on its connection
+	unasked  bool            // bytes had arrived before the request was written
+	began    time.Time       // when the write of the request began
 	writeErr error           // of the write; set before written is closed
 }
 
@@ -273,7 +282,7 @@
 
 // readHead reads up to the head of the response that belongs to the request. Interim responses and late responses to
 // earlier requests are skipped, up to maxSkippedHeadBytes and maxSkippedBodyBytes.
-func (x *exchange) readHead(req *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
+func (x *exchange) readHead(req *http.Request, matches Match) (*http.Response, error) {
 	heads, bodies := maxSkippedHeadBytes, int64(maxSkippedBodyBytes)
 	for {
 		size, err := x.awaitHead()
@@ -285,7 +294,7 @@
 			return nil, errors.Trace(err)
 		}
 		interim := resp.StatusCode >= 100 && resp.StatusCode < 200
-		if !interim && matches(resp) {
+		if !interim && matches(resp, func() bool { return x.mayBeLate(resp) }) {
 			return resp, nil
 		}
 		if heads -= size; heads <= 0 {
@@ -304,6 +313,18 @@
 	}
 }
 
+// mayBeLate reports whether the server may have sent a response, whose head was read, before the request. It has not if
+// nothing had arrived when the write of the request began, the head arrived a round trip after that or later, and no
+// other response follows it at once.
+func (x *exchange) mayBeLate(resp *http.Response) bool {
+	if x.first {
+		return false
+	}
+	after := time.Since(x.began)
+	followed := int64(x.c.br.Buffered()+len(x.c.source.ahead)) > max(0, resp.ContentLength)
+	return x.unasked || followed || after < x.c.minRoundTrip()
+}
+
 // selfDelimited reports whether the body has a known length or is chunked, so that
 // its end does not depend on the end of the connection.
 func selfDelimited(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
@@ -456,6 +477,22 @@
 	return err == nil && open
 }
 
+// minRoundTrip returns the shortest round trip that the kernel has measured on the connection; 0 if it is not known.
+func (c *conn) minRoundTrip() (d time.Duration) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	if raw, err := sc.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { // fails only if the connection is closed
+			if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && info.Min_rtt != math.MaxUint32 {
+				d = time.Duration(info.Min_rtt) * time.Microsecond
+			}
+		})
+	}
+	return d
+}
+
 // put adds the connection to the pool. It expires before the timeout that the server
 // stated in the response.
 func (p *Pool) put(c *conn, resp *http.Response) {
--- a/internal/adapter/backendconn/backendconn_test.go
+++ b/internal/adapter/backendconn/backendconn_test.go
@@ -74,7 +74,7 @@
 func roundTrip(p *Pool, s *server, id string, body []byte) (string, error) {
 	u := &url.URL{Opaque: "/x"}
 	req := &http.Request{Method: http.MethodPost, URL: u, Host: "h", Header: http.Header{"Id": {id}}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
-	resp, err := p.Do(context.Background(), s.ln.Addr().String(), req, body, func(r *http.Response) bool { return r.Header.Get("Id") == id })
+	resp, err := p.Do(context.Background(), s.ln.Addr().String(), req, body, func(r *http.Response, _ func() bool) bool { return r.Header.Get("Id") == id })
 	if err != nil {
 		return "", err
 	}
@@ -288,7 +288,7 @@
 	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{}}
 	done := make(chan error, 1)
 	go func() {
-		_, err := newPool(t).Do(ctx, s.ln.Addr().String(), req, nil, func(*http.Response) bool { return true })
+		_, err := newPool(t).Do(ctx, s.ln.Addr().String(), req, nil, func(*http.Response, func() bool) bool { return true })
 		done <- err
 	}()
 	<-arrived
@@ -360,7 +360,7 @@
 			p := newPool(t)
 			send := func(id string) error {
 				req := &http.Request{Method: http.MethodPost, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{"Id": {id}}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
-				resp, err := p.Do(context.Background(), s.ln.Addr().String(), req, nil, func(*http.Response) bool { return true })
+				resp, err := p.Do(context.Background(), s.ln.Addr().String(), req, nil, func(*http.Response, func() bool) bool { return true })
 				if err != nil {
 					return err
 				}
@@ -428,7 +428,7 @@
 			}
 			p.reusedAfter[addr] = c.reusedAfter
 			req := &http.Request{Method: http.MethodPost, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{"Id": {"2"}}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
-			resp, err := p.DoSameProcess(context.Background(), addr, req, nil, func(*http.Response) bool { return true })
+			resp, err := p.DoSameProcess(context.Background(), addr, req, nil, func(*http.Response, func() bool) bool { return true })
 			if err == nil {
 				_ = resp.Body.Close()
 			}
@@ -455,7 +455,7 @@
 	addr, p := s.ln.Addr().String(), newPool(t)
 	send := func() error {
 		req := &http.Request{Method: http.MethodPost, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{"Id": {"a"}}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
-		resp, err := p.DoConnected(context.Background(), addr, req, nil, func(*http.Response) bool { return true })
+		resp, err := p.DoConnected(context.Background(), addr, req, nil, func(*http.Response, func() bool) bool { return true })
 		if err != nil {
 			return err
 		}
@@ -486,7 +486,7 @@
 		_, _ = r.ReadByte() // returns when the connection ends
 	})
 	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{}}
-	resp, err := newPool(t).Do(ctx, s.ln.Addr().String(), req, nil, func(*http.Response) bool { return true })
+	resp, err := newPool(t).Do(ctx, s.ln.Addr().String(), req, nil, func(*http.Response, func() bool) bool { return true })
 	if err != nil || resp.Header.Get("Retry-After") != "3" {
 		t.Fatalf("%v, %v", resp, err)
 	}
@@ -500,7 +500,7 @@
 	s := serve(t, func(s *server, _ int, _ net.Conn, r *bufio.Reader) { s.read(r) })
 	ctx, cancel := context.WithCancel(context.Background())
 	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{}}
-	_, err := newPool(t).Do(ctx, s.ln.Addr().String(), req, nil, func(*http.Response) bool { return true }, func() bool { cancel(); return true })
+	_, err := newPool(t).Do(ctx, s.ln.Addr().String(), req, nil, func(*http.Response, func() bool) bool { return true }, func() bool { cancel(); return true })
 	var e *Error
 	if !errors.As(err, &e) || e.Sent || s.requests.Load() != 0 {
 		t.Errorf("ended with %v, %d requests", err, s.requests.Load())
--- a/internal/adapter/backendconn/endless_test.go
+++ b/internal/adapter/backendconn/endless_test.go
@@ -101,7 +101,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 			defer cancel()
 			req := &http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{}}
-			_, err := p.Do(ctx, s.ln.Addr().String(), req, nil, func(*http.Response) bool { return true })
+			_, err := p.Do(ctx, s.ln.Addr().String(), req, nil, func(*http.Response, func() bool) bool { return true })
 			var e *Error
 			if !errors.As(err, &e) || !e.Sent || ctx.Err() != nil {
 				t.Errorf("ended with %v", err)
--- a/internal/app/gateway/endless_test.go
+++ b/internal/app/gateway/endless_test.go
@@ -211,7 +211,7 @@
 
 func (b *connBackends) Send(ctx context.Context, a *Attempt) (*Answer, bool, error) {
 	req, _ := http.NewRequest(http.MethodGet, "http://server"+a.Request.URI, nil)
-	resp, err := b.pool.Do(ctx, b.addr, req, nil, func(*http.Response) bool { return true })
+	resp, err := b.pool.Do(ctx, b.addr, req, nil, func(*http.Response, func() bool) bool { return true })
 	if err != nil {
 		return nil, true, err
 	}
