--- a/internal/adapter/journal/journal.go
+++ b/internal/adapter/journal/journal.go
@@ -38,6 +38,7 @@
 const FormatVersion = 1
 
 const (
+	tmpSuffix     = ".tmp" // of files that are being written
 	identityName  = "identity.json"
 	walPrefix     = "wal-"
 	snapPrefix    = "snap-"
@@ -87,7 +88,8 @@
 	return err == nil, err
 }
 
-// Format creates a store in an empty folder by writing its identity.
+// Format creates a store in an empty folder by writing its identity. A folder that holds only the temporary file of an
+// identity counts as empty: an earlier Format was interrupted before it had created a store.
 func Format(fsys FS, dir string, id port.Identity) error {
 	if err := fsys.MkdirAll(dir); err != nil {
 		return failure.Wrap(err, failure.JournalFailed, "")
@@ -96,8 +98,10 @@
 	if err != nil {
 		return failure.Wrap(err, failure.JournalFailed, "")
 	}
-	if len(names) > 0 {
-		return failure.New(failure.JournalForeign, "", "%s is not empty", dir)
+	for _, e := range names {
+		if e.Name() != identityName+tmpSuffix {
+			return failure.New(failure.JournalForeign, "", "%s has no identity and is not empty: it holds %s", dir, e.Name())
+		}
 	}
 	id.Format = FormatVersion
 	data, err := json.Marshal(id)
@@ -186,7 +190,7 @@
 }
 
 func (j *Journal) isObsolete(name string) bool {
-	if strings.HasSuffix(name, ".tmp") {
+	if strings.HasSuffix(name, tmpSuffix) {
 		return true
 	}
 	for _, prefix := range []string{walPrefix, snapPrefix} {
@@ -398,7 +402,7 @@
 
 // writeFile atomically creates or replaces a file and makes it durable.
 func (j *Journal) writeFile(name string, data []byte) error {
-	tmp := filepath.Join(j.dir, name+".tmp")
+	tmp := filepath.Join(j.dir, name+tmpSuffix)
 	f, err := j.fs.Create(tmp)
 	if err != nil {
 		return failure.Wrap(err, failure.JournalFailed, "")
