--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 .PHONY: test check generate build demo soak fault-soak bench
 
 build:
-	go build -o run/bin ./cmd/...
+	go build -o run/bin/ ./cmd/...
 
 # Everything that CI checks.
 check:
