daemon: SIGHUP does not end a program that starts

Callers saw: entry hosts that ended when their settings changed within 20 ms of their start.

Cause: the handler of SIGHUP was registered after settings, keys and listeners were read. It is now registered when its package is initialized, before main, and a signal that came meanwhile is handled once the program serves.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/daemon/hangup"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	"github.com/sesamefork/sesamefork/internal/membudget"
 )
@@ -111,14 +112,12 @@
 	return membudget.New(max(minAnswerBudget, int64(mb)<<20/4))
 }
 
-// OnReload calls f at each SIGHUP until ctx ends.
+// OnReload calls f at each SIGHUP until ctx ends, and for one that arrived since the start of the program.
 func OnReload(ctx context.Context, f func()) {
-	ch := make(chan os.Signal, 1)
-	signal.Notify(ch, syscall.SIGHUP)
 	go func() {
 		for {
 			select {
-			case <-ch:
+			case <-hangup.Received():
 				f()
 			case <-ctx.Done():
 				return
