backendconn: a refusal without a length counts on a used connection

The check whether another response follows took the body of a response in chunks, or of one that ends with its connection, for a further response, and skipped a true refusal.

--- a/internal/adapter/backendconn/backendconn.go
+++ b/internal/adapter/backendconn/backendconn.go
@@ -315,13 +315,13 @@
 
 // mayBeLate reports whether the server may have sent a response, whose head was read, before the request. It has not if
 // nothing had arrived when the write of the request began, the head arrived a round trip after that or later, and no
-// other response follows it at once.
+// other response follows it at once, as far as its stated length shows.
 func (x *exchange) mayBeLate(resp *http.Response) bool {
 	if x.first {
 		return false
 	}
 	after := time.Since(x.began)
-	followed := int64(x.c.br.Buffered()+len(x.c.source.ahead)) > max(0, resp.ContentLength)
+	followed := resp.ContentLength >= 0 && int64(x.c.br.Buffered()+len(x.c.source.ahead)) > resp.ContentLength
 	return x.unasked || followed || after < x.c.minRoundTrip()
 }
 
