--- a/internal/adapter/callerhttp/deadline_test.go
+++ b/internal/adapter/callerhttp/deadline_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/app/entry"
 	"github.com/sesamefork/sesamefork/internal/failure"
+	"github.com/sesamefork/sesamefork/internal/port"
 )
 
 // deadlineWriter records whether a write follows a new write deadline.
@@ -38,3 +39,33 @@
 		t.Error("the error event was written with the deadline of the last event")
 	}
 }
+
+// fakeConn is the connection of an operator.
+type fakeConn struct {
+	left   bool
+	unread time.Duration
+}
+
+func (c fakeConn) HasLeft() bool            { return c.left }
+func (c fakeConn) UnreadFor() time.Duration { return c.unread }
+
+// TestDrainOrderOfAnOperatorThatGaveUp guards against orders to drain an entry host that it reads, after a freeze, later
+// than a following one.
+func TestDrainOrderOfAnOperatorThatGaveUp(t *testing.T) {
+	for name, c := range map[string]struct {
+		conn    fakeConn
+		refused bool
+	}{
+		"left":      {fakeConn{left: true}, true},
+		"read late": {fakeConn{unread: 2 * maxOrderWait}, true},
+		"waits":     {fakeConn{}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := httptest.NewRequest(http.MethodDelete, "/v1/drain", nil)
+			r = r.WithContext(port.WithCallerConn(r.Context(), c.conn))
+			if f := checkWaited(r); (f != nil) != c.refused || f != nil && f.Outcome != failure.NotRun {
+				t.Errorf("ended with %v", f)
+			}
+		})
+	}
+}
--- a/internal/app/control/orders_test.go
+++ b/internal/app/control/orders_test.go
@@ -171,6 +171,37 @@
 	}
 }
 
+// TestLateOrderToAnEngineIsRefused guards against an order to an engine that gets a higher fencing number than a later one
+// which was carried out before.
+func TestLateOrderToAnEngineIsRefused(t *testing.T) {
+	g := newOrderTest(t)
+	waiting := g.take(founderAddresses[0], &pb.OperatorOrder{Order: &pb.Order{Address: "10.9.0.1:80", Action: "load", Model: "m"}})
+	await(t, "a later order is in the log", func() bool {
+		for _, a := range g.addresses() {
+			if _, err := g.member(a).r.commit(context.Background(), &pb.Command{OrderCounter: 1}, nil); err == nil {
+				return true
+			}
+		}
+		return false
+	})
+	if f := g.execute(waiting); f == nil || f.Code != failure.OrderSuperseded {
+		t.Errorf("ended with %v", f)
+	}
+}
+
+// TestFencesOfAnEngine checks that an order which waited after its commit does not follow one with a higher number.
+func TestFencesOfAnEngine(t *testing.T) {
+	var f engineFences
+	for _, c := range []struct {
+		addr        string
+		fence, last uint64
+	}{{"a", 5, 5}, {"b", 4, 4}, {"a", 3, 5}, {"a", 6, 6}} {
+		if got := f.raise(c.addr, c.fence); got != c.last {
+			t.Errorf("order %d to %s: last %d, want %d", c.fence, c.addr, got, c.last)
+		}
+	}
+}
+
 // TestOrderOfACallerThatGaveUpIsRefused guards against orders that a control host reads after their caller has sent them
 // to another host.
 func TestOrderOfACallerThatGaveUpIsRefused(t *testing.T) {
