--- a/internal/adapter/backendconn/backendconn.go
+++ b/internal/adapter/backendconn/backendconn.go
@@ -167,8 +167,8 @@
 		p.putBack(c)
 		return nil, &Error{Cause: context.Cause(ctx)}
 	}
-	x := &exchange{p: p, c: c, written: make(chan struct{}), head: p.o.Budget.NewHold(freeHeadBytes), first: c.idleSince.IsZero()}
-	x.unasked, x.began = !x.first && (c.unread() || !c.reusable()), time.Now()
+	x := &exchange{p: p, c: c, written: make(chan struct{}), head: p.o.Budget.NewHold(freeHeadBytes), newConn: c.idleSince.IsZero()}
+	x.unsolicited, x.writeBegan = !x.newConn && (c.unread() || !c.reusable()), time.Now()
 	x.stop = context.AfterFunc(ctx, func() { x.cancel(ctx) })
 	go x.write(req, body)
 	resp, err := x.readHead(req, matches)
@@ -225,17 +225,17 @@
 
 // exchange is one request and its response on a connection.
 type exchange struct {
-	p        *Pool
-	c        *conn
-	stop     func() bool
-	headRead atomic.Bool
-	head     *membudget.Hold // of the bytes of the response's head
-	written  chan struct{}   // closed when the write of the request has ended
-	sent     bool            // any byte of the request was written; set before written is closed
-	first    bool            // request on its connection
-	unasked  bool            // bytes had arrived before the request was written
-	began    time.Time       // when the write of the request began
-	writeErr error           // of the write; set before written is closed
+	p           *Pool
+	c           *conn
+	stop        func() bool
+	headRead    atomic.Bool
+	head        *membudget.Hold // of the bytes of the response's head
+	written     chan struct{}   // closed when the write of the request has ended
+	sent        bool            // any byte of the request was written; set before written is closed
+	newConn     bool            // the request is the first one on its connection
+	unsolicited bool            // bytes had arrived before the write of the request began
+	writeBegan  time.Time       // of the request
+	writeErr    error           // of the write; set before written is closed
 }
 
 // headLinger is the longest time for which a connection waits for the head of a response after the caller has left.
@@ -317,12 +317,12 @@
 // nothing had arrived when the write of the request began, the head arrived a round trip after that or later, and no
 // other response follows it at once, as far as its stated length shows.
 func (x *exchange) mayBeLate(resp *http.Response) bool {
-	if x.first {
+	if x.newConn {
 		return false
 	}
-	after := time.Since(x.began)
+	after := time.Since(x.writeBegan)
 	followed := resp.ContentLength >= 0 && int64(x.c.br.Buffered()+len(x.c.source.ahead)) > resp.ContentLength
-	return x.unasked || followed || after < x.c.minRoundTrip()
+	return x.unsolicited || followed || after < x.c.minRoundTrip()
 }
 
 // selfDelimited reports whether the body has a known length or is chunked, so that
--- a/internal/app/control/operate.go
+++ b/internal/app/control/operate.go
@@ -27,7 +27,7 @@
 	if p := (&pb.Propose{Command: c}); !isOperatorOrder(p) {
 		return r.runOnLeader(ctx, p)
 	}
-	return r.order(ctx, &pb.OperatorOrder{Command: c})
+	return r.submitOrder(ctx, &pb.OperatorOrder{Command: c})
 }
 
 // Current returns the newest accepted change by a linearizable read: the leader confirms its role
@@ -64,12 +64,12 @@
 
 // Order sends an order to an engine through the leader.
 func (r *Replica) Order(ctx context.Context, o *pb.Order) (*pb.ProposeResult, error) {
-	return r.order(ctx, &pb.OperatorOrder{Order: o})
+	return r.submitOrder(ctx, &pb.OperatorOrder{Order: o})
 }
 
 // ChangeReplica adds or replaces a replica through the leader.
 func (r *Replica) ChangeReplica(ctx context.Context, c *pb.ReplicaChange) (*pb.ProposeResult, error) {
-	return r.order(ctx, &pb.OperatorOrder{Replica: c})
+	return r.submitOrder(ctx, &pb.OperatorOrder{Replica: c})
 }
 
 func randomID() string {
--- a/internal/app/control/orders.go
+++ b/internal/app/control/orders.go
@@ -19,15 +19,15 @@
 //   - the leader appends an order to its log only if that has no entry on the same subject after the stated index.
 //
 // An order that waits anywhere after it was taken is thus refused once a later one stands in the log, and one that was
-// taken later finds its caller gone. Entries are applied without conditions, so replicas of the build before apply the
+// taken later finds its caller gone. Entries are applied without conditions, so replicas of the previous build apply the
 // same.
 
 // orderPatience is the time after which operators' clients send an order to another host.
 const orderPatience = time.Second
 
-// order has the leader execute an operator's order. It takes a superseded order again while the caller waits for it,
-// as it may be superseded only because this replica was behind.
-func (r *Replica) order(ctx context.Context, o *pb.OperatorOrder) (*pb.ProposeResult, error) {
+// submitOrder has the leader execute an operator's order. While the caller waits, it submits a superseded order again
+// with a newer applied index: the order may be superseded only because this replica was behind.
+func (r *Replica) submitOrder(ctx context.Context, o *pb.OperatorOrder) (*pb.ProposeResult, error) {
 	taken := r.o.Clock.Now()
 	if c := port.CallerConnOf(ctx); c != nil {
 		taken = taken.Add(-c.UnreadFor())
@@ -92,8 +92,8 @@
 	return "change of replicas"
 }
 
-// isOperatorOrder reports whether a proposal is an order that a host of the build before sends without the log index
-// that it had applied.
+// isOperatorOrder reports whether a proposal is an order that needs an applied index. Hosts of the previous build send
+// such orders without one.
 func isOperatorOrder(p *pb.Propose) bool {
 	c := p.Command
 	return p.Order != nil || p.Replica != nil || c.GetEvacuate() != "" || c.GetRestore() != "" || c.GetLift() != nil
--- a/internal/app/control/orders_test.go
+++ b/internal/app/control/orders_test.go
@@ -38,7 +38,7 @@
 	await(g.t, "the order is accepted", func() bool {
 		for _, a := range g.addresses() {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			_, err := g.member(a).r.order(ctx, &pb.OperatorOrder{Command: o.Command, Order: o.Order, Replica: o.Replica})
+			_, err := g.member(a).r.submitOrder(ctx, &pb.OperatorOrder{Command: o.Command, Order: o.Order, Replica: o.Replica})
 			cancel()
 			if err == nil {
 				return true
@@ -289,7 +289,7 @@
 	}
 }
 
-// answerAsOldLeader answers the proposals that a leader of the build before does not know.
+// answerAsOldLeader answers the proposals that a leader of the previous build does not know.
 func answerAsOldLeader(req *pb.Request) *pb.Response {
 	if req.GetPropose().GetOperatorOrder() == nil {
 		return nil
--- a/internal/app/gateway/resume_test.go
+++ b/internal/app/gateway/resume_test.go
@@ -135,7 +135,7 @@
 		"all control hosts have started":                  {answer{v1, false}, answer{v1, false}, answer{v1, false}, false},
 		"no release is known":                             {answer{none, true}, answer{none, true}, answer{none, true}, false},
 		"no control host answers":                         {answer{}, answer{}, answer{}, false},
-		"control hosts of the build before":               {answer{none, false}, answer{none, false}, answer{none, false}, false},
+		"control hosts of the previous build":             {answer{none, false}, answer{none, false}, answer{none, false}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
--- a/internal/app/gateway/streams.go
+++ b/internal/app/gateway/streams.go
@@ -108,7 +108,7 @@
 	g.mu.Unlock()
 	reason, source := "several releases serve", ""
 	if only {
-		source, reason = g.provesOnlyRelease(ctx, service, release, x.record.StreamRetention())
+		source, reason = g.findReleaseProof(ctx, service, release, x.record.StreamRetention())
 	}
 	g.o.Log.Info("release of an unnamed stream", "request_id", x.r.ID, "resume_after", x.r.ResumeAfter, "service", service, "release", release,
 		"source", source, "reason", reason)
@@ -121,9 +121,9 @@
 	return nil
 }
 
-// provesOnlyRelease asks the control hosts for the releases that a service ran within a time. It returns one that knows
-// all and names this release only, or why there is none. Control hosts that name another release refute it.
-func (g *Gateway) provesOnlyRelease(ctx context.Context, service, release string, within time.Duration) (source, reason string) {
+// findReleaseProof asks the control hosts which releases a service ran within a time. It returns a control host that
+// knows all of them and names this one only, or the reason why there is none, such as one that names another release.
+func (g *Gateway) findReleaseProof(ctx context.Context, service, release string, within time.Duration) (source, reason string) {
 	query := &pb.StreamQuery{Service: service, WithinMs: uint64(within.Milliseconds())}
 	near, far := g.controlHostsByDistance()
 	for _, addrs := range [][]string{near, far} {
--- a/internal/core/configstate/orders.go
+++ b/internal/core/configstate/orders.go
@@ -35,7 +35,7 @@
 // replicated. After a restart from a snapshot the index of a subject is not known: it is taken to be that of the
 // snapshot, which is not less.
 type OrderIndex struct {
-	floor uint64 // no subject's index is known to be below it
+	floor uint64 // lower bound of the indexes that Last returns
 	last  map[string]uint64
 }
 
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -123,7 +123,7 @@
 	Refused                         // the server answered that it did not run the request
 	ConnectionFailed                // the connection could not be established, or broke
 	CallerEnded                     // the caller disconnected, or its deadline passed
-	NotSent                         // this host could not encode the request, which says nothing about the other one
+	NotSent                         // this host could not encode the request; the other host is not at fault
 )
 
 // Ended records the end of an attempt. first is the time to its first byte.
--- a/internal/core/releases/releases.go
+++ b/internal/core/releases/releases.go
@@ -33,7 +33,7 @@
 	records       map[key]*record
 	revision      uint64
 	completeSince time.Time
-	complete      bool // now
+	complete      bool // this host is in contact with all other control hosts
 }
 
 type key struct{ service, release string }
