control: a lost control host does not keep releases unproved for ever

Callers would see: after a control host was lost for good, and another one had started since, unnamed streams refused without end. Cause: a control host that only others report, and that was never heard here, counted as out of contact for ever, while one that was heard here counts as gone after 15 minutes. Found by reading; no run has shown it to callers. The same time holds for both now, from the start of the process. TestLostControlHostIsForgotten fails in one of two rows before.

--- a/internal/app/control/controls.go
+++ b/internal/app/control/controls.go
@@ -49,8 +49,8 @@
 			return false
 		}
 	}
-	for addr := range f.controlDomains {
-		if _, known := live[addr]; !known {
+	for addr := range f.controlDomains { // reported by others
+		if _, known := live[addr]; !known && now.Sub(f.started) < controlForgottenAfter {
 			return false
 		}
 	}
--- a/internal/app/control/streams_test.go
+++ b/internal/app/control/streams_test.go
@@ -68,6 +68,31 @@
 	}
 }
 
+// TestLostControlHostIsForgotten checks how long a control host that sends nothing keeps the records of releases
+// incomplete: one that others report, and one that was heard here.
+func TestLostControlHostIsForgotten(t *testing.T) {
+	for name, lose := range map[string]func(*Fleet){
+		"reported by others": func(f *Fleet) { f.controlDomains["control-x"] = "d1" },
+		"heard before": func(f *Fleet) {
+			f.applyExchange(&pb.ControlExchange{Peer: "control-x", Region: "r", FailureDomain: "d1", UptimeMs: 1})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := &manualClock{now: time.Unix(1000, 0)}
+			f := newFleetAt(t, clock, "control-d0", "d0", "r", worldRegions, []string{"control-d0"})
+			lose(f)
+			clock.advance(controlForgottenAfter - time.Second)
+			if f.hearsAllControlsLocked(clock.Now()) {
+				t.Error("the control host counts as gone too early")
+			}
+			clock.advance(time.Second)
+			if !f.hearsAllControlsLocked(clock.Now()) {
+				t.Error("the control host never counts as gone")
+			}
+		})
+	}
+}
+
 // TestReleasesReachOtherRegions guards against control hosts that take the release of their own region for the only one,
 // or that claim to know all while others are out of contact.
 func TestReleasesReachOtherRegions(t *testing.T) {
