control, gateway: an evacuation can be followed from its acknowledgement to a choice

The record of the incident tells neither which log entry an acknowledgement stands for, nor which list an entry host chose by. Now an acknowledgement has the entry's log index, the list's revision and the leader; each control host logs the orders that it applies; an entry host logs each list that a view brings into force and from whom, and each choice the revision of the list.

--- a/internal/app/control/operate.go
+++ b/internal/app/control/operate.go
@@ -191,6 +191,7 @@
 	out := &pb.ProposeResult{
 		Version: res.Version, CurrentVersion: res.Current,
 		Code: string(res.Code), Detail: res.Detail, Leader: r.o.Host,
+		LogIndex: res.LogIndex, EvacuationRevision: res.EvacuationRevision,
 	}
 	return out, resultError(out)
 }
--- a/internal/app/control/orders.go
+++ b/internal/app/control/orders.go
@@ -92,6 +92,16 @@
 	return "change of replicas"
 }
 
+// logEvacuation logs an applied order on a failure domain.
+func (r *Replica) logEvacuation(index uint64, c *pb.Command, revision uint64) {
+	if c.Evacuate == "" && c.Restore == "" {
+		return
+	}
+	domains, _ := r.machine.Evacuated()
+	r.o.Log.Info("order applied", "order", describeOrder(&pb.OperatorOrder{Command: c}), "log_index", index, "term", r.node.Term(),
+		"evacuated", domains, "evacuation_revision", revision)
+}
+
 // isOperatorOrder reports whether a proposal is an order that needs an applied index. Hosts of the previous build send
 // such orders without one.
 func isOperatorOrder(p *pb.Propose) bool {
--- a/internal/app/control/replica.go
+++ b/internal/app/control/replica.go
@@ -329,6 +329,9 @@
 	var res configstate.Result
 	if c := commandOf(e); c != nil {
 		res = r.machine.Apply(c)
+		res.LogIndex = e.Index
+		_, res.EvacuationRevision = r.machine.Evacuated()
+		r.logEvacuation(e.Index, c, res.EvacuationRevision)
 		r.orders.Record(e.Index, c)
 		if c.IssuerShares != nil {
 			r.applyIssuerShares(e.Index)
--- a/internal/app/gateway/log.go
+++ b/internal/app/gateway/log.go
@@ -8,6 +8,7 @@
 	"github.com/sesamefork/sesamefork/internal/core/serverlimit"
 	"github.com/sesamefork/sesamefork/internal/core/serverpause"
 	"github.com/sesamefork/sesamefork/internal/failure"
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
 
 // maxConsideredLogged bounds the candidates listed in a log line.
@@ -22,6 +23,9 @@
 		"request_id", x.r.ID, "route", x.route.Name, "team", x.teamName(), "service", x.service, "attempt", x.sends + 1,
 		"config_version", x.version, "config_staleness_ms", g.ConfigStaleness().Milliseconds(), "remaining_ms", x.deadline.Sub(now).Milliseconds(), "view_age_ms", g.fleet.ViewAge(now).Milliseconds(),
 	}
+	if _, revision := g.fleet.Evacuations(); revision > 0 {
+		kv = append(kv, "evacuation_revision", revision)
+	}
 	if x.lastEvent > 0 {
 		kv = append(kv, "resume_after", x.lastEvent, "resumes", x.r.Resumes)
 	}
@@ -37,7 +41,7 @@
 	case c.Server != nil:
 		requests, prompt, memory := c.Server.Load()
 		kv = append(kv, "server_requests", requests, "server_prompt_tokens", int(prompt), "server_memory_tokens", int(memory))
-		kv = append(kv, "outcome", "server", "server", c.Server.ID, "address", c.Server.Address, "release", c.Server.Release, "estimate_ms", int(c.EstimateMS), "uncovered_tokens", int(c.UncoveredTokens))
+		kv = append(kv, "outcome", "server", "server", c.Server.ID, "address", c.Server.Address, "failure_domain", c.Server.FailureDomain, "release", c.Server.Release, "estimate_ms", int(c.EstimateMS), "uncovered_tokens", int(c.UncoveredTokens))
 		if reason := g.fleet.ColdReason(c.Server, now); reason != "" {
 			kv = append(kv, "cold", string(reason))
 		}
@@ -65,6 +69,18 @@
 	g.o.Log.Info("place chosen", kv...)
 }
 
+// logEvacuations logs the list of evacuated failure domains that a control host's view has brought into force here, if
+// its revision is not the one before.
+func (g *Gateway) logEvacuations(before uint64, v *pb.FleetView, source string) {
+	domains, revision := g.fleet.Evacuations()
+	if revision == before {
+		return
+	}
+	g.o.Metrics.Add("evacuations_changed", 1)
+	g.o.Log.Info("evacuations in force", "evacuated", domains, "evacuation_revision", revision, "revision_before", before,
+		"control_host", source, "staleness_ms", v.StalenessMs)
+}
+
 // logMemoryCrashes logs the servers that replace one that counts as crashed by memory.
 func (g *Gateway) logMemoryCrashes() {
 	for _, s := range g.fleet.TakeMemoryCrashes() {
--- a/internal/app/gateway/sync.go
+++ b/internal/app/gateway/sync.go
@@ -279,7 +279,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.o.Clock.Now()
+	_, revision := g.fleet.Evacuations()
 	g.fleet.ApplyView(v, scope, now)
+	g.logEvacuations(revision, v, scope.Source)
 	if scope.Loads {
 		g.startup.RecordView(milliseconds(v.UptimeMs))
 	}
--- a/internal/core/configstate/machine.go
+++ b/internal/core/configstate/machine.go
@@ -27,6 +27,10 @@
 	Current uint64       // current version after the change was applied or rejected
 	Code    failure.Code // empty when accepted
 	Detail  string
+	// LogIndex is the log index of the command's entry, set by the replica that applies it.
+	LogIndex uint64
+	// EvacuationRevision is that of the list of evacuated failure domains after the command.
+	EvacuationRevision uint64
 }
 
 // Machine is the replicated state machine of the configuration. It is deterministic: equal
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -252,6 +252,9 @@
 	return registry.MissedAnnouncements*f.o.AnnounceEvery + maxViewDelay
 }
 
+// Evacuations returns the evacuated failure domains and the revision of that list. The caller must not modify the list.
+func (f *Fleet) Evacuations() (domains []string, revision uint64) { return f.evacuated, f.revision }
+
 // Evacuated reports whether a failure domain is evacuated, so that its servers get no requests.
 func (f *Fleet) Evacuated(domain string) bool { return slices.Contains(f.evacuated, domain) }
 
