control, daemon: an order that the network delays does not follow a later one

A host refused one whose caller had left, or that had been in its socket for over a second. One that a cut link holds back has neither: its bytes are new in the socket, the end of its connection comes a round trip later, and the host that reads them has applied the later order, so the leader's check passes. Mend: a host takes an order only if it begins its connection, and the connection is at most a second old, by the kernel's time since the handshake plus a round trip. The caller took part in the handshake, so it sent the order within that time, and callers keep an order for a second. Answers to operators close their connections. The same check serves all orders without a version: evacuations, liftings of quarantines, orders to engines, changes of replicas, drains of entry hosts.

--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -127,20 +127,13 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// maxOrderWait is how long an order may wait in the socket, as it does while the process is frozen. An operator repeats
-// an unanswered order or sends another after it.
-const maxOrderWait = time.Second
-
-// checkWaited returns the failure of an order whose operator has left, or that waited too long.
+// checkWaited returns the failure of an order whose operator may have given it up.
 func checkWaited(r *http.Request) *failure.Error {
 	c := port.CallerConnOf(r.Context())
 	if c == nil {
 		return nil
 	}
-	if waited := c.UnreadFor(); c.HasLeft() || waited > maxOrderWait {
-		return failure.New(failure.Canceled, failure.NotRun, "the operator has left, or the order waited for %d ms (limit %d ms)", waited.Milliseconds(), maxOrderWait.Milliseconds())
-	}
-	return nil
+	return failure.As(port.CheckOrderTime(c, c.UnreadFor()), failure.NotRun)
 }
 
 func (h *Handler) ready(w http.ResponseWriter, _ *http.Request) {
--- a/internal/adapter/callerhttp/deadline_test.go
+++ b/internal/adapter/callerhttp/deadline_test.go
@@ -44,11 +44,14 @@
 type fakeConn struct {
 	left   bool
 	unread time.Duration
+	reused bool // the connection has carried a call before
 }
 
 func (c fakeConn) HasLeft() bool            { return c.left }
 func (c fakeConn) UnreadFor() time.Duration { return c.unread }
 
+func (c fakeConn) SentWithin() (time.Duration, bool) { return c.unread, !c.reused }
+
 // TestDrainOrderOfAnOperatorThatGaveUp guards against orders to drain an entry host that it reads, after a freeze, later
 // than a following one.
 func TestDrainOrderOfAnOperatorThatGaveUp(t *testing.T) {
@@ -57,7 +60,8 @@
 		refused bool
 	}{
 		"left":      {fakeConn{left: true}, true},
-		"read late": {fakeConn{unread: 2 * maxOrderWait}, true},
+		"read late": {fakeConn{unread: 2 * port.OrderPatience}, true},
+		"reused":    {fakeConn{reused: true}, true},
 		"waits":     {fakeConn{}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/adapter/operatorhttp/operatorhttp.go
+++ b/internal/adapter/operatorhttp/operatorhttp.go
@@ -66,8 +66,12 @@
 	return h
 }
 
-// ServeHTTP implements http.Handler.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.router.ServeHTTP(w, r) }
+// ServeHTTP implements http.Handler. Each answer closes its connection, so that the next order comes on a new one, by
+// whose age its own is known (port.CheckOrderTime).
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Connection", "close")
+	h.router.ServeHTTP(w, r)
+}
 
 type operatorHandler func(w http.ResponseWriter, r *http.Request, operator string) error
 
--- a/internal/app/control/orders.go
+++ b/internal/app/control/orders.go
@@ -15,16 +15,14 @@
 // Operators' orders without a version of their own can be applied in the wrong order: a host that was frozen reads an
 // order that its caller has long repeated elsewhere and followed by another. Therefore
 //   - a replica that takes an order states the log index that it had applied by then, and checks after that whether the
-//     caller still waits for it, and
+//     caller still waits for it. A network may delay an order and the end of its connection alike, so that the replica
+//     takes only orders which begin their connection, and were sent a short time ago by its age (port.CheckOrderTime), and
 //   - the leader appends an order to its log only if that has no entry on the same subject after the stated index.
 //
 // An order that waits anywhere after it was taken is thus refused once a later one stands in the log, and one that was
 // taken later finds its caller gone. Entries are applied without conditions, so replicas of the previous build apply the
 // same.
 
-// orderPatience is the time after which operators' clients send an order to another host.
-const orderPatience = time.Second
-
 // submitOrder has the leader execute an operator's order. While the caller waits, it submits a superseded order again
 // with a newer applied index: the order may be superseded only because this replica was behind.
 func (r *Replica) submitOrder(ctx context.Context, o *pb.OperatorOrder) (*pb.ProposeResult, error) {
@@ -60,15 +58,10 @@
 	if err := r.post(ctx, func() { o.AppliedIndex = r.node.Status().Applied }); err != nil {
 		return err
 	}
-	conn := port.CallerConnOf(ctx)
-	waited := r.o.Clock.Now().Sub(received)
-	switch {
-	case ctx.Err() != nil, conn != nil && conn.HasLeft():
-		return failure.New(failure.Canceled, failure.NotRun, "the operator no longer waits for the order, which it sent %d ms ago", waited.Milliseconds())
-	case conn != nil && waited > orderPatience:
-		return failure.New(failure.DeadlineExceeded, failure.NotRun, "the order was received %d ms ago, over the limit of %d ms", waited.Milliseconds(), orderPatience.Milliseconds())
+	if ctx.Err() != nil {
+		return failure.New(failure.Canceled, failure.NotRun, "the operator no longer waits for the order, which it sent %d ms ago", r.o.Clock.Now().Sub(received).Milliseconds())
 	}
-	return nil
+	return port.CheckOrderTime(port.CallerConnOf(ctx), r.o.Clock.Now().Sub(received))
 }
 
 func (r *Replica) refuseOrder(o *pb.OperatorOrder, err error) error {
--- a/internal/app/control/orders_test.go
+++ b/internal/app/control/orders_test.go
@@ -15,11 +15,15 @@
 type fakeConn struct {
 	left   bool
 	unread time.Duration
+	sent   time.Duration
+	reused bool // the connection has carried a call before
 }
 
 func (c fakeConn) HasLeft() bool            { return c.left }
 func (c fakeConn) UnreadFor() time.Duration { return c.unread }
 
+func (c fakeConn) SentWithin() (time.Duration, bool) { return c.sent, !c.reused }
+
 // orderTest is a group with the orders of a test. An order that it takes is executed later.
 type orderTest struct {
 	*group
@@ -213,7 +217,9 @@
 		code failure.Code // "" if the order is accepted
 	}{
 		{"left", fakeConn{left: true}, failure.Canceled},
-		{"read late", fakeConn{unread: 2 * orderPatience}, failure.DeadlineExceeded},
+		{"read late", fakeConn{unread: 2 * port.OrderPatience}, failure.DeadlineExceeded},
+		{"sent long before it arrived", fakeConn{sent: 2 * port.OrderPatience}, failure.DeadlineExceeded},
+		{"on a used connection", fakeConn{reused: true}, failure.DeadlineExceeded},
 		{"waits", fakeConn{}, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -21,6 +21,10 @@
 	// wakePending is set while the server has interrupted the reader's wait for the next
 	// request and the reader has not handled that yet.
 	wakePending bool
+	// answered is set when an answer was written.
+	answered bool
+	opened   time.Time // when the connection was accepted
+	tls      bool
 	// answeredLate is set when an answer ended after the server began to finish: any further
 	// request on the connection was sent after that.
 	answeredLate bool
@@ -143,10 +147,16 @@
 func (c *callerConn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inRequest = false
+	c.inRequest, c.answered = false, true
 	c.answeredLate = c.server.finishing.Load()
 }
 
+func (c *callerConn) wasAnswered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answered
+}
+
 func (c *callerConn) wasAnsweredLate() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/daemon/callerconn_test.go
+++ b/internal/daemon/callerconn_test.go
@@ -66,3 +66,43 @@
 		})
 	}
 }
+
+// TestSentWithin guards against an order that its caller gave up long ago and that counts as sent just now: the bytes
+// came late on a connection that was there before, or on one that has carried another call.
+func TestSentWithin(t *testing.T) {
+	type bound struct {
+		d     time.Duration
+		known bool
+	}
+	bounds := make(chan bound, 1)
+	s, err := NewCallerServer("127.0.0.1:0", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		d, known := port.CallerConnOf(r.Context()).SentWithin()
+		bounds <- bound{d, known}
+	}), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	established := time.Now()
+	conn, err := net.Dial("tcp", s.raw.Addr().String()) // it waits in the backlog, as while the process is frozen
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	const late = 60 * time.Millisecond
+	time.Sleep(late)
+	send := func() bound {
+		if _, err := conn.Write([]byte("DELETE /order HTTP/1.1\r\nHost: h\r\n\r\n")); err != nil {
+			t.Fatal(err)
+		}
+		return <-bounds
+	}
+	go func() { _ = s.Serve() }()
+	defer s.finishWithin(time.Second)
+	const tick = 10 * time.Millisecond // of the kernel's clock
+	if first := send(); !first.known || first.d < late-tick || first.d > time.Since(established)+tick {
+		t.Errorf("the first call was sent within %s, known: %v", first.d, first.known)
+	}
+	if second := send(); second.known {
+		t.Errorf("a second call on the connection counts as sent within %s", second.d)
+	}
+}
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -35,7 +35,8 @@
 
 	abort  context.CancelFunc // cancels the contexts of all requests
 	raw    net.Listener       // the TCP listener that ln wraps
-	served chan struct{}      // closed when Serve returns
+	tls    bool
+	served chan struct{} // closed when Serve returns
 }
 
 // NewCallerServer returns a server that listens on addr and serves callers with h.
@@ -49,7 +50,7 @@
 
 func newCallerServer(ln net.Listener, h http.Handler, tlsConfig *tls.Config) *CallerServer {
 	requests, abort := context.WithCancel(context.Background())
-	s := &CallerServer{conns: map[*callerConn]struct{}{}, abort: abort, raw: ln, served: make(chan struct{})}
+	s := &CallerServer{conns: map[*callerConn]struct{}{}, abort: abort, raw: ln, tls: tlsConfig != nil, served: make(chan struct{})}
 	s.ln = &callerListener{ln, s}
 	if tlsConfig != nil {
 		s.ln = tls.NewListener(s.ln, tlsConfig)
@@ -215,7 +216,7 @@
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetWriteBuffer(sendBufferBytes) // its failure leaves the default
 	}
-	conn := &callerConn{Conn: c, server: l.server}
+	conn := &callerConn{Conn: c, server: l.server, opened: time.Now(), tls: l.server.tls}
 	l.server.mu.Lock()
 	defer l.server.mu.Unlock()
 	l.server.conns[conn] = struct{}{}
--- a/internal/daemon/readable.go
+++ b/internal/daemon/readable.go
@@ -69,6 +69,28 @@
 	return since
 }
 
+// SentWithin implements port.CallerConn. Until the host has sent something, the kernel counts the time since it last did
+// from the handshake, which ends before a frozen process accepts the connection. With TLS the process takes part in the
+// handshake. A handshake that the kernel had to repeat may have ended for the caller before.
+func (c *callerConn) SentWithin() (d time.Duration, known bool) {
+	if c.wasAnswered() {
+		return 0, false
+	}
+	d, known = time.Since(c.opened), true
+	control(c.Conn, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return
+		}
+		if !c.tls {
+			d = max(d, time.Duration(info.Last_data_sent)*time.Millisecond)
+			known = info.Total_retrans == 0
+		}
+		d += time.Duration(info.Rtt) * time.Microsecond
+	})
+	return d, known
+}
+
 // control calls f with the descriptor of a socket. It reports false if the socket is closed, and does not call f for
 // anything that is not a socket.
 func control(socket any, f func(fd int)) (open bool) {
