gateway, entry: an open-ended answer that ends before its first byte is no success

Report: a server stopped in the middle of its answer's head and closed; clients got a 200 with an empty body, framed as whole. Cause: such an answer is complete by the end of its connection alone, and nothing asked whether it had begun. Mend: one with a 2xx status that must have a body, and with no byte of it, counts as broken off: outcome unknown, sent once more where the request may be repeated. The rest of a stream may be empty; failures, 204 and answers to HEAD are passed on as before.

--- a/internal/adapter/enginehttp/enginehttp.go
+++ b/internal/adapter/enginehttp/enginehttp.go
@@ -118,8 +118,9 @@
 	resp.Header.Del(HeaderLeaving)
 	return &port.BackendAnswer{
 		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body,
-		Refused: resp.Header.Get(HeaderOutcome) == string(failure.NotRun),
-		Pause:   pause.For, InvalidPause: pause.Invalid,
+		OpenEnded: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		Refused:   resp.Header.Get(HeaderOutcome) == string(failure.NotRun),
+		Pause:     pause.For, InvalidPause: pause.Invalid,
 		Leaving: leaving,
 	}, true, nil
 }
--- a/internal/adapter/enginehttp/enginehttp_test.go
+++ b/internal/adapter/enginehttp/enginehttp_test.go
@@ -1,8 +1,11 @@
 package enginehttp
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -49,3 +52,44 @@
 		t.Errorf("the server got %d requests", requests)
 	}
 }
+
+// TestHeadCutIsNoAnswer guards against a success that a server did not finish to announce: it closes its connection after
+// each byte of a head. With a whole head, the answer says whether only the end of the connection makes it complete.
+func TestHeadCutIsNoAnswer(t *testing.T) {
+	for name, framing := range map[string]string{"length": "Content-Length: 0\r\n", "chunks": "Transfer-Encoding: chunked\r\n", "neither": ""} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = ln.Close() }()
+			head := "HTTP/1.1 200 OK\r\nAny: field\r\n" + framing + "\r\n"
+			texts := make(chan string, 1)
+			go func() {
+				for {
+					conn, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+						_, _ = io.Copy(io.Discard, r.Body)
+						_, _ = io.WriteString(conn, <-texts)
+					}
+					_ = conn.Close()
+				}
+			}()
+			c := New()
+			defer c.Close()
+			for cut := 1; cut <= len(head); cut++ {
+				texts <- head[:cut]
+				a, sent, err := c.Do(context.Background(), port.BackendCall{Address: ln.Addr().String(), Method: http.MethodPost, URI: "/", Body: []byte("x")})
+				if cut < len(head) && (err == nil || !sent) {
+					t.Fatalf("cut after %d bytes: %+v, sent %v, %v", cut, a, sent, err)
+				}
+				if cut == len(head) && (err != nil || a.OpenEnded != (framing == "")) {
+					t.Errorf("whole head: %+v, %v", a, err)
+				}
+			}
+		})
+	}
+}
--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -51,7 +51,8 @@
 	body      string // the part of the answer that arrives
 	broken    bool   // the body breaks off
 	stream    bool
-	status    int // 200 when 0
+	status    int  // 200 when 0
+	openEnded bool // the answer has neither a length nor chunks
 }
 
 // fakeBackends returns scripted results, the last one repeatedly, and counts executed requests.
@@ -92,7 +93,7 @@
 	if s.status != 0 {
 		status = s.status
 	}
-	return &port.BackendAnswer{Status: status, Header: h, Body: io.NopCloser(body)}, true, nil
+	return &port.BackendAnswer{Status: status, Header: h, Body: io.NopCloser(body), OpenEnded: s.openEnded}, true, nil
 }
 
 type brokenReader struct{}
@@ -206,6 +207,10 @@
 		{"order, all refuse", func() *Request { return order("k") }, []attemptResult{{refused: true}}, failure.NotRun, "", 3, 0, failure.NotRun},
 		{"order sent, connection lost", func() *Request { return order("k") }, []attemptResult{{lost: true}, ok}, failure.Unknown, "", 1, 1, failure.Unknown},
 		{"order, answer breaks off", func() *Request { return order("k") }, []attemptResult{{body: "{", broken: true}, ok}, failure.Unknown, "", 1, 1, failure.Unknown},
+		{"order, open-ended answer ends before its first byte", func() *Request { return order("k") }, []attemptResult{{openEnded: true}, ok}, failure.Unknown, "", 1, 1, failure.Unknown},
+		{"order, open-ended answer", func() *Request { return order("k") }, []attemptResult{{body: completeAnswer, openEnded: true}}, failure.Done, completeAnswer, 1, 1, failure.Done},
+		{"order, answer without a body by its status", func() *Request { return order("k") }, []attemptResult{{status: http.StatusNoContent, openEnded: true}}, failure.Done, "", 1, 1, failure.Done},
+		{"chat, open-ended answer ends before its first byte", func() *Request { return chat(false) }, []attemptResult{{openEnded: true}, ok}, failure.Done, completeAnswer, 2, 2, ""},
 		{"chat answered", func() *Request { return chat(false) }, []attemptResult{ok}, failure.Done, completeAnswer, 1, 1, ""},
 		{"chat, connection lost", func() *Request { return chat(false) }, []attemptResult{{lost: true}, ok}, failure.Done, completeAnswer, 2, 2, ""},
 		{"chat, answer breaks off", func() *Request { return chat(false) }, []attemptResult{{body: "{", broken: true}, ok}, failure.Done, completeAnswer, 2, 2, ""},
--- a/internal/app/entry/local.go
+++ b/internal/app/entry/local.go
@@ -76,7 +76,7 @@
 		f := failure.New(failure.BackendRefused, failure.NotRun, "the server answered %d instead of the rest of the stream", answer.Status)
 		return result{stage: retry.Refused, err: f, connected: true}
 	}
-	return h.relayWhole(ctx, x, answer.Body, hd, stall)
+	return h.relayWhole(ctx, x, answer, hd, stall)
 }
 
 // refusalOf returns a failure if the server did not start the request, else nil: the server
@@ -95,8 +95,8 @@
 }
 
 // relayWhole sends on an answer that is not a stream, once it has been received completely.
-func (h *Host) relayWhole(ctx context.Context, x *execution, body io.Reader, hd Head, stall *time.Timer) result {
-	held := &membudget.Reader{R: body, Hold: h.o.AnswerBudget.NewHold(freeAnswerBytes), Factor: 2}
+func (h *Host) relayWhole(ctx context.Context, x *execution, answer *port.BackendAnswer, hd Head, stall *time.Timer) result {
+	held := &membudget.Reader{R: answer.Body, Hold: h.o.AnswerBudget.NewHold(freeAnswerBytes), Factor: 2}
 	defer held.Hold.Release()
 	data, err := io.ReadAll(io.LimitReader(held, maxAnswerBytes+1))
 	if errors.Is(err, membudget.ErrSpent) {
@@ -107,6 +107,9 @@
 			err: failure.New(failure.BackendLost, failure.Unknown, "the answer broke off: %s", err)}
 	}
 	stall.Stop()
+	if len(data) == 0 && endsUnbegun(x, answer) {
+		return result{stage: retry.MidAnswer, err: failure.New(failure.BackendLost, failure.Unknown, "the answer ended before its first byte, with neither a length nor chunks")}
+	}
 	if len(data) > maxAnswerBytes {
 		return result{stage: retry.MidAnswer, err: failure.New(failure.Truncated, failure.Unknown, "the answer is over %d bytes", maxAnswerBytes)}
 	}
@@ -119,6 +122,12 @@
 	return result{stage: retry.Answered, connected: true}
 }
 
+// endsUnbegun reports whether an answer without a body is taken for one that its server did not begin: the end of its
+// connection alone would make it complete.
+func endsUnbegun(x *execution, a *port.BackendAnswer) bool {
+	return a.OpenEnded && a.Status/100 == 2 && a.Status != http.StatusNoContent && x.r.Method != http.MethodHead
+}
+
 // notHeld returns the result of an attempt whose answer does not fit into the host's memory for answers, which says
 // nothing of the server. Another attempt would need the same memory (see mayRetry).
 func notHeld() result {
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -73,6 +73,13 @@
 	}
 }
 
+// openEndedAnswer returns an answer with neither a length nor chunks.
+func openEndedAnswer(status int, body string) *Answer {
+	a := ranAnswer(status, body)
+	a.Head.Length, a.OpenEnded = -1, true
+	return a
+}
+
 // streamAnswer returns a stream of events. If broken, reading fails after them.
 func streamAnswer(events string, broken bool) *Answer {
 	var body io.Reader = strings.NewReader(events)
@@ -295,6 +302,22 @@
 		{"resumed stream with a gap is cut", "/match/1",
 			[]func() (*Answer, bool, error){answered(streamAnswer(event1, true)), answered(streamAnswer(event3, false))},
 			2, 200, event1, failure.BackendLost, failure.Unknown},
+		{"open-ended answer that ends before its first byte, not idempotent, is none", "/order/1",
+			[]func() (*Answer, bool, error){answered(openEndedAnswer(200, ""))}, 1, 0, "", failure.BackendLost, failure.Unknown},
+		{"open-ended answer that ends before its first byte, read only, is sent once more", "/stock/1",
+			[]func() (*Answer, bool, error){answered(openEndedAnswer(200, "")), answered(ranAnswer(200, "ok"))}, 2, 200, "ok", "", ""},
+		{"open-ended stream that ends before its first event is none", "/chat/1",
+			[]func() (*Answer, bool, error){answered(openEndedAnswer(200, ""))}, 1, 0, "", failure.BackendLost, failure.Unknown},
+		{"open-ended stream that ends before its first event, resumable, is sent once more", "/match/1",
+			[]func() (*Answer, bool, error){answered(openEndedAnswer(200, "")), answered(openEndedAnswer(200, event1+event2))}, 2, 200, event1 + event2, "", ""},
+		{"the rest of a stream may be empty and open-ended", "/match/1",
+			[]func() (*Answer, bool, error){answered(streamAnswer(event1+event2, true)), answered(openEndedAnswer(200, ""))}, 2, 200, event1 + event2, "", ""},
+		{"open-ended answer without a body by its status", "/order/1",
+			[]func() (*Answer, bool, error){answered(openEndedAnswer(204, ""))}, 1, 204, "", "", ""},
+		{"open-ended failure without a body", "/order/1",
+			[]func() (*Answer, bool, error){answered(openEndedAnswer(500, ""))}, 1, 500, "", "", ""},
+		{"open-ended answer", "/order/1",
+			[]func() (*Answer, bool, error){answered(openEndedAnswer(200, "ok"))}, 1, 200, "ok", "", ""},
 		{"a failure instead of the rest of a stream is not appended", "/match/1",
 			[]func() (*Answer, bool, error){answered(streamAnswer(event1, true)), answered(ranAnswer(500, "bad"))},
 			2, 200, event1, failure.BackendLost, failure.Unknown},
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -213,6 +213,10 @@
 		res.err = failure.New(failure.BackendLost, failure.Unknown, "the answer broke off: %s", err)
 		return
 	}
+	if endsUnbegun(x, a) && body.size == 0 {
+		res.stage, res.outcome, res.err = retry.MidAnswer, dispatch.ConnectionFailed, errUnbegun
+		return
+	}
 	g.recordProgress(c, res, began)
 	buffered := &bufferedAnswer{head: a.Head, body: body}
 	if isFailure(a.Status) {
@@ -238,6 +242,15 @@
 	}
 }
 
+// errUnbegun is the failure of an attempt whose server may have stopped before the first byte of its answer's body.
+var errUnbegun = failure.New(failure.BackendLost, failure.Unknown, "the answer ended before its first byte, with neither a length nor chunks")
+
+// endsUnbegun reports whether an answer without a body is taken for one that its server did not begin: the end of its
+// connection alone would make it complete. The rest of a stream may be empty.
+func endsUnbegun(x *execution, a *Answer) bool {
+	return a.OpenEnded && a.Status/100 == 2 && a.Status != http.StatusNoContent && x.r.Method != http.MethodHead && !x.headSent && x.lastEvent == 0
+}
+
 // relayStream relays a stream event by event: only complete events, each once, in the order of
 // their IDs.
 func (g *Gateway) relayStream(x *execution, c *dispatch.Choice, a *Answer, res *result, began time.Time) {
@@ -246,6 +259,10 @@
 	var unread time.Duration // the longest time for which the caller kept the stream from being read
 	for {
 		event, err := reader.next()
+		if err == io.EOF && len(event) == 0 && endsUnbegun(x, a) {
+			res.stage, res.outcome, res.err = retry.MidAnswer, dispatch.ConnectionFailed, errUnbegun
+			return
+		}
 		if err == io.EOF && len(event) == 0 {
 			res.stage = retry.Answered
 			if !x.headSent { // an empty stream
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -163,6 +163,8 @@
 	Status int
 	Header map[string][]string
 	Body   io.ReadCloser
+	// OpenEnded is set if the body has neither a length nor chunks, so that it ends with its connection.
+	OpenEnded bool
 	// Refused is set if the server states that it did not start the request.
 	Refused bool
 	// Pause is the time in which the server wants no requests of this host; 0 if it names none.
