--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -24,6 +24,7 @@
 	"github.com/sesamefork/sesamefork/internal/adapter/problem"
 	"github.com/sesamefork/sesamefork/internal/app/access"
 	"github.com/sesamefork/sesamefork/internal/app/entry"
+	"github.com/sesamefork/sesamefork/internal/app/lateorder"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/residency"
 	"github.com/sesamefork/sesamefork/internal/failure"
@@ -133,7 +134,7 @@
 	if c == nil {
 		return nil
 	}
-	return failure.As(port.CheckOrderTime(c, c.UnreadFor()), failure.NotRun)
+	return lateorder.Check(r.Context(), c.UnreadFor())
 }
 
 func (h *Handler) ready(w http.ResponseWriter, _ *http.Request) {
--- a/internal/adapter/callerhttp/deadline_test.go
+++ b/internal/adapter/callerhttp/deadline_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/app/entry"
+	"github.com/sesamefork/sesamefork/internal/app/lateorder"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	"github.com/sesamefork/sesamefork/internal/port"
 )
@@ -60,7 +61,7 @@
 		refused bool
 	}{
 		"left":      {fakeConn{left: true}, true},
-		"read late": {fakeConn{unread: 2 * port.OrderPatience}, true},
+		"read late": {fakeConn{unread: 2 * lateorder.Patience}, true},
 		"reused":    {fakeConn{reused: true}, true},
 		"waits":     {fakeConn{}, false},
 	} {
--- a/internal/adapter/operatorhttp/operatorhttp.go
+++ b/internal/adapter/operatorhttp/operatorhttp.go
@@ -67,7 +67,7 @@
 }
 
 // ServeHTTP implements http.Handler. Each answer closes its connection, so that the next order comes on a new one, by
-// whose age its own is known (port.CheckOrderTime).
+// whose age its own is known (package lateorder).
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Connection", "close")
 	h.router.ServeHTTP(w, r)
--- a/internal/app/control/orders.go
+++ b/internal/app/control/orders.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/sesamefork/sesamefork/internal/app/lateorder"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
@@ -16,7 +17,7 @@
 // order that its caller has long repeated elsewhere and followed by another. Therefore
 //   - a replica that takes an order states the log index that it had applied by then, and checks after that whether the
 //     caller still waits for it. A network may delay an order and the end of its connection alike, so that the replica
-//     takes only orders which begin their connection, and were sent a short time ago by its age (port.CheckOrderTime), and
+//     takes only orders which begin their connection, and were sent a short time ago by its age (package lateorder), and
 //   - the leader appends an order to its log only if that has no entry on the same subject after the stated index.
 //
 // An order that waits anywhere after it was taken is thus refused once a later one stands in the log, and one that was
@@ -58,10 +59,10 @@
 	if err := r.post(ctx, func() { o.AppliedIndex = r.node.Status().Applied }); err != nil {
 		return err
 	}
-	if ctx.Err() != nil {
-		return failure.New(failure.Canceled, failure.NotRun, "the operator no longer waits for the order, which it sent %d ms ago", r.o.Clock.Now().Sub(received).Milliseconds())
+	if f := lateorder.Check(ctx, r.o.Clock.Now().Sub(received)); f != nil {
+		return f
 	}
-	return port.CheckOrderTime(port.CallerConnOf(ctx), r.o.Clock.Now().Sub(received))
+	return nil
 }
 
 func (r *Replica) refuseOrder(o *pb.OperatorOrder, err error) error {
--- a/internal/app/control/orders_test.go
+++ b/internal/app/control/orders_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/app/lateorder"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 	"github.com/sesamefork/sesamefork/internal/port"
@@ -217,8 +218,8 @@
 		code failure.Code // "" if the order is accepted
 	}{
 		{"left", fakeConn{left: true}, failure.Canceled},
-		{"read late", fakeConn{unread: 2 * port.OrderPatience}, failure.DeadlineExceeded},
-		{"sent long before it arrived", fakeConn{sent: 2 * port.OrderPatience}, failure.DeadlineExceeded},
+		{"read late", fakeConn{unread: 2 * lateorder.Patience}, failure.DeadlineExceeded},
+		{"sent long before it arrived", fakeConn{sent: 2 * lateorder.Patience}, failure.DeadlineExceeded},
 		{"on a used connection", fakeConn{reused: true}, failure.DeadlineExceeded},
 		{"waits", fakeConn{}, ""},
 	} {
