--- a/internal/app/control/orders.go
+++ b/internal/app/control/orders.go
@@ -124,13 +124,13 @@
 // checkSuperseded returns the error of an order whose receiver had applied the log up to an index, if the log has a
 // later entry on the same subject. It must run on the goroutine of Run.
 func (r *Replica) checkSuperseded(subject string, appliedIndex uint64) error {
-	last := r.orders.Last(subject)
+	var unapplied []configstate.LoggedCommand
 	for _, e := range r.node.Unapplied() {
-		if c := commandOf(e); c != nil && configstate.Subject(c) == subject {
-			last = e.Index
+		if c := commandOf(e); c != nil {
+			unapplied = append(unapplied, configstate.LoggedCommand{Index: e.Index, Command: c})
 		}
 	}
-	if last > appliedIndex {
+	if last, superseded := r.orders.Superseded(subject, appliedIndex, unapplied); superseded {
 		return supersededError(subject, last, appliedIndex)
 	}
 	return nil
--- a/internal/core/configstate/orders.go
+++ b/internal/core/configstate/orders.go
@@ -59,3 +59,22 @@
 
 // Last returns the log index of the last command on a subject, or a higher one if it is not known.
 func (o *OrderIndex) Last(subject string) uint64 { return max(o.floor, o.last[subject]) }
+
+// LoggedCommand is a command at its place in the log.
+type LoggedCommand struct {
+	Index   uint64
+	Command *pb.Command
+}
+
+// Superseded reports whether an order may be followed in the log already: it returns the index of the last command on the
+// order's subject, and whether that is after the index up to which the order's receiver had applied the log. unapplied are
+// the commands of a leader's log that are not recorded yet, oldest first.
+func (o *OrderIndex) Superseded(subject string, applied uint64, unapplied []LoggedCommand) (last uint64, superseded bool) {
+	last = o.Last(subject)
+	for _, c := range unapplied {
+		if Subject(c.Command) == subject {
+			last = c.Index
+		}
+	}
+	return last, last > applied
+}
--- a/internal/core/consensus/simulation_test.go
+++ b/internal/core/consensus/simulation_test.go
@@ -51,6 +51,7 @@
 	proposals map[uint64]pending // proposals by log index
 	reads     map[uint64]int     // index of the operation by read ID
 	unsynced  []Ready            // not written to disk yet; lost in a crash
+	orders    *configstate.OrderIndex
 }
 
 // pending is a proposal that has not been applied.
@@ -99,6 +100,8 @@
 	applied        map[uint64]string
 	nextID         int
 	violations     []string // violations of invariants observed during the run
+	// onApply, unless nil, is called after a replica has applied a command.
+	onApply func(s *server, e *pb.RaftEntry, c *pb.Command)
 }
 
 func newSimulation(seed int64, n int, disabled disabledMechanisms) *simulation {
@@ -139,7 +142,7 @@
 	if sim.disabled.vote {
 		s.node.restarted = false
 	}
-	s.machine = configstate.NewMachine(1)
+	s.machine, s.orders = configstate.NewMachine(1), configstate.NewOrderIndex(s.disk.snap.Index)
 	if s.disk.snap.Data != nil {
 		_ = s.machine.Restore(s.disk.snap.Data)
 	}
@@ -191,6 +194,7 @@
 func (sim *simulation) apply(s *server, rd Ready) {
 	if rd.Snapshot != nil {
 		_ = s.machine.Restore(rd.Snapshot.Data)
+		s.orders = configstate.NewOrderIndex(rd.Snapshot.Index)
 	}
 	before := s.machine.Version()
 	for _, e := range rd.Committed {
@@ -224,6 +228,10 @@
 		c := new(pb.Command)
 		_ = proto.Unmarshal(e.Data, c)
 		res = s.machine.Apply(c)
+		s.orders.Record(e.Index, c)
+		if sim.onApply != nil {
+			sim.onApply(s, e, c)
+		}
 	}
 	if p, ok := s.proposals[e.Index]; ok {
 		delete(s.proposals, e.Index)
