dispatch: a request that waited for a connection is not written to an evacuated failure domain

Found while each way to a server was listed for the incident: a request is chosen by one view and written once a connection is open, up to 1.2 s later. The condition that is checked right before the write knew servers that leave or ask for a pause, but no evacuation. It is not the incident's cause, as the wait is far below 5 s, but it is the one place that every request passes last. TestRequestChosenBeforeAnEvacuationIsNotSentInIt: sent to the evacuated failure domain before, to the other one now; tests of gateway, dispatch and platform pass.

--- a/internal/app/gateway/pause_test.go
+++ b/internal/app/gateway/pause_test.go
@@ -254,6 +254,39 @@
 	}
 }
 
+// TestRequestChosenBeforeAnEvacuationIsNotSentInIt guards against requests that wait for a connection while the failure
+// domain of their server is evacuated.
+func TestRequestChosenBeforeAnEvacuationIsNotSentInIt(t *testing.T) {
+	f := newFixture(t)
+	other := func(v *pb.FleetView) {
+		onlyOwnRegion(v)
+		for _, s := range v.Servers {
+			if s.Id == "desk2" {
+				s.FailureDomain = "w2"
+			}
+		}
+	}
+	f.view(other)
+	var domains []string
+	f.backends.answer = func(n int, a *Attempt) (*Answer, bool, error) {
+		domain := map[string]string{"desk1": "w1", "desk2": "w2"}[a.Server]
+		if n == 1 {
+			f.view(func(v *pb.FleetView) { other(v); v.Evacuated, v.EvacuationRevision = []string{domain}, 1 })
+		}
+		if !a.MaySend() {
+			return nil, false, ErrWithheld
+		}
+		domains = append(domains, domain)
+		return ranAnswer(200, "ok"), true, nil
+	}
+	if fail := f.g.Execute(context.Background(), f.request("/order/1"), &memorySink{}); fail != nil {
+		t.Fatal(fail)
+	}
+	if evacuated, _ := f.g.fleet.Evacuations(); len(domains) != 1 || domains[0] == evacuated[0] {
+		t.Errorf("sent to %v, %v is evacuated", domains, evacuated)
+	}
+}
+
 // TestPausesAreLogged guards against a refused request whose cause logs do not name.
 func TestPausesAreLogged(t *testing.T) {
 	f := newFixture(t)
--- a/internal/core/dispatch/pause.go
+++ b/internal/core/dispatch/pause.go
@@ -43,10 +43,10 @@
 	return f.pauses.RecordLeaving(c.Server.key, now) && !known
 }
 
-// MaySend reports whether the request of an attempt may be written to its server, which may leave or ask for a
-// pause while the request waits for a connection.
+// MaySend reports whether the request of an attempt may be written to its server, which may leave, ask for a pause or be
+// evacuated while the request waits for a connection. All requests to servers pass this check last.
 func (f *Fleet) MaySend(c *Choice, now time.Time) bool {
-	return c.Server == nil || (!c.Server.Leaving && !f.paused(c.Server, now))
+	return c.Server == nil || (!c.Server.Leaving && !f.paused(c.Server, now) && !f.Evacuated(c.Server.FailureDomain))
 }
 
 // succeedPause passes the pause of a process on to the one that replaces it under its ID, unless an
