--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -115,6 +115,7 @@
 // drain removes the host from the lists of entry hosts (POST) or returns it to them
 // (DELETE). The process keeps running; SIGTERM drains and stops it.
 func (h *Handler) drain(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Connection", "close") // the next order comes on a new connection; see lateorder.Check
 	if f := h.authenticateOperator(r); f != nil {
 		problem.Write(w, f, "")
 		return
