--- a/internal/adapter/operatorhttp/operatorhttp.go
+++ b/internal/adapter/operatorhttp/operatorhttp.go
@@ -66,8 +66,8 @@
 	return h
 }
 
-// ServeHTTP implements http.Handler. Each answer closes its connection, so that the next order comes on a new one, by
-// whose age its own is known (package lateorder).
+// ServeHTTP implements http.Handler. Each answer closes its connection: the next order then comes on a new one, whose age
+// bounds that of the order (package lateorder).
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Connection", "close")
 	h.router.ServeHTTP(w, r)
--- a/internal/app/control/orders.go
+++ b/internal/app/control/orders.go
@@ -16,8 +16,8 @@
 // Operators' orders without a version of their own can be applied in the wrong order: a host that was frozen reads an
 // order that its caller has long repeated elsewhere and followed by another. Therefore
 //   - a replica that takes an order states the log index that it had applied by then, and checks after that whether the
-//     caller still waits for it. A network may delay an order and the end of its connection alike, so that the replica
-//     takes only orders which begin their connection, and were sent a short time ago by its age (package lateorder), and
+//     caller still waits for it. As a network may delay an order and the end of its connection alike, the order must
+//     begin a connection, whose age bounds that of the order (package lateorder), and
 //   - the leader appends an order to its log only if that has no entry on the same subject after the stated index.
 //
 // An order that waits anywhere after it was taken is thus refused once a later one stands in the log, and one that was
--- a/internal/app/lateorder/lateorder.go
+++ b/internal/app/lateorder/lateorder.go
@@ -14,13 +14,13 @@
 // Patience is the time after which operators' clients send an order to another host.
 const Patience = time.Second
 
-// endDelay is the time that the end of a caller's connection may follow its order by, where a proxy or an overloaded
+// endDelay is the time by which the end of a caller's connection may follow its order, where a proxy or an overloaded
 // host has held both back.
 const endDelay = 50 * time.Millisecond
 
-// Check returns the failure of an order whose caller may have given it up. waited is the time since the order was
-// received, and ctx that of the call, which ends when its caller leaves. A call without a port.CallerConn is not checked.
-// What makes the order superseded, as the log index that a replica has applied, must be determined before.
+// Check returns the failure of an order whose caller may have given it up; nil if the caller waits. waited is the time
+// since the order was received, and ctx that of the call, which ends when its caller leaves. Of a call without a
+// port.CallerConn only ctx is checked. Check takes endDelay: a replica must note the log index that it has applied before.
 func Check(ctx context.Context, waited time.Duration) *failure.Error {
 	c := port.CallerConnOf(ctx)
 	if c == nil && ctx.Err() == nil {
--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -21,10 +21,9 @@
 	// wakePending is set while the server has interrupted the reader's wait for the next
 	// request and the reader has not handled that yet.
 	wakePending bool
-	// answered is set when an answer was written.
-	answered bool
-	opened   time.Time // when the connection was accepted
-	tls      bool
+	answered    bool      // an answer was written
+	opened      time.Time // when the connection was accepted
+	tls         bool
 	// answeredLate is set when an answer ended after the server began to finish: any further
 	// request on the connection was sent after that.
 	answeredLate bool
