ctl, operatorhttp: operators' calls do not share connections

The calls on the control hosts' debug address did not close their connections as the others do, and the client kept them. Now these answers close their connections, and the client opens one for each call.

--- a/internal/adapter/operatorhttp/operatorhttp_test.go
+++ b/internal/adapter/operatorhttp/operatorhttp_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 
+	"github.com/go-logr/logr"
+
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
@@ -17,3 +19,18 @@
 		t.Errorf("ended with %v", err)
 	}
 }
+
+// TestAnswersCloseTheirConnections guards against an order that is refused because its connection has carried another
+// call.
+func TestAnswersCloseTheirConnections(t *testing.T) {
+	for name, h := range map[string]http.Handler{
+		"with a key":    New(nil, "", logr.Discard()),
+		"without a key": withoutKey(func(http.ResponseWriter, *http.Request, string) error { return nil }),
+	} {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/unknown", nil))
+		if got := w.Header().Get("Connection"); got != "close" {
+			t.Errorf("%s: Connection: %q", name, got)
+		}
+	}
+}
--- a/internal/adapter/operatorhttp/quarantine.go
+++ b/internal/adapter/operatorhttp/quarantine.go
@@ -77,6 +77,7 @@
 // withoutKey adapts f to a handler that requires no operator key.
 func withoutKey(f operatorHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Connection", "close") // as in Handler.ServeHTTP
 		if err := f(w, r, "operator"); err != nil {
 			problem.Write(w, failure.As(err, failure.Unknown), "")
 		}
--- a/internal/ctl/bounds.go
+++ b/internal/ctl/bounds.go
@@ -39,16 +39,16 @@
 	return readBounded(f)
 }
 
-// transport is shared by all clients, whose connections it keeps.
+// transport is shared by all clients. It keeps no connections: hosts take an order only as the first call of one.
 var transport = newTransport()
 
-// newTransport returns the default transport with the limit on heads.
+// newTransport returns the default transport with the limit on heads, and without kept connections.
 func newTransport() http.RoundTripper {
 	t, ok := http.DefaultTransport.(*http.Transport)
 	if !ok {
 		return http.DefaultTransport
 	}
 	t = t.Clone()
-	t.MaxResponseHeaderBytes = maxHeadBytes
+	t.MaxResponseHeaderBytes, t.DisableKeepAlives = maxHeadBytes, true
 	return t
 }
--- a/internal/ctl/bounds_test.go
+++ b/internal/ctl/bounds_test.go
@@ -72,3 +72,22 @@
 		})
 	}
 }
+
+// TestEachCallBeginsItsConnection guards against an order that a host refuses because its connection has carried another
+// call.
+func TestEachCallBeginsItsConnection(t *testing.T) {
+	callers := map[string]int{}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		callers[r.RemoteAddr]++
+		_, _ = w.Write([]byte("{}"))
+	}))
+	defer s.Close()
+	for range 2 {
+		if err := NewClient(s.URL, "k").Do(context.Background(), http.MethodGet, "/v1/config", nil, new(map[string]int)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(callers) != 2 {
+		t.Errorf("calls by connection: %v", callers)
+	}
+}
