--- a/internal/adapter/backendconn/backendconn_test.go
+++ b/internal/adapter/backendconn/backendconn_test.go
@@ -508,39 +508,48 @@
 }
 
 // TestHeadCutIsNoResponse guards against a success that a server did not finish to announce: it closes or resets its
-// connection after each byte of a head, on a new and on a kept connection.
+// connection after each byte of a head, on a new and on a kept connection, also behind other responses.
 func TestHeadCutIsNoResponse(t *testing.T) {
-	for name, framing := range map[string]string{"length": "Content-Length: 2\r\n", "chunks": "Transfer-Encoding: chunked\r\n", "neither": ""} {
-		for _, resets := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%s, reset: %v", name, resets), func(t *testing.T) {
-				head := "HTTP/1.1 200 OK\r\nId: %s\r\n" + framing + "\r\n"
-				cut := 0
-				s := serve(t, func(s *server, n int, c net.Conn, r *bufio.Reader) {
-					if n%2 == 0 {
-						write(c, okResponseFormat, s.read(r)) // the next one is on a kept connection
-					}
-					text := fmt.Sprintf(head, s.read(r))
-					write(c, "%s", text[:cut])
-					if resets {
-						_ = c.(*net.TCPConn).SetLinger(0)
-					}
+	framings := map[string]string{"length": "Content-Length: 2\r\n", "chunks": "Transfer-Encoding: chunked\r\n", "neither": ""}
+	before := map[string]string{"first": "", "after an interim response": "HTTP/1.1 100 Continue\r\n\r\n", "after a late response": fmt.Sprintf(okResponseFormat, "earlier")}
+	for name, framing := range framings {
+		for place, prefix := range before {
+			for _, resets := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %s, reset: %v", name, place, resets), func(t *testing.T) {
+					testHeadCuts(t, prefix, "HTTP/1.1 200 OK\r\nId: cut\r\n"+framing+"\r\n", resets)
 				})
-				for cut = 1; cut < len(fmt.Sprintf(head, "cut")); cut++ {
-					for _, kept := range []bool{false, true} {
-						p := newPool(t)
-						if kept {
-							if _, err := roundTrip(p, s, "first", nil); err != nil {
-								t.Fatal(err)
-							}
-							p.awaitIdle(s.ln.Addr().String(), 1)
-						}
-						got, err := roundTrip(p, s, "cut", nil)
-						if e := new(Error); !errors.As(err, &e) || !e.Sent {
-							t.Fatalf("cut after %d bytes, kept connection: %v: %q, %v", cut, kept, got, err)
-						}
-					}
+			}
+		}
+	}
+}
+
+// testHeadCuts has a server end its connection after prefix and each proper part of head.
+func testHeadCuts(t *testing.T, prefix, head string, resets bool) {
+	var cut atomic.Int32
+	s := serve(t, func(s *server, n int, c net.Conn, r *bufio.Reader) {
+		if n%2 == 0 {
+			write(c, okResponseFormat, s.read(r)) // the next one is on a kept connection
+		}
+		s.read(r)
+		write(c, "%s", prefix+head[:cut.Load()])
+		if resets {
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+	})
+	for n := 1; n < len(head); n++ {
+		cut.Store(int32(n))
+		for _, kept := range []bool{false, true} {
+			p := newPool(t)
+			if kept {
+				if _, err := roundTrip(p, s, "first", nil); err != nil {
+					t.Fatal(err)
 				}
-			})
+				p.awaitIdle(s.ln.Addr().String(), 1)
+			}
+			got, err := roundTrip(p, s, "cut", nil)
+			if e := new(Error); !errors.As(err, &e) || !e.Sent {
+				t.Fatalf("cut after %d bytes, kept connection: %v: %q, %v", n, kept, got, err)
+			}
 		}
 	}
 }
