consensus: obsolete learners are removed in one step

A control host that loses its disk in series leaves a learner for each store that it had. Each was removed in a step of its own, one each 300 ms, before the newest one could become a voter, so that the group was not whole when the next disk could be lost (4 s). Learners do not change the quorum: all of them are replaced in the step that adds the live ones.

TestDiskLostInSeriesIsReplacedInThreeSteps: after 12 lost disks 15 steps before, 3 now.

--- a/internal/core/consensus/repair.go
+++ b/internal/core/consensus/repair.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -31,9 +32,9 @@
 // to a full set of voters, or nil if no change is needed. It makes one step
 // at a time and adds before it removes:
 //
-//   - Live stores outside the group become learners, all in one step, because learners do
-//     not change the quorum. A learner that is superseded, or that is lost and whose
-//     store is not live, is removed.
+//   - Live stores outside the group become learners, and learners that are superseded, or
+//     lost and not live, are removed: all in one step, because learners do not change the
+//     quorum.
 //   - A caught-up learner becomes a voter if there are too few voters or if a
 //     voter is lost. Learners in the region, then in the failure domain, with the fewest
 //     voters are preferred, so that the loss of one does not include a majority.
@@ -48,20 +49,9 @@
 	}
 	g := newGroupView(st, live, unansweredFor, l)
 	next := proto.Clone(st.Members).(*pb.RaftMembers)
-	for _, s := range live {
-		if !g.member[s.ID] {
-			next.Members = append(next.Members, &pb.RaftMember{Id: s.ID, Address: s.Address, Learner: true})
-		}
-	}
-	if len(next.Members) > len(st.Members.Members) {
+	if g.replaceLearners(next, live) {
 		return next
 	}
-	for i, m := range next.Members {
-		if m.Learner && (g.superseded[m.Id] || (g.lost[m.Id] && !g.live[m.Id])) {
-			next.Members = append(next.Members[:i], next.Members[i+1:]...)
-			return next
-		}
-	}
 	if id := g.removable(st); id != "" {
 		kept := next.Members[:0]
 		for _, m := range next.Members {
@@ -131,6 +121,23 @@
 	return g
 }
 
+// replaceLearners removes the obsolete learners from m and adds the live stores outside the group. It reports whether
+// m changed.
+func (g *groupView) replaceLearners(m *pb.RaftMembers, live []LiveStore) bool {
+	before := len(m.Members)
+	m.Members = slices.DeleteFunc(m.Members, func(e *pb.RaftMember) bool {
+		return e.Learner && (g.superseded[e.Id] || (g.lost[e.Id] && !g.live[e.Id]))
+	})
+	changed := len(m.Members) != before
+	for _, s := range live {
+		if !g.member[s.ID] {
+			m.Members = append(m.Members, &pb.RaftMember{Id: s.ID, Address: s.Address, Learner: true})
+			changed = true
+		}
+	}
+	return changed
+}
+
 // removable returns a lost voter that is no longer needed, or "" if there is none.
 func (g *groupView) removable(st Status) string {
 	if g.voters <= max(g.targetVoters, 1) {
--- a/internal/core/consensus/repair_test.go
+++ b/internal/core/consensus/repair_test.go
@@ -1,6 +1,8 @@
 package consensus
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -93,6 +95,29 @@
 	}
 }
 
+// TestDiskLostInSeriesIsReplacedInThreeSteps guards against a group that has not replaced a lost voter yet when the next
+// disk may be lost, because the store's earlier successors are still learners: each was removed in a step of its own.
+func TestDiskLostInSeriesIsReplacedInThreeSteps(t *testing.T) {
+	group := []string{"a.0", "b.0", "c.0"}
+	for n := range 12 {
+		group = append(group, fmt.Sprintf("c.%d?!", n+1))
+	}
+	st := statusOf(group...)
+	var live []LiveStore
+	for _, id := range []string{"a.0", "b.0", "c.13"} {
+		live = append(live, LiveStore{ID: id, Address: addressOf(id)})
+	}
+	var steps []string
+	for range 3 {
+		st.Members = NextMembers(st, live, nil, RepairLimits{MaxVoters: 5, LostAfter: 8 * time.Second})
+		steps = append(steps, describe(st.Members))
+		st.Replicas = []ReplicaStatus{{ID: "a.0", CaughtUp: true}, {ID: "b.0", CaughtUp: true}, {ID: "c.13", CaughtUp: true}}
+	}
+	if want := []string{"a.0 b.0 c.0 c.13?", "a.0 b.0 c.0 c.13", "a.0 b.0 c.13"}; !slices.Equal(steps, want) {
+		t.Errorf("steps %q, want %q", steps, want)
+	}
+}
+
 // storeNamed returns a store whose location is in its name: in "A1x", the region is A and the
 // failure domain A1.
 func storeNamed(name string) LiveStore {
