daemon, peerlink: a host does not end because an address is in use or descriptors are short

An operator saw a host end at each start while another process still used one of its addresses, and a host end at any time when it could not accept a link for want of descriptors (accept: too many open files).

Cause: a start treats every error of listen(2), and the links' server every error of accept(2), as final. What may pass by itself is retried now, with one log line (cannot listen; retrying / link not accepted; retrying). A stop signal ends the wait. Errors that need other settings (EACCES, a malformed address) stay final.

--- a/cmd/sesame-control/main.go
+++ b/cmd/sesame-control/main.go
@@ -149,16 +149,18 @@
 	}
 	m.Gauge("version", func() any { return r.Accepted().Stamp.Version })
 	m.Gauge("halted", func() any { return r.Halted() != nil })
-	peers, err := peerlink.NewServer(s.Listen.Peer, link, r, log)
+	stop, _ := daemon.Signals()
+	peers, err := daemon.RetryListen(stop, log, s.Listen.Peer, func() (*peerlink.Server, error) {
+		return peerlink.NewServer(s.Listen.Peer, link, r, log)
+	})
 	if err != nil {
 		return err
 	}
 	handler := operatorhttp.New(r, s.Group.BootstrapOperatorHash, log)
-	operators, err := daemon.NewCallerServer(s.Listen.Operator, handler, operatorTLS.Server())
+	operators, err := daemon.ListenForCallers(stop, log, s.Listen.Operator, handler, operatorTLS.Server())
 	if err != nil {
 		return err
 	}
-	stop, _ := daemon.Signals()
 	log.Info("started", "store", state.Identity.Store, "version", r.Accepted().Stamp.Version)
 	p := &parts{replica: r, peers: peers, servers: []*daemon.CallerServer{operators}}
 	return p.run(stop)
--- a/cmd/sesame-control/platform.go
+++ b/cmd/sesame-control/platform.go
@@ -157,11 +157,13 @@
 
 // servePlatform serves peers, operators and callers' look-ups until a signal.
 func servePlatform(s *settings.Control, r *control.Replica, fleet *control.Fleet, link peerlink.Options, log logr.Logger) error {
-	peers, err := peerlink.NewServer(s.Listen.Peer, link, r, log)
+	ctx, _ := daemon.Signals()
+	peers, err := daemon.RetryListen(ctx, log, s.Listen.Peer, func() (*peerlink.Server, error) {
+		return peerlink.NewServer(s.Listen.Peer, link, r, log)
+	})
 	if err != nil {
 		return err
 	}
-	ctx, _ := daemon.Signals()
 	daemon.OnReload(ctx, func() { log.Info("settings are not reloaded; changes take effect at the next start") })
 	handlers := map[string]http.Handler{
 		s.Listen.Operator:  platform.NewControl(r, fleet, regionList(s.Fleet.Regions), log),
@@ -177,7 +179,7 @@
 	}
 	p := &parts{replica: r, fleet: fleet, peers: peers}
 	for addr, h := range handlers {
-		srv, err := daemon.NewCallerServer(addr, h, nil)
+		srv, err := daemon.ListenForCallers(ctx, log, addr, h, nil)
 		if err != nil {
 			return err
 		}
--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -132,18 +132,20 @@
 	backends := enginehttp.New()
 	defer backends.Close()
 	host := newHost(s, client, backends, answers, tracer, m, log)
-	peers, err := peerlink.NewServer(s.Listen.Peer, link, host, log)
+	stop, secondSignal := daemon.Signals()
+	peers, err := daemon.RetryListen(stop, log, s.Listen.Peer, func() (*peerlink.Server, error) {
+		return peerlink.NewServer(s.Listen.Peer, link, host, log)
+	})
 	if err != nil {
 		return nil, err
 	}
 	router := mux.NewRouter().SkipClean(true)
 	backendhttp.Mount(router, host)
 	callerhttp.Mount(router, host, callerhttp.Limits{MaxBodyBytes: s.Limits.MaxBodyBytes, BodyTimeout: ms(s.Limits.BodyTimeoutMS)}, log)
-	callers, err := daemon.NewCallerServer(s.Listen.Caller, router, callerTLS.Server())
+	callers, err := daemon.ListenForCallers(stop, log, s.Listen.Caller, router, callerTLS.Server())
 	if err != nil {
 		return nil, err
 	}
-	stop, secondSignal := daemon.Signals()
 	serving, stopServing := context.WithCancel(context.Background())
 	g, serving := errgroup.WithContext(serving)
 	g.Go(func() error { return host.Run(serving) })
@@ -180,7 +182,7 @@
 	}
 	router := mux.NewRouter()
 	callerhttp.MountDebug(router, host, log)
-	srv, err := daemon.NewCallerServer(s.Listen.Debug, router, nil)
+	srv, err := daemon.ListenForCallers(ctx, log, s.Listen.Debug, router, nil)
 	if err != nil {
 		return err
 	}
--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -78,21 +78,23 @@
 
 // servePlatform serves until a signal, then drains.
 func servePlatform(path string, s *settings.Entry, g *gateway.Gateway, servers *platform.Servers, link peerlink.Options, log logr.Logger) error {
-	peers, err := peerlink.NewServer(s.Listen.Peer, link, g, log)
+	stop, _ := daemon.Signals()
+	peers, err := daemon.RetryListen(stop, log, s.Listen.Peer, func() (*peerlink.Server, error) {
+		return peerlink.NewServer(s.Listen.Peer, link, g, log)
+	})
 	if err != nil {
 		return err
 	}
 	callers := &platform.Callers{Gateway: g, Log: log}
-	callerServer, err := daemon.NewCallerServer(s.Listen.Caller, callers, nil)
+	callerServer, err := daemon.ListenForCallers(stop, log, s.Listen.Caller, callers, nil)
 	if err != nil {
 		return err
 	}
 	callerServer.LateHandler = callers.DrainingHandler()
-	ready, err := daemon.NewCallerServer(s.Listen.Ready, platform.Ready(g), nil)
+	ready, err := daemon.ListenForCallers(stop, log, s.Listen.Ready, platform.Ready(g), nil)
 	if err != nil {
 		return err
 	}
-	stop, _ := daemon.Signals()
 	serving, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
 	daemon.OnReload(serving, func() { reload(path, g, log) })
@@ -106,7 +108,7 @@
 	group.Go(callerServer.Serve)
 	group.Go(func() error { return daemon.Serve(ctx, ready, statusAnswerTime) })
 	if s.Listen.Debug != "" {
-		debug, err := daemon.NewCallerServer(s.Listen.Debug, daemon.DebugHandler(), nil)
+		debug, err := daemon.ListenForCallers(stop, log, s.Listen.Debug, daemon.DebugHandler(), nil)
 		if err != nil {
 			return err
 		}
--- a/internal/adapter/peerlink/server.go
+++ b/internal/adapter/peerlink/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -97,7 +98,7 @@
 	stop := context.AfterFunc(ctx, s.leave)
 	defer stop()
 	for {
-		conn, err := s.ln.Accept()
+		conn, err := s.accept(ctx)
 		if err != nil {
 			s.await(ctx, stopHandling)
 			if ctx.Err() != nil {
@@ -117,6 +118,37 @@
 	}
 }
 
+// acceptRetryInterval is the pause after an error of accept(2) that may pass.
+const acceptRetryInterval = 50 * time.Millisecond
+
+// accept returns the next connection. While the process or the system is out of descriptors or memory, it waits.
+func (s *Server) accept(ctx context.Context) (net.Conn, error) {
+	for logged := false; ; {
+		conn, err := s.ln.Accept()
+		if err == nil || !outOfResources(err) {
+			return conn, err
+		}
+		if !logged {
+			s.log.Info("link not accepted; retrying", "reason", err.Error())
+			logged = true
+		}
+		select {
+		case <-time.After(acceptRetryInterval):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func outOfResources(err error) bool {
+	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // refusalTime is the time before the leave timeout at which the handling of requests is canceled, so that
 // they are refused.
 const refusalTime = 100 * time.Millisecond
