gateway, peerlink: no forward begins at a host that stops

Callers saw streams cut long before their own host had stopped, and requests that lost their answer though no server had failed: the entry host of the other region that had received the forward stopped, and closed its links 0.92 of its grace period after its SIGTERM.

Cause: a stopping host took forwards for 0.3 of its grace period more, and for as long as another host's view still named it. A forward that begins then has up to 0.3 of the grace period less than one that begins elsewhere.

Change: from its SIGTERM on, a host leaves its links, so that the hosts at their other ends send it nothing more (entry host of another region leaves), and refuses what is on its way (forward refused). The sender goes on at another host of the region within the same attempt; that costs neither the retry budget nor the region. Callers' own requests are still accepted as before.

TestDialerHearsOfAStopAtOnce and TestNoForwardToAHostWhoseLinkSaysThatItLeaves cover the announcement.

--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -37,7 +37,9 @@
 	m.Gauge("log_dropped_over_rate", func() any { n, _ := out.Dropped(); return n })
 	m.Gauge("log_dropped_slow_output", func() any { _, n := out.Dropped(); return n })
 	answers := daemon.AnswerBudget(s.Limits.MemoryMB)
-	link.Count, link.Metrics, link.Log, link.LeaveTimeout, link.Budget = m.LinkBytes, m, log, leaveTimeout(s), answers
+	link.Count, link.Metrics, link.Log, link.LeaveTimeout, link.Budget = m.LinkBytes, m, log, drainTime(s), answers
+	var g *gateway.Gateway
+	link.PeerLeaves = func(addr string) { g.RecordPeerLeaving(addr) } // links are opened by the gateway
 	client := peerlink.NewClient(link)
 	defer client.Close()
 	tracer, err := tracing.New(s.Trace, s.Host, "sesame-entry")
@@ -51,7 +53,7 @@
 	}
 	servers := platform.NewServersWithin(daemon.HostIP(s.Listen.Peer), answers)
 	crashes := newCrashWatch(s, time.Duration(s.Fleet.HeartbeatMS)*time.Millisecond, m, log)
-	g := gateway.New(gateway.Options{
+	g = gateway.New(gateway.Options{
 		Host: s.Host.ID, Region: s.Host.Region, FailureDomain: s.Host.FailureDomain,
 		Peer: s.Fleet.PeerAddress(s.Listen.Peer), Caller: s.Listen.Caller, Seeds: s.Fleet.PeerSeeds(), Regions: s.Fleet.Regions,
 		Retries:       retry.SharedBudgetOptions{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: seconds(s.Retries.WindowS)},
@@ -129,32 +131,30 @@
 
 // Fractions of the grace period, the time from SIGTERM until the process is killed.
 const (
-	// acceptShare is the part in which the host still accepts requests, until callers have
-	// been notified of the stop and use other hosts.
+	// acceptShare is the part in which the host still accepts callers' requests, until callers
+	// have been notified of the stop and use other hosts.
 	acceptShare = 0.3
 	// drainShare is the part after which the drain ends; the rest is for the exit itself.
 	drainShare = 0.92
 )
 
-// leaveTimeout returns the time in which the links from other hosts must end once no more requests are
-// accepted.
-func leaveTimeout(s *settings.Entry) time.Duration {
-	return time.Duration((drainShare - acceptShare) * float64(seconds(s.Limits.GraceS)))
+// drainTime returns the time from SIGTERM in which the requests in flight and the links from other hosts must end.
+func drainTime(s *settings.Entry) time.Duration {
+	return time.Duration(drainShare * float64(seconds(s.Limits.GraceS)))
 }
 
-// drainPlatform removes the host from the callers' lists, accepts requests for a while longer, then
-// leaves the links from other hosts and waits for the callers' requests in flight.
+// drainPlatform removes the host from the lists of hosts and leaves the links from other hosts, which then use others
+// of the region. It accepts callers' requests for a while longer and waits for those in flight.
 func drainPlatform(s *settings.Entry, g *gateway.Gateway, callerServer *daemon.CallerServer, leaveLinks func(), log logr.Logger) {
-	grace := seconds(s.Limits.GraceS)
-	deadline, cancel := context.WithTimeout(context.Background(), time.Duration(drainShare*float64(grace)))
+	deadline, cancel := context.WithTimeout(context.Background(), drainTime(s))
 	defer cancel()
-	log.Info("draining", "inflight", g.Inflight())
 	g.Drain()
+	leaveLinks()
 	callerServer.StartDraining()
-	accept := time.NewTimer(time.Duration(acceptShare * float64(grace)))
+	log.Info("draining", "inflight", g.Inflight())
+	accept := time.NewTimer(time.Duration(acceptShare * float64(seconds(s.Limits.GraceS))))
 	defer accept.Stop()
 	<-accept.C
-	leaveLinks()
 	if cut := callerServer.Finish(deadline); cut > 0 {
 		log.Info("requests cut by the shutdown", "connections", cut, "inflight", g.Inflight())
 	}
--- a/internal/adapter/peerlink/client.go
+++ b/internal/adapter/peerlink/client.go
@@ -36,6 +36,9 @@
 	Metrics port.Metrics
 	// Count, if not nil, is called with the number of bytes of each write and read.
 	Count func(sent, received int)
+	// PeerLeaves is called when the other end of a link that a client opened announces that it accepts no further
+	// requests; nil for none.
+	PeerLeaves func(addr string)
 	// Budget limits the unread data of all forwards that a client has opened, beyond 16 KiB of each; nil for no limit.
 	Budget *membudget.Budget
 }
@@ -244,7 +247,11 @@
 		return nil, failure.Wrap(err, failure.PeerUnreachable, failure.NotRun)
 	}
 	go l.logEnd(c.o.Log, addr)
-	return newLinkSession(l), nil
+	s := newLinkSession(l)
+	if c.o.PeerLeaves != nil {
+		s.onPeerLeaves(func() { c.o.PeerLeaves(addr) })
+	}
+	return s, nil
 }
 
 // connect opens a TCP connection. It retries attempts that time out until ctx ends.
--- a/internal/adapter/peerlink/leave_test.go
+++ b/internal/adapter/peerlink/leave_test.go
@@ -509,3 +509,24 @@
 	}
 	return faults
 }
+
+// TestDialerHearsOfAStopAtOnce guards against hosts that learn only from a control host's view that another one stops.
+func TestDialerHearsOfAStopAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		heard := make(chan string, 1)
+		const work = 10 * historyAlive
+		forward := &exchange{id: "forward", chunks: 1, chunkSize: 1, serverPause: work}
+		h := startHistory(t, newFakeNet(regionDelay), Options{KeepAlive: historyAlive, LeaveTimeout: noLeaveTimeout, PeerLeaves: func(addr string) { heard <- addr }}, forward)
+		synctest.Wait()
+		time.Sleep(historyAlive / 2)
+		began := time.Now()
+		h.stop()
+		addr := <-heard
+		if took := time.Since(began); took > regionDelay || addr != fakeAddress {
+			t.Errorf("heard after %s that %q leaves, want %q after %s", took, addr, fakeAddress, regionDelay)
+		}
+		<-h.stopped
+		h.asked.Wait()
+		h.end()
+	})
+}
--- a/internal/adapter/peerlink/session.go
+++ b/internal/adapter/peerlink/session.go
@@ -50,6 +50,17 @@
 	s.leaveLocked()
 }
 
+// onPeerLeaves calls f once the other end has announced that it leaves.
+func (s *session) onPeerLeaves(f func()) {
+	go func() {
+		select {
+		case <-s.conn.peerLeaves:
+			f()
+		case <-s.CloseChan():
+		}
+	}()
+}
+
 // leaveLocked accepts no calls and forwards from now on. The caller holds s.mu.
 func (s *session) leaveLocked() {
 	s.leaving = true
--- /dev/null
+++ b/internal/app/gateway/drain_test.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/sesamefork/sesamefork/internal/failure"
+	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+	"github.com/sesamefork/sesamefork/internal/port"
+)
+
+// endSink keeps the end of a forward.
+type endSink struct {
+	port.IncomingStream
+	end *pb.ForwardEnd
+}
+
+func (s *endSink) CancelOnClose(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithCancel(ctx)
+}
+
+func (s *endSink) Send(f *pb.ForwardFrame) error {
+	s.end = f.GetEnd()
+	return nil
+}
+
+// TestForwardIsRefusedWhileDraining guards against forwards that begin at a host that stops and are cut at its end.
+func TestForwardIsRefusedWhileDraining(t *testing.T) {
+	for _, path := range []string{"/match/1", "/chat/1", "/order/1", "/stock/1"} {
+		f := newFixture(t)
+		f.backends.answer = func(int, *Attempt) (*Answer, bool, error) { return ranAnswer(200, "ok"), true, nil }
+		f.g.Drain()
+		s := &endSink{}
+		f.g.HandleForward(context.Background(), &pb.Request{Stamp: f.g.stamp(), Body: &pb.Request_RoutedForward{RoutedForward: &pb.RoutedForward{
+			RequestId: "r1", Host: "h", Uri: path, Service: "llm", Method: "POST", RemainingMs: 3000, OriginRegion: "east", Attempts: 1,
+		}}}, s)
+		if s.end.GetCode() != string(failure.Draining) || s.end.GetOutcome() != string(failure.NotRun) {
+			t.Errorf("%s: ended with %v, want %s, %s", path, s.end, failure.Draining, failure.NotRun)
+		}
+		if n := len(f.backends.sent()); n != 0 {
+			t.Errorf("%s: %d attempts at servers", path, n)
+		}
+	}
+}
+
+// leavingServers removes the servers of the own region, so that requests are forwarded, and adds entry hosts to the
+// other region.
+func leavingServers(hosts int) func(v *pb.FleetView) {
+	return func(v *pb.FleetView) {
+		for _, s := range v.Servers {
+			s.Leaving = true
+		}
+		for n := range hosts - 1 {
+			v.Hosts = append(v.Hosts, &pb.FleetHost{Id: fmt.Sprintf("host-e%d", n+2), Peer: fmt.Sprintf("10.2.0.%d:7", n+2), Region: "east", FailureDomain: "e1", Ready: true})
+		}
+	}
+}
+
+// TestForwardGoesOnAtAnotherHostOfTheRegion guards against requests that are refused, or retried elsewhere at the cost of
+// the retry budget, because the chosen host of the other region stops.
+func TestForwardGoesOnAtAnotherHostOfTheRegion(t *testing.T) {
+	served := []*pb.ForwardFrame{headFrame(200, 2), chunkFrame("ok"), endFrame(failure.Done, "")}
+	for _, path := range []string{"/order/1", "/stock/1"} {
+		f := newFixture(t)
+		f.view(leavingServers(4))
+		stopping := map[string]bool{}
+		f.peers.framesOf = func(addr string) []*pb.ForwardFrame {
+			if len(stopping) < 3 {
+				stopping[addr] = true
+				return []*pb.ForwardFrame{endFrame(failure.NotRun, failure.Draining)}
+			}
+			return served
+		}
+		sink := &memorySink{}
+		if fail := f.g.Execute(context.Background(), f.request(path), sink); fail != nil || sink.body.String() != "ok" {
+			t.Errorf("%s: answer %q, failure %v", path, sink.body.String(), fail)
+		}
+		tried := slices.Clone(f.peers.addresses)
+		slices.Sort(tried)
+		if len(slices.Compact(tried)) != 4 {
+			t.Errorf("%s: forwarded to %q, want four hosts", path, f.peers.addresses)
+		}
+		for range 20 {
+			_ = f.g.Execute(context.Background(), f.request(path), &memorySink{})
+		}
+		for _, addr := range f.peers.addresses[4:] {
+			if stopping[addr] {
+				t.Errorf("%s: a later request is forwarded to %s, which stops", path, addr)
+			}
+		}
+	}
+}
+
+// TestNoForwardToAHostWhoseLinkSaysThatItLeaves guards against forwards that are sent to a stopping host until a view
+// leaves it out.
+func TestNoForwardToAHostWhoseLinkSaysThatItLeaves(t *testing.T) {
+	f := newFixture(t)
+	f.view(leavingServers(2))
+	f.peers.frames = []*pb.ForwardFrame{headFrame(200, 2), chunkFrame("ok"), endFrame(failure.Done, "")}
+	f.g.o.Random = func() float64 { return 0 }
+	_ = f.g.Execute(context.Background(), f.request("/order/1"), &memorySink{})
+	leaving := f.peers.addresses[0]
+	f.g.RecordPeerLeaving(leaving)
+	f.g.RecordPeerLeaving("10.9.9.9:7") // of no host that is known
+	f.view(leavingServers(2))           // a view from before the stop
+	for range 20 {
+		_ = f.g.Execute(context.Background(), f.request("/order/1"), &memorySink{})
+	}
+	if slices.Contains(f.peers.addresses[1:], leaving) {
+		t.Errorf("forwarded to %s after it said that it leaves", leaving)
+	}
+	if len(f.peers.addresses) != 21 {
+		t.Errorf("%d forwards, want 21", len(f.peers.addresses))
+	}
+}
--- a/internal/app/gateway/forward.go
+++ b/internal/app/gateway/forward.go
@@ -132,7 +132,11 @@
 	}
 	f := forward.Failure(end)
 	res.err, res.outcome, res.stage = f, dispatch.Failed, retry.Sent
-	if f.Outcome == failure.NotRun && !headReceived {
+	switch {
+	case f.Outcome != failure.NotRun || headReceived:
+	case f.Code == failure.Draining: // another host of the region may take it
+		res.stage, res.outcome = retry.BeforeSend, dispatch.ConnectionFailed
+	default:
 		res.stage, res.outcome = retry.Refused, dispatch.Refused
 	}
 }
@@ -182,6 +186,11 @@
 	if f == nil {
 		return failure.New(failure.BadRequest, failure.NotRun, "this host accepts only forwards of routed requests")
 	}
+	if g.draining.Load() {
+		g.o.Metrics.Add("forwards_refused_while_draining", 1)
+		g.o.Log.Info("forward refused", "request_id", forward.ReadText(f.RequestId, f.RequestIdLatin1), "from", req.From, "reason", "this host is shutting down")
+		return g.DrainingFailure()
+	}
 	// The sender's newer configuration may forbid the request here, or allow it.
 	if configstate.Newer(req.Stamp, g.stamp()) && (g.o.Off.Has(dispatch.ConfigFromSender) || !g.catchUp(ctx, req)) {
 		return notRun(failure.NotReady, 0, "version %d is in force here, the sender has version %d", g.Version(), req.Stamp.GetVersion())
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -205,7 +205,8 @@
 }
 
 // Drain reports the host as not ready from its next sync request on, so that it is removed from
-// the lists for callers. Requests are still served.
+// the lists of hosts, and refuses forwards, for which other hosts of the region can be used at once.
+// Callers' requests are still served.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
 // Limits returns the limits on callers' requests; zero values without a configuration.
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -131,7 +131,9 @@
 	traceparents []string
 	sent         bool
 	err          error
+	addresses    []string // of opened
 	frames       []*pb.ForwardFrame
+	framesOf     func(addr string) []*pb.ForwardFrame // overrides frames; nil for none
 	response     func(*pb.Request) *pb.Response
 }
 
@@ -142,14 +144,18 @@
 	return p.response(req), nil
 }
 
-func (p *fakePeers) Open(_ context.Context, _ string, req *pb.Request, _ []byte) (port.ForwardStream, bool, error) {
+func (p *fakePeers) Open(_ context.Context, addr string, req *pb.Request, _ []byte) (port.ForwardStream, bool, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.opened = append(p.opened, req.GetRoutedForward())
 	p.traceparents = append(p.traceparents, req.Traceparent)
+	p.addresses = append(p.addresses, addr)
 	if p.err != nil {
 		return nil, p.sent, p.err
 	}
+	if p.framesOf != nil {
+		return &fakeStream{list: p.framesOf(addr)}, true, nil
+	}
 	return &fakeStream{list: p.frames}, true, nil
 }
 
--- a/internal/app/gateway/log.go
+++ b/internal/app/gateway/log.go
@@ -23,6 +23,9 @@
 		"request_id", x.r.ID, "route", x.route.Name, "team", x.teamName(), "service", x.service, "attempt", x.sends + 1,
 		"config_version", x.version, "config_staleness_ms", g.ConfigStaleness().Milliseconds(), "remaining_ms", x.deadline.Sub(now).Milliseconds(), "view_age_ms", g.fleet.ViewAge(now).Milliseconds(),
 	}
+	if x.r.Origin != "" {
+		kv = append(kv, "origin_region", x.r.Origin)
+	}
 	if _, revision := g.fleet.Evacuations(); revision > 0 {
 		kv = append(kv, "evacuation_revision", revision)
 	}
--- a/internal/app/gateway/regions.go
+++ b/internal/app/gateway/regions.go
@@ -65,6 +65,17 @@
 	g.fleet.ApplyRegionLoads(h, loads, began.Add(now.Sub(began)/2), now)
 }
 
+// RecordPeerLeaving records that the host with a peer address stops, so that no forward is sent to it before the next
+// view leaves it out.
+func (g *Gateway) RecordPeerLeaving(peer string) {
+	g.mu.Lock()
+	known := g.fleet.RecordHostLeaving(peer, g.o.Clock.Now())
+	g.mu.Unlock()
+	if known {
+		g.o.Log.Info("entry host of another region leaves", "peer", peer)
+	}
+}
+
 // regionLoads returns this region's loads for an entry host of another region.
 func (g *Gateway) regionLoads() *pb.RegionLoads {
 	g.mu.Lock()
--- a/internal/core/dispatch/regions.go
+++ b/internal/core/dispatch/regions.go
@@ -101,6 +101,20 @@
 	}
 }
 
+// RecordHostLeaving records that the entry host with a peer address accepts no further requests. It reports whether the
+// host is one of another region. The next views leave the host out; a successor of its process may be used again.
+func (f *Fleet) RecordHostLeaving(peer string, now time.Time) bool {
+	for _, list := range f.hosts {
+		for _, h := range list {
+			if h.Peer == peer {
+				h.suspectUntil = now.Add(suspectTimeout)
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // applyRegion stores a region's figures as of a time, unless newer ones are stored.
 func (f *Fleet) applyRegion(l *pb.RegionLoad, at time.Time) {
 	k := regionKey{l.Region, l.Service}
