gateway, dispatch: a stopping host refuses callers' requests that outlast it

The forecast is the time to the first byte plus the expected output tokens at the median time per token of the last 32 answers; without 10 of them, or for a request that has begun, nothing is refused.

TestStoppingHostRefusesWhatOutlastsIt.

--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -148,7 +148,7 @@
 func drainPlatform(s *settings.Entry, g *gateway.Gateway, callerServer *daemon.CallerServer, leaveLinks func(), log logr.Logger) {
 	deadline, cancel := context.WithTimeout(context.Background(), drainTime(s))
 	defer cancel()
-	g.Drain()
+	g.Drain(drainTime(s))
 	leaveLinks()
 	callerServer.StartDraining()
 	log.Info("draining", "inflight", g.Inflight())
--- a/internal/app/gateway/drain_test.go
+++ b/internal/app/gateway/drain_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
@@ -31,7 +34,7 @@
 	for _, path := range []string{"/match/1", "/chat/1", "/order/1", "/stock/1"} {
 		f := newFixture(t)
 		f.backends.answer = func(int, *Attempt) (*Answer, bool, error) { return ranAnswer(200, "ok"), true, nil }
-		f.g.Drain()
+		f.g.Drain(time.Minute)
 		s := &endSink{}
 		f.g.HandleForward(context.Background(), &pb.Request{Stamp: f.g.stamp(), Body: &pb.Request_RoutedForward{RoutedForward: &pb.RoutedForward{
 			RequestId: "r1", Host: "h", Uri: path, Service: "llm", Method: "POST", RemainingMs: 3000, OriginRegion: "east", Attempts: 1,
@@ -115,3 +118,60 @@
 		t.Errorf("%d forwards, want 21", len(f.peers.addresses))
 	}
 }
+
+// TestStoppingHostRefusesWhatOutlastsIt guards against streams that a stopping host accepts and cuts at its end: another
+// host can take them at once.
+func TestStoppingHostRefusesWhatOutlastsIt(t *testing.T) {
+	const tokenMS, limit = 20, 5 * time.Second
+	for _, c := range []struct {
+		name   string
+		tokens int
+		taken  bool
+	}{{"ends in time", 200, true}, {"ends too late", 300, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.backends.answer = func(_ int, a *Attempt) (*Answer, bool, error) {
+				return &Answer{Head: Head{Status: 200, Header: http.Header{}, Length: -1}, Body: &slowStream{clock: f.clock, pause: time.Duration(a.Request.Prompt.Hint) * tokenMS * time.Millisecond}}, true, nil
+			}
+			send := func(tokens int) *failure.Error {
+				r := f.request("/chat/1")
+				r.Prompt, r.Wait = &Prompt{Tokens: 10, MaxOutput: 1000, Hint: tokens}, time.Minute
+				return f.g.Execute(context.Background(), r, &memorySink{})
+			}
+			for range 20 {
+				if fail := send(50); fail != nil {
+					t.Fatal(fail)
+				}
+			}
+			f.g.Drain(limit)
+			sent, fail := len(f.backends.sent()), send(c.tokens)
+			if taken := len(f.backends.sent()) > sent; taken != c.taken {
+				t.Fatalf("taken %t, want %t; %v", taken, c.taken, fail)
+			}
+			if !c.taken && (fail == nil || fail.Code != failure.Draining || fail.Outcome != failure.NotRun || fail.RetryAfter == 0) {
+				t.Errorf("failure %+v, want %s, %s, with a time to retry", fail, failure.Draining, failure.NotRun)
+			}
+		})
+	}
+}
+
+// slowStream is the body of a stream of two events with a pause between them.
+type slowStream struct {
+	clock *fakeClock
+	pause time.Duration
+	sent  int
+}
+
+func (s *slowStream) Read(p []byte) (int, error) {
+	s.sent++
+	switch s.sent {
+	case 1:
+		return copy(p, event1), nil
+	case 2:
+		s.clock.advance(s.pause)
+		return copy(p, event2), nil
+	}
+	return 0, io.EOF
+}
+
+func (s *slowStream) Close() error { return nil }
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -343,7 +343,7 @@
 func (g *Gateway) job(x *execution, now time.Time) *dispatch.Job {
 	j := &dispatch.Job{
 		Service: x.service, Permits: x.permits, Remaining: x.deadline.Sub(now), Tried: x.tried,
-		Target: time.Duration(x.route.LatencyTargetMS) * time.Millisecond, Forwarded: x.r.Origin != "",
+		Target: time.Duration(x.route.LatencyTargetMS) * time.Millisecond, Forwarded: x.r.Origin != "", EndWithin: g.endWithin(x, now),
 		GapTarget:     time.Duration(x.route.GapTargetMS) * time.Millisecond,
 		ServerCrashes: x.admission.ServerCrashes, Priority: x.route.Priority, Class: x.class, Classes: len(x.classes), Release: x.release, Connected: g.o.Backends.Connected,
 	}
@@ -380,6 +380,9 @@
 		return c, nil
 	}
 	g.o.Metrics.Add("refused_at_once", 1)
+	if c.Outlasts {
+		return nil, g.DrainingFailure()
+	}
 	if c.ServersPaused {
 		return nil, notRun(failure.ServersPaused, c.RetryAfter, "%s", c.Refused)
 	}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -69,6 +69,7 @@
 	// fetchFailedAt is when a fetch from the sender of a forward last failed, in Unix ns.
 	fetchFailedAt atomic.Int64
 	draining      atomic.Bool
+	drainEnd      atomic.Int64 // when the requests in flight must have ended, in Unix ns; valid while draining
 	inflight      atomic.Int64
 	becameBusy    chan struct{} // receives a signal when the number of requests in flight rises from 0
 
@@ -206,8 +207,20 @@
 
 // Drain reports the host as not ready from its next sync request on, so that it is removed from
 // the lists of hosts, and refuses forwards, for which other hosts of the region can be used at once.
-// Callers' requests are still served.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+// Callers' requests are still served if their answers are expected within limit, after which the host stops.
+func (g *Gateway) Drain(limit time.Duration) {
+	g.drainEnd.Store(g.o.Clock.Now().Add(limit).UnixNano())
+	g.draining.Store(true)
+}
+
+// endWithin returns the time in which the answer to a request must be complete because this host stops; 0 if it does
+// not stop or the request goes on with an attempt that may have run.
+func (g *Gateway) endWithin(x *execution, now time.Time) time.Duration {
+	if !g.draining.Load() || x.r.Origin != "" || x.headSent || x.mayHaveRun {
+		return 0
+	}
+	return max(time.Millisecond, time.Unix(0, g.drainEnd.Load()).Sub(now))
+}
 
 // Limits returns the limits on callers' requests; zero values without a configuration.
 func (g *Gateway) Limits() configstate.RequestLimits {
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -28,6 +28,8 @@
 	Permits func(region string) bool
 	// Remaining is the time until the caller's deadline.
 	Remaining time.Duration
+	// EndWithin is the time in which the answer must be complete because this host stops; 0 for no limit.
+	EndWithin time.Duration
 	// Target is the time within which the first byte of the answer should reach the caller.
 	Target time.Duration
 	// GapTarget is the longest pause between the events of a stream with which its answer is still on time; 0
@@ -91,7 +93,9 @@
 	Refused        string
 	NoUsableServer bool
 	ServersPaused  bool
-	RetryAfter     time.Duration
+	// Outlasts is set if the request is refused because its answer is expected to end after Job.EndWithin.
+	Outlasts   bool
+	RetryAfter time.Duration
 
 	// tokensAhead is the number of prompt tokens queued at the server before this request.
 	// slowdown is the factor by which load at the server lengthens the answer of a plain
@@ -175,10 +179,27 @@
 	if wait := time.Duration(c.EstimateMS * float64(time.Millisecond)); wait > j.Remaining {
 		c.Refused, c.Server, c.Host = "the answer is expected after the deadline", nil, nil
 		c.RetryAfter = j.boundRetryAfter(wait - j.Remaining)
+		return c
+	}
+	if j.EndWithin > 0 && f.answerTime(&c) > j.EndWithin {
+		c.Refused, c.Outlasts, c.Server, c.Host = "the answer is expected after this host has stopped", true, nil, nil
 	}
 	return c
 }
 
+// answerTime returns the time in which the whole answer is expected.
+func (f *Fleet) answerTime(c *Choice) time.Duration {
+	ms := c.EstimateMS
+	if c.job.Engine {
+		steady := 1.0
+		if c.Server != nil {
+			steady = f.steadyFactor(c.Server)
+		}
+		ms += f.speedOf(c.job.Service).OutputMS(c.job.OutputTokens) * steady
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
 // noServerReason returns why a request is refused for which no server is usable.
 func (j *Job) noServerReason() string {
 	if j.Release != nil {
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -151,7 +151,9 @@
 		}
 	}
 	if o == Served && c.job.Engine && c.firstByteSeen && !f.disabled(LearnedSpeeds) {
-		f.speedOf(c.job.Service).ObserveHold(float64(now.Sub(c.startedAt)-first) / float64(time.Millisecond) / f.steadyFactor(s))
+		ms := float64(now.Sub(c.startedAt)-first) / float64(time.Millisecond) / f.steadyFactor(s)
+		f.speedOf(c.job.Service).ObserveHold(ms)
+		f.speedOf(c.job.Service).ObserveOutput(c.job.OutputTokens, ms)
 	}
 	if o == Served && c.firstByteSeen {
 		f.recordSlotTime(c, first, now)
--- a/internal/core/speed/speed.go
+++ b/internal/core/speed/speed.go
@@ -59,6 +59,7 @@
 // Estimator holds the estimates of one service. It is not safe for concurrent use.
 type Estimator struct {
 	prefillMSPerToken, begin, answer median
+	outputMSPerToken                 median
 	hold                             mean
 }
 
@@ -70,8 +71,9 @@
 	}
 	return &Estimator{
 		prefillMSPerToken: median{value: 1 / rate, minSamples: minPromptSamples}, begin: median{value: initialBeginMS, minSamples: minPromptSamples},
-		answer: median{value: initialAnswerMS, minSamples: minAnswerSamples},
-		hold:   mean{value: initialHoldMS},
+		answer:           median{value: initialAnswerMS, minSamples: minAnswerSamples},
+		outputMSPerToken: median{minSamples: minPromptSamples},
+		hold:             mean{value: initialHoldMS},
 	}
 }
 
@@ -91,6 +93,20 @@
 // sum of the times of the requests ahead.
 func (e *Estimator) HoldMS() float64 { return min(maxHoldMS, e.hold.value) }
 
+// OutputMS returns the time from the first event of an engine's answer to its last, in ms, for an expected number of
+// output tokens; 0 until enough answers were observed.
+func (e *Estimator) OutputMS(tokens float64) float64 {
+	return min(maxHoldMS, tokens*e.outputMSPerToken.value)
+}
+
+// ObserveOutput records the time in ms from the first to the last event of an engine's complete answer, and the number
+// of output tokens that was expected.
+func (e *Estimator) ObserveOutput(tokens, ms float64) {
+	if tokens > 0 && ms > 0 {
+		e.outputMSPerToken.add(ms / tokens)
+	}
+}
+
 // ObserveHold records the time in ms from the first to the last event of an engine's complete
 // answer.
 func (e *Estimator) ObserveHold(ms float64) {
