releases, gateway: a stream that is not named goes on only by the word of all control hosts

Callers that took a stream up without naming its first attempt got the text of two releases, if the host's control host was cut off or stood still while servers of a new release joined elsewhere.

Cause: the proof that a single release had served ended with the first complete history of a near control host. A history is complete while all others were heard within 1.5 s, so for that time a control host vouches for servers of which it cannot have heard.

Change: all control hosts are asked at once. A server is announced to one of them before it can begin a stream, so each must answer for its own announcements, and must have been up for as long as streams may be taken up; answers name the control hosts that exist. The decision is pure (releases.Prove).

The row 'one control host does not answer' of TestUnnamedStreamNeedsProofOfIts- Release expected what callers reported as the fault; rows in which a near and a far control host do not answer take its place.

--- a/internal/app/control/controls.go
+++ b/internal/app/control/controls.go
@@ -57,6 +57,21 @@
 	return true
 }
 
+// rememberedControlsLocked returns the peer addresses of the control hosts that are members of the group or were heard
+// within controlForgottenAfter, this one included.
+func (f *Fleet) rememberedControlsLocked(now time.Time) []string {
+	set := map[string]bool{f.o.Peer: true}
+	for _, c := range f.reg.KnownControls() {
+		if now.Sub(c.LastSeen) < controlForgottenAfter {
+			set[c.Peer] = true
+		}
+	}
+	for _, addr := range f.replica.MemberAddresses() {
+		set[addr] = true
+	}
+	return slices.Sorted(maps.Keys(set))
+}
+
 func sameControl(a, b *pb.ControlHost) bool {
 	return a.Peer == b.Peer && a.FailureDomain == b.FailureDomain && a.Heard == b.Heard
 }
--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -267,7 +267,9 @@
 	if q.Service != "" {
 		f.releases.SetComplete(f.hearsAllControlsLocked(now), now)
 		recent, complete := f.releases.Within(q.Service, milliseconds(q.WithinMs), now)
-		return &pb.StreamOrigins{RecentReleases: recent, Complete: complete}
+		return &pb.StreamOrigins{
+			RecentReleases: recent, Complete: complete, ControlHosts: f.rememberedControlsLocked(now), UptimeMs: uint64(max(0, now.Sub(f.started).Milliseconds())),
+		}
 	}
 	o, ok := f.streams.Origin(q.Stream)
 	if !ok {
--- a/internal/app/gateway/resume_test.go
+++ b/internal/app/gateway/resume_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/streamorigin"
@@ -114,36 +115,45 @@
 }
 
 // TestUnnamedStreamNeedsProofOfItsRelease guards against streams that go on at the only release that a host knows,
-// though another one began them: its servers left, or the host has started since. The row of a single release checks the
-// other side.
+// though another one began them: its servers left, the host has started since, or a control host is out of step and has
+// not heard of them. The rows of a single release check the other side.
 func TestUnnamedStreamNeedsProofOfItsRelease(t *testing.T) {
-	v1, both, none := []string{"v1"}, []string{"v0", "v1"}, []string{}
+	const near, near2, far, unknown = "10.0.0.1:7", "10.0.0.2:7", "10.1.0.1:7", "10.1.0.2:7"
 	type answer struct {
-		recent   []string // nil for no answer
-		complete bool
+		recent      []string // nil for no answer
+		complete    bool
+		justStarted bool
 	}
+	v1, v1Incomplete, no := answer{recent: []string{"v1"}, complete: true}, answer{recent: []string{"v1"}}, answer{}
+	both, bothIncomplete := answer{recent: []string{"v0", "v1"}, complete: true}, answer{recent: []string{"v0", "v1"}}
+	empty, started := answer{recent: []string{}, complete: true}, answer{recent: []string{}, justStarted: true}
+	all := []string{near, near2, far}
 	for name, c := range map[string]struct {
 		near, near2, far answer
+		remembered       []string // control hosts that the answers name
 		goesOn           bool
 	}{
-		"a single release all along":                      {answer{v1, true}, answer{v1, true}, answer{}, true},
-		"one control host has started, another one knows": {answer{v1, false}, answer{v1, true}, answer{}, true},
-		"one control host does not answer":                {answer{}, answer{v1, true}, answer{}, true},
-		"only another region knows":                       {answer{v1, false}, answer{}, answer{v1, true}, true},
-		"another release served until lately":             {answer{both, true}, answer{both, true}, answer{both, true}, false},
-		"only one control host has heard of another one":  {answer{v1, true}, answer{both, false}, answer{}, false},
-		"all control hosts have started":                  {answer{v1, false}, answer{v1, false}, answer{v1, false}, false},
-		"no release is known":                             {answer{none, true}, answer{none, true}, answer{none, true}, false},
-		"no control host answers":                         {answer{}, answer{}, answer{}, false},
-		"control hosts of the previous build":             {answer{none, false}, answer{none, false}, answer{none, false}, false},
+		"a single release all along":                         {v1, v1, v1, all, true},
+		"only another region knows all":                      {v1Incomplete, v1Incomplete, v1, all, true},
+		"a seed that is gone for good does not answer":       {v1, v1, no, []string{near, near2}, true},
+		"a near control host does not answer":                {no, v1, v1, all, false},
+		"a far control host does not answer":                 {v1, v1, no, all, false},
+		"a control host is named that this host cannot ask":  {v1, v1, v1, append(all, unknown), false},
+		"a near one out of step has not heard of another":    {v1, v1, bothIncomplete, all, false},
+		"another release served until lately":                {both, both, both, all, false},
+		"only one control host has heard of another one":     {v1, bothIncomplete, v1, all, false},
+		"one control host has started, the others know all":  {v1, v1, started, all, false},
+		"all control hosts have started":                     {started, started, started, all, false},
+		"no release is known":                                {empty, empty, empty, all, false},
+		"no control host answers":                            {no, no, no, all, false},
+		"no control host has known all servers long enough":  {v1Incomplete, v1Incomplete, v1Incomplete, all, false},
+		"control hosts of a build that names no other hosts": {v1, v1, v1, nil, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
 			f.view(func(v *pb.FleetView) { setReleases(v, "llm1", [2]string{"v1", "v1"}) })
-			answers := map[string]answer{"10.0.0.1:7": c.near, "10.0.0.2:7": c.near2, "10.1.0.1:7": c.far}
-			f.g.control.update([]*pb.ControlHost{
-				{Peer: "10.0.0.1:7", FailureDomain: "w1"}, {Peer: "10.0.0.2:7", FailureDomain: "w2"}, {Peer: "10.1.0.1:7", FailureDomain: "e1"},
-			})
+			answers := map[string]answer{near: c.near, near2: c.near2, far: c.far}
+			f.g.control.update([]*pb.ControlHost{{Peer: near, FailureDomain: "w1"}, {Peer: near2, FailureDomain: "w2"}, {Peer: far, FailureDomain: "e1"}})
 			f.g.o.Peers = peersByAddress(func(addr string, req *pb.Request) *pb.Response {
 				q := req.GetStreamQuery()
 				if want := f.g.config.Load().Record.StreamRetention().Milliseconds(); q.GetService() != "llm" || int64(q.GetWithinMs()) != want {
@@ -153,7 +163,11 @@
 				if a.recent == nil {
 					return nil
 				}
-				return &pb.Response{Body: &pb.Response_StreamOrigins{StreamOrigins: &pb.StreamOrigins{RecentReleases: a.recent, Complete: a.complete}}}
+				m := &pb.StreamOrigins{RecentReleases: a.recent, Complete: a.complete, ControlHosts: c.remembered, UptimeMs: uint64(time.Hour.Milliseconds())}
+				if a.justStarted {
+					m.UptimeMs = 1000
+				}
+				return &pb.Response{Body: &pb.Response_StreamOrigins{StreamOrigins: m}}
 			})
 			f.backends.answer = func(int, *Attempt) (*Answer, bool, error) { return streamAnswer(event3, false), true, nil }
 			r := f.request("/match/1")
--- a/internal/app/gateway/streams.go
+++ b/internal/app/gateway/streams.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/controlhosts"
+	"github.com/sesamefork/sesamefork/internal/core/releases"
 	"github.com/sesamefork/sesamefork/internal/core/streamorigin"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
@@ -121,27 +123,21 @@
 	return nil
 }
 
-// findReleaseProof asks the control hosts which releases a service ran within a time. It returns a control host that
-// knows all of them and names this one only, or the reason why there is none, such as one that names another release.
+// findReleaseProof asks all control hosts which releases a service ran within a time. It returns a control host whose
+// word proves that this was the only one, or the reason why there is none.
 func (g *Gateway) findReleaseProof(ctx context.Context, service, release string, within time.Duration) (source, reason string) {
 	query := &pb.StreamQuery{Service: service, WithinMs: uint64(within.Milliseconds())}
 	near, far := g.controlHostsByDistance()
-	for _, addrs := range [][]string{near, far} {
-		for _, a := range g.askControlHosts(ctx, addrs, query, func(originAnswer) bool { return false }) {
-			for _, other := range a.m.GetRecentReleases() {
-				if other != release {
-					return "", "release " + other + " served until lately"
-				}
-			}
-			if a.m.GetComplete() && len(a.m.RecentReleases) == 1 {
-				source = a.addr
-			}
+	var answers []releases.Answer
+	g.askControlHosts(ctx, slices.Concat(near, far), query, func(a originAnswer) (enough bool) {
+		if a.m == nil {
+			return false
 		}
-		if source != "" {
-			return source, ""
-		}
-	}
-	return "", "no control host in reach has known all servers for long enough"
+		answer := releases.Answer{Host: a.addr, Releases: a.m.RecentReleases, Complete: a.m.Complete, Uptime: milliseconds(a.m.UptimeMs), Hosts: a.m.ControlHosts}
+		answers = append(answers, answer)
+		return answer.NamesAnother(release)
+	})
+	return releases.Prove(release, within, answers)
 }
 
 // findOrigin returns the origin of a stream and the control host that knows it, or "this host"; "" if none
