daemon: an address for debugging that is in use keeps no host from serving or stopping

With the retries of listen(2), a host whose debug address was in use went on retrying before it served (control hosts) or before it looked for a stop signal (entry hosts). The debug server is listened for beside the others now. TestDebugServerDoesNotKeepAProgramFromStopping; also a test that a forwarded stream that may be resumed goes on at another host of the region at its release (TestResumableForwardGoesOnAfterItsReceiverHasStopped), which holds on the code before too.

--- a/cmd/sesame-control/parts.go
+++ b/cmd/sesame-control/parts.go
@@ -34,6 +34,7 @@
 	fleet   *control.Fleet // nil in a group whose record lists the hosts
 	peers   *peerlink.Server
 	servers []*daemon.CallerServer
+	debug   part // nil for none
 }
 
 // run serves until stop ends or a part fails, and then ends all parts.
@@ -92,6 +93,9 @@
 	for _, s := range p.servers {
 		out = append(out, func(ctx context.Context) error { return daemon.Serve(ctx, s, answerTime) })
 	}
+	if p.debug != nil {
+		out = append(out, p.debug)
+	}
 	return out
 }
 
--- a/cmd/sesame-control/platform.go
+++ b/cmd/sesame-control/platform.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"net/http"
 	"os"
 	"slices"
@@ -169,15 +170,17 @@
 		s.Listen.Operator:  platform.NewControl(r, fleet, regionList(s.Fleet.Regions), log),
 		s.Listen.Directory: platform.NewDirectory(fleet),
 	}
+	p := &parts{replica: r, fleet: fleet, peers: peers}
 	if s.Listen.Debug != "" {
 		router := mux.NewRouter()
 		operatorhttp.MountQuarantine(router, r, log)
 		operatorhttp.MountQuotas(router, r)
 		operatorhttp.MountFleet(router, fleet)
 		router.NotFoundHandler = daemon.DebugHandler()
-		handlers[s.Listen.Debug] = router
+		p.debug = func(ctx context.Context) error {
+			return daemon.ServeOnceListening(ctx, log, s.Listen.Debug, router, answerTime)
+		}
 	}
-	p := &parts{replica: r, fleet: fleet, peers: peers}
 	for addr, h := range handlers {
 		srv, err := daemon.ListenForCallers(ctx, log, addr, h, nil)
 		if err != nil {
--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -154,10 +154,7 @@
 	linksEnded := make(chan struct{})
 	g.Go(func() error { defer close(linksEnded); return peers.Run(serveLinks) })
 	g.Go(callers.Serve)
-	if err := serveDebug(serving, g, s, host, log); err != nil {
-		stopServing()
-		return nil, err
-	}
+	serveDebug(serving, g, s, host, log)
 	log.Info("started", "caller", s.Listen.Caller, "peer", s.Listen.Peer)
 	select {
 	case <-stop.Done():
@@ -176,16 +173,11 @@
 }
 
 // serveDebug serves the debug routes if the settings name an address for them.
-func serveDebug(ctx context.Context, g *errgroup.Group, s *settings.Entry, host *entry.Host, log logr.Logger) error {
+func serveDebug(ctx context.Context, g *errgroup.Group, s *settings.Entry, host *entry.Host, log logr.Logger) {
 	if s.Listen.Debug == "" {
-		return nil
+		return
 	}
 	router := mux.NewRouter()
 	callerhttp.MountDebug(router, host, log)
-	srv, err := daemon.ListenForCallers(ctx, log, s.Listen.Debug, router, nil)
-	if err != nil {
-		return err
-	}
-	g.Go(func() error { return daemon.Serve(ctx, srv, statusAnswerTime) })
-	return nil
+	g.Go(func() error { return daemon.ServeOnceListening(ctx, log, s.Listen.Debug, router, statusAnswerTime) })
 }
--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -110,11 +110,9 @@
 	group.Go(callerServer.Serve)
 	group.Go(func() error { return daemon.Serve(ctx, ready, statusAnswerTime) })
 	if s.Listen.Debug != "" {
-		debug, err := daemon.ListenForCallers(stop, log, s.Listen.Debug, daemon.DebugHandler(), nil)
-		if err != nil {
-			return err
-		}
-		group.Go(func() error { return daemon.Serve(ctx, debug, statusAnswerTime) })
+		group.Go(func() error {
+			return daemon.ServeOnceListening(ctx, log, s.Listen.Debug, daemon.DebugHandler(), statusAnswerTime)
+		})
 	}
 	log.Info("started", "caller", s.Listen.Caller, "peer", s.Listen.Peer)
 	select {
--- a/internal/app/gateway/drain_test.go
+++ b/internal/app/gateway/drain_test.go
@@ -175,3 +175,30 @@
 }
 
 func (s *slowStream) Close() error { return nil }
+
+// TestResumableForwardGoesOnAfterItsReceiverHasStopped guards against streams that end with the host of the other region
+// that relays them, though another host of it can go on.
+func TestResumableForwardGoesOnAfterItsReceiverHasStopped(t *testing.T) {
+	f := newFixture(t)
+	f.view(leavingServers(2))
+	release := "v1"
+	head := func() *pb.ForwardFrame {
+		return &pb.ForwardFrame{Frame: &pb.ForwardFrame_Head{Head: &pb.ForwardHead{Status: 200, Length: -1, Release: &release}}}
+	}
+	f.peers.framesOf = func(string) []*pb.ForwardFrame {
+		if len(f.peers.opened) == 1 {
+			return []*pb.ForwardFrame{head(), chunkFrame(event1), endFrame(failure.Unknown, failure.BackendLost)}
+		}
+		return []*pb.ForwardFrame{head(), chunkFrame(event2), endFrame(failure.Done, "")}
+	}
+	sink := &memorySink{}
+	if fail := f.g.Execute(context.Background(), f.request("/match/1"), sink); fail != nil || sink.body.String() != event1+event2 {
+		t.Errorf("the caller got %q, failure %v", sink.body.String(), fail)
+	}
+	if len(f.peers.opened) != 2 || f.peers.addresses[0] == f.peers.addresses[1] {
+		t.Fatalf("forwarded to %q, want two hosts", f.peers.addresses)
+	}
+	if second := f.peers.opened[1]; second.ResumeAfter != 1 || second.Release == nil || *second.Release != release {
+		t.Errorf("the second forward goes on after event %d at release %v, want 1, %s", second.ResumeAfter, second.Release, release)
+	}
+}
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -42,6 +42,19 @@
 	return RetryListen(ctx, log, addr, func() (*CallerServer, error) { return NewCallerServer(addr, h, tlsConfig) })
 }
 
+// ServeOnceListening serves h on addr until ctx ends, as Serve does, once it can listen there. Its error is nil if ctx
+// ends before that. It is for servers without which a program does its work, such as those for debugging.
+func ServeOnceListening(ctx context.Context, log logr.Logger, addr string, h http.Handler, answerTime time.Duration) error {
+	s, err := ListenForCallers(ctx, log, addr, h, nil)
+	if ctx.Err() != nil && err != nil {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return Serve(ctx, s, answerTime)
+}
+
 // mayPass reports whether an error of listen(2) may pass without a change of the settings.
 func mayPass(err error) bool {
 	for _, e := range []syscall.Errno{syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
--- a/internal/daemon/listen_test.go
+++ b/internal/daemon/listen_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"syscall"
 	"testing"
@@ -56,3 +57,17 @@
 		t.Errorf("%v, want %v", err, context.Canceled)
 	}
 }
+
+// TestDebugServerDoesNotKeepAProgramFromStopping checks that a server whose address stays in use ends with its context.
+func TestDebugServerDoesNotKeepAProgramFromStopping(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = held.Close() }()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := ServeOnceListening(ctx, logr.Discard(), held.Addr().String(), http.NotFoundHandler(), 0); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
