speed: the time of an answer is forecast by its slow ones

A request that is refused loses a round trip, one that is cut loses its answer, so the forecast uses the 0.9 quantile of the time per output token.

TestOutputTimeIsThatOfSlowAnswers.

--- a/internal/core/speed/speed.go
+++ b/internal/core/speed/speed.go
@@ -3,7 +3,7 @@
 // prefill, how long a request occupies a slot, and the answer time of a plain service. It
 // does no I/O and reads no clock.
 //
-// All estimates but the slot time are medians of the newest samples, so that a few slow
+// All estimates but the slot time are quantiles of the newest samples, most of them medians, so that a few slow
 // engines, or a few prompts of which the engine had cached more or less than expected, do not
 // move them.
 package speed
@@ -27,7 +27,7 @@
 
 // Selection of samples.
 const (
-	// sampleWindow is the number of samples in a median. At two long prompts per second, a
+	// sampleWindow is the number of samples in a quantile. At two long prompts per second, a
 	// change of all engines moves the median within 10 s.
 	sampleWindow = 32
 	// minPromptSamples is the number of samples from which on a median of prompt times replaces
@@ -58,8 +58,8 @@
 
 // Estimator holds the estimates of one service. It is not safe for concurrent use.
 type Estimator struct {
-	prefillMSPerToken, begin, answer median
-	outputMSPerToken                 median
+	prefillMSPerToken, begin, answer quantile
+	outputMSPerToken                 quantile
 	hold                             mean
 }
 
@@ -70,10 +70,11 @@
 		rate = initialTokensPerMS
 	}
 	return &Estimator{
-		prefillMSPerToken: median{value: 1 / rate, minSamples: minPromptSamples}, begin: median{value: initialBeginMS, minSamples: minPromptSamples},
-		answer:           median{value: initialAnswerMS, minSamples: minAnswerSamples},
-		outputMSPerToken: median{minSamples: minPromptSamples},
-		hold:             mean{value: initialHoldMS},
+		prefillMSPerToken: quantile{share: median, value: 1 / rate, minSamples: minPromptSamples},
+		begin:             quantile{share: median, value: initialBeginMS, minSamples: minPromptSamples},
+		answer:            quantile{share: median, value: initialAnswerMS, minSamples: minAnswerSamples},
+		outputMSPerToken:  quantile{share: slowShare, minSamples: minPromptSamples},
+		hold:              mean{value: initialHoldMS},
 	}
 }
 
@@ -93,8 +94,8 @@
 // sum of the times of the requests ahead.
 func (e *Estimator) HoldMS() float64 { return min(maxHoldMS, e.hold.value) }
 
-// OutputMS returns the time from the first event of an engine's answer to its last, in ms, for an expected number of
-// output tokens; 0 until enough answers were observed.
+// OutputMS returns the time from the first event of an engine's answer to its last, in ms, that slowShare of the answers
+// with an expected number of output tokens do not exceed; 0 until enough answers were observed.
 func (e *Estimator) OutputMS(tokens float64) float64 {
 	return min(maxHoldMS, tokens*e.outputMSPerToken.value)
 }
@@ -144,24 +145,33 @@
 
 func (m *mean) add(v float64) { m.value += (v - m.value) / sampleWindow }
 
-// median keeps the newest samples and their median.
-type median struct {
+// Shares of the samples that are at most an estimate.
+const (
+	median = 0.5
+	// slowShare is high because of what it is for: a request that is refused loses a round trip, and one that is cut
+	// loses its answer.
+	slowShare = 0.9
+)
+
+// quantile keeps the newest samples and one of their quantiles.
+type quantile struct {
+	share      float64 // of the samples that are at most value
 	samples    []float64
 	next       int
 	value      float64
-	minSamples int // number of samples from which on value is the median
+	minSamples int // number of samples from which on value is the quantile
 }
 
-func (m *median) add(v float64) {
-	if len(m.samples) < sampleWindow {
-		m.samples = append(m.samples, v)
+func (q *quantile) add(v float64) {
+	if len(q.samples) < sampleWindow {
+		q.samples = append(q.samples, v)
 	} else {
-		m.samples[m.next] = v
+		q.samples[q.next] = v
 	}
-	m.next = (m.next + 1) % sampleWindow
-	if len(m.samples) < m.minSamples {
+	q.next = (q.next + 1) % sampleWindow
+	if len(q.samples) < q.minSamples {
 		return
 	}
-	sorted := slices.Sorted(slices.Values(m.samples))
-	m.value = sorted[len(sorted)/2]
+	sorted := slices.Sorted(slices.Values(q.samples))
+	q.value = sorted[int(float64(len(sorted))*q.share)]
 }
--- a/internal/core/speed/speed_test.go
+++ b/internal/core/speed/speed_test.go
@@ -101,3 +101,20 @@
 	}
 	e.ObserveHold(-1)
 }
+
+// TestOutputTimeIsThatOfSlowAnswers guards against forecasts by the median, which half of the answers exceed.
+func TestOutputTimeIsThatOfSlowAnswers(t *testing.T) {
+	e := New(0)
+	for i := range minPromptSamples - 1 {
+		e.ObserveOutput(100, float64(1000+i))
+	}
+	if got := e.OutputMS(100); got != 0 {
+		t.Errorf("%v ms after %d answers, want 0", got, minPromptSamples-1)
+	}
+	for i := range sampleWindow {
+		e.ObserveOutput(100, float64(100*(i+1)))
+	}
+	if got := e.OutputMS(200); got != 2*2900 {
+		t.Errorf("%v ms for 200 tokens, want twice that of the fourth slowest of 32 answers of 100 tokens, 2,900 ms", got)
+	}
+}
