--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -69,7 +69,7 @@
 	// fetchFailedAt is when a fetch from the sender of a forward last failed, in Unix ns.
 	fetchFailedAt atomic.Int64
 	draining      atomic.Bool
-	drainEnd      atomic.Int64 // when the requests in flight must have ended, in Unix ns; valid while draining
+	drainEnd      atomic.Pointer[time.Time] // when the requests in flight must have ended; nil before Drain
 	inflight      atomic.Int64
 	becameBusy    chan struct{} // receives a signal when the number of requests in flight rises from 0
 
@@ -209,17 +209,19 @@
 // the lists of hosts, and refuses forwards, for which other hosts of the region can be used at once.
 // Callers' requests are still served if their answers are expected within limit, after which the host stops.
 func (g *Gateway) Drain(limit time.Duration) {
-	g.drainEnd.Store(g.o.Clock.Now().Add(limit).UnixNano())
+	end := g.o.Clock.Now().Add(limit)
+	g.drainEnd.Store(&end)
 	g.draining.Store(true)
 }
 
 // endWithin returns the time in which the answer to a request must be complete because this host stops; 0 if it does
 // not stop or the request goes on with an attempt that may have run.
 func (g *Gateway) endWithin(x *execution, now time.Time) time.Duration {
-	if !g.draining.Load() || x.r.Origin != "" || x.headSent || x.mayHaveRun {
+	end := g.drainEnd.Load()
+	if end == nil || x.r.Origin != "" || x.headSent || x.mayHaveRun {
 		return 0
 	}
-	return max(time.Millisecond, time.Unix(0, g.drainEnd.Load()).Sub(now))
+	return max(time.Millisecond, end.Sub(now))
 }
 
 // Limits returns the limits on callers' requests; zero values without a configuration.
