--- a/internal/adapter/problem/status.go
+++ b/internal/adapter/problem/status.go
@@ -22,6 +22,7 @@
 	failure.Residency:         http.StatusMisdirectedRequest,
 	failure.KeyReused:         http.StatusUnprocessableEntity,
 	failure.InProgress:        http.StatusConflict,
+	failure.NoMemory:          http.StatusServiceUnavailable,
 	failure.Overloaded:        http.StatusTooManyRequests,
 	failure.DeadlineTooShort:  http.StatusServiceUnavailable,
 	failure.NoServer:          http.StatusServiceUnavailable,
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -31,6 +31,7 @@
 	BadRequest        Code = "bad-request"
 	BodyTooLarge      Code = "body-too-large"
 	SlowBody          Code = "slow-body"
+	NoMemory          Code = "no-memory"
 	Unauthorized      Code = "unauthorized"
 	Forbidden         Code = "forbidden"
 	UnknownModel      Code = "unknown-model"
@@ -86,6 +87,7 @@
 	BadRequest:        "The request is malformed",
 	BodyTooLarge:      "The request body is over the limit",
 	SlowBody:          "The request body did not arrive in time",
+	NoMemory:          "The host has no memory for the request",
 	Unauthorized:      "The key is missing or unknown",
 	Forbidden:         "The key does not allow this",
 	UnknownModel:      "The model is not configured for this team",
