peerlink: a forward's body is held once, and within a budget

Callers saw: 160 forwarded bodies of 1 MiB ended the process at either end, which held 270 to 330 MB of 144. Cause: the sender encoded each body into a frame of its own; the receiver read the frame into a growing slice, copied the body out of it, and nothing bounded how many. Connections whose handshake does not end were not bounded either.

Frames over 64 KiB count toward a budget; without room the frame is read to its end and refused as not run. Over a maximum of handshakes the oldest is closed.

--- a/internal/adapter/peerlink/client.go
+++ b/internal/adapter/peerlink/client.go
@@ -41,6 +41,10 @@
 	PeerLeaves func(addr string)
 	// Budget limits the unread data of all forwards that a client has opened, beyond 16 KiB of each; nil for no limit.
 	Budget *membudget.Budget
+	// Forwards limits the requests of all forwards that a server has accepted, beyond 64 KiB of each; nil for no limit.
+	Forwards *membudget.Budget
+	// MaxHandshakes is the maximum number of connections to a server that are in their handshake; 0 for no limit.
+	MaxHandshakes int
 }
 
 // countBytes returns conn, wrapped so that its reads and writes call Count.
@@ -354,7 +358,7 @@
 
 // send sends the request and its body.
 func (f *forwardStream) send(req *pb.Request, body []byte) error {
-	if err := WriteMessage(f.stream, req); err != nil {
+	if err := writeForward(f.stream, req); err != nil {
 		return err
 	}
 	for len(body) > 0 {
--- a/internal/adapter/peerlink/server.go
+++ b/internal/adapter/peerlink/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -14,6 +15,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
+	"github.com/sesamefork/sesamefork/internal/membudget"
 	"github.com/sesamefork/sesamefork/internal/port"
 )
 
@@ -24,6 +26,7 @@
 	// sendTime bounds the time for which Send waits after the other end has closed the stream. An end that still reads
 	// lets this one send more within a round trip.
 	sendTime time.Duration
+	hold     *membudget.Hold // of the forward's request
 }
 
 // Body implements port.IncomingStream.
@@ -31,16 +34,26 @@
 	if size > limit {
 		return nil, failure.New(failure.BodyTooLarge, failure.NotRun, "a body of %d bytes exceeds the limit of %d bytes", size, limit)
 	}
-	body := make([]byte, 0, min(size, chunkSize))
-	for uint64(len(body)) < size {
+	granted := s.hold.Grow(int64(size))
+	var body []byte
+	if granted {
+		body = make([]byte, 0, size) // the other end has proved to be a host
+	}
+	for received := uint64(0); received < size; {
 		c := new(pb.ForwardChunk)
 		if err := ReadMessage(s.s, c); err != nil {
 			return nil, errors.Trace(err)
 		}
-		if len(c.Data) == 0 || uint64(len(body)+len(c.Data)) > size {
+		received += uint64(len(c.Data))
+		if len(c.Data) == 0 || received > size {
 			return nil, failure.New(failure.BadRequest, failure.NotRun, "the body chunks do not add up to the stated body size")
 		}
-		body = append(body, c.Data...)
+		if granted {
+			body = append(body, c.Data...)
+		}
+	}
+	if !granted { // the other end reads the refusal only after it has sent the body
+		return nil, errNoMemory()
 	}
 	return body, nil
 }
@@ -74,6 +87,9 @@
 	mu      sync.Mutex
 	conns   map[net.Conn]*link // nil for a connection before its link begins
 	leaving bool
+	// handshakes are the connections before their link begins, the oldest first.
+	handshakes         []net.Conn
+	handshakesLoggedAt time.Time
 }
 
 // NewServer returns a server that listens on addr.
@@ -184,7 +200,8 @@
 	}
 }
 
-// track adds an accepted connection. It closes it if the server leaves.
+// track adds an accepted connection. It closes it if the server leaves. If too many are in their handshake, it closes the
+// one that has been for the longest time: a host needs two round trips.
 func (s *Server) track(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -193,6 +210,10 @@
 		return false
 	}
 	s.conns[conn] = nil
+	s.handshakes = append(s.handshakes, conn)
+	if s.o.MaxHandshakes > 0 && len(s.handshakes) > s.o.MaxHandshakes {
+		s.closeOldestHandshake()
+	}
 	return true
 }
 
@@ -202,6 +223,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[conn] = l
+	s.endHandshakeLocked(conn)
 	if s.leaving {
 		_ = conn.SetDeadline(time.Time{}) // it bounded the handshake
 		go l.leave(s.o.KeepAlive)
@@ -213,6 +235,28 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
+	s.endHandshakeLocked(conn)
+}
+
+// closeOldestHandshake closes the connection that has been in its handshake for the longest time. s.mu must be held.
+func (s *Server) closeOldestHandshake() {
+	_ = s.handshakes[0].Close()
+	s.handshakes = s.handshakes[1:]
+	if s.o.Metrics != nil {
+		s.o.Metrics.Add("link_handshakes_closed_for_others", 1)
+	}
+	if now := time.Now(); now.Sub(s.handshakesLoggedAt) >= handshakeLogInterval {
+		s.handshakesLoggedAt = now
+		s.log.Info("handshake of a link ended for others", "limit", s.o.MaxHandshakes)
+	}
+}
+
+// handshakeLogInterval is the least time between two log lines about handshakes that ended for others.
+const handshakeLogInterval = time.Second
+
+// endHandshakeLocked removes a connection from those in their handshake. s.mu must be held.
+func (s *Server) endHandshakeLocked(conn net.Conn) {
+	s.handshakes = slices.DeleteFunc(s.handshakes, func(c net.Conn) bool { return c == conn })
 }
 
 func (s *Server) closeAll() {
@@ -278,13 +322,20 @@
 func (s *Server) serveStream(ctx context.Context, stream *linkStream) {
 	_ = stream.SetReadDeadline(time.Now().Add(requestTimeout))
 	req := new(pb.Request)
-	if err := ReadMessage(stream, req); err != nil {
+	hold := s.o.Forwards.NewHold(freeForwardBytes)
+	defer hold.Release()
+	if err := readFirst(stream, req, hold); err != nil {
+		if failure.Is(err, failure.NoMemory) {
+			s.refuseForward(stream, failure.As(err, failure.NotRun))
+			return
+		}
 		s.sendRefusal(stream, err)
 		return
 	}
+	stream.Shrink()
 	_ = stream.SetReadDeadline(time.Time{})
 	if req.GetForward() != nil || req.GetRoutedForward() != nil {
-		s.handler.HandleForward(ctx, req, incoming{stream, &s.o, s.o.KeepAlive})
+		s.handler.HandleForward(ctx, req, incoming{stream, &s.o, s.o.KeepAlive, hold})
 		return
 	}
 	s.serveCalls(ctx, stream, req)
@@ -352,6 +403,14 @@
 	return &pb.Refusal{Code: string(f.Code), Detail: f.Detail}
 }
 
+// refuseForward ends a forward that was not run.
+func (s *Server) refuseForward(stream *linkStream, f *failure.Error) {
+	_ = stream.SetWriteDeadline(time.Now().Add(requestTimeout))
+	_ = WriteMessage(stream, &pb.ForwardFrame{Frame: &pb.ForwardFrame_End{End: &pb.ForwardEnd{
+		Outcome: string(f.Outcome), Code: string(f.Code), Detail: f.Detail, RetryAfterMs: f.RetryAfter.Milliseconds(),
+	}}})
+}
+
 // sendRefusal reports an invalid frame to the other end, unless the stream has ended.
 func (s *Server) sendRefusal(stream *linkStream, err error) {
 	f := failure.As(err, failure.NotRun)
