daemon, platform: what callers hold is bounded, and heads by the limits in force

Callers saw: hosts that ran out of memory and ended beside clients that stop just short of the end of large bodies, send them in large or small chunks, send whole ones, or heads without an end; with 600 descriptors no answer beside 1,200 connections that send nothing.

Cause: each body was read by io.ReadAll before anything else was looked at, with no bound on the sum and no time; of the configuration's limits only max_body_bytes was applied; no listener had a bound on its connections. The same at control hosts (configurations, announcements), and at the ready, directory and debug addresses.

All connections of a process ask a plan of its memory and descriptors (daemon.MemoryPlan) for what they hold; those without progress end first. Paths without a route, keys without a team, spent quotas and announced bodies over the limit are refused from the head; a body must arrive in its caller's time. Heads and idle connections have the limits of the configuration in force, also on connections that were opened before.

--- a/cmd/sesame-control/main.go
+++ b/cmd/sesame-control/main.go
@@ -132,6 +132,8 @@
 		link.TLS = peerTLS.Config
 	}
 	m := metrics.New(true)
+	plan := daemon.NewMemoryPlan(s.Limits.MemoryMB, s.Limits.MaxFiles, log, m.Gauge)
+	link.MaxHandshakes = plan.Handshakes()
 	link.Count, link.Metrics, link.Log, link.LeaveTimeout = m.LinkBytes, m, log, leaveTimeout(s.Link.KeepAlive())
 	client := peerlink.NewClient(link)
 	defer client.Close()
@@ -161,6 +163,7 @@
 	if err != nil {
 		return err
 	}
+	operators.Memory = plan.Connections("operators", operatorShare+directoryShare+debugShare, true)
 	log.Info("started", "store", state.Identity.Store, "version", r.Accepted().Stamp.Version)
 	p := &parts{replica: r, peers: peers, servers: []*daemon.CallerServer{operators}}
 	return p.run(stop)
--- a/cmd/sesame-control/platform.go
+++ b/cmd/sesame-control/platform.go
@@ -18,6 +18,7 @@
 	"github.com/sesamefork/sesamefork/internal/adapter/peerlink"
 	"github.com/sesamefork/sesamefork/internal/adapter/settings"
 	"github.com/sesamefork/sesamefork/internal/app/control"
+	"github.com/sesamefork/sesamefork/internal/clientmem"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/registry"
 	"github.com/sesamefork/sesamefork/internal/daemon"
@@ -30,7 +31,6 @@
 // runPlatform runs the replica with the platform interface: the group is formed from the seeds,
 // replaces lost replicas itself, and hosts register themselves.
 func runPlatform(s *settings.Control) error {
-	daemon.LimitMemory(s.Limits.MemoryMB)
 	out := logging.NewBounded(os.Stdout, s.Log.Level)
 	defer out.Close()
 	log := out.WithValues("host", s.Host.ID)
@@ -50,7 +50,8 @@
 	m := metrics.New(true)
 	m.Gauge("log_dropped_over_rate", func() any { n, _ := out.Dropped(); return n })
 	m.Gauge("log_dropped_slow_output", func() any { _, n := out.Dropped(); return n })
-	link := peerlink.Options{Key: key, KeepAlive: s.Link.KeepAlive(), Local: daemon.HostIP(s.Listen.Peer), LeaveTimeout: leaveTimeout(s.Link.KeepAlive()), Count: m.LinkBytes, Metrics: m, Log: log}
+	plan := daemon.NewMemoryPlan(s.Limits.MemoryMB, s.Limits.MaxFiles, log, m.Gauge)
+	link := peerlink.Options{MaxHandshakes: plan.Handshakes(), Key: key, KeepAlive: s.Link.KeepAlive(), Local: daemon.HostIP(s.Listen.Peer), LeaveTimeout: leaveTimeout(s.Link.KeepAlive()), Count: m.LinkBytes, Metrics: m, Log: log}
 	client := peerlink.NewClient(link)
 	defer client.Close()
 	r, err := control.NewReplica(control.Options{
@@ -73,9 +74,16 @@
 	}, r)
 	m.Gauge("staleness_ms", func() any { return r.Staleness().Milliseconds() })
 	m.Gauge("version", func() any { return r.Accepted().Stamp.Version })
-	return servePlatform(s, r, fleet, link, log)
+	return servePlatform(s, r, fleet, link, plan, log)
 }
 
+// Shares of the connections of clients, by address.
+const (
+	operatorShare  = 1.0 / 2
+	directoryShare = 3.0 / 8
+	debugShare     = 1.0 / 8
+)
+
 // openStoreWithRetry opens the store, and retries while the disk reports errors.
 func openStoreWithRetry(s *settings.Control, log logr.Logger) (*journal.Journal, *port.JournalState, error) {
 	for logged := false; ; time.Sleep(control.StoreRetryInterval) {
@@ -157,7 +165,7 @@
 }
 
 // servePlatform serves peers, operators and callers' look-ups until a signal.
-func servePlatform(s *settings.Control, r *control.Replica, fleet *control.Fleet, link peerlink.Options, log logr.Logger) error {
+func servePlatform(s *settings.Control, r *control.Replica, fleet *control.Fleet, link peerlink.Options, plan *daemon.MemoryPlan, log logr.Logger) error {
 	ctx, _ := daemon.Signals()
 	peers, err := daemon.RetryListen(ctx, log, s.Listen.Peer, func() (*peerlink.Server, error) {
 		return peerlink.NewServer(s.Listen.Peer, link, r, log)
@@ -166,9 +174,12 @@
 		return err
 	}
 	daemon.OnReload(ctx, func() { log.Info("settings are not reloaded; changes take effect at the next start") })
-	handlers := map[string]http.Handler{
-		s.Listen.Operator:  platform.NewControl(r, fleet, regionList(s.Fleet.Regions), log),
-		s.Listen.Directory: platform.NewDirectory(fleet),
+	handlers := map[string]struct {
+		http.Handler
+		mem *clientmem.Budget
+	}{
+		s.Listen.Operator:  {platform.NewControl(r, fleet, regionList(s.Fleet.Regions), log), plan.Connections("operators", operatorShare, true)},
+		s.Listen.Directory: {platform.NewDirectory(fleet), plan.Connections("directory", directoryShare, false)},
 	}
 	p := &parts{replica: r, fleet: fleet, peers: peers}
 	if s.Listen.Debug != "" {
@@ -178,14 +189,15 @@
 		operatorhttp.MountFleet(router, fleet)
 		router.NotFoundHandler = daemon.DebugHandler()
 		p.debug = func(ctx context.Context) error {
-			return daemon.ServeOnceListening(ctx, log, s.Listen.Debug, router, answerTime)
+			return daemon.ServeOnceListening(ctx, log, s.Listen.Debug, router, answerTime, plan.Connections("debug", debugShare, false))
 		}
 	}
 	for addr, h := range handlers {
-		srv, err := daemon.ListenForCallers(ctx, log, addr, h, nil)
+		srv, err := daemon.ListenForCallers(ctx, log, addr, h.Handler, nil)
 		if err != nil {
 			return err
 		}
+		srv.Memory = h.mem
 		p.servers = append(p.servers, srv)
 	}
 	log.Info("started", "store", r.Store(), "version", r.Accepted().Stamp.Version, "peer", s.Listen.Peer)
--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -125,7 +125,9 @@
 	}
 	defer tracer.Shutdown()
 	m := metrics.New(true)
-	answers := daemon.AnswerBudget(s.Limits.MemoryMB)
+	plan := daemon.NewMemoryPlan(s.Limits.MemoryMB, s.Limits.MaxFiles, log, m.Gauge)
+	answers := plan.Answers()
+	link.Forwards, link.MaxHandshakes = plan.Forwards(), plan.Handshakes()
 	link.Count, link.Metrics, link.Log, link.Budget = m.LinkBytes, m, log, answers
 	client := peerlink.NewClient(link)
 	defer client.Close()
@@ -146,6 +148,7 @@
 	if err != nil {
 		return nil, err
 	}
+	callers.Memory = plan.Connections("callers", callerShare+readyShare, true)
 	serving, stopServing := context.WithCancel(context.Background())
 	g, serving := errgroup.WithContext(serving)
 	g.Go(func() error { return host.Run(serving) })
@@ -154,7 +157,7 @@
 	linksEnded := make(chan struct{})
 	g.Go(func() error { defer close(linksEnded); return peers.Run(serveLinks) })
 	g.Go(callers.Serve)
-	serveDebug(serving, g, s, host, log)
+	serveDebug(serving, g, s, host, plan, log)
 	log.Info("started", "caller", s.Listen.Caller, "peer", s.Listen.Peer)
 	select {
 	case <-stop.Done():
@@ -173,11 +176,13 @@
 }
 
 // serveDebug serves the debug routes if the settings name an address for them.
-func serveDebug(ctx context.Context, g *errgroup.Group, s *settings.Entry, host *entry.Host, log logr.Logger) {
+func serveDebug(ctx context.Context, g *errgroup.Group, s *settings.Entry, host *entry.Host, plan *daemon.MemoryPlan, log logr.Logger) {
 	if s.Listen.Debug == "" {
 		return
 	}
 	router := mux.NewRouter()
 	callerhttp.MountDebug(router, host, log)
-	g.Go(func() error { return daemon.ServeOnceListening(ctx, log, s.Listen.Debug, router, statusAnswerTime) })
+	g.Go(func() error {
+		return daemon.ServeOnceListening(ctx, log, s.Listen.Debug, router, statusAnswerTime, plan.Connections("debug", debugShare, false))
+	})
 }
--- a/cmd/sesame-entry/platform.go
+++ b/cmd/sesame-entry/platform.go
@@ -25,7 +25,6 @@
 // runPlatform runs the host with the platform interface: it discovers other hosts through the
 // control hosts and forwards requests as received.
 func runPlatform(path string, s *settings.Entry) error {
-	daemon.LimitMemory(s.Limits.MemoryMB)
 	out := logging.NewBounded(os.Stdout, s.Log.Level)
 	defer out.Close()
 	log := out.WithValues("host", s.Host.ID)
@@ -36,7 +35,9 @@
 	m := metrics.New(true)
 	m.Gauge("log_dropped_over_rate", func() any { n, _ := out.Dropped(); return n })
 	m.Gauge("log_dropped_slow_output", func() any { _, n := out.Dropped(); return n })
-	answers := daemon.AnswerBudget(s.Limits.MemoryMB)
+	plan := daemon.NewMemoryPlan(s.Limits.MemoryMB, s.Limits.MaxFiles, log, m.Gauge)
+	answers := plan.Answers()
+	link.Forwards, link.MaxHandshakes = plan.Forwards(), plan.Handshakes()
 	link.Count, link.Metrics, link.Log, link.LeaveTimeout, link.Budget = m.LinkBytes, m, log, drainTime(s), answers
 	var g *gateway.Gateway
 	link.PeerLeaves = func(addr string) { g.RecordPeerLeaving(addr) } // links are opened by the gateway
@@ -63,14 +64,26 @@
 	})
 	m.Gauge("version", func() any { return g.Version() })
 	m.Gauge("config_staleness_ms", func() any { return g.ConfigStaleness().Milliseconds() })
-	m.Gauge("answer_bytes_limit", func() any { return answers.Limit() })
-	m.Gauge("answer_bytes_held", func() any { return answers.Used() })
-	m.Gauge("answer_bytes_held_max", func() any { return answers.Peak() })
-	m.Gauge("answer_bytes_refused", func() any { return answers.Refused() })
 	m.Gauge("inflight", func() any { return g.Inflight() })
 	m.Gauge("learned_speeds", func() any { return g.Speeds() })
 	m.Gauge("admission", func() any { return g.Admission() })
-	return servePlatform(path, s, g, servers, link, log)
+	return servePlatform(path, s, g, servers, link, plan, log)
+}
+
+// Shares of the connections of callers, by address.
+const (
+	callerShare = 3.0 / 4
+	readyShare  = 1.0 / 8
+	debugShare  = 1.0 / 8
+)
+
+// headLimits returns the limits of the configuration in force on the heads of callers' requests.
+func headLimits(g *gateway.Gateway) daemon.HeadLimits {
+	l := g.Limits()
+	return daemon.HeadLimits{
+		MaxBytes: l.MaxHeaderBytes, Timeout: time.Duration(l.HeaderTimeoutMS) * time.Millisecond,
+		IdleTimeout: time.Duration(l.IdleTimeoutMS) * time.Millisecond,
+	}
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -79,7 +92,7 @@
 const statusAnswerTime = 100 * time.Millisecond
 
 // servePlatform serves until a signal, then drains.
-func servePlatform(path string, s *settings.Entry, g *gateway.Gateway, servers *platform.Servers, link peerlink.Options, log logr.Logger) error {
+func servePlatform(path string, s *settings.Entry, g *gateway.Gateway, servers *platform.Servers, link peerlink.Options, plan *daemon.MemoryPlan, log logr.Logger) error {
 	stop, _ := daemon.Signals()
 	peers, err := daemon.RetryListen(stop, log, s.Listen.Peer, func() (*peerlink.Server, error) {
 		return peerlink.NewServer(s.Listen.Peer, link, g, log)
@@ -93,10 +106,12 @@
 		return err
 	}
 	callerServer.LateHandler = callers.DrainingHandler()
+	callerServer.Memory, callerServer.Limits = plan.Connections("callers", callerShare, true), func() daemon.HeadLimits { return headLimits(g) }
 	ready, err := daemon.ListenForCallers(stop, log, s.Listen.Ready, platform.Ready(g), nil)
 	if err != nil {
 		return err
 	}
+	ready.Memory = plan.Connections("ready", readyShare, false)
 	serving, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
 	daemon.OnReload(serving, func() { reload(path, g, log) })
@@ -111,7 +126,7 @@
 	group.Go(func() error { return daemon.Serve(ctx, ready, statusAnswerTime) })
 	if s.Listen.Debug != "" {
 		group.Go(func() error {
-			return daemon.ServeOnceListening(ctx, log, s.Listen.Debug, daemon.DebugHandler(), statusAnswerTime)
+			return daemon.ServeOnceListening(ctx, log, s.Listen.Debug, daemon.DebugHandler(), statusAnswerTime, plan.Connections("debug", debugShare, false))
 		})
 	}
 	log.Info("started", "caller", s.Listen.Caller, "peer", s.Listen.Peer)
--- a/internal/adapter/settings/types.go
+++ b/internal/adapter/settings/types.go
@@ -185,6 +185,9 @@
 	StallTimeoutMS int `toml:"stall_timeout_ms"`
 	// MemoryMB is the memory that the process may use, in MB; 0 for no limit.
 	MemoryMB int `toml:"memory_mb"`
+	// MaxFiles is the number of descriptors that the process may use; 0 for those that the operating system allows, 4096
+	// at most.
+	MaxFiles int `toml:"max_files"`
 	// GraceS is the time from SIGTERM until the process is killed, in s, if the
 	// interface is "platform" (default 8).
 	GraceS float64 `toml:"grace_s"`
@@ -241,6 +244,9 @@
 	Limits struct {
 		// MemoryMB is the memory that the process may use, in MB; 0 for no limit.
 		MemoryMB int `toml:"memory_mb"`
+		// MaxFiles is the number of descriptors that the process may use; 0 for those that the operating system
+		// allows, 4096 at most.
+		MaxFiles int `toml:"max_files"`
 	} `toml:"limits"`
 	Listen struct {
 		// Directory serves the list of entry hosts to callers if the interface is
@@ -415,6 +421,7 @@
 	c.inRange("limits.drain_timeout_ms", float64(e.Limits.DrainTimeoutMS), 0, 3_600_000)
 	c.inRange("limits.drain_linger_ms", float64(e.Limits.DrainLingerMS), 0, 600_000)
 	c.inRange("limits.max_explained", float64(e.Limits.MaxExplained), 1, 1_000_000)
+	c.inRange("limits.max_files", float64(e.Limits.MaxFiles), 0, 1<<20)
 	c.inRange("limits.stall_timeout_ms", float64(e.Limits.StallTimeoutMS), 100, 600_000)
 	c.inRange("timing.probe_ms", float64(e.Timing.ProbeMS), 50, 60_000)
 	c.inRange("timing.update_ms", float64(e.Timing.UpdateMS), 50, 60_000)
@@ -457,6 +464,7 @@
 	c.inRange("group.generation", float64(s.Group.Generation), 1, 1<<32)
 	c.inRange("group.tick_ms", float64(s.Group.TickMS), 5, 10_000)
 	c.interfaceName(s.Interface)
+	c.inRange("limits.max_files", float64(s.Limits.MaxFiles), 0, 1<<20)
 	if s.Interface == InterfacePlatform {
 		c.addr("listen.directory", s.Listen.Directory, false)
 		c.addr("listen.debug", s.Listen.Debug, true)
--- a/internal/app/access/access.go
+++ b/internal/app/access/access.go
@@ -178,6 +178,27 @@
 	return w.charge, nil
 }
 
+// Spent returns the refusal that Take would give at once to a request, because the control hosts have just had too few
+// units for one like it; nil if Take would ask.
+func (g *Limiter) Spent(t *configstate.Team, tokens float64) *failure.Error {
+	if t == nil || t.Quota == nil {
+		return nil
+	}
+	units, now := t.Quota.Cost(tokens), g.o.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	q := g.queues[t.Name]
+	if q == nil || !now.Before(q.refused.until) || units < q.refused.minUnits {
+		return nil
+	}
+	if c, ok := g.holder.Take(t.Name, units, now); ok {
+		g.holder.Refund(c, now)
+		return nil
+	}
+	g.holder.RecordDemand(t.Name, units, now)
+	return overQuota(t.Name, q.refused.retryAt.Sub(now))
+}
+
 // Refund returns the units of a request that did not run.
 func (g *Limiter) Refund(c *quota.Charge) {
 	if c == nil {
--- a/internal/app/gateway/teams.go
+++ b/internal/app/gateway/teams.go
@@ -52,6 +52,20 @@
 	}
 }
 
+// CheckHead returns the failure of a request that is refused whatever its body is: the configuration in force has no
+// route for it, or no team for its key, or the team's quota has just been found spent. It returns nil if the host has no
+// configuration yet.
+func (g *Gateway) CheckHead(ctx context.Context, r *Request) *failure.Error {
+	if g.config.Load() == nil {
+		return nil
+	}
+	_, _, team, f := g.admit(ctx, r)
+	if f != nil {
+		return f
+	}
+	return g.access.Spent(team, r.Tokens)
+}
+
 func routeOf(c *configstate.Installed, r *Request) (*configstate.Route, *failure.Error) {
 	route, ok := c.Record.RouteFor(r.Host, r.Path)
 	switch {
--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/sesamefork/sesamefork/internal/clientmem"
 )
 
 // callerConn is a connection of a caller. Its reader closes it when the server finishes and the
@@ -27,6 +29,21 @@
 	// answeredLate is set when an answer ended after the server began to finish: any further
 	// request on the connection was sent after that.
 	answeredLate bool
+
+	mem *clientmem.Conn
+	// inHead is set while the head of a request is being read, of which headBytes have arrived.
+	inHead bool
+	// receiving is set from the first byte of a request until it has been read whole.
+	receiving bool
+	headBytes int
+	headHeld  int64
+	limits    HeadLimits // in force when the wait for the request or its head began
+	evicted   bool       // the connection ends in favor of others
+	// unfinished is set when a request was answered before its body had been read.
+	unfinished bool
+	// Deadlines of reads; zero for none. wanted is the one that net/http has set, bound the one of the limits, and lastBound
+	// the one for the rest of a request when the server finishes.
+	wanted, bound, lastBound time.Time
 }
 
 // expiredDeadline makes a read return at once.
@@ -38,9 +55,12 @@
 		n, err := c.Conn.Read(p)
 		if n > 0 {
 			c.setInRequest()
+			if !c.count(n) {
+				return 0, io.EOF
+			}
 			return n, err
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.isWakePending() {
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.isInterrupted() {
 			return n, err
 		}
 		if !c.resumeOrClose() {
@@ -54,19 +74,13 @@
 func (c *callerConn) setInRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inRequest = true
+	c.beginLocked()
 	if c.wakePending {
 		c.wakePending = false
-		_ = c.SetReadDeadline(time.Time{}) // an error recurs at the next read
+		_ = c.applyDeadline() // an error recurs at the next read
 	}
 }
 
-func (c *callerConn) isWakePending() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.wakePending
-}
-
 // resumeOrClose decides for an interrupted reader whether it has to read on, because the caller
 // has sent something. If not, it closes the connection here, under the lock, so that nothing
 // happens between the check and the close.
@@ -74,12 +88,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.wakePending = false
-	if !c.inRequest && !readable(c.Conn) {
+	if c.evicted || !c.inRequest && !readable(c.Conn) {
 		_ = c.Conn.Close() // net/http closes it again and ignores the error
 		return false
 	}
-	c.inRequest = true
-	_ = c.SetReadDeadline(time.Time{}) // an error recurs at the next read
+	c.beginLocked()
+	_ = c.applyDeadline() // an error recurs at the next read
 	return true
 }
 
@@ -89,18 +103,20 @@
 	defer c.mu.Unlock()
 	if !c.inRequest {
 		c.wakePending = true
-		_ = c.SetReadDeadline(expiredDeadline) // an error means that the connection is closed
+		_ = c.Conn.SetReadDeadline(expiredDeadline) // an error means that the connection is closed
 	}
 }
 
 // Close implements net.Conn. It first waits until the caller has received the answer.
 func (c *callerConn) Close() error {
 	if !c.server.cutting.Load() {
+		c.mem.Linger()
 		c.linger()
 	}
 	c.server.mu.Lock()
 	delete(c.server.conns, c)
 	c.server.mu.Unlock()
+	defer c.mem.Close()
 	return c.Conn.Close()
 }
 
@@ -112,21 +128,23 @@
 
 // linger ends the connection for writing and discards what the caller sends, until the caller has received
 // everything. If a connection is closed while bytes are unread, or more bytes arrive after that, the kernel
-// resets it and discards what it has not sent.
+// resets it and discards what it has not sent. A caller whose request was answered before it had sent all of it may go
+// on to send; linger waits for it to end the connection, unless others need its memory.
 func (c *callerConn) linger() {
-	if !readable(c.Conn) && allReceived(c.Conn) {
+	untilEnd := c.isUnfinished()
+	if !untilEnd && !readable(c.Conn) && allReceived(c.Conn) {
 		return
 	}
-	if c.CloseWrite() != nil {
+	if c.closeWrite() != nil {
 		return
 	}
 	buffer := make([]byte, 4<<10)
-	for end := time.Now().Add(lingerTimeout); time.Now().Before(end); {
+	for end := time.Now().Add(lingerTimeout); time.Now().Before(end) && !c.isEvicted(); {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerInterval)) // an error recurs at the read
 		_, err := c.Conn.Read(buffer)
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			if allReceived(c.Conn) {
+			if !untilEnd && allReceived(c.Conn) {
 				return
 			}
 		case err != nil:
@@ -135,8 +153,9 @@
 	}
 }
 
-// CloseWrite ends the connection for writing.
-func (c *callerConn) CloseWrite() error {
+// closeWrite ends the connection for writing. It is not exported, as net/http would end the connection itself and then
+// wait without reading.
+func (c *callerConn) closeWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return w.CloseWrite()
 	}
@@ -148,6 +167,7 @@
 	defer c.mu.Unlock()
 	c.inRequest, c.answered = false, true
 	c.answeredLate = c.server.finishing.Load()
+	c.awaitRequestLocked()
 }
 
 func (c *callerConn) wasAnswered() bool {
--- /dev/null
+++ b/internal/daemon/callerlimits.go
@@ -0,0 +1,283 @@
+package daemon
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sesamefork/sesamefork/internal/adapter/requestbody"
+	"github.com/sesamefork/sesamefork/internal/clientmem"
+	"github.com/sesamefork/sesamefork/internal/core/intake"
+)
+
+// HeadLimits are the limits on the heads of requests, and on connections without a request. A zero value stands for the
+// default one.
+type HeadLimits struct {
+	// MaxBytes is the largest head (default 64 KiB).
+	MaxBytes int
+	// Timeout is the time in which a head must arrive, from its first byte (default 10 s).
+	Timeout time.Duration
+	// IdleTimeout is the time for which a connection stays open without a request (default 120 s).
+	IdleTimeout time.Duration
+}
+
+const (
+	defaultHeadBytes = 64 << 10
+	// mostHeadBytes and mostIdleTime bound what the limits may be.
+	mostHeadBytes = 8 << 20
+	mostIdleTime  = time.Hour
+	// headSlack is what may be read beyond a head in one go.
+	headSlack = 4 << 10
+	// freeHead is the part of a head that the cost of its connection covers, and headFactor what a byte beyond it costs:
+	// net/http holds the head as it came and as a map.
+	freeHead   = 4 << 10
+	headFactor = 2
+)
+
+// orDefault returns the limits with the default ones in place of zero values.
+func (l HeadLimits) orDefault() HeadLimits {
+	if l.MaxBytes <= 0 {
+		l.MaxBytes = defaultHeadBytes
+	}
+	if l.Timeout <= 0 {
+		l.Timeout = headerTimeout
+	}
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = idleTimeout
+	}
+	l.MaxBytes, l.IdleTimeout = min(l.MaxBytes, mostHeadBytes-headSlack), min(l.IdleTimeout, mostIdleTime)
+	return l
+}
+
+// limitsNow returns the limits in force.
+func (s *CallerServer) limitsNow() HeadLimits {
+	if s.Limits == nil {
+		return HeadLimits{}.orDefault()
+	}
+	return s.Limits().orDefault()
+}
+
+// start begins to count what the connection holds. It must be called before the first read.
+func (c *callerConn) start(mem *clientmem.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.mem = mem
+	c.awaitRequestLocked()
+	if c.evicted {
+		_ = c.Conn.SetReadDeadline(expiredDeadline)
+	}
+}
+
+// awaitRequestLocked begins the wait for a request. c.mu must be held.
+func (c *callerConn) awaitRequestLocked() {
+	c.endHeadLocked()
+	if c.answered {
+		c.receiving, c.unfinished = false, false
+		c.mem.Finish()
+	}
+	c.limits = c.server.limitsNow()
+	c.bound = time.Now().Add(c.limits.IdleTimeout)
+	_ = c.applyDeadline() // an error recurs at the next read
+}
+
+// beginLocked marks the start of a request. c.mu must be held.
+func (c *callerConn) beginLocked() {
+	if c.inRequest {
+		return
+	}
+	c.inRequest, c.inHead, c.receiving, c.headBytes = true, true, true, 0
+	c.limits = c.server.limitsNow()
+	c.bound = time.Now().Add(c.limits.Timeout)
+	c.mem.Begin()
+	_ = c.applyDeadline() // an error recurs at the next read
+}
+
+// endHeadLocked ends the read of a head, and gives back what it held. c.mu must be held.
+func (c *callerConn) endHeadLocked() {
+	c.mem.Shrink(intake.Connections, c.headHeld)
+	c.inHead, c.headHeld, c.bound = false, 0, time.Time{}
+}
+
+// SetReadDeadline implements net.Conn. The limits may set an earlier deadline.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wanted = t
+	return c.applyDeadline()
+}
+
+// applyDeadline sets the deadline of reads. c.mu must be held.
+func (c *callerConn) applyDeadline() error {
+	t := c.wanted
+	bounds := []time.Time{c.bound}
+	if c.receiving {
+		bounds = append(bounds, c.lastBound)
+	}
+	for _, b := range bounds {
+		if t.IsZero() || !b.IsZero() && b.Before(t) {
+			t = b
+		}
+	}
+	if c.evicted || c.wakePending {
+		t = expiredDeadline
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// isInterrupted reports whether a read has ended because the server wakes the reader or ends the connection, or because
+// of the limits.
+func (c *callerConn) isInterrupted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isIdle := !c.inRequest && !c.bound.IsZero() && !time.Now().Before(c.bound)
+	return c.wakePending || isIdle || c.evicted && (!c.inRequest || c.inHead)
+}
+
+// count records n bytes that were read. If they exceed the limit on heads or the memory for them, it refuses the request
+// and reports false.
+func (c *callerConn) count(n int) bool {
+	c.mem.Received(n)
+	c.mu.Lock()
+	if !c.inHead {
+		c.mu.Unlock()
+		return true
+	}
+	c.headBytes += n
+	tooLarge := c.headBytes > c.limits.MaxBytes+headSlack
+	hold := headFactor * int64(max(0, min(n, c.headBytes-freeHead)))
+	c.mu.Unlock()
+	switch {
+	case tooLarge:
+		c.refuse(http.StatusRequestHeaderFieldsTooLarge, "")
+		return false
+	case !c.mem.Grow(intake.Connections, hold):
+		c.refuse(http.StatusServiceUnavailable, "Retry-After: 1\r\n")
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headHeld += hold
+	return true
+}
+
+// refuse answers a request whose head is not read. Nothing else is written meanwhile.
+func (c *callerConn) refuse(status int, header string) {
+	if c.tls {
+		return // the connection ends without an answer
+	}
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.WriteString(c.Conn, "HTTP/1.1 "+strconv.Itoa(status)+" "+http.StatusText(status)+"\r\n"+header+"Content-Length: 0\r\nConnection: close\r\n\r\n")
+}
+
+// evict ends the connection in favor of others. Its request has not been received whole, or has been answered.
+func (c *callerConn) evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evicted = true
+	_ = c.Conn.SetReadDeadline(expiredDeadline) // an error means that the connection is closed
+	if c.unfinished {
+		// net/http waits for 500 ms before it closes the connection after a body that was not read.
+		_ = c.Conn.Close()
+		c.mem.Close()
+	}
+}
+
+// handleCounted returns a handler that records the phases of a request, and refuses one whose connection has been chosen
+// to end.
+func handleCounted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn := connOf(r)
+		if conn == nil {
+			h.ServeHTTP(w, r)
+			return
+		}
+		conn.endHead()
+		if r.ContentLength == 0 || r.Body == http.NoBody {
+			if !conn.execute() {
+				w.Header().Set("Retry-After", "1")
+				w.Header().Set("Connection", "close")
+				http.Error(w, "there is no memory for the request", http.StatusServiceUnavailable)
+				return
+			}
+			h.ServeHTTP(w, r)
+			return
+		}
+		body := &trackedBody{ReadCloser: r.Body, conn: conn}
+		r.Body = body
+		h.ServeHTTP(w, r)
+		if !body.ended {
+			conn.setUnfinished()
+			requestbody.Refuse(w, r) // net/http reads the rest
+		}
+	})
+}
+
+// connOf returns the connection of a request; nil for a request of another server.
+func connOf(r *http.Request) *callerConn {
+	c, ok := r.Context().Value(connKey{}).(net.Conn)
+	if !ok {
+		return nil
+	}
+	conn, _ := callerConnOf(c)
+	return conn
+}
+
+func (c *callerConn) endHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.beginLocked() // a request that was read together with the one before
+	c.endHeadLocked()
+	_ = c.applyDeadline()
+}
+
+// execute records that a request has been read whole. It reports false if the connection has been chosen to end, so that
+// the request must not run.
+func (c *callerConn) execute() bool {
+	c.mu.Lock()
+	c.receiving = false
+	if !c.lastBound.IsZero() {
+		_ = c.applyDeadline() // an error recurs at the next read
+	}
+	c.mu.Unlock()
+	return c.mem.Execute()
+}
+
+// isEvicted reports whether the connection has been chosen to end.
+func (c *callerConn) isEvicted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evicted
+}
+
+// isUnfinished reports whether a request was answered before its body had been read.
+func (c *callerConn) isUnfinished() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unfinished
+}
+
+// setUnfinished records that a request is answered before its body has been read.
+func (c *callerConn) setUnfinished() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unfinished = true
+}
+
+// trackedBody records the end of a request's body.
+type trackedBody struct {
+	io.ReadCloser
+	conn  *callerConn
+	ended bool
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && !b.ended {
+		b.ended = true
+		b.conn.execute()
+	}
+	return n, err
+}
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/clientmem"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	"github.com/sesamefork/sesamefork/internal/port"
 )
@@ -23,6 +24,10 @@
 	// LateHandler answers requests that were sent after the server began to finish, since the end
 	// of the process could interrupt them. If nil, they are served like any other.
 	LateHandler http.Handler
+	// Memory bounds what callers make the process hold; nil for no bound. Limits returns the limits on the heads of
+	// requests and on idle connections in force; nil for the default ones. Both must be set before Serve.
+	Memory *clientmem.Budget
+	Limits func() HeadLimits
 
 	srv       *http.Server
 	ln        net.Listener
@@ -51,22 +56,27 @@
 func newCallerServer(ln net.Listener, h http.Handler, tlsConfig *tls.Config) *CallerServer {
 	requests, abort := context.WithCancel(context.Background())
 	s := &CallerServer{conns: map[*callerConn]struct{}{}, abort: abort, raw: ln, tls: tlsConfig != nil, served: make(chan struct{})}
-	s.ln = &callerListener{ln, s}
+	s.ln = &callerListener{Listener: ln, server: s}
 	if tlsConfig != nil {
 		s.ln = tls.NewListener(s.ln, tlsConfig)
 	}
 	s.srv = &http.Server{
-		Handler: s.handleDraining(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: s.stateChanged,
+		Handler: handleCounted(s.handleDraining(h)), ConnState: s.stateChanged,
+		// callerConn applies the limits in force, which may change while connections are open.
+		MaxHeaderBytes: mostHeadBytes, IdleTimeout: mostIdleTime,
 		BaseContext: func(net.Listener) context.Context { return requests },
 		ConnContext: withConn,
 	}
+	if tlsConfig != nil {
+		s.srv.ReadHeaderTimeout = headerTimeout // bounds the handshake
+	}
 	return s
 }
 
 // withConn returns the context of the requests on a connection.
 func withConn(ctx context.Context, c net.Conn) context.Context {
 	if conn, ok := callerConnOf(c); ok {
-		ctx = port.WithCallerConn(ctx, conn)
+		ctx = clientmem.WithConn(port.WithCallerConn(ctx, conn), conn.mem)
 	}
 	return context.WithValue(ctx, connKey{}, c)
 }
@@ -92,12 +102,8 @@
 // tooLate reports whether a request was sent after the server began to finish, which is certain
 // only if the previous answer on its connection ended after that.
 func tooLate(r *http.Request) bool {
-	c, ok := r.Context().Value(connKey{}).(net.Conn)
-	if !ok {
-		return false
-	}
-	conn, ok := callerConnOf(c)
-	return ok && conn.wasAnsweredLate()
+	conn := connOf(r)
+	return conn != nil && conn.wasAnsweredLate()
 }
 
 // callerConnOf returns the callerConn of a connection, with or without TLS.
@@ -207,18 +213,26 @@
 // system may double it, and would let it grow to 4 MiB otherwise. At a round trip of 80 ms it allows 3 MB/s.
 const sendBufferBytes = 256 << 10
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It closes connections for which there is no room.
 func (l *callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetWriteBuffer(sendBufferBytes) // its failure leaves the default
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		conn := &callerConn{Conn: c, server: l.server, opened: time.Now(), tls: l.server.tls}
+		mem, ok := l.server.Memory.Enter(conn.evict)
+		if !ok {
+			_ = c.Close() // nothing of a request has been read
+			continue
+		}
+		conn.start(mem)
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetWriteBuffer(sendBufferBytes) // its failure leaves the default
+		}
+		l.server.mu.Lock()
+		l.server.conns[conn] = struct{}{}
+		l.server.mu.Unlock()
+		return conn, nil
 	}
-	conn := &callerConn{Conn: c, server: l.server, opened: time.Now(), tls: l.server.tls}
-	l.server.mu.Lock()
-	defer l.server.mu.Unlock()
-	l.server.conns[conn] = struct{}{}
-	return conn, nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,13 +12,11 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/daemon/hangup"
 	"github.com/sesamefork/sesamefork/internal/failure"
-	"github.com/sesamefork/sesamefork/internal/membudget"
 )
 
 // Exit codes of the programs.
@@ -83,35 +81,6 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, ln, nil
 }
 
-// memoryShare is the part of a process's memory that the Go runtime may use: the rest is for
-// memory outside its limit, such as socket buffers.
-const memoryShare = 0.6
-
-// LimitMemory sets the Go runtime's soft memory limit to memoryShare of the memory that the
-// process may use, in MiB. With 0 it sets no limit.
-func LimitMemory(mb int) {
-	if mb > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(mb) * (1 << 20)))
-	}
-}
-
-// Bounds of AnswerBudget, in bytes.
-const (
-	// minAnswerBudget holds one answer of the largest size (16 MiB) beside the room that is left to others.
-	minAnswerBudget = 24 << 20
-	// unlimitedAnswerBudget applies to a process whose memory is not limited.
-	unlimitedAnswerBudget = 1 << 30
-)
-
-// AnswerBudget returns the budget for answers that a process holds: a quarter of the memory that it may use, in MiB;
-// the rest is for all else. With 0 it is 1 GiB.
-func AnswerBudget(mb int) *membudget.Budget {
-	if mb <= 0 {
-		return membudget.New(unlimitedAnswerBudget)
-	}
-	return membudget.New(max(minAnswerBudget, int64(mb)<<20/4))
-}
-
 // OnReload calls f at each SIGHUP until ctx ends, and for one that arrived since the start of the program.
 func OnReload(ctx context.Context, f func()) {
 	go func() {
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -10,6 +10,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-logr/logr"
+
+	"github.com/sesamefork/sesamefork/internal/clientmem"
 )
 
 // listenRetryInterval is the pause between attempts to listen on an address.
@@ -43,8 +45,9 @@
 }
 
 // ServeOnceListening serves h on addr until ctx ends, as Serve does, once it can listen there. Its error is nil if ctx
-// ends before that. It is for servers without which a program does its work, such as those for debugging.
-func ServeOnceListening(ctx context.Context, log logr.Logger, addr string, h http.Handler, answerTime time.Duration) error {
+// ends before that. It is for servers without which a program does its work, such as those for debugging. What its
+// callers make the process hold is bounded by mem.
+func ServeOnceListening(ctx context.Context, log logr.Logger, addr string, h http.Handler, answerTime time.Duration, mem *clientmem.Budget) error {
 	s, err := ListenForCallers(ctx, log, addr, h, nil)
 	if ctx.Err() != nil && err != nil {
 		return nil
@@ -52,6 +55,7 @@
 	if err != nil {
 		return err
 	}
+	s.Memory = mem
 	return Serve(ctx, s, answerTime)
 }
 
--- a/internal/daemon/listen_test.go
+++ b/internal/daemon/listen_test.go
@@ -67,7 +67,7 @@
 	defer func() { _ = held.Close() }()
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	if err := ServeOnceListening(ctx, logr.Discard(), held.Addr().String(), http.NotFoundHandler(), 0); err != nil {
+	if err := ServeOnceListening(ctx, logr.Discard(), held.Addr().String(), http.NotFoundHandler(), 0, nil); err != nil {
 		t.Errorf("ended with %v", err)
 	}
 }
