--- a/internal/adapter/backendhttp/backendhttp.go
+++ b/internal/adapter/backendhttp/backendhttp.go
@@ -4,16 +4,17 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"slices"
+	"time"
 	"unicode/utf8"
 
 	"github.com/gorilla/mux"
 
 	"github.com/sesamefork/sesamefork/internal/adapter/operatorhttp"
 	"github.com/sesamefork/sesamefork/internal/adapter/problem"
+	"github.com/sesamefork/sesamefork/internal/adapter/requestbody"
 	"github.com/sesamefork/sesamefork/internal/app/entry"
 	"github.com/sesamefork/sesamefork/internal/core/backend"
 	"github.com/sesamefork/sesamefork/internal/failure"
@@ -23,6 +24,7 @@
 // Limits on requests of backend servers.
 const (
 	maxBodyBytes = 256 << 10
+	bodyTimeout  = 10 * time.Second
 	maxModels    = 256
 	maxPrefixes  = 256
 	maxIDBytes   = 128
@@ -99,16 +101,16 @@
 	return nil
 }
 
+var bodyLimits = requestbody.Limits{MaxBytes: maxBodyBytes, Timeout: bodyTimeout}
+
 // decodeJSON decodes the request's body of at most maxBodyBytes into v.
-func decodeJSON(r *http.Request, v any) *failure.Error {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes+1))
-	if err != nil {
-		return failure.Wrap(err, failure.BadRequest, "")
-	}
-	if len(data) > maxBodyBytes {
-		return failure.New(failure.BodyTooLarge, "", "the body is over %d bytes", maxBodyBytes)
+func decodeJSON(w http.ResponseWriter, r *http.Request, v any) *failure.Error {
+	body, f := requestbody.Read(w, r, bodyLimits)
+	if f != nil {
+		return f
 	}
-	if err := json.Unmarshal(data, v); err != nil {
+	defer body.Release()
+	if err := json.Unmarshal(body.Bytes, v); err != nil {
 		return failure.Wrap(err, failure.BadRequest, "")
 	}
 	return nil
@@ -142,7 +144,7 @@
 	f := h.authenticate(r)
 	var a Announcement
 	if f == nil {
-		f = decodeJSON(r, &a)
+		f = decodeJSON(w, r, &a)
 	}
 	var st *pb.BackendState
 	if f == nil {
@@ -161,7 +163,7 @@
 	f := h.authenticate(r)
 	var e CacheEvents
 	if f == nil {
-		f = decodeJSON(r, &e)
+		f = decodeJSON(w, r, &e)
 	}
 	if f != nil {
 		problem.Write(w, f, "")
--- a/internal/adapter/callerhttp/body.go
+++ b/internal/adapter/callerhttp/body.go
@@ -1,42 +1,21 @@
 package callerhttp
 
 import (
-	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/sesamefork/sesamefork/internal/adapter/requestbody"
 	"github.com/sesamefork/sesamefork/internal/app/entry"
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
 // readBody reads the whole body within the limits. The request is not forwarded
-// before its body is complete.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *failure.Error) {
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(h.limits.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.limits.MaxBodyBytes))
-	if err != nil {
-		return nil, bodyFailure(err, h.limits)
-	}
-	_ = rc.SetReadDeadline(time.Time{})
-	return body, nil
-}
-
-// bodyFailure returns the failure for an error of reading the body.
-func bodyFailure(err error, l Limits) *failure.Error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return failure.New(failure.BodyTooLarge, failure.NotRun, "the body is over %d bytes", l.MaxBodyBytes)
-	}
-	var ne net.Error
-	if errors.As(err, &ne) && ne.Timeout() {
-		return failure.New(failure.SlowBody, failure.NotRun, "the body did not arrive within %s", l.BodyTimeout)
-	}
-	return failure.New(failure.BadRequest, failure.NotRun, "reading the body failed: %s", err)
+// before its body is complete. The body must be released once the request has ended.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) (*requestbody.Body, *failure.Error) {
+	return requestbody.Read(w, r, requestbody.Limits{MaxBytes: h.limits.MaxBodyBytes, Timeout: h.limits.BodyTimeout})
 }
 
 // sink implements entry.Sink on the response to the caller.
--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -22,6 +22,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/adapter/operatorhttp"
 	"github.com/sesamefork/sesamefork/internal/adapter/problem"
+	"github.com/sesamefork/sesamefork/internal/adapter/requestbody"
 	"github.com/sesamefork/sesamefork/internal/app/access"
 	"github.com/sesamefork/sesamefork/internal/app/entry"
 	"github.com/sesamefork/sesamefork/internal/app/lateorder"
@@ -245,14 +246,15 @@
 
 // readRequest authenticates the caller and reads the headers and body that all requests
 // share.
-func (h *Handler) readRequest(w http.ResponseWriter, r *http.Request) (*entry.Request, *failure.Error) {
+// The body must be released once the request has ended.
+func (h *Handler) readRequest(w http.ResponseWriter, r *http.Request) (*entry.Request, *requestbody.Body, *failure.Error) {
 	w.Header().Set(HeaderEntryHost, h.host.Options().ID)
 	if f := h.host.Ready(); f != nil {
-		return nil, f
+		return nil, nil, f
 	}
 	t, f := h.authenticateTeam(r)
 	if f != nil {
-		return nil, f
+		return nil, nil, f
 	}
 	q := &entry.Request{
 		ID: entry.NewID(), Team: t.Name, Weight: t.Weight, Kind: r.Header.Get(HeaderKind),
@@ -262,10 +264,14 @@
 	w.Header().Set(HeaderRequestID, q.ID)
 	w.Header().Set(HeaderConfigVersion, strconv.FormatUint(h.host.Stamp().Version, 10))
 	if f := h.readHeaders(q, r); f != nil {
-		return nil, f
+		return nil, nil, f
 	}
-	q.Body, f = h.readBody(w, r)
-	return q, f
+	body, f := h.readBody(w, r)
+	if f != nil {
+		return q, nil, f
+	}
+	q.Body = body.Bytes
+	return q, body, nil
 }
 
 // Limits on request headers.
@@ -322,11 +328,12 @@
 }
 
 func (h *Handler) completion(w http.ResponseWriter, r *http.Request) {
-	q, f := h.readRequest(w, r)
+	q, body, f := h.readRequest(w, r)
 	if f != nil {
 		h.refuse(w, q, f)
 		return
 	}
+	defer body.Release()
 	p, err := entry.ParsePrompt(q.Body)
 	if err != nil {
 		h.refuse(w, q, failure.As(err, failure.NotRun))
@@ -338,11 +345,12 @@
 }
 
 func (h *Handler) service(w http.ResponseWriter, r *http.Request) {
-	q, f := h.readRequest(w, r)
+	q, body, f := h.readRequest(w, r)
 	if f != nil {
 		h.refuse(w, q, f)
 		return
 	}
+	defer body.Release()
 	q.Target, q.Service, q.URI = mux.Vars(r)["service"], true, serviceURI(r)
 	q.Tokens, q.MaxTokens = 0, 100
 	s, ok := h.host.Record().Service(q.Target)
--- a/internal/adapter/operatorhttp/operatorhttp.go
+++ b/internal/adapter/operatorhttp/operatorhttp.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"expvar"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sesamefork/sesamefork/internal/adapter/problem"
+	"github.com/sesamefork/sesamefork/internal/adapter/requestbody"
 	"github.com/sesamefork/sesamefork/internal/app/control"
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/failure"
@@ -211,15 +211,19 @@
 	ChangeID string `json:"change_id"`
 }
 
-func decodeBody(r *http.Request, v any) error {
-	data, err := io.ReadAll(io.LimitReader(r.Body, MaxRecordBytes+1))
-	if err != nil {
-		return failure.Wrap(err, failure.BadRequest, failure.NotRun)
-	}
-	if len(data) > MaxRecordBytes {
-		return failure.New(failure.BodyTooLarge, failure.NotRun, "the request body exceeds %d bytes", MaxRecordBytes)
+// bodyLimits are the limits on the bodies of operators' calls.
+var bodyLimits = requestbody.Limits{MaxBytes: MaxRecordBytes, Timeout: bodyTimeout}
+
+// bodyTimeout is the time in which a body must arrive.
+const bodyTimeout = 60 * time.Second
+
+func decodeBody(w http.ResponseWriter, r *http.Request, v any) error {
+	body, f := requestbody.Read(w, r, bodyLimits)
+	if f != nil {
+		return f
 	}
-	if err := json.Unmarshal(data, v); err != nil {
+	defer body.Release()
+	if err := json.Unmarshal(body.Bytes, v); err != nil {
 		return failure.Wrap(err, failure.BadRequest, failure.NotRun)
 	}
 	return nil
@@ -227,7 +231,7 @@
 
 func (h *Handler) putConfig(w http.ResponseWriter, r *http.Request, operator string) error {
 	var c Change
-	if err := decodeBody(r, &c); err != nil {
+	if err := decodeBody(w, r, &c); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), changeTimeout)
@@ -273,7 +277,7 @@
 		return failure.New(failure.BadRequest, failure.NotRun, "the replica's ID is not valid UTF-8")
 	}
 	var b ReplicaBody
-	if err := decodeBody(r, &b); err != nil {
+	if err := decodeBody(w, r, &b); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), replaceTimeout)
@@ -304,7 +308,7 @@
 
 func (h *Handler) order(w http.ResponseWriter, r *http.Request, operator string) error {
 	var b OrderBody
-	if err := decodeBody(r, &b); err != nil {
+	if err := decodeBody(w, r, &b); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), changeTimeout)
