daemon: what sockets hold unread is bounded

Callers saw: 160 bodies far over the limit, announced or just sent, and 2,000 announcements over theirs, made a host hold 80 to 160 MB in its sockets beside what it held itself (206, 190 and 202 MB of 144 together); 1,000 announced bodies at the ready address 112 MB.

Cause: a body that is not read waits in the socket, whose buffer the system lets grow to some MiB; and net/http ends a connection whose body was not read by a half-close and 500 ms without a read.

Listeners have a receive buffer of 64 KiB that connections inherit, smaller the more connections there are. It is set on the listener: a buffer that is shrunk on an open connection takes back a promised window, and 4 MiB through 8 KiB take 54 s instead of 10 ms (loopback, alone).

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/bits"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/sesamefork/sesamefork/internal/clientmem"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	"github.com/sesamefork/sesamefork/internal/port"
@@ -46,13 +50,24 @@
 
 // NewCallerServer returns a server that listens on addr and serves callers with h.
 func NewCallerServer(addr string, h http.Handler, tlsConfig *tls.Config) (*CallerServer, error) {
-	ln, err := net.Listen("tcp", addr)
+	ln, err := listenTCP(addr)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.InvalidSettings, "")
 	}
 	return newCallerServer(ln, h, tlsConfig), nil
 }
 
+// listenTCP listens on an address with bounded receive buffers, which accepted connections inherit. Without a bound the
+// operating system lets them grow to some MiB.
+func listenTCP(addr string) (net.Listener, error) {
+	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, clientmem.MostUnread/2) // its failure leaves the default
+		})
+	}}
+	return lc.Listen(context.Background(), "tcp", addr)
+}
+
 func newCallerServer(ln net.Listener, h http.Handler, tlsConfig *tls.Config) *CallerServer {
 	requests, abort := context.WithCancel(context.Background())
 	s := &CallerServer{conns: map[*callerConn]struct{}{}, abort: abort, raw: ln, tls: tlsConfig != nil, served: make(chan struct{})}
@@ -207,6 +222,8 @@
 type callerListener struct {
 	net.Listener
 	server *CallerServer
+	// unread is what the sockets of connections may hold unread that are opened now, in bytes; 0 for MostUnread.
+	unread int
 }
 
 // sendBufferBytes is the size of a caller's socket buffer, which holds what the caller has not taken; the operating
@@ -229,6 +246,7 @@
 		conn.start(mem)
 		if t, ok := c.(*net.TCPConn); ok {
 			_ = t.SetWriteBuffer(sendBufferBytes) // its failure leaves the default
+			l.boundUnread(t, mem)
 		}
 		l.server.mu.Lock()
 		l.server.conns[conn] = struct{}{}
@@ -236,3 +254,25 @@
 		return conn, nil
 	}
 }
+
+// boundUnread records what the socket of a connection may hold unread, and sets that of the next ones. A connection
+// inherits the size of its receive buffer, which the operating system doubles: a sender that has been promised more than
+// a buffer holds waits for its retransmission timeout time and again.
+func (l *callerListener) boundUnread(c *net.TCPConn, mem *clientmem.Conn) {
+	holds := clientmem.MostUnread
+	if l.unread != 0 { // the connection may have been opened before the last change
+		control(c, func(fd int) {
+			if n, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF); err == nil {
+				holds = n
+			}
+		})
+	}
+	next := 1 << (bits.Len64(uint64(mem.ReserveUnread(int64(holds)))) - 1) // a power of two, for fewer changes
+	if next == l.unread || l.unread == 0 && next == clientmem.MostUnread {
+		return
+	}
+	l.unread = next
+	control(l.server.raw, func(fd int) {
+		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, next/2) // its failure leaves the size before
+	})
+}
