daemon: requests that are not read whole do not keep a server from stopping

Operators saw: a control host with 20 unfinished configurations had not ended 6 s after SIGTERM, and an entry host with unfinished bodies ended at the end of its drain only. Cause: a finishing server waits for each request that it has begun to read, and nothing ends those that do not go on.

Requests that have not been read whole in half of the time that is left are refused as not run, so that the others and the refusals have the rest (TestStopRefusesUnfinishedBodies).

--- a/internal/daemon/callerlimits.go
+++ b/internal/daemon/callerlimits.go
@@ -244,6 +244,16 @@
 	return c.mem.Execute()
 }
 
+// boundRequest sets the time by which a request that is being read must have been read whole.
+func (c *callerConn) boundRequest(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastBound = t
+	if c.receiving {
+		_ = c.applyDeadline() // an error means that the connection is closed
+	}
+}
+
 // isEvicted reports whether the connection has been chosen to end.
 func (c *callerConn) isEvicted() bool {
 	c.mu.Lock()
--- a/internal/daemon/callerlimits_test.go
+++ b/internal/daemon/callerlimits_test.go
@@ -145,3 +145,51 @@
 	}
 }
 
+// TestStopRefusesUnfinishedBodies checks that requests that are not read whole do not keep a server from ending, and that
+// one under way is answered.
+func TestStopRefusesUnfinishedBodies(t *testing.T) {
+	s := limitedServer(t, connectionsBudget(100), nil)
+	var unfinished []net.Conn
+	for range 10 {
+		conn := dialServer(t, s)
+		_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nab")
+		unfinished = append(unfinished, conn)
+	}
+	begun := dialServer(t, s)
+	_, _ = io.WriteString(begun, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nab")
+	for open := 0; open < len(unfinished)+1; {
+		s.mu.Lock()
+		open = 0
+		for c := range s.conns {
+			c.mu.Lock()
+			if c.inRequest && !c.inHead {
+				open++
+			}
+			c.mu.Unlock()
+		}
+		s.mu.Unlock()
+	}
+	finished := make(chan int)
+	go func() {
+		s.finishWithin(2 * time.Second)
+		finished <- s.openConns()
+	}()
+	if got := statusOfHead(begun, "cdefghij"); got != http.StatusOK {
+		t.Errorf("a request that ends in time gets status %d", got)
+	}
+	for _, conn := range unfinished {
+		if got := statusOfHead(conn, ""); got != http.StatusServiceUnavailable {
+			t.Errorf("an unfinished request gets status %d", got)
+		}
+	}
+	if n := <-finished; n > 0 {
+		t.Errorf("%d connections were cut", n)
+	}
+}
+
+// openConns returns the number of open connections.
+func (s *CallerServer) openConns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -159,6 +159,7 @@
 	case <-s.served: // a connection that was being accepted is in s.conns now
 	case <-ctx.Done():
 	}
+	s.boundRequests(ctx)
 	cut = s.closeAllIdle(ctx, t.C)
 	s.cutting.Store(true)
 	_ = s.srv.Close() // interrupts the requests that still run
@@ -166,6 +167,25 @@
 	return cut
 }
 
+// receiveShare is the part of the time that is left at a stop in which requests may arrive whole.
+const receiveShare = 0.5
+
+// boundRequests refuses requests that are not read whole in a part of the time until ctx ends, so that they do not keep the
+// server from ending and the refusals arrive.
+func (s *CallerServer) boundRequests(ctx context.Context) {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return
+	}
+	now := time.Now()
+	t := now.Add(time.Duration(receiveShare * float64(end.Sub(now))))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.boundRequest(t)
+	}
+}
+
 // finishWithin finishes the server. After answerTime it cancels the requests that still run.
 func (s *CallerServer) finishWithin(answerTime time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), answerTime+abortTimeout)
