daemon: connections that wait to be accepted are bounded, and those that end for others end at once

Four times the test's crowds, all at once at an entry host of 144 MB, made it use 154 MB, 46 of them unread: connections that waited to be accepted hold what their buffers take before anything counts them, and the queue grew while net/http kept connections that had been chosen to end for 500 ms. The queue is 1,024 long (4,096 before), and such a connection ends 20 ms after its answer.

--- a/internal/daemon/callerlimits.go
+++ b/internal/daemon/callerlimits.go
@@ -178,12 +178,17 @@
 	c.evicted = true
 	_ = c.Conn.SetReadDeadline(expiredDeadline) // an error means that the connection is closed
 	if c.unfinished {
-		// net/http waits for 500 ms before it closes the connection after a body that was not read.
-		_ = c.Conn.Close()
-		c.mem.Close()
+		c.endNow()
 	}
 }
 
+// endNow ends an evicted connection whose request was answered before its body had been read: net/http would wait for
+// 500 ms before it closes it.
+func (c *callerConn) endNow() {
+	_ = c.Conn.Close()
+	c.mem.Close()
+}
+
 // handleCounted returns a handler that records the phases of a request, and refuses one whose connection has been chosen
 // to end.
 func handleCounted(h http.Handler) http.Handler {
@@ -273,8 +278,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unfinished = true
+	if c.evicted {
+		time.AfterFunc(evictedAnswerTime, c.endNow)
+	}
 }
 
+// evictedAnswerTime is the time in which the answer to a request whose connection ends for others is sent.
+const evictedAnswerTime = 20 * time.Millisecond
+
 // trackedBody records the end of a request's body.
 type trackedBody struct {
 	io.ReadCloser
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -57,6 +57,9 @@
 	return newCallerServer(ln, h, tlsConfig), nil
 }
 
+// backlog is the number of connections that may wait to be accepted. What they hold unread is not counted yet.
+const backlog = 1024
+
 // listenTCP listens on an address with bounded receive buffers, which accepted connections inherit. Without a bound the
 // operating system lets them grow to some MiB.
 func listenTCP(addr string) (net.Listener, error) {
@@ -65,7 +68,14 @@
 			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, clientmem.MostUnread/2) // its failure leaves the default
 		})
 	}}
-	return lc.Listen(context.Background(), "tcp", addr)
+	ln, err := lc.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	control(ln, func(fd int) {
+		_ = unix.Listen(fd, backlog) // its failure leaves the backlog of the operating system
+	})
+	return ln, nil
 }
 
 func newCallerServer(ln net.Listener, h http.Handler, tlsConfig *tls.Config) *CallerServer {
