daemon: a head counts until its answer is complete

net/http holds the header for as long as a request runs, and the bytes were given back once the head had been read. TestHeadCountsUntilAnswered.

--- a/internal/clientmem/clientmem.go
+++ b/internal/clientmem/clientmem.go
@@ -56,7 +56,6 @@
 	pool     *intake.Pool
 	conns    map[*intake.Holder]*Conn
 	released chan struct{} // closed and replaced when something was given back that others wait for
-	waiting  int
 	loggedAt [intake.Parts]time.Time
 }
 
--- a/internal/daemon/callerlimits.go
+++ b/internal/daemon/callerlimits.go
@@ -73,6 +73,8 @@
 // awaitRequestLocked begins the wait for a request. c.mu must be held.
 func (c *callerConn) awaitRequestLocked() {
 	c.endHeadLocked()
+	c.mem.Shrink(intake.Connections, c.headHeld)
+	c.headHeld = 0
 	if c.answered {
 		c.receiving, c.unfinished = false, false
 		c.mem.Finish()
@@ -94,11 +96,8 @@
 	_ = c.applyDeadline() // an error recurs at the next read
 }
 
-// endHeadLocked ends the read of a head, and gives back what it held. c.mu must be held.
-func (c *callerConn) endHeadLocked() {
-	c.mem.Shrink(intake.Connections, c.headHeld)
-	c.inHead, c.headHeld, c.bound = false, 0, time.Time{}
-}
+// endHeadLocked ends the read of a head. What it holds counts until the answer is complete. c.mu must be held.
+func (c *callerConn) endHeadLocked() { c.inHead, c.bound = false, time.Time{} }
 
 // SetReadDeadline implements net.Conn. The limits may set an earlier deadline.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
@@ -110,15 +109,9 @@
 
 // applyDeadline sets the deadline of reads. c.mu must be held.
 func (c *callerConn) applyDeadline() error {
-	t := c.wanted
-	bounds := []time.Time{c.bound}
+	t := earlier(c.wanted, c.bound)
 	if c.receiving {
-		bounds = append(bounds, c.lastBound)
-	}
-	for _, b := range bounds {
-		if t.IsZero() || !b.IsZero() && b.Before(t) {
-			t = b
-		}
+		t = earlier(t, c.lastBound)
 	}
 	if c.evicted || c.wakePending {
 		t = expiredDeadline
@@ -126,6 +119,14 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// earlier returns the earlier of two deadlines; a zero one is none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // isInterrupted reports whether a read has ended because the server wakes the reader or ends the connection, or because
 // of the limits.
 func (c *callerConn) isInterrupted() bool {
--- a/internal/daemon/callerlimits_test.go
+++ b/internal/daemon/callerlimits_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -90,6 +91,32 @@
 	}
 }
 
+// TestHeadCountsUntilAnswered checks that a head counts from its first bytes until its answer is complete, as net/http
+// holds it for so long.
+func TestHeadCountsUntilAnswered(t *testing.T) {
+	mem := connectionsBudget(10)
+	held := func() int64 { return mem.Usage()["connections"].Held - clientmem.ConnectionCost }
+	during := make(chan int64, 1)
+	s, err := NewCallerServer("127.0.0.1:0", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { during <- held() }), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Memory = mem
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = s.Serve() }()
+	defer func() { s.finishWithin(0); <-ended }()
+	const fill = 12 << 10
+	if got := statusOfHead(dialServer(t, s), "GET / HTTP/1.1\r\nHost: h\r\nX-Fill: "+strings.Repeat("x", fill)+"\r\n\r\n"); got != http.StatusOK {
+		t.Errorf("status %d", got)
+	}
+	if got := <-during; got < headFactor*(fill-freeHead) {
+		t.Errorf("%d bytes count while a head of %d is served", got, fill)
+	}
+	for held() > 0 { // until the server has noticed the end of the answer
+		runtime.Gosched()
+	}
+}
+
 // TestHeadAndIdleTimeouts checks that a head that does not end, and a connection without a request, end by the limits in
 // force, and that a head within its time does not.
 func TestHeadAndIdleTimeouts(t *testing.T) {
@@ -193,3 +220,37 @@
 	defer s.mu.Unlock()
 	return len(s.conns)
 }
+
+// BenchmarkRequest sends requests with small bodies on one connection.
+func BenchmarkRequest(b *testing.B) {
+	s, err := NewCallerServer("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, f := requestbody.Read(w, r, requestbody.Limits{MaxBytes: 1 << 20, Timeout: time.Minute})
+		if f != nil {
+			b.Error(f)
+		}
+		body.Release()
+	}), nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	s.Memory = connectionsBudget(10)
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = s.Serve() }()
+	defer func() { s.finishWithin(0); <-ended }()
+	conn, err := net.Dial("tcp", s.raw.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	request := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 800\r\n\r\n" + strings.Repeat("x", 800)
+	answer := make([]byte, 4<<10)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := io.WriteString(conn, request); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := conn.Read(answer); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
