--- a/internal/adapter/requestbody/requestbody.go
+++ b/internal/adapter/requestbody/requestbody.go
@@ -85,6 +85,9 @@
 // Refuse bounds the time for which net/http reads the rest of a body that the handler does not read, and makes the
 // connection close after the answer unless the body is small.
 func Refuse(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
 	if r.ContentLength < 0 || r.ContentLength > smallRest {
 		w.Header().Set("Connection", "close")
 	}
