--- a/internal/clientmem/clientmem.go
+++ b/internal/clientmem/clientmem.go
@@ -56,6 +56,7 @@
 	pool     *intake.Pool
 	conns    map[*intake.Holder]*Conn
 	released chan struct{} // closed and replaced when something was given back that others wait for
+	waiting  int           // those that wait for it
 	loggedAt [intake.Parts]time.Time
 }
 
@@ -106,6 +107,9 @@
 		}
 		b.log(part)
 		released := b.released
+		if d == intake.Wait {
+			b.waiting++
+		}
 		var ends []func()
 		for _, v := range victims {
 			if c := b.conns[v]; c != nil {
@@ -124,9 +128,16 @@
 			defer t.Stop()
 			timeout = t.C
 		}
+		timedOut := false
 		select {
 		case <-released:
 		case <-timeout:
+			timedOut = true
+		}
+		b.mu.Lock()
+		b.waiting--
+		b.mu.Unlock()
+		if timedOut {
 			return false
 		}
 	}
@@ -184,6 +195,9 @@
 
 // release wakes those that wait. b.mu must be held.
 func (b *Budget) release() {
+	if b.waiting == 0 {
+		return
+	}
 	close(b.released)
 	b.released = make(chan struct{})
 }
