--- a/internal/clientmem/clientmem.go
+++ b/internal/clientmem/clientmem.go
@@ -22,12 +22,12 @@
 // Costs of a connection, in bytes.
 const (
 	// ConnectionCost is the cost of an open connection, its goroutine and its buffers, and of the first 4 KiB of a
-	// request's head and body: 16 KiB of the process and leastUnread of its socket.
-	ConnectionCost = 16<<10 + leastUnread
-	// leastUnread and MostUnread bound what a connection's socket may hold unread.
-	leastUnread = 8 << 10
-	MostUnread  = 128 << 10
-	// unreadFraction is the part of what is left of the unread bytes that a new connection may have beyond leastUnread.
+	// request's head and body: 16 KiB of the process and minUnread of its socket.
+	ConnectionCost = 16<<10 + minUnread
+	// minUnread and MaxUnread bound what a connection's socket may hold unread.
+	minUnread = 8 << 10
+	MaxUnread  = 128 << 10
+	// unreadFraction is the part of what is left of the unread bytes that a new connection may have beyond minUnread.
 	unreadFraction = 128
 	// FreeBody is the part of a body that the cost of its connection covers.
 	FreeBody = 4 << 10
@@ -206,12 +206,12 @@
 // of further connections should be allowed.
 func (c *Conn) ReserveUnread(n int64) (next int64) {
 	if c == nil {
-		return MostUnread
+		return MaxUnread
 	}
 	c.b.mu.Lock()
 	defer c.b.mu.Unlock()
-	c.b.pool.ReserveUnread(c.h, n-leastUnread)
-	return min(MostUnread, leastUnread+c.b.pool.NextUnread(unreadFraction))
+	c.b.pool.ReserveUnread(c.h, n-minUnread)
+	return min(MaxUnread, minUnread+c.b.pool.NextUnread(unreadFraction))
 }
 
 // Linger records that the connection has been answered for the last time and waits until its caller has received that.
--- a/internal/clientmem/clientmem_test.go
+++ b/internal/clientmem/clientmem_test.go
@@ -73,7 +73,7 @@
 func TestNilConnIsUnlimited(t *testing.T) {
 	var b *Budget
 	c, ok := b.Enter(nil)
-	if !ok || !c.Grow(intake.Bodies, 1<<40) || !c.Execute() || c.IsEnding() || c.ReserveUnread(1) != MostUnread {
+	if !ok || !c.Grow(intake.Bodies, 1<<40) || !c.Execute() || c.IsEnding() || c.ReserveUnread(1) != MaxUnread {
 		t.Error("a connection without a budget is limited")
 	}
 	c.Begin()
--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -41,9 +41,9 @@
 	evicted   bool       // the connection ends in favor of others
 	// unfinished is set when a request was answered before its body had been read.
 	unfinished bool
-	// Deadlines of reads; zero for none. wanted is the one that net/http has set, bound the one of the limits, and lastBound
-	// the one for the rest of a request when the server finishes.
-	wanted, bound, lastBound time.Time
+	// Deadlines of reads; zero for none. requestedDeadline is the one that net/http has set, limitDeadline that of the limits,
+	// and finishDeadline that for the rest of a request when the server finishes.
+	requestedDeadline, limitDeadline, finishDeadline time.Time
 }
 
 // expiredDeadline makes a read return at once.
--- a/internal/daemon/callerlimits.go
+++ b/internal/daemon/callerlimits.go
@@ -25,9 +25,9 @@
 
 const (
 	defaultHeadBytes = 64 << 10
-	// mostHeadBytes and mostIdleTime bound what the limits may be.
-	mostHeadBytes = 8 << 20
-	mostIdleTime  = time.Hour
+	// maxHeadBytes and maxIdleTime bound what the limits may be.
+	maxHeadBytes = 8 << 20
+	maxIdleTime  = time.Hour
 	// headSlack is what may be read beyond a head in one go.
 	headSlack = 4 << 10
 	// freeHead is the part of a head that the cost of its connection covers, and headFactor what a byte beyond it costs:
@@ -47,7 +47,7 @@
 	if l.IdleTimeout <= 0 {
 		l.IdleTimeout = idleTimeout
 	}
-	l.MaxBytes, l.IdleTimeout = min(l.MaxBytes, mostHeadBytes-headSlack), min(l.IdleTimeout, mostIdleTime)
+	l.MaxBytes, l.IdleTimeout = min(l.MaxBytes, maxHeadBytes-headSlack), min(l.IdleTimeout, maxIdleTime)
 	return l
 }
 
@@ -80,7 +80,7 @@
 		c.mem.Finish()
 	}
 	c.limits = c.server.limitsNow()
-	c.bound = time.Now().Add(c.limits.IdleTimeout)
+	c.limitDeadline = time.Now().Add(c.limits.IdleTimeout)
 	_ = c.applyDeadline() // an error recurs at the next read
 }
 
@@ -91,27 +91,27 @@
 	}
 	c.inRequest, c.inHead, c.receiving, c.headBytes = true, true, true, 0
 	c.limits = c.server.limitsNow()
-	c.bound = time.Now().Add(c.limits.Timeout)
+	c.limitDeadline = time.Now().Add(c.limits.Timeout)
 	c.mem.Begin()
 	_ = c.applyDeadline() // an error recurs at the next read
 }
 
 // endHeadLocked ends the read of a head. What it holds counts until the answer is complete. c.mu must be held.
-func (c *callerConn) endHeadLocked() { c.inHead, c.bound = false, time.Time{} }
+func (c *callerConn) endHeadLocked() { c.inHead, c.limitDeadline = false, time.Time{} }
 
 // SetReadDeadline implements net.Conn. The limits may set an earlier deadline.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.wanted = t
+	c.requestedDeadline = t
 	return c.applyDeadline()
 }
 
 // applyDeadline sets the deadline of reads. c.mu must be held.
 func (c *callerConn) applyDeadline() error {
-	t := earlier(c.wanted, c.bound)
+	t := earlier(c.requestedDeadline, c.limitDeadline)
 	if c.receiving {
-		t = earlier(t, c.lastBound)
+		t = earlier(t, c.finishDeadline)
 	}
 	if c.evicted || c.wakePending {
 		t = expiredDeadline
@@ -132,7 +132,7 @@
 func (c *callerConn) isInterrupted() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	isIdle := !c.inRequest && !c.bound.IsZero() && !time.Now().Before(c.bound)
+	isIdle := !c.inRequest && !c.limitDeadline.IsZero() && !time.Now().Before(c.limitDeadline)
 	return c.wakePending || isIdle || c.evicted && (!c.inRequest || c.inHead)
 }
 
@@ -243,18 +243,18 @@
 func (c *callerConn) execute() bool {
 	c.mu.Lock()
 	c.receiving = false
-	if !c.lastBound.IsZero() {
+	if !c.finishDeadline.IsZero() {
 		_ = c.applyDeadline() // an error recurs at the next read
 	}
 	c.mu.Unlock()
 	return c.mem.Execute()
 }
 
-// boundRequest sets the time by which a request that is being read must have been read whole.
-func (c *callerConn) boundRequest(t time.Time) {
+// setFinishDeadline sets the time by which a request that is being read must have been read whole.
+func (c *callerConn) setFinishDeadline(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lastBound = t
+	c.finishDeadline = t
 	if c.receiving {
 		_ = c.applyDeadline() // an error means that the connection is closed
 	}
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -65,7 +65,7 @@
 func listenTCP(addr string) (net.Listener, error) {
 	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
-			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, clientmem.MostUnread/2) // its failure leaves the default
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, clientmem.MaxUnread/2) // its failure leaves the default
 		})
 	}}
 	ln, err := lc.Listen(context.Background(), "tcp", addr)
@@ -88,7 +88,7 @@
 	s.srv = &http.Server{
 		Handler: handleCounted(s.handleDraining(h)), ConnState: s.stateChanged,
 		// callerConn applies the limits in force, which may change while connections are open.
-		MaxHeaderBytes: mostHeadBytes, IdleTimeout: mostIdleTime,
+		MaxHeaderBytes: maxHeadBytes, IdleTimeout: maxIdleTime,
 		BaseContext: func(net.Listener) context.Context { return requests },
 		ConnContext: withConn,
 	}
@@ -169,7 +169,7 @@
 	case <-s.served: // a connection that was being accepted is in s.conns now
 	case <-ctx.Done():
 	}
-	s.boundRequests(ctx)
+	s.setFinishDeadlines(ctx)
 	cut = s.closeAllIdle(ctx, t.C)
 	s.cutting.Store(true)
 	_ = s.srv.Close() // interrupts the requests that still run
@@ -180,9 +180,9 @@
 // receiveShare is the part of the time that is left at a stop in which requests may arrive whole.
 const receiveShare = 0.5
 
-// boundRequests refuses requests that are not read whole in a part of the time until ctx ends, so that they do not keep the
+// setFinishDeadlines refuses requests that are not read whole in a part of the time until ctx ends, so that they do not keep the
 // server from ending and the refusals arrive.
-func (s *CallerServer) boundRequests(ctx context.Context) {
+func (s *CallerServer) setFinishDeadlines(ctx context.Context) {
 	end, ok := ctx.Deadline()
 	if !ok {
 		return
@@ -192,7 +192,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.boundRequest(t)
+		c.setFinishDeadline(t)
 	}
 }
 
@@ -252,7 +252,7 @@
 type callerListener struct {
 	net.Listener
 	server *CallerServer
-	// unread is what the sockets of connections may hold unread that are opened now, in bytes; 0 for MostUnread.
+	// unread is what the sockets of connections may hold unread that are opened now, in bytes; 0 for MaxUnread.
 	unread int
 }
 
@@ -289,7 +289,7 @@
 // inherits the size of its receive buffer, which the operating system doubles: a sender that has been promised more than
 // a buffer holds waits for its retransmission timeout time and again.
 func (l *callerListener) boundUnread(c *net.TCPConn, mem *clientmem.Conn) {
-	holds := clientmem.MostUnread
+	holds := clientmem.MaxUnread
 	if l.unread != 0 { // the connection may have been opened before the last change
 		control(c, func(fd int) {
 			if n, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF); err == nil {
@@ -298,7 +298,7 @@
 		})
 	}
 	next := 1 << (bits.Len64(uint64(mem.ReserveUnread(int64(holds)))) - 1) // a power of two, for fewer changes
-	if next == l.unread || l.unread == 0 && next == clientmem.MostUnread {
+	if next == l.unread || l.unread == 0 && next == clientmem.MaxUnread {
 		return
 	}
 	l.unread = next
