--- a/internal/clientmem/clientmem.go
+++ b/internal/clientmem/clientmem.go
@@ -26,7 +26,7 @@
 	ConnectionCost = 16<<10 + minUnread
 	// minUnread and MaxUnread bound what a connection's socket may hold unread.
 	minUnread = 8 << 10
-	MaxUnread  = 128 << 10
+	MaxUnread = 128 << 10
 	// unreadFraction is the part of what is left of the unread bytes that a new connection may have beyond minUnread.
 	unreadFraction = 128
 	// FreeBody is the part of a body that the cost of its connection covers.
