--- a/internal/adapter/requestbody/requestbody.go
+++ b/internal/adapter/requestbody/requestbody.go
@@ -67,7 +67,7 @@
 		Refuse(w, r)
 		return nil, f
 	}
-	if b.conn.IsEnding() { // it was chosen before the last byte was read
+	if b.conn.IsEvicted() { // while the last bytes arrived
 		b.Release()
 		Refuse(w, r)
 		return nil, b.noMemory()
@@ -149,7 +149,7 @@
 }
 
 func (b *Body) noMemory() *failure.Error {
-	if b.conn.IsEnding() {
+	if b.conn.IsEvicted() {
 		return failure.New(failure.SlowBody, failure.NotRun, "the body made no progress while others needed its memory")
 	}
 	return failure.New(failure.NoMemory, failure.NotRun, "there is no memory for the body").WithRetryAfter(refusedRetryAfter)
@@ -161,7 +161,7 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return failure.New(failure.BodyTooLarge, failure.NotRun, "the body is over %d bytes", l.MaxBytes)
-	case b.conn.IsEnding():
+	case b.conn.IsEvicted():
 		return b.noMemory()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return failure.New(failure.SlowBody, failure.NotRun, "the body did not arrive within %s", l.Timeout)
--- a/internal/clientmem/clientmem.go
+++ b/internal/clientmem/clientmem.go
@@ -12,8 +12,8 @@
 	"github.com/sesamefork/sesamefork/internal/port"
 )
 
-// Bounds of the time for which a request for memory waits until other connections have ended. These end without any part
-// of their callers.
+// Bounds of the time for which a request for memory waits until evicted connections have been closed. Their callers have
+// no part in that.
 const (
 	enterWait = 100 * time.Millisecond
 	growWait  = time.Second
@@ -70,14 +70,14 @@
 
 // Conn is a connection with what it holds. A nil Conn is unlimited.
 type Conn struct {
-	b   *Budget
-	h   *intake.Holder
-	end func()
+	b     *Budget
+	h     *intake.Holder
+	evict func()
 }
 
-// Enter opens a connection. It returns false if there is no room for it, and calls end, once at most, if the connection
-// is to end in favor of another one; end must not block.
-func (b *Budget) Enter(end func()) (*Conn, bool) {
+// Enter opens a connection. It returns false if there is no room for it, and calls evict, once at most, if the
+// connection gives way to others; evict must not block.
+func (b *Budget) Enter(evict func()) (*Conn, bool) {
 	if b == nil {
 		return nil, true
 	}
@@ -85,7 +85,7 @@
 	granted := b.await(intake.Connections, enterWait, func(now time.Time) (d intake.Decision, victims []*intake.Holder) {
 		h, d, victims = b.pool.Enter(ConnectionCost, now)
 		return d, victims
-	}, func() { b.conns[h] = &Conn{b, h, end} })
+	}, func() { b.conns[h] = &Conn{b, h, evict} })
 	if !granted {
 		return nil, false
 	}
@@ -110,15 +110,15 @@
 		if d == intake.Wait {
 			b.waiting++
 		}
-		var ends []func()
+		var evictions []func()
 		for _, v := range victims {
 			if c := b.conns[v]; c != nil {
-				ends = append(ends, c.end)
+				evictions = append(evictions, c.evict)
 			}
 		}
 		b.mu.Unlock()
-		for _, end := range ends {
-			end()
+		for _, evict := range evictions {
+			evict()
 		}
 		if d == intake.Refused {
 			return false
@@ -151,7 +151,7 @@
 	}
 	b.loggedAt[part] = now
 	b.o.Log.Info("memory for callers spent", "address", b.o.Name, "part", part.Name(), "held_bytes", b.pool.Used(part), "limit_bytes", b.pool.Limit(part),
-		"connections", b.pool.Holders(), "max_connections", b.o.MaxConnections, "ended", b.pool.Ended(part), "refused", b.pool.Refused(part))
+		"connections", b.pool.Holders(), "max_connections", b.o.MaxConnections, "evicted", b.pool.Evictions(part), "refused", b.pool.Refused(part))
 }
 
 // PartUsage is the use of one part.
@@ -159,7 +159,7 @@
 	Limit   int64 `json:"limit_bytes"`
 	Held    int64 `json:"held_bytes"`
 	Peak    int64 `json:"peak_bytes"`
-	Ended   int64 `json:"ended"`   // connections that ended in favor of others
+	Evicted int64 `json:"evicted"` // connections evicted for others
 	Refused int64 `json:"refused"` // times that memory was refused
 }
 
@@ -169,7 +169,7 @@
 	defer b.mu.Unlock()
 	out := map[string]PartUsage{}
 	for part := range intake.Parts {
-		out[part.Name()] = PartUsage{b.pool.Limit(part), b.pool.Used(part), b.pool.Peak(part), b.pool.Ended(part), b.pool.Refused(part)}
+		out[part.Name()] = PartUsage{b.pool.Limit(part), b.pool.Used(part), b.pool.Peak(part), b.pool.Evictions(part), b.pool.Refused(part)}
 	}
 	return out
 }
@@ -235,8 +235,8 @@
 // Begin records the first bytes of a request.
 func (c *Conn) Begin() { c.record((*intake.Pool).Begin) }
 
-// Execute records that a request has been received whole. It reports false if the connection is ending, so that the
-// request must not run.
+// Execute records that a request has been received whole. It reports false if the connection has been evicted, so
+// that the request must not run.
 func (c *Conn) Execute() bool {
 	if c == nil {
 		return true
@@ -268,14 +268,14 @@
 	c.b.pool.Received(c.h, int64(n), c.b.o.Clock.Now())
 }
 
-// IsEnding reports whether the connection has been chosen to end.
-func (c *Conn) IsEnding() bool {
+// IsEvicted reports whether the connection has been evicted.
+func (c *Conn) IsEvicted() bool {
 	if c == nil {
 		return false
 	}
 	c.b.mu.Lock()
 	defer c.b.mu.Unlock()
-	return c.h.IsEnding()
+	return c.h.IsEvicted()
 }
 
 type connKey struct{}
--- a/internal/clientmem/clientmem_test.go
+++ b/internal/clientmem/clientmem_test.go
@@ -16,9 +16,9 @@
 	})
 }
 
-// TestEndedConnectionsMakeRoom checks with many callers at once that each gets in once another one has ended, that the
+// TestEvictedConnectionsMakeRoom checks with many callers at once that each gets in once another one has been closed, that the
 // budget holds, and that nothing is held at the end.
-func TestEndedConnectionsMakeRoom(t *testing.T) {
+func TestEvictedConnectionsMakeRoom(t *testing.T) {
 	const room, callers = 8, 64
 	b := newBudget(room)
 	var all sync.WaitGroup
@@ -38,7 +38,7 @@
 	}
 	entered := make(chan struct{})
 	go func() { defer close(entered); all.Wait() }()
-	for n := 0; ; n++ { // ends the last ones
+	for n := 0; ; n++ { // evicts the last ones
 		c, ok := b.Enter(func() {})
 		if ok {
 			c.Close()
@@ -51,21 +51,21 @@
 			return
 		default:
 		}
-		b.endOne()
+		b.evictOne()
 	}
 }
 
-// endOne ends a connection as if another one needed its place.
-func (b *Budget) endOne() {
+// evictOne evicts a connection as if another one needed its place.
+func (b *Budget) evictOne() {
 	b.mu.Lock()
-	var end func()
+	var evict func()
 	for _, c := range b.conns {
-		end = c.end
+		evict = c.evict
 		break
 	}
 	b.mu.Unlock()
-	if end != nil {
-		end()
+	if evict != nil {
+		evict()
 	}
 }
 
@@ -73,7 +73,7 @@
 func TestNilConnIsUnlimited(t *testing.T) {
 	var b *Budget
 	c, ok := b.Enter(nil)
-	if !ok || !c.Grow(intake.Bodies, 1<<40) || !c.Execute() || c.IsEnding() || c.ReserveUnread(1) != MaxUnread {
+	if !ok || !c.Grow(intake.Bodies, 1<<40) || !c.Execute() || c.IsEvicted() || c.ReserveUnread(1) != MaxUnread {
 		t.Error("a connection without a budget is limited")
 	}
 	c.Begin()
--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -7,10 +7,10 @@
 //	Receiving  has sent a part of a request
 //	Executing  has sent a whole request, whose answer is not complete
 //	Closing    has been answered for the last time, and receives the rest of the answer
-//	Ending     has been chosen to end, and holds what it held until it is removed
+//	Evicted    gives way to others, and holds what it held until it is removed
 //
 // A holder asks for what it needs before it takes it. If a budget is spent, holders that wait or whose request makes no
-// progress end in its favor, the one without progress for the longest time first. A holder that is executing never ends,
+// progress are evicted, the one without progress for the longest time first. A holder that is executing is never evicted,
 // as its request may have run.
 //
 // The sum of what is held never exceeds a budget.
@@ -45,7 +45,7 @@
 	Receiving
 	Executing
 	Closing
-	Ending
+	Evicted
 )
 
 // Decision is the answer to a holder that asks for memory.
@@ -54,7 +54,7 @@
 // Decisions.
 const (
 	Granted Decision = iota
-	// Wait means that other holders end, and that the holder should ask again once one of them has been removed.
+	// Wait means that other holders have been evicted, and that the holder should ask again once one of them is removed.
 	Wait
 	// Refused means that nothing can be had now.
 	Refused
@@ -63,14 +63,14 @@
 const (
 	// progressBytes is what a request must receive to count as making progress, so that a byte now and then does not.
 	progressBytes = 1 << 10
-	// stallTime is the time without progress from which a body may end in favor of another one.
+	// stallTime is the time without progress from which a body may be evicted for another one.
 	stallTime = 250 * time.Millisecond
 	// keptWeight divides the time without a request on a connection that has carried one: callers reuse these.
 	keptWeight = 4
 	// shareFactor bounds what one holder may have of a part to shareFactor times what it leaves of it, so that there is
 	// always room for smaller ones.
 	shareFactor = 4
-	// makeRoomShare is the part of the connections that end at once for new ones, one in this many.
+	// makeRoomShare is the part of the connections that are evicted at once for new ones, one in this many.
 	makeRoomShare = 32
 )
 
@@ -88,7 +88,7 @@
 	used    [Parts]int64
 	peak    [Parts]int64
 	refused [Parts]int64
-	ended   [Parts]int64
+	evicted [Parts]int64
 	holders map[*Holder]struct{}
 }
 
@@ -116,13 +116,14 @@
 // Refused returns how often a part was refused.
 func (p *Pool) Refused(part Part) int64 { return p.refused[part] }
 
-// Ended returns how many holders ended in favor of others that needed a part.
-func (p *Pool) Ended(part Part) int64 { return p.ended[part] }
+// Evictions returns how many holders were evicted for a part.
+func (p *Pool) Evictions(part Part) int64 { return p.evicted[part] }
 
 // Holders returns the number of connections.
 func (p *Pool) Holders() int { return len(p.holders) }
 
-// Enter asks for a new connection that costs a number of bytes. With Wait, the returned holders must be ended.
+// Enter asks for a new connection that costs a number of bytes. With Wait, the connections of the
+// returned holders must be closed.
 func (p *Pool) Enter(cost int64, now time.Time) (*Holder, Decision, []*Holder) {
 	h := &Holder{progressAt: now}
 	full := p.o.MaxHolders > 0 && len(p.holders) >= p.o.MaxHolders
@@ -131,7 +132,7 @@
 		p.add(h, Connections, cost)
 		return h, Granted, nil
 	}
-	if p.ending(Connections) > 0 {
+	if p.evictedBytes(Connections) > 0 {
 		return nil, Wait, nil
 	}
 	victims := p.makeRoom(now)
@@ -142,7 +143,7 @@
 	return nil, Wait, victims
 }
 
-// makeRoom ends the connection without progress for the longest time, and with it those that have stalled, up to a share
+// makeRoom evicts the connection without progress for the longest time, and with it those that have stalled, up to a share
 // of all, so that not each new connection has to wait for another one.
 func (p *Pool) makeRoom(now time.Time) (out []*Holder) {
 	for minStall := time.Duration(0); len(out) <= len(p.holders)/makeRoomShare; minStall = stallTime {
@@ -150,15 +151,15 @@
 		if v == nil {
 			break
 		}
-		p.end(v, Connections)
+		p.evict(v, Connections)
 		out = append(out, v)
 	}
 	return out
 }
 
-// Grow asks for n more bytes of a part. With Wait, the returned holders must be ended.
+// Grow asks for n more bytes of a part. With Wait, the connections of the returned holders must be closed.
 func (p *Pool) Grow(h *Holder, part Part, n int64, now time.Time) (Decision, []*Holder) {
-	if h.phase == Ending {
+	if h.phase == Evicted {
 		return Refused, nil
 	}
 	if p.fits(h, part, n) {
@@ -166,13 +167,13 @@
 		return Granted, nil
 	}
 	var victims []*Holder
-	for freed := p.ending(part); !p.fitsAfter(h, part, n, freed); {
+	for freed := p.evictedBytes(part); !p.fitsAfter(h, part, n, freed); {
 		v := p.longestStalled(h, part, stallTime, now)
 		if v == nil {
 			p.refused[part]++
 			return Refused, victims
 		}
-		p.end(v, part)
+		p.evict(v, part)
 		victims = append(victims, v)
 		freed += v.held[part]
 	}
@@ -197,7 +198,7 @@
 func (p *Pool) longestStalled(asks *Holder, part Part, minStall time.Duration, now time.Time) (out *Holder) {
 	longest := time.Duration(-1)
 	for h := range p.holders {
-		if h == asks || h.held[part] == 0 || h.phase == Executing || h.phase == Ending {
+		if h == asks || h.held[part] == 0 || h.phase == Executing || h.phase == Evicted {
 			continue
 		}
 		if s := h.stall(now); s >= minStall && s > longest {
@@ -216,15 +217,15 @@
 	return d
 }
 
-func (p *Pool) end(h *Holder, part Part) {
-	h.phase = Ending
-	p.ended[part]++
+func (p *Pool) evict(h *Holder, part Part) {
+	h.phase = Evicted
+	p.evicted[part]++
 }
 
-// ending returns what ending holders give back of a part.
-func (p *Pool) ending(part Part) (sum int64) {
+// evictedBytes returns what evicted holders still hold of a part.
+func (p *Pool) evictedBytes(part Part) (sum int64) {
 	for h := range p.holders {
-		if h.phase == Ending {
+		if h.phase == Evicted {
 			sum += h.held[part]
 		}
 	}
@@ -274,8 +275,8 @@
 	}
 }
 
-// Execute records that a request has been received whole. It reports false for a holder that is ending, whose request
-// must not run.
+// Execute records that a request has been received whole. It reports false for an evicted holder, whose request must
+// not run.
 func (p *Pool) Execute(h *Holder, now time.Time) bool {
 	p.enterPhase(h, Executing, now)
 	return h.phase == Executing
@@ -291,10 +292,10 @@
 }
 
 func (p *Pool) enterPhase(h *Holder, phase Phase, now time.Time) {
-	if h.phase != Ending {
+	if h.phase != Evicted {
 		h.phase, h.progressAt, h.received = phase, now, 0
 	}
 }
 
-// IsEnding reports whether a holder has been chosen to end.
-func (h *Holder) IsEnding() bool { return h.phase == Ending }
+// IsEvicted reports whether a holder has been evicted.
+func (h *Holder) IsEvicted() bool { return h.phase == Evicted }
--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -101,7 +101,7 @@
 		t.Fatalf("after 300 ms: decision %v, %d end", d, len(ends))
 	}
 	if p.Execute(stalled, at(301)) {
-		t.Error("a request that was chosen to end runs")
+		t.Error("an evicted request runs")
 	}
 	p.Remove(stalled)
 	if d, _ := p.Grow(newcomer, Bodies, 20*kib, at(302)); d != Granted {
@@ -128,7 +128,7 @@
 		end := func(list []*Holder) {
 			for _, h := range list {
 				if h.phase == Executing {
-					t.Fatal("a request ended while it executed")
+					t.Fatal("a request was evicted while it executed")
 				}
 				remove(h)
 			}
--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -38,7 +38,7 @@
 	headBytes int
 	headHeld  int64
 	limits    HeadLimits // in force when the wait for the request or its head began
-	evicted   bool       // the connection ends in favor of others
+	evicted   bool       // the connection gives way to others
 	// unfinished is set when a request was answered before its body had been read.
 	unfinished bool
 	// Deadlines of reads; zero for none. requestedDeadline is the one that net/http has set, limitDeadline that of the limits,
--- a/internal/daemon/callerlimits.go
+++ b/internal/daemon/callerlimits.go
@@ -172,7 +172,7 @@
 	_, _ = io.WriteString(c.Conn, "HTTP/1.1 "+strconv.Itoa(status)+" "+http.StatusText(status)+"\r\n"+header+"Content-Length: 0\r\nConnection: close\r\n\r\n")
 }
 
-// evict ends the connection in favor of others. Its request has not been received whole, or has been answered.
+// evict makes the connection give way to others. Its request has not been received whole, or has been answered.
 func (c *callerConn) evict() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -190,9 +190,8 @@
 	c.mem.Close()
 }
 
-// handleCounted returns a handler that records the phases of a request, and refuses one whose connection has been chosen
-// to end.
-func handleCounted(h http.Handler) http.Handler {
+// trackRequests returns a handler that records the phases of a request, and refuses one whose connection has been evicted.
+func trackRequests(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := connOf(r)
 		if conn == nil {
@@ -238,8 +237,8 @@
 	_ = c.applyDeadline()
 }
 
-// execute records that a request has been read whole. It reports false if the connection has been chosen to end, so that
-// the request must not run.
+// execute records that a request has been read whole. It reports false if the connection has been evicted, so that the
+// request must not run.
 func (c *callerConn) execute() bool {
 	c.mu.Lock()
 	c.receiving = false
@@ -260,7 +259,7 @@
 	}
 }
 
-// isEvicted reports whether the connection has been chosen to end.
+// isEvicted reports whether the connection has been evicted.
 func (c *callerConn) isEvicted() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -284,7 +283,7 @@
 	}
 }
 
-// evictedAnswerTime is the time in which the answer to a request whose connection ends for others is sent.
+// evictedAnswerTime is the time in which the answer to a request on an evicted connection is sent.
 const evictedAnswerTime = 20 * time.Millisecond
 
 // trackedBody records the end of a request's body.
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -86,7 +86,7 @@
 		s.ln = tls.NewListener(s.ln, tlsConfig)
 	}
 	s.srv = &http.Server{
-		Handler: handleCounted(s.handleDraining(h)), ConnState: s.stateChanged,
+		Handler: trackRequests(s.handleDraining(h)), ConnState: s.stateChanged,
 		// callerConn applies the limits in force, which may change while connections are open.
 		MaxHeaderBytes: maxHeadBytes, IdleTimeout: maxIdleTime,
 		BaseContext: func(net.Listener) context.Context { return requests },
