--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -68,6 +68,7 @@
 	enginesIn        func(domain int) int // number of engines of a failure domain; nil for engines in each
 	defaultIntervals bool                 // use the default intervals, and no relays
 
+	memoryMB      int    // of each process, in MiB; 0 for no limit
 	snapshotEvery int    // log entries between snapshots; 0 for 50
 	crashOn       string // text in a request's body that crashes the stand-in that runs the request
 }
@@ -241,7 +242,10 @@
 signing_key = %q
 %s
 bootstrap_operator_hash = %q
-%s`, "c-"+c.id, c.region, c.domain, c.ip+":8081", c.ip+":7100", f.path("data-"+c.id), f.snapshotEvery(), link, signingKey, f.tick(), hash(opKey), members))
+%s
+[limits]
+memory_mb = %d
+`, "c-"+c.id, c.region, c.domain, c.ip+":8081", c.ip+":7100", f.path("data-"+c.id), f.snapshotEvery(), link, signingKey, f.tick(), hash(opKey), members, f.s.memoryMB))
 	}
 	for _, h := range f.hosts {
 		var seeds []string
@@ -287,7 +291,7 @@
 	if f.s.defaultIntervals {
 		return ""
 	}
-	return `[timing]
+	return fmt.Sprintf(`[timing]
 probe_ms = 300
 update_ms = 200
 summary_ms = 500
@@ -296,7 +300,8 @@
 [limits]
 stall_timeout_ms = 1500
 drain_timeout_ms = 20000
-drain_linger_ms = 1500`
+drain_linger_ms = 1500
+memory_mb = %d`, f.s.memoryMB)
 }
 
 func (f *fleet) write(name, text string) {
