intake, clientmem, peerlink: a refused request evicts nobody; each limit has its log line

A body that finds no room even if all that has stalled went evicted some of it before it was refused (the property test asks for it now). Heads over the limit and forwards without memory are logged, once a second, and counted. The end of an announced body is read in a function of its own.

--- a/internal/adapter/peerlink/server.go
+++ b/internal/adapter/peerlink/server.go
@@ -90,6 +90,7 @@
 	// handshakes are the connections before their link begins, the oldest first.
 	handshakes         []net.Conn
 	handshakesLoggedAt time.Time
+	forwardsLoggedAt   time.Time
 }
 
 // NewServer returns a server that listens on addr.
@@ -245,14 +246,14 @@
 	if s.o.Metrics != nil {
 		s.o.Metrics.Add("link_handshakes_closed_for_others", 1)
 	}
-	if now := time.Now(); now.Sub(s.handshakesLoggedAt) >= handshakeLogInterval {
+	if now := time.Now(); now.Sub(s.handshakesLoggedAt) >= refusalLogInterval {
 		s.handshakesLoggedAt = now
 		s.log.Info("handshake of a link ended for others", "limit", s.o.MaxHandshakes)
 	}
 }
 
-// handshakeLogInterval is the least time between two log lines about handshakes that ended for others.
-const handshakeLogInterval = time.Second
+// refusalLogInterval is the least time between two log lines about refusals of one kind.
+const refusalLogInterval = time.Second
 
 // endHandshakeLocked removes a connection from those in their handshake. s.mu must be held.
 func (s *Server) endHandshakeLocked(conn net.Conn) {
@@ -403,14 +404,26 @@
 	return &pb.Refusal{Code: string(f.Code), Detail: f.Detail}
 }
 
-// refuseForward ends a forward that was not run.
+// refuseForward ends a forward that was not run, as there is no memory for it.
 func (s *Server) refuseForward(stream *linkStream, f *failure.Error) {
+	s.logForwardsRefused()
 	_ = stream.SetWriteDeadline(time.Now().Add(requestTimeout))
 	_ = WriteMessage(stream, &pb.ForwardFrame{Frame: &pb.ForwardFrame_End{End: &pb.ForwardEnd{
 		Outcome: string(f.Outcome), Code: string(f.Code), Detail: f.Detail, RetryAfterMs: f.RetryAfter.Milliseconds(),
 	}}})
 }
 
+// logForwardsRefused logs that the memory for forwards is spent.
+func (s *Server) logForwardsRefused() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now(); now.Sub(s.forwardsLoggedAt) >= refusalLogInterval {
+		s.forwardsLoggedAt = now
+		b := s.o.Forwards
+		s.log.Info("memory for forwards spent", "held_bytes", b.Used(), "limit_bytes", b.Limit(), "refused", b.Refused())
+	}
+}
+
 // sendRefusal reports an invalid frame to the other end, unless the stream has ended.
 func (s *Server) sendRefusal(stream *linkStream, err error) {
 	f := failure.As(err, failure.NotRun)
--- a/internal/adapter/requestbody/requestbody.go
+++ b/internal/adapter/requestbody/requestbody.go
@@ -44,11 +44,15 @@
 // TooLarge returns the failure of a request that announces a body over the limit; nil if it does not.
 func TooLarge(r *http.Request, l Limits) *failure.Error {
 	if r.ContentLength > l.MaxBytes {
-		return failure.New(failure.BodyTooLarge, failure.NotRun, "the body is over %d bytes", l.MaxBytes)
+		return l.tooLarge()
 	}
 	return nil
 }
 
+func (l Limits) tooLarge() *failure.Error {
+	return failure.New(failure.BodyTooLarge, failure.NotRun, "the body is over %d bytes", l.MaxBytes)
+}
+
 // Read reads the whole body of a request, which must be released once the request has ended. With a failure nothing is
 // held.
 func Read(w http.ResponseWriter, r *http.Request, l Limits) (*Body, *failure.Error) {
@@ -100,30 +104,22 @@
 // read reads until the end. length is the announced length; negative for none. The buffer grows with what arrives, not
 // with what is announced.
 func (b *Body) read(r io.Reader, length int64, l Limits) *failure.Error {
-	most := l.MaxBytes + 1 // one more shows that there is more
+	most := l.MaxBytes + 1 // r fails before the buffer is full
 	if length >= 0 {
 		most = length
 	}
 	b.Bytes = make([]byte, 0, min(firstBytes, most))
-	var last [1]byte // for the end after a full buffer
 	for {
-		p := b.Bytes[len(b.Bytes):cap(b.Bytes)]
-		if len(p) == 0 && int64(len(b.Bytes)) < most {
-			if !b.grow(most) {
+		if len(b.Bytes) == cap(b.Bytes) {
+			switch {
+			case int64(len(b.Bytes)) == most:
+				return b.readEnd(r, l)
+			case !b.grow(most):
 				return b.noMemory()
 			}
-			continue
-		}
-		if len(p) == 0 {
-			p = last[:]
-		}
-		n, err := r.Read(p)
-		if n > 0 && &p[0] == &last[0] {
-			most = l.MaxBytes + 1
-			b.Bytes = append(b.Bytes, last[0])
-		} else {
-			b.Bytes = b.Bytes[:len(b.Bytes)+n]
 		}
+		n, err := r.Read(b.Bytes[len(b.Bytes):cap(b.Bytes)])
+		b.Bytes = b.Bytes[:len(b.Bytes)+n]
 		if err == io.EOF {
 			return nil
 		}
@@ -133,6 +129,19 @@
 	}
 }
 
+// readEnd reads the end of a body whose announced bytes have been read.
+func (b *Body) readEnd(r io.Reader, l Limits) *failure.Error {
+	var more [1]byte
+	switch _, err := io.ReadFull(r, more[:]); err {
+	case nil:
+		return l.tooLarge()
+	case io.EOF:
+		return nil
+	default:
+		return b.failureOf(err, l)
+	}
+}
+
 // grow doubles the buffer, up to most bytes. While it copies, both buffers count.
 func (b *Body) grow(most int64) bool {
 	had := int64(cap(b.Bytes))
@@ -160,7 +169,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return failure.New(failure.BodyTooLarge, failure.NotRun, "the body is over %d bytes", l.MaxBytes)
+		return l.tooLarge()
 	case b.conn.IsEvicted():
 		return b.noMemory()
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/clientmem/clientmem.go
+++ b/internal/clientmem/clientmem.go
@@ -58,6 +58,9 @@
 	released chan struct{} // closed and replaced when something was given back that others wait for
 	waiting  int           // those that wait for it
 	loggedAt [intake.Parts]time.Time
+
+	largeHeads   int64 // refused
+	largeHeadsAt time.Time
 }
 
 // New returns a budget without connections.
@@ -154,6 +157,28 @@
 		"connections", b.pool.Holders(), "max_connections", b.o.MaxConnections, "evicted", b.pool.Evictions(part), "refused", b.pool.Refused(part))
 }
 
+// RecordLargeHead counts and logs a head that was refused because it is over a limit in bytes.
+func (c *Conn) RecordLargeHead(limit int) {
+	if c == nil {
+		return
+	}
+	b := c.b
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.largeHeads++
+	if now := b.o.Clock.Now(); now.Sub(b.largeHeadsAt) >= logInterval {
+		b.largeHeadsAt = now
+		b.o.Log.Info("head over the limit refused", "address", b.o.Name, "limit_bytes", limit, "refused", b.largeHeads)
+	}
+}
+
+// LargeHeads returns how many heads were refused because they were over the limit.
+func (b *Budget) LargeHeads() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.largeHeads
+}
+
 // PartUsage is the use of one part.
 type PartUsage struct {
 	Limit   int64 `json:"limit_bytes"`
--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -157,7 +157,8 @@
 	return out
 }
 
-// Grow asks for n more bytes of a part. With Wait, the connections of the returned holders must be closed.
+// Grow asks for n more bytes of a part. With Wait, the connections of the returned holders must be closed; Refused evicts
+// none.
 func (p *Pool) Grow(h *Holder, part Part, n int64, now time.Time) (Decision, []*Holder) {
 	if h.phase == Evicted {
 		return Refused, nil
@@ -166,13 +167,14 @@
 		p.add(h, part, n)
 		return Granted, nil
 	}
+	freed := p.evictedBytes(part)
+	if !p.fitsAfter(h, part, n, freed+p.stalledBytes(h, part, now)) {
+		p.refused[part]++
+		return Refused, nil
+	}
 	var victims []*Holder
-	for freed := p.evictedBytes(part); !p.fitsAfter(h, part, n, freed); {
+	for !p.fitsAfter(h, part, n, freed) {
 		v := p.longestStalled(h, part, stallTime, now)
-		if v == nil {
-			p.refused[part]++
-			return Refused, victims
-		}
 		p.evict(v, part)
 		victims = append(victims, v)
 		freed += v.held[part]
@@ -198,16 +200,28 @@
 func (p *Pool) longestStalled(asks *Holder, part Part, minStall time.Duration, now time.Time) (out *Holder) {
 	longest := time.Duration(-1)
 	for h := range p.holders {
-		if h == asks || h.held[part] == 0 || h.phase == Executing || h.phase == Evicted {
-			continue
-		}
-		if s := h.stall(now); s >= minStall && s > longest {
+		if s := h.stall(now); h != asks && h.mayBeEvicted(part) && s >= minStall && s > longest {
 			out, longest = h, s
 		}
 	}
 	return out
 }
 
+// stalledBytes returns what the holders of a part that have stalled hold of it, without the one that asks.
+func (p *Pool) stalledBytes(asks *Holder, part Part, now time.Time) (sum int64) {
+	for h := range p.holders {
+		if h != asks && h.mayBeEvicted(part) && h.stall(now) >= stallTime {
+			sum += h.held[part]
+		}
+	}
+	return sum
+}
+
+// mayBeEvicted reports whether the eviction of a holder would give bytes of a part back.
+func (h *Holder) mayBeEvicted(part Part) bool {
+	return h.held[part] > 0 && h.phase != Executing && h.phase != Evicted
+}
+
 // stall returns for how long a holder has made no progress.
 func (h *Holder) stall(now time.Time) time.Duration {
 	d := now.Sub(h.progressAt)
--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -156,6 +156,9 @@
 				alone := p.Used(Bodies) == h.held[Bodies]
 				fits := p.Used(Bodies)+n <= p.Limit(Bodies)
 				d, ends := p.Grow(h, Bodies, n, now)
+				if d == Refused && len(ends) > 0 {
+					t.Fatal("a refused request has evicted others")
+				}
 				if alone && fits && d != Granted {
 					t.Fatalf("a body alone is not granted: %v", d)
 				}
--- a/internal/daemon/callerlimits.go
+++ b/internal/daemon/callerlimits.go
@@ -151,6 +151,7 @@
 	c.mu.Unlock()
 	switch {
 	case tooLarge:
+		c.mem.RecordLargeHead(c.limits.MaxBytes)
 		c.refuse(http.StatusRequestHeaderFieldsTooLarge, "")
 		return false
 	case !c.mem.Grow(intake.Connections, hold):
--- a/internal/daemon/memoryplan.go
+++ b/internal/daemon/memoryplan.go
@@ -113,6 +113,7 @@
 		Name: name, Limits: limits, MaxConnections: max(1, int(share*callerFiles*float64(p.files))), Clock: port.SystemClock{}, Log: p.log,
 	})
 	p.gauge("connections_"+name, func() any { return b.Usage() })
+	p.gauge("large_heads_refused_"+name, func() any { return b.LargeHeads() })
 	return b
 }
 
