review: a stream goes on at another version after its server's power loss

An engine loses power, starts again under its ID with the next software version, and its first check-in is 2 s late. Clients that take their streams up get events of the new version.

Cause, as far as known: an open connection to the address counts as proof that the same process runs, and a connection to a process that lost power stays open on this side.

--- /dev/null
+++ b/review/bed2/server.go
@@ -0,0 +1,193 @@
+package bed2
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Request is a request as it came on a server's socket.
+type Request struct {
+	Method, URI string
+	Header      http.Header
+	Body        []byte
+}
+
+// ID returns the client's ID of the request.
+func (r *Request) ID() string { return r.Header.Get(Wire("id")) }
+
+// Process is one process of a backend server.
+type Process struct {
+	ID, Service, Address, Version string
+	Slots                         int
+	// Serve answers a request that names this process, and reports whether the connection is kept.
+	Serve func(*Process, net.Conn, *Request) bool
+
+	fleet   *Fleet
+	host    *Host // control host that gets the check-ins
+	born    int64
+	seq     int
+	ln      net.Listener
+	dark    atomic.Bool
+	done    chan struct{}
+	endOnce sync.Once
+}
+
+// NewAddress returns an address for a server in the failure domain of a control host.
+func (f *Fleet) NewAddress(zone int) string {
+	f.servers++
+	return fmt.Sprintf("127.%d.%d.%d:9000", f.net, zone+1, 100+int(f.servers))
+}
+
+// Start starts a process that accepts connections. CheckIn must follow.
+func (f *Fleet) Start(zone int, p *Process) error {
+	ln, err := net.Listen("tcp", p.Address)
+	if err != nil {
+		return err
+	}
+	p.fleet, p.host, p.ln, p.born, p.done = f, f.Controls[zone], ln, time.Now().UnixMilli(), make(chan struct{})
+	go p.accept()
+	return nil
+}
+
+// CheckIn sends check-ins from now on. It returns after the first one that is acknowledged.
+func (p *Process) CheckIn() error {
+	var err error
+	for range 20 {
+		if err = p.announce(); err == nil {
+			go p.announceOften()
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return err
+}
+
+func (p *Process) announceOften() {
+	t := time.NewTicker(heartbeat)
+	defer t.Stop()
+	for {
+		select {
+		case <-p.done:
+			return
+		case <-t.C:
+			_ = p.announce() // the next one follows
+		}
+	}
+}
+
+func (p *Process) announce() error {
+	p.seq++
+	body, err := json.Marshal(map[string]any{
+		"service": p.Service, "address": p.Address, "zone": p.host.Zone, "version": p.Version, "slots": p.Slots, "state": "ready",
+		"cold_left_ms": 0, "seq": p.seq, "born": p.born,
+	})
+	if err != nil {
+		return err
+	}
+	status, err := p.fleet.call(http.MethodPut, p.host.IP+operatorPort, Wire("announce")+p.ID, body)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("check-in answered with %d", status)
+	}
+	return err
+}
+
+// LosePower makes the process fall silent: it sends nothing any more, accepts nothing, and ends no connection.
+func (p *Process) LosePower() {
+	p.dark.Store(true)
+	p.end()
+}
+
+func (p *Process) end() {
+	p.endOnce.Do(func() {
+		close(p.done)
+		_ = p.ln.Close()
+	})
+}
+
+// Dark reports whether the process has lost power.
+func (p *Process) Dark() bool { return p.dark.Load() }
+
+func (p *Process) accept() {
+	for {
+		c, err := p.ln.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *Process) serve(c net.Conn) {
+	br := bufio.NewReader(c)
+	for {
+		r, err := readRequest(br)
+		if p.Dark() {
+			return // silent: the connection stays open
+		}
+		if err != nil {
+			_ = c.Close()
+			return
+		}
+		if want := r.Header.Get(Wire("instance")); want != "" && want != p.ID {
+			_, _ = c.Write(Head(http.StatusMisdirectedRequest, r, Wire("not-run")+": 1", "Content-Length: 0"))
+			continue
+		}
+		if !p.Serve(p, c, r) {
+			if !p.Dark() {
+				_ = c.Close()
+			}
+			return
+		}
+	}
+}
+
+// readRequest reads a request with its body, which has a length.
+func readRequest(br *bufio.Reader) (*Request, error) {
+	line, err := br.ReadString('\n')
+	if err != nil {
+		return nil, err
+	}
+	method, rest, _ := strings.Cut(strings.TrimSpace(line), " ")
+	uri, _, _ := strings.Cut(rest, " ")
+	r := &Request{Method: method, URI: uri, Header: http.Header{}}
+	for {
+		line, err := br.ReadString('\n')
+		if err != nil {
+			return nil, err
+		}
+		name, value, ok := strings.Cut(strings.TrimSpace(line), ":")
+		if !ok {
+			break
+		}
+		r.Header.Add(name, strings.TrimSpace(value))
+	}
+	if r.Header.Get("Transfer-Encoding") != "" {
+		return nil, errors.New("the stand-in reads bodies with a length only")
+	}
+	n, _ := strconv.Atoi(r.Header.Get("Content-Length"))
+	r.Body = make([]byte, n)
+	_, err = io.ReadFull(br, r.Body)
+	return r, err
+}
+
+// Head returns the head of an answer with the server's signature and further header lines.
+func Head(status int, r *Request, lines ...string) []byte {
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: signed\r\n", status, http.StatusText(status), Wire("id"), r.ID(), Wire("stamp"))
+	return []byte(head + strings.Join(lines, "\r\n") + "\r\n\r\n")
+}
+
+// WriteChunk writes one chunk of a body; an empty one ends it.
+func WriteChunk(c net.Conn, text string) error {
+	_, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+	return err
+}
--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the stand-ins of the second review's cases into target/review-2. The deploy file's build comes first.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+go build -o target/review-2/ ./review/cmd/silent-successor
