review: an entry host joins streams of two versions in one answer

An engine without a connection to the entry host crashes and starts again under its ID with the next version; its first check-in is 2 s late. Streams that began there meanwhile go on at another version.

Cause, as far as known: the release of a stream is taken from the last check-in under the server's ID unless a connection was seen to break.

--- a/review/bed2/server.go
+++ b/review/bed2/server.go
@@ -40,6 +40,8 @@
 	dark    atomic.Bool
 	done    chan struct{}
 	endOnce sync.Once
+	mu      sync.Mutex
+	conns   map[net.Conn]bool
 }
 
 // NewAddress returns an address for a server in the failure domain of a control host.
@@ -55,10 +57,34 @@
 		return err
 	}
 	p.fleet, p.host, p.ln, p.born, p.done = f, f.Controls[zone], ln, time.Now().UnixMilli(), make(chan struct{})
+	p.conns = map[net.Conn]bool{}
 	go p.accept()
 	return nil
 }
 
+// settleTime is the time in which the entry hosts learn of servers that have checked in.
+const settleTime = 3 * time.Second
+
+// StartService starts processes in the first failure domain and configures one route to their service. The entry hosts
+// know them when it returns.
+func (f *Fleet) StartService(route Route, processes ...*Process) error {
+	for _, p := range processes {
+		if err := f.Start(0, p); err != nil {
+			return err
+		}
+	}
+	if err := f.Configure(NewConfig(route.Service, route)); err != nil {
+		return err
+	}
+	for _, p := range processes {
+		if err := p.CheckIn(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(settleTime)
+	return nil
+}
+
 // CheckIn sends check-ins from now on. It returns after the first one that is acknowledged.
 func (p *Process) CheckIn() error {
 	var err error
@@ -107,6 +133,21 @@
 	p.end()
 }
 
+// Crash ends the process with all its connections, as the operating system does.
+func (p *Process) Crash() {
+	p.LosePower()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		_ = c.Close()
+	}
+}
+
+// Successor returns a process that may be started under the same ID and address, with another version.
+func (p *Process) Successor(version string) *Process {
+	return &Process{ID: p.ID, Service: p.Service, Address: p.Address, Version: version, Slots: p.Slots, Serve: p.Serve}
+}
+
 func (p *Process) end() {
 	p.endOnce.Do(func() {
 		close(p.done)
@@ -123,6 +164,9 @@
 		if err != nil {
 			return
 		}
+		p.mu.Lock()
+		p.conns[c] = true
+		p.mu.Unlock()
 		go p.serve(c)
 	}
 }
