review: streams of a crashed engine are lost beside idle ones

All streams with one shared part run at one of three engines, which crashes; the host goes on with none of them at the other two, to which it has no connection.

Cause, as far as known: a stream goes on only at a server with an open connection, and nothing opens one for it.

--- a/review/bed2/fleet.go
+++ b/review/bed2/fleet.go
@@ -290,8 +290,20 @@
 	TLS        bool    `json:"tls"`
 	ColdS      float64 `json:"cold_s"`
 	ColdPerS   float64 `json:"cold_per_s"`
+	Engine     *Engine `json:"engine,omitempty"`
 }
 
+// Engine describes the model engines of a service.
+type Engine struct {
+	Slots      int     `json:"slots"`
+	KVCapacity int     `json:"kv_capacity"`
+	TokenBytes int     `json:"kv_token_bytes"`
+	LinkMbps   float64 `json:"link_mbps"`
+}
+
+// RailhaltEngine has the figures of Railhalt's engines.
+var RailhaltEngine = Engine{Slots: 128, KVCapacity: 179521, TokenBytes: 131072, LinkMbps: 550000}
+
 // Limits bound what clients send.
 type Limits struct {
 	MaxHeaderBytes  int `json:"max_header_bytes"`
--- a/review/bed2/server.go
+++ b/review/bed2/server.go
@@ -73,7 +73,11 @@
 			return err
 		}
 	}
-	if err := f.Configure(NewConfig(route.Service, route)); err != nil {
+	config := NewConfig(route.Service, route)
+	if route.Sticky {
+		config.Services[0].Engine = &RailhaltEngine
+	}
+	if err := f.Configure(config); err != nil {
 		return err
 	}
 	for _, p := range processes {
@@ -168,6 +172,13 @@
 // Dark reports whether the process has lost power.
 func (p *Process) Dark() bool { return p.dark.Load() }
 
+// Connections returns the number of connections to the process.
+func (p *Process) Connections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
+
 func (p *Process) accept() {
 	for {
 		c, err := p.ln.Accept()
@@ -177,7 +188,14 @@
 		p.mu.Lock()
 		p.conns[c] = true
 		p.mu.Unlock()
-		go p.serve(c)
+		go func() {
+			p.serve(c)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			if !p.Dark() {
+				delete(p.conns, c)
+			}
+		}()
 	}
 }
 
--- a/review/bed2/streams.go
+++ b/review/bed2/streams.go
@@ -16,6 +16,10 @@
 	LatencyTarget, GapTarget, TimeBudget, EventGap time.Duration
 	Events                                         int
 	Record                                         *Record
+	// Prompt, if set, is the shared part of all prompts, ID:TOKENS; each prompt has a part of its own besides.
+	Prompt string
+	// Tries is the number of attempts of a client; 0 for maxAttempts.
+	Tries int
 }
 
 const (
@@ -27,7 +31,7 @@
 func (s *Streams) Route(service string) Route {
 	return Route{
 		Name: "plan", Host: streamHost, PathPrefix: streamPath, Kind: "stream", TimeoutMS: int(s.TimeBudget.Milliseconds()),
-		LatencyTargetMS: int(s.LatencyTarget.Milliseconds()), GapTargetMS: int(s.GapTarget.Milliseconds()), Service: service, Attempts: 2, Resumable: true,
+		LatencyTargetMS: int(s.LatencyTarget.Milliseconds()), GapTargetMS: int(s.GapTarget.Milliseconds()), Service: service, Attempts: 2, Resumable: true, Sticky: s.Prompt != "",
 	}
 }
 
@@ -97,6 +101,12 @@
 	}
 }
 
+// Sizes of a prompt with a shared part of 6,300 tokens, as on the sheets.
+const (
+	promptTokens = "6400,200"
+	ownTokens    = "100"
+)
+
 const (
 	// maxAttempts bounds the attempts of a client.
 	maxAttempts = 4
@@ -105,7 +115,11 @@
 )
 
 func (c *Client) run() {
-	for i := range maxAttempts {
+	tries := c.s.Tries
+	if tries == 0 {
+		tries = maxAttempts
+	}
+	for i := range tries {
 		refused := c.attempt(c.addrs[min(i, len(c.addrs)-1)])
 		if c.ended {
 			return
@@ -119,11 +133,14 @@
 // attempt sends one attempt and reads its answer. It reports whether the attempt was refused.
 func (c *Client) attempt(addr string) (refused bool) {
 	a := &Attempt{ID: NewID(), Method: http.MethodPost, Target: streamPath + "x", Host: streamHost, Deadline: c.s.TimeBudget, Body: c.name}
+	if c.s.Prompt != "" {
+		a.Lines = []string{Wire("model") + ": m", Wire("tokens") + ": " + promptTokens, Wire("prompt") + ": " + c.s.Prompt + "," + a.ID + ":" + ownTokens}
+	}
 	if c.last > 0 {
 		if c.takenUp == 0 {
 			c.takenUp = c.last
 		}
-		a.Lines = []string{fmt.Sprintf("%s: %d", Wire("last-event"), c.last), Wire("resumes") + ": " + c.began}
+		a.Lines = append(a.Lines, fmt.Sprintf("%s: %d", Wire("last-event"), c.last), Wire("resumes")+": "+c.began)
 	}
 	rec := c.s.Record
 	rec.Add("%s sends %s after event %d", c.name, a.ID, c.last)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-go build -o target/review-2/ ./review/cmd/double-slash ./review/cmd/late-predecessor ./review/cmd/many-fields ./review/cmd/silent-successor ./review/cmd/unproved-release
+go build -o target/review-2/ ./review/cmd/double-slash ./review/cmd/late-predecessor ./review/cmd/many-fields ./review/cmd/unconnected-host ./review/cmd/unproved-release
