--- a/review/cmd/unproved-release/main.go
+++ b/review/cmd/unproved-release/main.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	clients   = 24
-	startGap  = 50 * time.Millisecond // between two clients
+	clients   = 40
+	startGap  = 35 * time.Millisecond // between two clients: the 28 streams a second of a region on the sheet
 	downFor   = time.Second           // from the crash until the server runs again
 	lateBy    = 2 * time.Second       // of its first check-in
 	service   = "engines"
