--- a/review/bed2/server.go
+++ b/review/bed2/server.go
@@ -32,6 +32,7 @@
 	// Serve answers a request that names this process, and reports whether the connection is kept.
 	Serve func(*Process, net.Conn, *Request) bool
 
+	zone    int // index of its failure domain
 	fleet   *Fleet
 	host    *Host // control host that gets the check-ins
 	born    int64
@@ -51,12 +52,12 @@
 }
 
 // Start starts a process that accepts connections. CheckIn must follow.
-func (f *Fleet) Start(zone int, p *Process) error {
+func (f *Fleet) Start(p *Process) error {
 	ln, err := net.Listen("tcp", p.Address)
 	if err != nil {
 		return err
 	}
-	p.fleet, p.host, p.ln, p.born, p.done = f, f.Controls[zone], ln, time.Now().UnixMilli(), make(chan struct{})
+	p.fleet, p.host, p.ln, p.born, p.done = f, f.Controls[p.zone], ln, time.Now().UnixMilli(), make(chan struct{})
 	p.conns = map[net.Conn]bool{}
 	go p.accept()
 	return nil
@@ -65,11 +66,31 @@
 // settleTime is the time in which the entry hosts learn of servers that have checked in.
 const settleTime = 3 * time.Second
 
-// StartService starts processes in the first failure domain and configures one route to their service. The entry hosts
-// know them when it returns.
-func (f *Fleet) StartService(route Route, processes ...*Process) error {
+// enginesIn are the numbers of engines in the failure domains, as on the sheet of Railhalt.
+var enginesIn = [zones]int{6, 4, 2}
+
+const engineSlots = 128 // as on the sheet
+
+// Engines returns Railhalt's engines. The first failure domain has the given versions, and the others have the last one.
+func (f *Fleet) Engines(service string, serve func(*Process, net.Conn, *Request) bool, versions [6]string) (list []*Process) {
+	for zone, number := range enginesIn {
+		for i := range number {
+			version := versions[len(versions)-1]
+			if zone == 0 {
+				version = versions[i]
+			}
+			list = append(list, &Process{
+				ID: fmt.Sprintf("engine-%d-%d", zone+1, i+1), Service: service, Address: f.NewAddress(zone), Version: version, Slots: engineSlots, Serve: serve, zone: zone,
+			})
+		}
+	}
+	return list
+}
+
+// StartService starts processes and configures one route to their service. The entry hosts know them when it returns.
+func (f *Fleet) StartService(route Route, processes []*Process) error {
 	for _, p := range processes {
-		if err := f.Start(0, p); err != nil {
+		if err := f.Start(p); err != nil {
 			return err
 		}
 	}
@@ -159,7 +180,7 @@
 
 // Successor returns a process that may be started under the same ID and address, with another version.
 func (p *Process) Successor(version string) *Process {
-	return &Process{ID: p.ID, Service: p.Service, Address: p.Address, Version: version, Slots: p.Slots, Serve: p.Serve}
+	return &Process{ID: p.ID, Service: p.Service, Address: p.Address, Version: version, Slots: p.Slots, Serve: p.Serve, zone: p.zone}
 }
 
 func (p *Process) end() {
--- a/review/cmd/double-slash/main.go
+++ b/review/cmd/double-slash/main.go
@@ -45,7 +45,7 @@
 	defer f.Stop()
 	s := &server{rec: rec, runs: map[string]string{}}
 	p := &bed2.Process{ID: "server-1", Service: service, Address: f.NewAddress(0), Version: "v1", Slots: 6, Serve: s.serve}
-	if err := f.Start(0, p); err != nil {
+	if err := f.Start(p); err != nil {
 		return 0, err
 	}
 	err = f.Configure(bed2.NewConfig(service, bed2.Route{
--- a/review/cmd/late-predecessor/main.go
+++ b/review/cmd/late-predecessor/main.go
@@ -1,4 +1,4 @@
-// Command late-predecessor is a case on streams that clients take up. Two sound model servers run at addresses at which
+// Command late-predecessor is a case on streams that clients take up. Two of twelve sound model servers run at addresses at which
 // others ran before, whose only check-ins a cut has delayed. These arrive, and then an entry host is killed. Its clients
 // take their streams up at the other one.
 package main
@@ -11,14 +11,13 @@
 )
 
 const (
-	clients   = 40
-	startGap  = 25 * time.Millisecond // between two clients
+	clients   = 80
+	startGap  = 20 * time.Millisecond // between two clients
 	newOnes   = 12                    // clients that begin streams afterwards
 	bornAgo   = 5 * time.Second       // start of a predecessor before its successor's
 	service   = "engines"
-	slots     = 128
 	version   = "v1" // of the two servers
-	other     = "v2" // of a third one, at which new streams may begin too
+	other     = "v2" // of the ten others
 	leastUps  = 12   // taken-up streams from which on the rule counts
 	downFor   = 500 * time.Millisecond
 	goneAfter = time.Second // from the late check-ins until the entry host is killed
@@ -37,16 +36,14 @@
 		LatencyTarget: 1200 * time.Millisecond, GapTarget: 600 * time.Millisecond, TimeBudget: 15 * time.Second,
 		Events: 60, EventGap: 150 * time.Millisecond, Record: rec,
 	}
-	first := &bed2.Process{ID: "server-1", Service: service, Address: f.NewAddress(0), Version: version, Slots: slots, Serve: s.Serve}
-	second := &bed2.Process{ID: "server-2", Service: service, Address: f.NewAddress(0), Version: version, Slots: slots, Serve: s.Serve}
-	third := &bed2.Process{ID: "server-3", Service: service, Address: f.NewAddress(0), Version: other, Slots: slots, Serve: s.Serve}
-	if err := f.StartService(s.Route(service), first, second, third); err != nil {
+	engines := f.Engines(service, s.Serve, [6]string{version, version, other, other, other, other})
+	if err := f.StartService(s.Route(service), engines); err != nil {
 		return 0, err
 	}
 	killed, kept := f.Entries[0], f.Entries[1]
 	wait := s.Begin(clients, startGap, killed.Front(), kept.Front())
 	if bed2.Trouble() {
-		for i, p := range []*bed2.Process{first, second} {
+		for i, p := range engines[:2] {
 			id := fmt.Sprintf("predecessor-%d", i+1)
 			rec.Add("a check-in of %s arrives, which ran at the address of %s before it", id, p.ID)
 			if err := p.Predecessor(id, bornAgo); err != nil {
--- a/review/cmd/many-fields/main.go
+++ b/review/cmd/many-fields/main.go
@@ -19,8 +19,6 @@
 	clients    = 560
 	startGap   = 2 * time.Millisecond // between two clients
 	bodyBytes  = 18_000               // the mean of "layout-match" on the sheet of Railhalt
-	engines    = 6                    // as in Railhalt's largest region
-	slots      = 128                  // of an engine, as on the sheet
 	events     = 10
 	eventGap   = 500 * time.Millisecond
 	timeBudget = 15 * time.Second
@@ -37,21 +35,14 @@
 		return 0, err
 	}
 	defer f.Stop()
-	for i := range engines {
-		p := &bed2.Process{ID: fmt.Sprintf("engine-%d", i+1), Service: service, Address: f.NewAddress(0), Version: "v1", Slots: slots, Serve: stream}
-		if err := f.Start(0, p); err != nil {
-			return 0, err
-		}
-		go func() { _ = p.CheckIn() }() // repeated until it is acknowledged
-	}
-	err = f.Configure(bed2.NewConfig(service, bed2.Route{
+	route := bed2.Route{
 		Name: "match", Host: "match.example", PathPrefix: "/match/", Kind: "stream", TimeoutMS: int(timeBudget.Milliseconds()), LatencyTargetMS: 1200,
 		GapTargetMS: 600, Service: service, Attempts: 2, Resumable: true,
-	}))
-	if err != nil {
+	}
+	const version = "v1"
+	if err := f.StartService(route, f.Engines(service, stream, [6]string{version, version, version, version, version, version})); err != nil {
 		return 0, err
 	}
-	time.Sleep(4 * time.Second) // until the entry host knows the engines
 	entry := f.Entries[0]
 	rec.Add("%s holds %d MiB before", entry.Name, entry.PeakMB())
 	fields := manyFields()
--- a/review/cmd/unconnected-host/main.go
+++ b/review/cmd/unconnected-host/main.go
@@ -1,5 +1,5 @@
 // Command unconnected-host is a case on streams whose server crashes. Their prompts share a part, so the entry host has
-// sent all of them to one of three engines of the same version. That one crashes. The others are sound and idle.
+// sent all of them to one of twelve engines of the same version. That one crashes. The others are sound and idle.
 package main
 
 import (
@@ -15,7 +15,6 @@
 	startGap = 250 * time.Millisecond // four streams a second, before and after the crash
 	downFor  = 4 * time.Second        // of the engine that crashes
 	service  = "engines"
-	slots    = 128
 	version  = "v1"
 	shared   = "5c1e07a2:6300" // the part that all prompts have
 	tries    = 2               // one retry, as on the sheet
@@ -35,11 +34,8 @@
 		LatencyTarget: 1200 * time.Millisecond, GapTarget: 600 * time.Millisecond, TimeBudget: 15 * time.Second,
 		Events: 50, EventGap: 200 * time.Millisecond, Record: rec, Prompt: shared, Tries: tries,
 	}
-	var engines []*bed2.Process
-	for i := range 3 {
-		engines = append(engines, &bed2.Process{ID: fmt.Sprintf("engine-%d", i+1), Service: service, Address: f.NewAddress(0), Version: version, Slots: slots, Serve: s.Serve})
-	}
-	if err := f.StartService(s.Route(service), engines...); err != nil {
+	engines := f.Engines(service, s.Serve, [6]string{version, version, version, version, version, version})
+	if err := f.StartService(s.Route(service), engines); err != nil {
 		return 0, err
 	}
 	wait := s.Begin(before, startGap, f.Entries[0].Front())
@@ -71,7 +67,7 @@
 func restart(f *bed2.Fleet, e *bed2.Process) error {
 	next := e.Successor(version)
 	next.ID += "-again"
-	if err := f.Start(0, next); err != nil {
+	if err := f.Start(next); err != nil {
 		return err
 	}
 	return next.CheckIn()
--- a/review/cmd/unproved-release/main.go
+++ b/review/cmd/unproved-release/main.go
@@ -1,6 +1,6 @@
-// Command unproved-release is a case on streams of two software versions. A model server to which the entry host has no
-// connection crashes, starts again under its ID with the next version, and its first check-in comes late. Streams begin
-// there meanwhile. Their clients do nothing but read.
+// Command unproved-release is a case on streams of two software versions. Two of twelve model servers, to which the entry
+// host has no connection, crash and start again under their IDs with the next version; their first check-ins come late.
+// Streams begin there meanwhile. Their clients do nothing but read.
 package main
 
 import (
@@ -10,15 +10,14 @@
 )
 
 const (
-	clients   = 40
-	startGap  = 35 * time.Millisecond // between two clients: the 28 streams a second of a region on the sheet
-	downFor   = time.Second           // from the crash until the server runs again
-	lateBy    = 2 * time.Second       // of its first check-in
-	service   = "engines"
-	slots     = 128
-	oldServer = "server-1"
-	oldest    = "v1"
-	newest    = "v2"
+	clients  = 40
+	startGap = 35 * time.Millisecond // between two clients: the 28 streams a second of a region on the sheet
+	downFor  = time.Second           // from the crash until the server runs again
+	lateBy   = 2 * time.Second       // of its first check-in
+	service  = "engines"
+	crashed  = 2 // servers of twelve
+	oldest   = "v1"
+	newest   = "v2"
 )
 
 func main() { bed2.Main(run) }
@@ -34,28 +33,19 @@
 		LatencyTarget: 1200 * time.Millisecond, GapTarget: 600 * time.Millisecond, TimeBudget: 15 * time.Second,
 		Events: 40, EventGap: 200 * time.Millisecond, Record: rec,
 	}
-	first := &bed2.Process{ID: oldServer, Service: service, Address: f.NewAddress(0), Version: oldest, Slots: slots, Serve: s.Serve}
-	second := &bed2.Process{ID: "server-2", Service: service, Address: f.NewAddress(0), Version: oldest, Slots: slots, Serve: s.Serve}
-	third := &bed2.Process{ID: "server-3", Service: service, Address: f.NewAddress(0), Version: newest, Slots: slots, Serve: s.Serve}
-	if err := f.StartService(s.Route(service), first, second, third); err != nil {
+	engines := f.Engines(service, s.Serve, [6]string{oldest, oldest, oldest, oldest, newest, newest})
+	if err := f.StartService(s.Route(service), engines); err != nil {
 		return 0, err
 	}
 	checkedIn := make(chan error, 1)
 	checkedIn <- nil
 	if bed2.Trouble() {
-		first.Crash()
-		rec.Add("%s %s crashes", oldServer, oldest)
-		time.Sleep(downFor)
-		next := first.Successor(newest)
-		if err := f.Start(0, next); err != nil {
+		next, err := restart(rec, f, engines[:crashed])
+		if err != nil {
 			return 0, err
 		}
-		rec.Add("%s runs again, with %s", oldServer, newest)
 		<-checkedIn
-		time.AfterFunc(lateBy, func() {
-			rec.Add("%s sends its first check-in", oldServer)
-			checkedIn <- next.CheckIn()
-		})
+		time.AfterFunc(lateBy, func() { checkedIn <- checkIn(rec, next) })
 	}
 	wait := s.Begin(clients, startGap, f.Entries[0].Front())
 	results := wait()
@@ -64,3 +54,31 @@
 	}
 	return s.Judge(results)
 }
+
+// restart lets servers crash and start again, with the next version under the same IDs and addresses.
+func restart(rec *bed2.Record, f *bed2.Fleet, list []*bed2.Process) (next []*bed2.Process, err error) {
+	for _, p := range list {
+		p.Crash()
+		rec.Add("%s %s crashes", p.ID, p.Version)
+	}
+	time.Sleep(downFor)
+	for _, p := range list {
+		n := p.Successor(newest)
+		if err := f.Start(n); err != nil {
+			return nil, err
+		}
+		rec.Add("%s runs again, with %s", n.ID, n.Version)
+		next = append(next, n)
+	}
+	return next, nil
+}
+
+func checkIn(rec *bed2.Record, list []*bed2.Process) error {
+	for _, p := range list {
+		rec.Add("%s sends its first check-in", p.ID)
+		if err := p.CheckIn(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
