backendconn, gateway, control: a stream goes on where the process is proved to listen

Callers whose stream broke off, because its server crashed or its entry host ended, got 503 when they took it up, though sound servers of its release were idle: the host had no connection to them. New streams began there at once.

Cause: a server may start again under its ID with another release, and only an open connection that had carried an answer counted as proof of the process. It was missing at idle servers, and no proof where a machine had lost power, as new connections then lead to the next process.

Evidence: each idle server was left out as "release not confirmed"; with one new stream there the others went on.

Now a connection is proved by a process that is known to have run after the connection was established: by two consecutive announcements to one control host, which an entry host asks for while it waits, or by an answer on a proved connection. A later process cannot be at its other end, as the system of the earlier one has reset it.

The row "not connected" of TestStreamGoesToItsRelease expected the fault.

--- a/internal/adapter/backendconn/backendconn.go
+++ b/internal/adapter/backendconn/backendconn.go
@@ -55,6 +55,10 @@
 	reusedAfter map[string]time.Duration
 	// inUse is the number of connections that have carried a response and carry a request, by address.
 	inUse map[string]int
+	// proofs is the latest proof of the process that listens at an address, and proved is closed and replaced
+	// with each new one.
+	proofs map[string]proof
+	proved chan struct{}
 }
 
 // New returns an empty pool.
@@ -62,7 +66,10 @@
 	if o.HeadTimeout == 0 {
 		o.HeadTimeout = defaultHeadTimeout
 	}
-	return &Pool{o: o, idle: map[string][]*conn{}, reusedAfter: map[string]time.Duration{}, inUse: map[string]int{}}
+	return &Pool{
+		o: o, idle: map[string][]*conn{}, reusedAfter: map[string]time.Duration{}, inUse: map[string]int{},
+		proofs: map[string]proof{}, proved: make(chan struct{}),
+	}
 }
 
 type conn struct {
@@ -73,6 +80,8 @@
 	expires   time.Time // not reused from this time on
 	idleSince time.Time // zero until it has carried a response
 	inUse     bool      // counted in Pool.inUse
+	openSince time.Time // when it was established, or later
+	process   string    // the process at its other end; "" until it is proved
 }
 
 // Error describes a request without a response.
@@ -86,6 +95,8 @@
 	ServerLost bool
 	// Withheld is set when a condition of the request did not hold once a connection was open.
 	Withheld bool
+	// Unproved is set when it was not proved in time which process listens at the address.
+	Unproved bool
 	Cause    error
 }
 
@@ -129,34 +140,12 @@
 	return p.do(ctx, c, addr, req, body, matches, conditions)
 }
 
-// DoConnected is like Do, but sends the request only while another connection to the address is open, or on
-// one that has carried a response. Otherwise it returns an error with ServerLost set.
-func (p *Pool) DoConnected(ctx context.Context, addr string, req *http.Request, body []byte, matches Match, conditions ...Condition) (*http.Response, error) {
-	c, _ := p.takeIdle(addr)
-	if c != nil {
-		return p.do(ctx, c, addr, req, body, matches, conditions)
-	}
-	c, err := p.dial(ctx, addr)
-	if err != nil {
-		return nil, &Error{DialFailed: true, Cause: err}
-	}
-	if !p.Connected(addr) { // since before the connection was opened
-		_ = c.Conn.Close()
-		return nil, &Error{ServerLost: true, Cause: errNotConnected}
-	}
-	return p.do(ctx, c, addr, req, body, matches, conditions)
-}
-
-// errNotConnected is the cause of a request that was not sent because another process may listen at the address.
-var errNotConnected = errors.New("no connection to the server is open")
-
 // do sends the request on an idle connection, or on a new one if c is nil.
 func (p *Pool) do(ctx context.Context, c *conn, addr string, req *http.Request, body []byte, matches Match, conditions []Condition) (*http.Response, error) {
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, addr); err != nil {
-			lost := errors.Is(err, syscall.ECONNREFUSED) || p.serverLost(addr, err)
-			return nil, &Error{DialFailed: true, ServerLost: lost, Cause: err}
+			return nil, &Error{DialFailed: true, ServerLost: p.refused(addr, err), Cause: err}
 		}
 	}
 	if slices.ContainsFunc(conditions, func(holds Condition) bool { return !holds() }) {
@@ -173,6 +162,9 @@
 	go x.write(req, body)
 	resp, err := x.readHead(req, matches)
 	x.headRead.Store(true)
+	if err == nil {
+		p.confirmByAnswer(x)
+	}
 	if err == nil && ctx.Err() != nil {
 		_ = c.Conn.Close() // the caller has left
 	}
@@ -192,6 +184,12 @@
 	return resp, nil
 }
 
+// refused reports whether an error of dial means that no process listens at the address, or that the server ended
+// the connection and no other one is established.
+func (p *Pool) refused(addr string, err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || p.serverLost(addr, err)
+}
+
 // serverLost reports whether an error means that the server ended a connection, and no other one to
 // its address is established.
 func (p *Pool) serverLost(addr string, err error) bool {
@@ -428,7 +426,7 @@
 	}
 	limitReceiveBuffer(nc)
 	src := &source{conn: nc}
-	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(src, readBufferBytes), source: src}, nil
+	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(src, readBufferBytes), source: src, openSince: time.Now()}, nil
 }
 
 // recordReuse records that a connection was open at the end of its idle time.
@@ -562,6 +560,7 @@
 		}
 		p.idle[addr] = kept
 	}
+	p.dropOldProofs(now)
 }
 
 // Close closes all idle connections.
--- a/internal/adapter/backendconn/backendconn_test.go
+++ b/internal/adapter/backendconn/backendconn_test.go
@@ -443,38 +443,6 @@
 	}
 }
 
-// TestRequestNeedsAnOpenConnection guards against requests that reach a process that took over an address.
-func TestRequestNeedsAnOpenConnection(t *testing.T) {
-	var requests atomic.Int32
-	s := serve(t, func(s *server, _ int, nc net.Conn, r *bufio.Reader) {
-		for s.read(r) != "" {
-			requests.Add(1)
-			write(nc, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok")
-		}
-	})
-	addr, p := s.ln.Addr().String(), newPool(t)
-	send := func() error {
-		req := &http.Request{Method: http.MethodPost, URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{"Id": {"a"}}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
-		resp, err := p.DoConnected(context.Background(), addr, req, nil, func(*http.Response, func() bool) bool { return true })
-		if err != nil {
-			return err
-		}
-		_, err = io.ReadAll(resp.Body)
-		return err
-	}
-	var e *Error
-	if err := send(); !errors.As(err, &e) || e.Sent || !e.ServerLost || requests.Load() != 0 || p.Connected(addr) {
-		t.Errorf("without a connection: %v after %d requests", err, requests.Load())
-	}
-	if _, err := roundTrip(p, s, "a", nil); err != nil {
-		t.Fatal(err)
-	}
-	p.awaitIdle(addr, 1)
-	if err := send(); err != nil || requests.Load() != 2 {
-		t.Errorf("with a connection: %v after %d requests", err, requests.Load())
-	}
-}
-
 // TestHeadIsReadAfterItsCallerLeft guards against a server's demand that is lost with a caller who leaves meanwhile.
 func TestHeadIsReadAfterItsCallerLeft(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -278,6 +278,22 @@
 	return &pb.StreamOrigins{Stream: []uint64{q.Stream}, Origin: []uint32{0}, Service: []string{o.Service}, Release: []string{o.Release}}
 }
 
+// processProofs returns until when processes of backend servers are proved to have run.
+func (f *Fleet) processProofs(q *pb.ProcessQuery) *pb.ProcessProofs {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.o.Clock.Now()
+	out := &pb.ProcessProofs{}
+	for i, id := range q.Id {
+		p := &pb.ProcessProof{}
+		if s := f.reg.Server(id); i < len(q.Start) && s != nil && s.Start == q.Start[i] && !s.Gone && !s.ProvedAt.IsZero() {
+			p.Known, p.Address, p.AgeMs = true, s.Address, age(s.ProvedAt, now)+1
+		}
+		out.Proofs = append(out.Proofs, p)
+	}
+	return out
+}
+
 // liveControls returns the other control hosts from which a message was received within
 // registry.ControlLease.
 func (f *Fleet) liveControls() []*registry.Control {
--- a/internal/app/control/peer.go
+++ b/internal/app/control/peer.go
@@ -53,6 +53,11 @@
 			return errNoFleet
 		}
 		resp.Body = &pb.Response_StreamOrigins{StreamOrigins: r.fleet.originOf(b.StreamQuery)}
+	case *pb.Request_ProcessQuery:
+		if r.fleet == nil {
+			return errNoFleet
+		}
+		resp.Body = &pb.Response_ProcessProofs{ProcessProofs: r.fleet.processProofs(b.ProcessQuery)}
 	case *pb.Request_ControlExchange:
 		if r.fleet == nil {
 			return errNoFleet
--- a/internal/app/gateway/endless_test.go
+++ b/internal/app/gateway/endless_test.go
@@ -209,6 +209,8 @@
 
 func (b *connBackends) Connected(string) bool { return true }
 
+func (b *connBackends) Confirm(string, string, time.Time) {}
+
 func (b *connBackends) Send(ctx context.Context, a *Attempt) (*Answer, bool, error) {
 	req, _ := http.NewRequest(http.MethodGet, "http://server"+a.Request.URI, nil)
 	resp, err := b.pool.Do(ctx, b.addr, req, nil, func(*http.Response, func() bool) bool { return true })
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -47,6 +47,9 @@
 	// mayHaveRun is set once an attempt has ended without proof that it did not run.
 	mayHaveRun bool
 	pauses     eventPauses
+	// proofDeadline is the time until which the request's attempts together wait for proofs of servers' processes;
+	// zero before the first wait.
+	proofDeadline time.Time
 }
 
 // maxRefusals bounds the refused attempts of a request beyond its route's attempts. More
@@ -346,6 +349,7 @@
 		Target: time.Duration(x.route.LatencyTargetMS) * time.Millisecond, Forwarded: x.r.Origin != "", EndWithin: g.endWithin(x, now),
 		GapTarget:     time.Duration(x.route.GapTargetMS) * time.Millisecond,
 		ServerCrashes: x.admission.ServerCrashes, Priority: x.route.Priority, Class: x.class, Classes: len(x.classes), Release: x.release, Connected: g.o.Backends.Connected,
+		ProofWait: g.usualProofWait(),
 	}
 	s, ok := x.record.RoutedService(x.service)
 	if !ok {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -89,6 +89,7 @@
 	overload overloadState
 
 	streams streamLog
+	proofs  processProofs
 	control controlList
 	access  *access.Limiter
 }
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -47,6 +47,14 @@
 	attempts     []Attempt
 	answer       func(n int, a *Attempt) (*Answer, bool, error)
 	notConnected bool // no connection to a server is open
+	confirmed    []confirmation
+	onConfirm    func()
+}
+
+// confirmation is a call of Confirm.
+type confirmation struct {
+	addr, process string
+	at            time.Time
 }
 
 func (b *fakeBackends) Send(_ context.Context, a *Attempt) (*Answer, bool, error) {
@@ -54,11 +62,23 @@
 	b.attempts = append(b.attempts, *a)
 	n := len(b.attempts)
 	b.mu.Unlock()
+	if a.Process != "" && b.notConnected {
+		return nil, false, ErrUnproved
+	}
 	return b.answer(n, a)
 }
 
 func (b *fakeBackends) Connected(string) bool { return !b.notConnected }
 
+func (b *fakeBackends) Confirm(addr, process string, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.confirmed = append(b.confirmed, confirmation{addr, process, at})
+	if b.onConfirm != nil {
+		b.onConfirm()
+	}
+}
+
 func (b *fakeBackends) sent() []Attempt {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/app/gateway/request.go
+++ b/internal/app/gateway/request.go
@@ -104,9 +104,11 @@
 	// IDReused is set if another process may take over the server's ID. If all connections to the
 	// server have ended, the attempt then fails before anything is sent.
 	IDReused bool
-	// ConnectedOnly requires that a connection to the server is open that has carried an answer. Otherwise
-	// the attempt fails before anything is sent.
-	ConnectedOnly bool
+	// Process, if set, is the process that must run the request. The attempt waits up to ProofWait until it is
+	// proved that a connection leads to that process (see Backends.Confirm), and otherwise fails with ErrUnproved
+	// before anything is sent.
+	Process   string
+	ProofWait time.Duration
 	// MaySend is evaluated once a connection is open. If it returns false, the attempt fails with ErrWithheld
 	// before anything is sent.
 	MaySend func() bool
@@ -115,6 +117,9 @@
 // ErrWithheld is the error of an attempt whose MaySend returned false.
 var ErrWithheld = errors.New("the server left or asked for a pause before the request was sent")
 
+// ErrUnproved is the error of an attempt whose process was not proved to listen at its address.
+var ErrUnproved = errors.New("another process may listen at the server's address")
+
 // Verdict states whether the expected backend server ran a request, by its answer.
 type Verdict int
 
@@ -167,6 +172,8 @@
 	Send(ctx context.Context, a *Attempt) (answer *Answer, sent bool, err error)
 	// Connected reports whether a connection to an address is open that has carried an answer.
 	Connected(addr string) bool
+	// Confirm records that a process listened at an address at a time, or later.
+	Confirm(addr, process string, at time.Time)
 }
 
 // pathOf returns a URI without its query.
--- a/internal/app/gateway/resume_test.go
+++ b/internal/app/gateway/resume_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -201,13 +202,13 @@
 // its ID, which may run another release.
 func TestStreamDoesNotGoOnAtAProcessThatWasNotHeard(t *testing.T) {
 	for name, c := range map[string]struct {
-		start     int64 // of the servers' processes; 0 if their IDs are never used again
-		connected bool
-		sends     int
+		start  int64 // of the servers' processes; 0 if their IDs are never used again
+		proved bool  // that it listens at the address
+		goesOn bool
 	}{
-		"connected":                {7, true, 1},
-		"not connected":            {7, false, 0},
-		"IDs are never used again": {0, false, 1},
+		"proved":                   {7, true, true},
+		"not proved":               {7, false, false},
+		"IDs are never used again": {0, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
@@ -217,20 +218,68 @@
 					s.Start = c.start
 				}
 			})
-			f.backends.notConnected = !c.connected
+			f.backends.notConnected = !c.proved
 			f.backends.answer = func(int, *Attempt) (*Answer, bool, error) { return streamAnswer(event2, false), true, nil }
 			f.g.streams.record(streamorigin.Key("a1"), streamorigin.Origin{Service: "llm", Release: "v1"}, f.clock.Now())
 			r := f.request("/match/1")
 			r.ResumeAfter, r.Resumes = 1, "a1"
-			_ = f.g.Execute(context.Background(), r, &memorySink{})
-			sent := f.backends.sent()
-			if len(sent) != c.sends || (len(sent) > 0 && sent[0].ConnectedOnly != (c.start != 0)) {
-				t.Errorf("sent %+v, want %d", sent, c.sends)
+			fail := f.g.Execute(context.Background(), r, &memorySink{})
+			for _, a := range f.backends.sent() {
+				want := ""
+				if c.start != 0 {
+					want = a.Server + "@7"
+				}
+				if a.Process != want {
+					t.Errorf("sent to process %q, want %q", a.Process, want)
+				}
+			}
+			if (fail == nil) != c.goesOn || (fail != nil && (fail.Outcome != failure.NotRun || fail.RetryAfter <= 0)) {
+				t.Errorf("ended with %v", fail)
 			}
 		})
 	}
 }
 
+// TestProcessIsProvedByControlHosts guards against a process that is taken to have run later than its announcements
+// prove, and against streams that wait though a control host has the proof.
+func TestProcessIsProvedByControlHosts(t *testing.T) {
+	f := newFixture(t)
+	f.view(func(v *pb.FleetView) {
+		setReleases(v, "llm1", [2]string{"v1", "v1"})
+		for _, s := range v.Servers {
+			s.Start, s.Address = 7, s.Id+":1"
+		}
+	})
+	f.g.control.update([]*pb.ControlHost{{Peer: "near", FailureDomain: "w1"}})
+	const age = 250 * time.Millisecond
+	f.peers.response = func(req *pb.Request) *pb.Response {
+		q := req.GetProcessQuery()
+		if len(q.GetId()) != 1 || q.Id[0] != "llm1" || q.Start[0] != 7 {
+			return &pb.Response{}
+		}
+		return &pb.Response{Body: &pb.Response_ProcessProofs{ProcessProofs: &pb.ProcessProofs{Proofs: []*pb.ProcessProof{{Known: true, Address: "llm1:1", AgeMs: uint64(age.Milliseconds())}}}}}
+	}
+	confirmed := make(chan struct{})
+	f.backends.onConfirm = sync.OnceFunc(func() { close(confirmed) })
+	f.backends.answer = func(int, *Attempt) (*Answer, bool, error) {
+		<-confirmed
+		return streamAnswer(event2, false), true, nil
+	}
+	f.g.streams.record(streamorigin.Key("a1"), streamorigin.Origin{Service: "llm", Release: "v1"}, f.clock.Now())
+	r := f.request("/match/1")
+	r.ResumeAfter, r.Resumes = 1, "a1"
+	began := time.Now()
+	if fail := f.g.Execute(context.Background(), r, &memorySink{}); fail != nil {
+		t.Fatal(fail)
+	}
+	f.backends.mu.Lock()
+	defer f.backends.mu.Unlock()
+	got := f.backends.confirmed[0]
+	if got.addr != "llm1:1" || got.process != "llm1@7" || got.at.Before(began.Add(-age)) || got.at.After(time.Now().Add(-age)) {
+		t.Errorf("confirmed %+v", got)
+	}
+}
+
 // TestOriginOfABegunStreamIsReported guards against take-ups at hosts that cannot know the release.
 func TestOriginOfABegunStreamIsReported(t *testing.T) {
 	f := newFixture(t)
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -31,15 +31,23 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	g.cancelIfLost(ctx, x, c, cancel)
+	process, proofWait := g.requireProof(x, c.Server)
+	if process != "" {
+		defer g.proofs.request(g, c.Server)()
+	}
 	answer, sent, err := g.o.Backends.Send(ctx, &Attempt{
-		ConnectedOnly: x.release != nil && c.Server.Start != 0,
-		Address:       c.Server.Address, Server: c.Server.ID, Request: x.r, Team: x.teamName(),
+		Process: process, ProofWait: proofWait,
+		Address: c.Server.Address, Server: c.Server.ID, Request: x.r, Team: x.teamName(),
 		Remaining: x.deadline.Sub(began), ResumeAfter: x.lastEvent, CopyFrom: c.CopyFrom, Deferred: c.Deferred, Urgency: urgencyOf(x.class, len(x.classes), c.Deferred), IDReused: c.Server.Start != 0,
 		MaySend: func() bool { return g.maySend(c) },
 	})
 	if errors.Is(err, ErrWithheld) {
 		return result{stage: retry.BeforeSend, outcome: dispatch.Refused, err: failure.New(failure.BackendRefused, failure.NotRun, "%s", err)}
 	}
+	if errors.Is(err, ErrUnproved) {
+		g.o.Metrics.Add("processes_unproved", 1)
+		return result{stage: retry.BeforeSend, outcome: dispatch.Refused, err: failure.New(failure.NoServer, failure.NotRun, "%s", err).WithRetryAfter(g.usualProofWait())}
+	}
 	if err != nil {
 		stage := retry.BeforeSend
 		if sent {
--- a/internal/core/dispatch/choose.go
+++ b/internal/core/dispatch/choose.go
@@ -49,6 +49,9 @@
 	// Connected reports whether this host has an open connection to the server at an address. It is required
 	// with Release.
 	Connected func(address string) bool
+	// ProofWait is the time that the proof takes which process listens at a server's address, if this host is not
+	// connected to it. Servers whose IDs are used again need the proof to go on with a stream.
+	ProofWait time.Duration
 	// Priority is the urgency of the request: 0 is the most urgent.
 	Priority int
 	// Classes is the number of urgency classes of the service, and Class the index of the request's, 0 being the
@@ -296,14 +299,14 @@
 }
 
 // releaseMismatch returns why a server may not go on with the job's stream; "" if it may. Another process may
-// have taken over a server's ID, and runs any release, if this host is not connected to the one that is known.
+// have taken over a server's ID, and run any release, if this host has lost its connections to the one that is known.
 func releaseMismatch(s *Server, j *Job) string {
 	switch {
 	case j.Release == nil:
 		return ""
 	case s.Release != *j.Release:
 		return "other release"
-	case !s.ReleaseConfirmed(), s.Start != 0 && !j.Connected(s.Address):
+	case !s.ReleaseConfirmed():
 		return "release not confirmed"
 	}
 	return ""
@@ -323,6 +326,7 @@
 	k.addCopy(j, copied)
 	k.loss += f.domainLoss(s, j) + extraLoss + f.crashLoss(s, j) + f.poolLoss(s, j, now)
 	late := !f.disabled(Deferral) && k.deferIfLate(f.deferredAhead(s, j, now), s, j, f.speedOf(j.Service).HoldMS()*f.steadyFactor(s))
+	k.addProof(s, j)
 	k.loss += f.o.Random() * f.tieBreakLossOf(j)
 	c.Considered = append(c.Considered, Candidate{s.ID, k.firstMS, ""})
 	fill := f.fillWith(s, j, now)
--- a/internal/core/dispatch/cost.go
+++ b/internal/core/dispatch/cost.go
@@ -107,6 +107,16 @@
 	return true
 }
 
+// addProof adds the wait until it is proved which process listens at the server's address.
+func (k *cost) addProof(s *Server, j *Job) {
+	if j.Release == nil || s.Start == 0 || j.Connected(s.Address) {
+		return
+	}
+	wait := float64(j.ProofWait.Milliseconds())
+	k.firstMS += wait
+	k.loss += wait / 1000 * delayLoss
+}
+
 // admissionWaitMS returns the wait for a slot and for KV cache, in ms, if a request holds its
 // slot for holdMS.
 func admissionWaitMS(e engineState, tokens, holdMS float64) float64 {
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -37,7 +37,8 @@
 	Off Mechanisms
 }
 
-const defaultAnnounceEvery = 1200 * time.Millisecond
+// DefaultAnnounceEvery is the interval at which servers announce themselves if none is configured.
+const DefaultAnnounceEvery = 1200 * time.Millisecond
 
 // Host is an entry host of another region.
 type Host struct {
@@ -109,7 +110,7 @@
 // New returns a Fleet without servers.
 func New(o Options) *Fleet {
 	if o.AnnounceEvery == 0 {
-		o.AnnounceEvery = defaultAnnounceEvery
+		o.AnnounceEvery = DefaultAnnounceEvery
 	}
 	return &Fleet{
 		o: o, servers: map[string]*Server{}, departures: map[string]departure{}, restored: map[string]restoration{}, hosts: map[string][]*Host{},
--- a/internal/core/dispatch/release_test.go
+++ b/internal/core/dispatch/release_test.go
@@ -22,7 +22,7 @@
 		"its release elsewhere":                   {[]string{"v2", "v2"}, []string{"v1", "v2"}, true, false, "", true},
 		"elsewhere, where releases are not named": {[]string{"v2", "v2"}, nil, true, false, "", true},
 		"nowhere":                           {[]string{"v2", "v2"}, []string{"v2"}, true, false, "", false},
-		"not connected":                     {[]string{"v1", "v2"}, []string{"v2"}, false, false, "", false},
+		"its release here, not connected":   {[]string{"v1", "v2"}, []string{"v2"}, false, false, "s0", false},
 		"its server may have been replaced": {[]string{"v1", "v2"}, []string{"v2"}, true, true, "", false},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -39,6 +39,7 @@
 			j := shortJob()
 			j.Release = &v1
 			j.Connected = func(string) bool { return c.connected }
+			j.ProofWait = 100 * time.Millisecond
 			if c.lost {
 				f.RecordServerLost(f.servers["s0"], now)
 			}
@@ -50,6 +51,40 @@
 	}
 }
 
+// TestStreamAvoidsTheWaitForAProof guards against streams that wait for the proof of a server's process though another
+// server needs none, and against ones whose deadline passes in that wait.
+func TestStreamAvoidsTheWaitForAProof(t *testing.T) {
+	v1 := "v1"
+	for name, c := range map[string]struct {
+		connected map[string]bool // by address
+		start     int64           // of the servers' processes
+		remaining time.Duration
+		server    string // "" if the request is refused
+	}{
+		"one of them is connected":  {map[string]bool{"s1:1": true}, 1, 10 * time.Second, "s1"},
+		"no time for the proof":     {nil, 1, time.Second, ""},
+		"connected, as little time": {map[string]bool{"s1:1": true}, 1, time.Second, "s1"},
+		"IDs are never used again":  {nil, 0, time.Second, "s0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(1)
+			v := testView(2)
+			v.Regions = nil
+			for _, s := range v.Servers {
+				s.Release, s.Start, s.Address = v1, c.start, s.Id+":1"
+			}
+			f.ApplyView(v, FullScope, start)
+			j := shortJob()
+			j.Release, j.Remaining, j.ProofWait = &v1, c.remaining, 1800*time.Millisecond
+			j.Connected = func(addr string) bool { return c.connected[addr] }
+			choice := f.Choose(j, start.Add(time.Second))
+			if got := choice.Server; (got == nil) != (c.server == "") || (got != nil && c.start != 0 && got.ID != c.server) {
+				t.Errorf("server %v, refused %q", got, choice.Refused)
+			}
+		})
+	}
+}
+
 // TestOnlyRelease checks when streams of an unnamed attempt may go on.
 func TestOnlyRelease(t *testing.T) {
 	f := newTestFleet(1)
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/sesamefork/sesamefork/internal/core/enginememory"
@@ -66,6 +67,14 @@
 	expectedCrashes float64
 }
 
+// Process returns a name of the server's process, which no other process has; "" if the server reports no start time.
+func (s *Server) Process() string {
+	if s.Start == 0 {
+		return ""
+	}
+	return s.ID + "@" + strconv.FormatInt(s.Start, 10)
+}
+
 // Replaced reports whether the server's process has certainly exited, because another one runs
 // under its ID.
 func (s *Server) Replaced() bool { return s.replaced }
--- a/internal/core/dispatch/startup.go
+++ b/internal/core/dispatch/startup.go
@@ -37,7 +37,7 @@
 // themselves at an interval of announceEvery; 0 for the default.
 func NewStartup(now time.Time, announceEvery time.Duration, off Mechanisms) *Startup {
 	if announceEvery == 0 {
-		announceEvery = defaultAnnounceEvery
+		announceEvery = DefaultAnnounceEvery
 	}
 	return &Startup{startedAt: now, announceEvery: announceEvery, off: off}
 }
--- a/internal/core/registry/confirmation.go
+++ b/internal/core/registry/confirmation.go
@@ -26,15 +26,19 @@
 }
 
 // provedRevision returns a revision of the evacuation list that was applied here before the server
-// sent the announcement s; 0 if none is proved. The time of the receipt proves nothing, because s may
-// have been delayed for seconds. Two consecutive announcements do: a server sends the second to the
-// same control host only after that one has acknowledged the first, so after old was received.
-// Announcements received together may both have been delayed, and prove nothing.
+// sent the announcement s; 0 if none is proved.
 func (r *Registry) provedRevision(old, s *Server) uint64 {
-	consecutive := old.AnnouncedHere() && s.AnnouncedHere() && s.Sequence == old.Sequence+1
-	interval := r.o.ServerLease / MissedAnnouncements
-	if !consecutive || s.LastSeen.Sub(old.LastSeen) < interval/2 {
+	if !r.consecutive(old, s) {
 		return 0
 	}
 	return old.appliedRevision
 }
+
+// consecutive reports whether the announcement s is proved to have been sent after old was received. The
+// time of the receipt proves nothing, because s may have been delayed for seconds. Two consecutive
+// announcements do: a server sends the second to the same control host only after that one has
+// acknowledged the first. Announcements received together may both have been delayed, and prove nothing.
+func (r *Registry) consecutive(old, s *Server) bool {
+	interval := r.o.ServerLease / MissedAnnouncements
+	return old.AnnouncedHere() && s.AnnouncedHere() && s.Sequence == old.Sequence+1 && s.LastSeen.Sub(old.LastSeen) >= interval/2
+}
--- a/internal/core/registry/confirmation_test.go
+++ b/internal/core/registry/confirmation_test.go
@@ -60,6 +60,51 @@
 	}
 }
 
+// TestAnnouncementsProveWhenAProcessRan guards against delayed announcements that prove a process at a time after its
+// end.
+func TestAnnouncementsProveWhenAProcessRan(t *testing.T) {
+	const lease = 3600 * time.Millisecond
+	type announcement struct {
+		sequence uint64
+		start    int64
+		address  string
+		at       time.Duration
+		via      string
+	}
+	for _, c := range []struct {
+		name string
+		list []announcement
+		want time.Duration // -1 for none
+	}{
+		{"one", []announcement{{1, 7, "a:1", 0, ""}}, -1},
+		{"two", []announcement{{1, 7, "a:1", 0, ""}, {2, 7, "a:1", 1200, ""}}, 0},
+		{"three", []announcement{{1, 7, "a:1", 0, ""}, {2, 7, "a:1", 1200, ""}, {3, 7, "a:1", 2400, ""}}, 1200},
+		{"two, received together", []announcement{{1, 7, "a:1", 0, ""}, {2, 7, "a:1", 1, ""}}, -1},
+		{"the third is late", []announcement{{1, 7, "a:1", 0, ""}, {2, 7, "a:1", 1200, ""}, {3, 7, "a:1", 9000, ""}}, 1200},
+		{"one between them not received", []announcement{{1, 7, "a:1", 0, ""}, {3, 7, "a:1", 2400, ""}}, -1},
+		{"passed on", []announcement{{1, 7, "a:1", 0, "d1"}, {2, 7, "a:1", 1200, "d1"}}, -1},
+		{"one of them passed on", []announcement{{1, 7, "a:1", 0, ""}, {2, 7, "a:1", 1200, "d1"}}, -1},
+		{"an earlier one again", []announcement{{2, 7, "a:1", 0, ""}, {1, 7, "a:1", 1200, ""}}, -1},
+		{"of two processes", []announcement{{1, 7, "a:1", 0, ""}, {2, 9, "a:1", 1200, ""}}, -1},
+		{"the process has started again", []announcement{{1, 7, "a:1", 0, ""}, {2, 7, "a:1", 1200, ""}, {1, 9, "a:1", 2400, ""}}, -1},
+		{"at two addresses", []announcement{{1, 7, "a:1", 0, ""}, {2, 7, "b:1", 1200, ""}}, -1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := New(Options{Region: "r", FailureDomain: "d0", ServerLease: lease, Regions: map[string]string{"d0": "r", "d1": "r"}})
+			began := time.Unix(1000, 0)
+			for _, a := range c.list {
+				now := began.Add(a.at * time.Millisecond)
+				s := Server{ID: "s", Start: a.start, Service: "llm", Address: a.address, FailureDomain: "d0", Sequence: a.sequence, Via: a.via, LastSeen: now}
+				r.Announce(s, now)
+			}
+			got := r.Server("s").ProvedAt
+			if want := began.Add(c.want * time.Millisecond); got.IsZero() != (c.want < 0) || (c.want >= 0 && !got.Equal(want)) {
+				t.Errorf("proved at %s, want %s after the first", got, c.want*time.Millisecond)
+			}
+		})
+	}
+}
+
 // TestEarlyConfirmationIsSent guards against a confirmation that is lost because it precedes the restoration.
 func TestEarlyConfirmationIsSent(t *testing.T) {
 	r := New(Options{Region: "r", FailureDomain: "d1", ServerLease: time.Minute, Regions: map[string]string{"d0": "r", "d1": "r"}})
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -63,6 +63,9 @@
 	// DirectAt is when this control host last received an announcement from the server itself;
 	// zero for never.
 	DirectAt time.Time
+	// ProvedAt is the latest time after which the process is proved to have sent an announcement to this control
+	// host; zero for none.
+	ProvedAt time.Time
 	// Via is the failure domain of the control host that forwarded the last announcement; "" when
 	// the server sent it here.
 	Via string
@@ -153,6 +156,12 @@
 	if s.DirectAt.IsZero() {
 		s.DirectAt = old.DirectAt
 	}
+	if old.Address == s.Address {
+		s.ProvedAt = old.ProvedAt
+		if r.consecutive(old, &s) {
+			s.ProvedAt = old.LastSeen
+		}
+	}
 	changed := old.Leaving != s.Leaving || old.Service != s.Service || old.Slots != s.Slots || r.lapsed(old, now) ||
 		old.Start != s.Start || old.Address != s.Address || old.Release != s.Release || s.ColdUntil.After(old.ColdUntil.Add(coldChangeThreshold)) ||
 		(r.AwaitsConfirmation(old) && !r.AwaitsConfirmation(&s))
