registry, dispatch: a sound server is back after two announcements, whatever arrived late

A check-in or a leave of an earlier process, received late, took the sound server at its address or under its ID out of use for 5 minutes. Callers got 503 for its service, and streams of its release did not go on.

Cause: an address went to the ID that was heard last, starts were not compared, and what counted as gone stayed so. What the control host that got the message happened to know decided the rest.

A property over drawn histories found two more ways: a late check-in with an earlier start under the ID of a lapsed process, and departures of an unknown start that stuck to the next one.

Now a departure is an event that a proof overrules: two consecutive announcements to one control host, the first received after the departure. A server that left sends none. Departures and overruled ones are merged as sets, so that no order of messages matters. Of two starts at an address the later one holds it, and one that is not known waits for the holder to fall silent.

--- a/internal/app/control/exchange.go
+++ b/internal/app/control/exchange.go
@@ -214,7 +214,7 @@
 	announced = slices.DeleteFunc(announced, func(s *registry.Server) bool {
 		announcedHere := s.AnnouncedHere() || (to.Region != f.o.Region && s.Via == f.o.FailureDomain)
 		relevant := to.FailureDomain == f.o.FailureDomain || f.reg.RegionOf(s.FailureDomain) == to.Region
-		return !s.Gone && !(announcedHere && relevant)
+		return !s.Gone && !(announcedHere && relevant && s.Holds())
 	})
 	return announced, next
 }
@@ -273,15 +273,19 @@
 	complete = f.renewHostsLocked(x.SeenHosts, x.SeenAges, false, x.FailureDomain, now) && complete
 	for _, s := range x.Servers {
 		if s.Gone {
-			f.reg.Leave(s.Id, s.Start, now)
+			f.reg.MergeDepartures(s.Id, s.Start, s.Departures, now)
 			continue
 		}
 		lastSeen := now.Add(-milliseconds(s.AgeMs))
+		var proved time.Time
+		if s.ProvedAgeMs > 0 {
+			proved = now.Add(-milliseconds(s.ProvedAgeMs))
+		}
 		f.releases.Record(s.Service, s.Release, lastSeen)
 		f.reg.Announce(registry.Server{
 			ID: s.Id, Start: s.Start, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain, Sequence: s.Sequence,
 			Slots: int(s.Slots), Leaving: s.Leaving, Release: s.Release, LastSeen: lastSeen, FirstSeen: now.Add(-milliseconds(s.FirstSeenMs)),
-			ColdUntil: lastSeen.Add(milliseconds(s.ColdMs)), SentAfterRevision: s.SentAfterRevision, Via: x.FailureDomain,
+			ColdUntil: lastSeen.Add(milliseconds(s.ColdMs)), SentAfterRevision: s.SentAfterRevision, Via: x.FailureDomain, Overruled: s.Overruled, ProvedElsewhere: proved,
 		}, now)
 	}
 	f.wakeLocked()
--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -153,7 +153,10 @@
 	s.LastSeen, s.DirectAt = now, now
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	before := f.reg.Server(s.ID)
+	wasGone := before != nil && before.Gone
 	updated := f.reg.Announce(s, now)
+	f.logClaimLocked(s, wasGone)
 	f.releases.Record(s.Service, s.Release, now)
 	f.wakeLocked()
 	if updated {
@@ -164,6 +167,20 @@
 	return f.announceTargetLocked(s.ID, s.FailureDomain, now), nil
 }
 
+// logClaimLocked logs the decision about a server that counted as gone, or whose address another server holds.
+func (f *Fleet) logClaimLocked(announced registry.Server, wasGone bool) {
+	s := f.reg.Server(announced.ID)
+	switch {
+	case s == nil:
+	case wasGone && !s.Gone:
+		f.o.Log.Info("backend server is back", "server", s.ID, "start", s.Start, "address", s.Address, "overruled_departures", len(s.Overruled))
+	case !wasGone && s.Gone:
+		f.o.Log.Info("backend server lost its address", "server", s.ID, "start", s.Start, "announced_start", announced.Start, "address", announced.Address)
+	case !s.Holds():
+		f.o.Log.V(1).Info("backend server waits for its address", "server", s.ID, "start", s.Start, "address", s.Address)
+	}
+}
+
 // announceTargetLocked returns the operator address of the control host for a server: this control
 // host in its own failure domain, else one of the server's failure domain, else one of its region.
 // Rendezvous hashing distributes the servers of another failure domain over its control hosts.
--- a/internal/app/control/view.go
+++ b/internal/app/control/view.go
@@ -214,12 +214,15 @@
 
 func serverMessage(s *registry.Server, now time.Time) *pb.FleetServer {
 	if s.Gone {
-		return &pb.FleetServer{Id: s.ID, Start: s.Start, Gone: true}
+		return &pb.FleetServer{Id: s.ID, Start: s.Start, Gone: true, Departures: s.Departures}
 	}
 	m := &pb.FleetServer{
 		Id: s.ID, Start: s.Start, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain, Sequence: s.Sequence,
 		Slots: uint32(s.Slots), Leaving: s.Leaving, Release: s.Release, AgeMs: age(s.LastSeen, now), FirstSeenMs: age(s.FirstSeen, now),
-		SentAfterRevision: s.SentAfterRevision,
+		SentAfterRevision: s.SentAfterRevision, Overruled: s.Overruled,
+	}
+	if at := s.LatestProof(); !at.IsZero() {
+		m.ProvedAgeMs = age(at, now) + 1
 	}
 	if s.ColdUntil.After(s.LastSeen) {
 		m.ColdMs = uint64(s.ColdUntil.Sub(s.LastSeen).Milliseconds())
--- a/internal/core/dispatch/fleet.go
+++ b/internal/core/dispatch/fleet.go
@@ -227,10 +227,29 @@
 // applyAnnouncementAges records the last announcements of servers that have not changed otherwise.
 func (f *Fleet) applyAnnouncementAges(v *pb.FleetView, source string, now time.Time) {
 	for i, key := range v.HeardServers {
-		if s := f.serversByKey[key]; s != nil && i < len(v.HeardAges) {
-			s.recordAnnouncement(now.Add(-ms(uint64(v.HeardAges[i])*registry.AgeUnitMS)), source)
+		if i >= len(v.HeardAges) {
+			return
+		}
+		announcedAt := now.Add(-ms(uint64(v.HeardAges[i]) * registry.AgeUnitMS))
+		s := f.serversByKey[key]
+		if s == nil || s.Leaving {
+			s = f.announcedAgain(key, announcedAt)
+		}
+		if s != nil {
+			s.recordAnnouncement(announcedAt, source)
+		}
+	}
+}
+
+// announcedAgain returns the server with a key if it counted as gone, as another one had answered at its address, and
+// has announced itself since. Otherwise it returns the known one; nil for none.
+func (f *Fleet) announcedAgain(key uint32, announcedAt time.Time) *Server {
+	for id, d := range f.departures {
+		if d.server != nil && d.server.key == key && !d.server.replaced && d.announcedSince(announcedAt) {
+			return f.restore(id, d)
 		}
 	}
+	return f.serversByKey[key]
 }
 
 // sweep drops expired state.
--- a/internal/core/dispatch/servers.go
+++ b/internal/core/dispatch/servers.go
@@ -104,9 +104,17 @@
 	memory   float64 // tokens of KV cache in use
 }
 
-// departure records an incarnation of a server that is never used again.
+// departure records an incarnation of a server that is not used any more, unless it is proved to run.
 type departure struct {
-	at          time.Time
+	at time.Time
+	// events are the departures that control hosts reported; see registry.Server. forGood is set if one of them was
+	// not named, so that it cannot be overruled.
+	events  []uint64
+	forGood bool
+	// server is set if the only reason is that another server answered at its address, at the time at: an
+	// announcement that follows shows that the address is its own again. wasLeaving is its state before.
+	server      *Server
+	wasLeaving  bool
 	starts      incarnation.History
 	announcedAt time.Time // time of its last announcement
 	// crashedByMemory is set if the incarnation counts as crashed by memory.
@@ -115,7 +123,7 @@
 
 func (f *Fleet) applyServer(m *pb.FleetServer, source string, now time.Time) {
 	if m.Gone {
-		f.MarkGone(m.Id, m.Start, now)
+		f.applyDeparture(m, now)
 		return
 	}
 	s := f.serverFor(m, now)
@@ -146,14 +154,18 @@
 	var announcedAt time.Time // of the process that is replaced
 	crashedByMemory := false
 	if d, ok := f.departures[m.Id]; ok {
-		if d.starts.Compare(m.Start, now.Sub(d.at) > f.announcementTTL()) != incarnation.Newer {
+		order := compareStarts(&d.starts, m, now.Sub(d.at) > f.announcementTTL(), d.announcedAt, now)
+		if order == incarnation.Same && d.overruled(m, now) {
+			return f.restore(m.Id, d)
+		}
+		if order != incarnation.Newer {
 			return nil
 		}
 		starts, replaced, announcedAt, crashedByMemory = d.starts, d.starts, d.announcedAt, d.crashedByMemory
 		delete(f.departures, m.Id)
 	}
 	if s := f.servers[m.Id]; s != nil {
-		switch s.starts.Compare(m.Start, f.missing(s)) {
+		switch compareStarts(&s.starts, m, f.missing(s), s.AnnouncedAt, now) {
 		case incarnation.Older:
 			return nil
 		case incarnation.Same:
@@ -177,6 +189,16 @@
 	return s
 }
 
+// compareStarts compares the start that a view reports with the known ones. One that counts as earlier is the later one
+// if its process is proved to have run since the known one announced itself. The ages of announcements leave out delays.
+func compareStarts(h *incarnation.History, m *pb.FleetServer, expired bool, announcedAt, now time.Time) incarnation.Order {
+	order := h.Compare(m.Start, expired)
+	if order == incarnation.Older && m.ProvedAgeMs > 0 && now.Add(maxViewDelay-ms(m.ProvedAgeMs)).After(announcedAt) {
+		return incarnation.Newer
+	}
+	return order
+}
+
 // setMissingStart sets the start time of a server that was first reported without one.
 func (f *Fleet) setMissingStart(s *Server, start int64) {
 	if s.Start == 0 && start != 0 {
@@ -196,14 +218,81 @@
 	s.Leaving = s.Leaving || f.pauses.Get(s.key).Leaving()
 }
 
-// MarkGone records that an incarnation of a server will never be used again; start 0 means the
-// current one.
+// applyDeparture records the departures of an incarnation that a view reports.
+func (f *Fleet) applyDeparture(m *pb.FleetServer, now time.Time) {
+	d := f.depart(m.Id, m.Start, now)
+	if d == nil {
+		return
+	}
+	d.forGood = d.forGood || len(m.Departures) == 0
+	for _, e := range m.Departures {
+		if !slices.Contains(d.events, e) {
+			d.events = append(d.events, e)
+		}
+	}
+	d.server = nil
+	f.departures[m.Id] = *d
+}
+
+// MarkGone records that another server answered at the address of a server's incarnation, which is not used until it
+// is announced again; start 0 means the current one.
 func (f *Fleet) MarkGone(id string, start int64, now time.Time) {
 	s := f.servers[id]
-	if s != nil && s.starts.Compare(start, false) == incarnation.Older {
+	wasLeaving := s != nil && s.Leaving
+	d := f.depart(id, start, now)
+	if d == nil {
 		return
 	}
+	if len(d.events) == 0 && d.server == nil && s != nil {
+		d.at, d.server, d.wasLeaving = now, s, wasLeaving
+	}
+	f.departures[id] = *d
+}
+
+// overruled reports whether an incarnation is proved to run by a view that reports it.
+func (d *departure) overruled(m *pb.FleetServer, now time.Time) bool {
+	if d.server != nil {
+		return d.announcedSince(now.Add(-ms(m.AgeMs)))
+	}
+	return !d.forGood && len(d.events) > 0 && !slices.ContainsFunc(d.events, func(e uint64) bool { return !slices.Contains(m.Overruled, e) })
+}
+
+// announcedSince reports whether an announcement follows the answer of another server at the address.
+func (d *departure) announcedSince(announcedAt time.Time) bool {
+	return announcedAt.After(d.at.Add(maxViewDelay))
+}
+
+// restore puts an incarnation that counted as gone in use again.
+func (f *Fleet) restore(id string, d departure) *Server {
+	delete(f.departures, id)
+	s := f.servers[id]
+	switch {
+	case s != nil:
+	case d.server != nil:
+		s = d.server
+	default:
+		s = &Server{ID: id, FirstSeen: d.at, cache: newPartCache(), starts: d.starts}
+	}
+	s.Leaving = d.wasLeaving
+	f.servers[id] = s
+	f.setStart(s, d.starts.Current)
+	return s
+}
+
+// depart records that an incarnation of a server is not used any more, and returns its departure; nil if it is an
+// earlier one than the known one. Start 0 means the current one.
+func (f *Fleet) depart(id string, start int64, now time.Time) *departure {
+	s := f.servers[id]
+	if s != nil && s.starts.Compare(start, false) == incarnation.Older {
+		return nil
+	}
 	d, ok := f.departures[id]
+	if ok && d.starts.Compare(start, false) == incarnation.Older {
+		return nil
+	}
+	if ok && d.starts.Compare(start, false) == incarnation.Newer {
+		d = departure{at: now, starts: d.starts}
+	}
 	if !ok {
 		d.at = now
 		if s != nil {
@@ -211,13 +300,13 @@
 		}
 	}
 	d.starts.Advance(start)
-	f.departures[id] = d
 	if s != nil {
 		s.Leaving = true
 		if s.inFlight() == 0 {
 			f.drop(s)
 		}
 	}
+	return &d
 }
 
 func (f *Fleet) drop(s *Server) {
--- a/internal/core/incarnation/incarnation.go
+++ b/internal/core/incarnation/incarnation.go
@@ -3,7 +3,7 @@
 // the server's own clock, or 0 if it was not reported.
 //
 // Invariants: state recorded for one start is never used for another, and a start that was
-// replaced never becomes current again.
+// replaced becomes current again only if its process is proved to run.
 package incarnation
 
 import (
@@ -62,6 +62,7 @@
 		}
 	}
 	h.Current = start
+	h.replaced = slices.DeleteFunc(h.replaced, func(s int64) bool { return s == start })
 }
 
 // Key returns the hash that identifies a server's start in messages between hosts. Four
--- a/internal/core/registry/changes.go
+++ b/internal/core/registry/changes.go
@@ -67,7 +67,7 @@
 	case s == nil:
 		c.RemovedServers = append(c.RemovedServers, e.id)
 	case s.changedVersion != e.version: // a later entry covers it
-	case !s.Gone && s.unlisted:
+	case !s.Gone && !s.listed():
 		c.RemovedServers = append(c.RemovedServers, e.id)
 	case r.relevantTo(s, region):
 		c.Servers = append(c.Servers, s)
@@ -159,4 +159,4 @@
 	return s.listed() && r.RegionOf(s.FailureDomain) == region
 }
 
-func (s *Server) listed() bool { return !s.Gone && !s.unlisted }
+func (s *Server) listed() bool { return !s.Gone && !s.unlisted && !s.claims }
--- a/internal/core/registry/confirmation.go
+++ b/internal/core/registry/confirmation.go
@@ -39,6 +39,5 @@
 // announcements do: a server sends the second to the same control host only after that one has
 // acknowledged the first. Announcements received together may both have been delayed, and prove nothing.
 func (r *Registry) consecutive(old, s *Server) bool {
-	interval := r.o.ServerLease / MissedAnnouncements
-	return old.AnnouncedHere() && s.AnnouncedHere() && s.Sequence == old.Sequence+1 && s.LastSeen.Sub(old.LastSeen) >= interval/2
+	return old.AnnouncedHere() && s.AnnouncedHere() && s.Sequence == old.Sequence+1 && s.LastSeen.Sub(old.LastSeen) >= r.announceInterval()/2
 }
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -2,11 +2,12 @@
 // announcements, the entry hosts that send sync requests, and the state that other control
 // hosts send of theirs in exchanges. It does no I/O and reads no clock.
 //
-// Invariants: a start of a server that has left, or that another start has replaced under
-// its ID or at its address, is never listed again; of two announcements of a start, the one
-// with the higher sequence number takes effect, whichever arrives last; the revision after which a
-// start is proved to have sent an announcement never falls; the loads of an entry host are part of
-// the sum of one control host, its owner.
+// Invariants: a start that another start has replaced under its ID is never listed again; a start that has
+// left, or has lost its address to another server, is listed again only once it is proved to have sent an
+// announcement since; of two starts at one address the later one is listed, whichever announcement arrives last;
+// of two announcements of a start, the one with the higher sequence number takes effect, whichever arrives last;
+// the revision after which a start is proved to have sent an announcement never falls; the loads of an entry host
+// are part of the sum of one control host, its owner.
 package registry
 
 import (
@@ -66,17 +67,34 @@
 	// ProvedAt is the latest time after which the process is proved to have sent an announcement to this control
 	// host; zero for none.
 	ProvedAt time.Time
+	// ProvedElsewhere is the latest such time of another control host, without the delay of its message.
+	ProvedElsewhere time.Time
 	// Via is the failure domain of the control host that forwarded the last announcement; "" when
 	// the server sent it here.
 	Via string
 
-	appliedRevision uint64 // revision of the evacuation list when the last announcement was first received
-	changedVersion  uint64 // registry version of the last change
-	logPosition     uint64 // position in the log of announcements
-	unlisted        bool   // its lease ran out, and the change is recorded
+	// Departures are the events after which the process counts as gone, unless they are overruled. Overruled are
+	// the departures of which it is proved that the process sent an announcement later. Hosts merge both by their
+	// union, so that the order of messages does not matter.
+	Departures, Overruled []uint64
+
+	departedAt      time.Time // when the last of Departures was recorded here
+	claims          bool      // it announces an address that another server holds, and is not listed
+	heard           heard     // its last announcement that this control host received from it
+	rival           *rival    // another process under the ID, which counts as an earlier one; nil for none
+	appliedRevision uint64    // revision of the evacuation list when the last announcement was first received
+	changedVersion  uint64    // registry version of the last change
+	logPosition     uint64    // position in the log of announcements
+	unlisted        bool      // its lease ran out, and the change is recorded
 	starts          incarnation.History
 }
 
+// Holds reports whether no other server holds the address that the server announces.
+func (s *Server) Holds() bool { return !s.claims }
+
+// LatestProof returns the latest time after which the process is known to have sent an announcement; zero for none.
+func (s *Server) LatestProof() time.Time { return later(s.ProvedAt, s.ProvedElsewhere) }
+
 // AnnouncedHere reports whether the server sent its last announcement to this control host.
 func (s *Server) AnnouncedHere() bool { return s.Via == "" }
 
@@ -139,30 +157,44 @@
 	if old == nil {
 		return r.add(&Server{}, s, now)
 	}
+	if s.Start == 0 && old.Start != 0 && !r.lapsed(old, now) {
+		return false // sent by another writer, or by a process before the known one
+	}
 	switch r.compareToKnownStart(old, s.Start, now) {
 	case incarnation.Older:
+		if r.runsAfter(old, &s) {
+			return r.restart(old, s, now)
+		}
 		return false
 	case incarnation.Newer:
 		return r.restart(old, s, now)
 	}
-	if old.Gone || s.Sequence < old.Sequence || (s.Sequence == old.Sequence && !s.LastSeen.After(old.LastSeen)) {
+	r.recordHeard(old, &s)
+	old.overrule(s.Overruled)
+	if old.Gone && !r.isBack(old, &s) {
 		return false
 	}
+	back := old.Gone
+	if !back && (s.Sequence < old.Sequence || (s.Sequence == old.Sequence && !s.LastSeen.After(old.LastSeen))) {
+		return false
+	}
+	s.FirstSeen, s.ProvedAt, s.heard, s.rival = old.FirstSeen, old.ProvedAt, old.heard, old.rival
+	s.ProvedElsewhere = later(s.ProvedElsewhere, old.ProvedElsewhere)
+	s.Departures, s.Overruled, s.departedAt = old.Departures, old.Overruled, old.departedAt
+	if back || old.claims || s.Address != old.Address {
+		r.releaseAddress(old)
+		if lost := r.claimAddress(&s, back, now); lost != claimWon {
+			return r.storeLost(old, s, lost, now)
+		}
+	}
 	if s.Start == 0 {
 		s.Start = old.Start
 	}
-	s.FirstSeen = old.FirstSeen
 	s.SentAfterRevision = max(old.SentAfterRevision, s.SentAfterRevision, r.provedRevision(old, &s))
 	if s.DirectAt.IsZero() {
 		s.DirectAt = old.DirectAt
 	}
-	if old.Address == s.Address {
-		s.ProvedAt = old.ProvedAt
-		if r.consecutive(old, &s) {
-			s.ProvedAt = old.LastSeen
-		}
-	}
-	changed := old.Leaving != s.Leaving || old.Service != s.Service || old.Slots != s.Slots || r.lapsed(old, now) ||
+	changed := back || old.claims || old.Leaving != s.Leaving || old.Service != s.Service || old.Slots != s.Slots || r.lapsed(old, now) ||
 		old.Start != s.Start || old.Address != s.Address || old.Release != s.Release || s.ColdUntil.After(old.ColdUntil.Add(coldChangeThreshold)) ||
 		(r.AwaitsConfirmation(old) && !r.AwaitsConfirmation(&s))
 	return r.store(old, s, changed)
@@ -185,19 +217,23 @@
 	clear(r.lists)
 	entry.starts.Advance(s.Start)
 	s.starts = entry.starts
-	r.claimAddress(&s, now)
-	if s.Gone {
-		return false
+	s.Departures, s.departedAt, s.rival = nil, time.Time{}, nil
+	if s.heard.at.IsZero() {
+		r.recordHeard(&s, &s)
 	}
 	r.servers[s.ID] = entry
+	if lost := r.claimAddress(&s, false, now); lost != claimWon {
+		return r.storeLost(entry, s, lost, now)
+	}
 	return r.store(entry, s, true)
 }
 
 // restart replaces a start of a server by a newer one under the same ID. No state of the earlier
 // start is kept.
 func (r *Registry) restart(old *Server, s Server, now time.Time) bool {
-	if r.byAddress[old.Address] == old.ID {
-		delete(r.byAddress, old.Address)
+	r.releaseAddress(old)
+	if old.starts.Current == 0 {
+		s.Overruled = slices.Concat(old.Departures, s.Overruled) // of a process whose start is not known, and not of this one
 	}
 	return r.add(old, s, now)
 }
@@ -224,6 +260,13 @@
 	return changed
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
@@ -235,56 +278,6 @@
 // once; smaller differences come from message delays.
 const coldChangeThreshold = 200 * time.Millisecond
 
-// claimAddress assigns the address of s to s and marks the previous holder as gone. If the holder
-// was first seen after s, then s is the outdated server and is marked as gone instead.
-func (r *Registry) claimAddress(s *Server, now time.Time) {
-	if id, ok := r.byAddress[s.Address]; ok && id != s.ID {
-		holder := r.servers[id]
-		if holder != nil && !holder.Gone && holder.FirstSeen.After(s.FirstSeen) {
-			s.Gone = true
-			s.LastSeen = now
-			r.servers[s.ID] = s
-			r.recordAnnouncement(s)
-			r.recordServerChange(s)
-			return
-		}
-		r.markGone(holder, now)
-	}
-	r.byAddress[s.Address] = s.ID
-}
-
-func (r *Registry) markGone(s *Server, now time.Time) {
-	if s == nil || s.Gone {
-		return
-	}
-	s.Gone, s.LastSeen = true, now
-	clear(r.lists)
-	r.recordAnnouncement(s)
-	r.recordServerChange(s)
-}
-
-// Leave records that a start of a server has left for good; start 0 means the known one. It
-// reports whether the server was in use before. A late message of an earlier start changes
-// nothing.
-func (r *Registry) Leave(id string, start int64, now time.Time) bool {
-	s := r.servers[id]
-	if s == nil {
-		s = &Server{ID: id, FirstSeen: now}
-		r.servers[id] = s
-	}
-	switch r.compareToKnownStart(s, start, now) {
-	case incarnation.Older:
-		return false
-	case incarnation.Newer:
-		s.Gone = false
-	}
-	s.starts.Advance(start)
-	s.Start = s.starts.Current
-	wasInUse := !s.Gone
-	r.markGone(s, now)
-	return wasInUse
-}
-
 func (r *Registry) lapsed(s *Server, now time.Time) bool {
 	return now.Sub(s.LastSeen) > r.o.ServerLease
 }
@@ -296,15 +289,13 @@
 func (r *Registry) RegionOf(domain string) string { return r.o.Regions[domain] }
 
 // DirectServers returns the servers of a region that sent an announcement to this control host
-// within the lease, and all servers that were marked as gone within the lease, sorted by ID.
+// within the lease, and all servers that count as gone, sorted by ID: a departure that does not reach
+// the control host of its server can't be overruled.
 func (r *Registry) DirectServers(region string, now time.Time) []*Server {
 	var out []*Server
 	for _, s := range r.servers {
-		at := s.DirectAt
-		if s.Gone {
-			at = s.LastSeen
-		}
-		if !at.IsZero() && now.Sub(at) <= r.o.ServerLease && (s.Gone || r.RegionOf(s.FailureDomain) == region) {
+		direct := !s.claims && !s.DirectAt.IsZero() && now.Sub(s.DirectAt) <= r.o.ServerLease && r.RegionOf(s.FailureDomain) == region
+		if s.Gone || direct {
 			out = append(out, s)
 		}
 	}
@@ -341,9 +332,7 @@
 		switch {
 		case now.Sub(s.LastSeen) > goneRetention:
 			delete(r.servers, id)
-			if r.byAddress[s.Address] == id {
-				delete(r.byAddress, s.Address)
-			}
+			r.releaseAddress(s)
 		case s.listed():
 			r.nextServerExpiry = earlier(r.nextServerExpiry, s.LastSeen.Add(r.o.ServerLease))
 		default:
