httpanswer, backendconn: what HTTP does not allow is no answer, nor is a part before a reset

A server answered a long upload at once with a 200 without a length, sent a part and reset the connection: the caller got the part as a whole answer. Status 000 and names of fields with a blank reached callers too, with the framing of the body as its content.

Cause: the kernel reports a reset once. While the request is being written the write may get it, and the read a plain end. net/http accepts heads that RFC 9112 does not allow.

Now the end of a read counts only if the connection was not reset, as its state says, and the heads, trailers, interim and late answers are checked, wherever answers are read: connections to servers, the product's own interface, its directory, sesamectl, the load tool and links from other regions.

--- a/internal/adapter/backendconn/backendconn.go
+++ b/internal/adapter/backendconn/backendconn.go
@@ -24,6 +24,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/sesamefork/sesamefork/internal/adapter/httpanswer"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	"github.com/sesamefork/sesamefork/internal/membudget"
 )
@@ -288,6 +289,9 @@
 			return nil, err
 		}
 		resp, err := http.ReadResponse(x.c.br, req)
+		if err == nil {
+			err = httpanswer.Check(resp)
+		}
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
@@ -302,6 +306,9 @@
 			continue
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, bodies))
+		if err == nil {
+			err = httpanswer.CheckFields(resp.Trailer)
+		}
 		if bodies -= n; bodies <= 0 {
 			return nil, errSkippedTooLong
 		}
@@ -339,6 +346,7 @@
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
+	err = httpanswer.EndOf(b.resp, err)
 	if err == io.EOF && !b.done {
 		b.finish(true)
 	} else if err != nil && !b.done {
@@ -425,6 +433,7 @@
 		return nil, errors.Trace(err)
 	}
 	limitReceiveBuffer(nc)
+	nc = httpanswer.Wrap(nc)
 	src := &source{conn: nc}
 	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(src, readBufferBytes), source: src, openSince: time.Now()}, nil
 }
--- a/internal/adapter/backendconn/backendconn_test.go
+++ b/internal/adapter/backendconn/backendconn_test.go
@@ -521,3 +521,41 @@
 		}
 	}
 }
+
+// BenchmarkRoundTrip measures a request and its answer on a kept connection.
+func BenchmarkRoundTrip(b *testing.B) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				r, line, answer := bufio.NewReader(c), make([]byte, 0, 512), []byte("HTTP/1.1 200 OK\r\nId: r\r\nX-Server-Load: 1,0,8\r\nContent-Length: 2\r\n\r\nok")
+				for {
+					part, err := r.ReadSlice('\n')
+					if err != nil {
+						return
+					}
+					if line = append(line[:0], part...); len(line) <= 2 {
+						_, _ = c.Write(answer)
+					}
+				}
+			}()
+		}
+	}()
+	p := New(Options{DialTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxIdlePerAddr: 4})
+	defer p.Close()
+	s := &server{ln: ln}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := roundTrip(p, s, "r", nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/adapter/backendconn/head.go
+++ b/internal/adapter/backendconn/head.go
@@ -7,6 +7,9 @@
 	"net"
 	"time"
 
+	"github.com/juju/errors"
+
+	"github.com/sesamefork/sesamefork/internal/adapter/httpanswer"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	"github.com/sesamefork/sesamefork/internal/membudget"
 )
@@ -82,6 +85,9 @@
 	if !t.Stop() {
 		return 0, errHeadTooSlow // also with a whole head: the connection is closed before its body is read
 	}
+	if err == nil {
+		err = errors.Trace(httpanswer.CheckBytes(head))
+	}
 	if err != nil {
 		return 0, err
 	}
--- a/internal/adapter/directory/directory.go
+++ b/internal/adapter/directory/directory.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/adapter/httpanswer"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	"github.com/sesamefork/sesamefork/internal/port"
 )
@@ -26,7 +27,7 @@
 
 // NewClient returns a client for HTTP. Responses' bodies are not read.
 func NewClient() *http.Client {
-	return &http.Client{Timeout: callTimeout, Transport: &http.Transport{Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: maxHeadBytes}}
+	return &http.Client{Timeout: callTimeout, Transport: httpanswer.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: maxHeadBytes})}
 }
 
 // listing is the published document.
--- a/internal/adapter/enginehttp/enginehttp.go
+++ b/internal/adapter/enginehttp/enginehttp.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/adapter/httpanswer"
 	"github.com/sesamefork/sesamefork/internal/adapter/httpheader"
 	"github.com/sesamefork/sesamefork/internal/failure"
 	"github.com/sesamefork/sesamefork/internal/port"
@@ -49,7 +50,7 @@
 func New() *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
 	return &Client{http: &http.Client{
-		Transport: &http.Transport{
+		Transport: httpanswer.NewTransport(&http.Transport{
 			DialContext:         dialIfMaySend(d),
 			MaxIdleConnsPerHost: maxIdlePerServer,
 			IdleConnTimeout:     idleTimeout,
@@ -57,7 +58,7 @@
 			// Without it, net/http reads heads of up to 10 MiB.
 			MaxResponseHeaderBytes: maxHeadBytes,
 			ReadBufferSize:         readBufferBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- a/internal/adapter/enginehttp/enginehttp_test.go
+++ b/internal/adapter/enginehttp/enginehttp_test.go
@@ -93,3 +93,35 @@
 		})
 	}
 }
+
+// TestWhatIsNoAnswerFails guards against heads that HTTP does not allow and that reach callers as answers.
+func TestWhatIsNoAnswerFails(t *testing.T) {
+	for _, c := range []struct{ name, answer string }{
+		{"status 000", "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok"},
+		{"a blank before the colon", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok"},
+		{"a blank in a name", "HTTP/1.1 200 OK\r\nX Odd: a\r\nContent-Length: 2\r\n\r\nok"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = ln.Close() }()
+			go func() {
+				nc, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = bufio.NewReader(nc).ReadString('\n')
+				_, _ = io.WriteString(nc, c.answer)
+				_ = nc.Close()
+			}()
+			client := New()
+			defer client.Close()
+			answer, sent, err := client.Do(context.Background(), port.BackendCall{Address: ln.Addr().String(), Method: http.MethodGet, URI: "/"})
+			if err == nil || !sent {
+				t.Errorf("answered with %+v, sent %t: %v", answer, sent, err)
+			}
+		})
+	}
+}
--- a/internal/app/entry/forward.go
+++ b/internal/app/entry/forward.go
@@ -83,7 +83,11 @@
 		stall.Reset(h.o.StallTimeout)
 		switch f := frame.Frame.(type) {
 		case *pb.ForwardFrame_Head:
-			hd, headed = headOf(f.Head, p.Region), true
+			var fault *failure.Error
+			if hd, fault = headOf(f.Head, p.Region); fault != nil {
+				return result{stage: retry.Sent, err: fault, connected: true}
+			}
+			headed = true
 		case *pb.ForwardFrame_Chunk:
 			if len(body)+len(f.Chunk) > maxAnswerBytes {
 				return result{stage: retry.MidAnswer, err: failure.New(failure.Truncated, failure.Unknown, "the answer is over %d bytes", maxAnswerBytes), connected: true}
@@ -106,8 +110,9 @@
 	}
 }
 
-func headOf(m *pb.ForwardHead, region string) Head {
-	return Head{Status: int(m.Status), Header: forward.ReadHeaders(m.Headers), Region: region, Server: m.Server}
+func headOf(m *pb.ForwardHead, region string) (Head, *failure.Error) {
+	status, header, f := forward.ReadHead(m)
+	return Head{Status: status, Header: header, Region: region, Server: m.Server}, f
 }
 
 // sendData sends a piece of the answer to the sink, after the head. A stream is complete with
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -4,9 +4,12 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 	"unicode/utf8"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/sesamefork/sesamefork/internal/failure"
 	pb "github.com/sesamefork/sesamefork/internal/gen/peerpb"
 )
@@ -58,6 +61,21 @@
 	return out
 }
 
+// ReadHead decodes the status and the headers of an answer. It fails if HTTP does not allow them: the other host may run
+// a version that passes on what a faulty server sent.
+func ReadHead(m *pb.ForwardHead) (status int, header http.Header, f *failure.Error) {
+	header = ReadHeaders(m.Headers)
+	if m.Status < 100 || m.Status > 999 {
+		return 0, nil, failure.New(failure.BackendLost, failure.Unknown, "the answer's status is %d", m.Status)
+	}
+	for name, values := range header {
+		if !httpguts.ValidHeaderFieldName(name) || slices.ContainsFunc(values, func(v string) bool { return !httpguts.ValidHeaderFieldValue(v) }) {
+			return 0, nil, failure.New(failure.BackendLost, failure.Unknown, "the answer has a header field that HTTP does not allow")
+		}
+	}
+	return int(m.Status), header, nil
+}
+
 // End returns the frame that ends an answer: complete if f is nil.
 func End(f *failure.Error) *pb.ForwardFrame {
 	end := &pb.ForwardEnd{Complete: f == nil, Outcome: string(failure.Done)}
--- a/internal/app/gateway/forward.go
+++ b/internal/app/gateway/forward.go
@@ -84,7 +84,12 @@
 		}
 		switch f := frame.Frame.(type) {
 		case *pb.ForwardFrame_Head:
-			hd, headReceived = headOf(f.Head), true
+			var fault *failure.Error
+			if hd, fault = headOf(f.Head); fault != nil {
+				res.stage, res.outcome, res.err = retry.Sent, dispatch.Failed, fault
+				return
+			}
+			headReceived = true
 			g.recordProgress(c, res, began)
 		case *pb.ForwardFrame_Chunk:
 			if hd.Length >= 0 {
@@ -152,8 +157,9 @@
 	g.fleet.RecordHostRefusal(c, f.RetryAfter, g.o.Clock.Now())
 }
 
-func headOf(m *pb.ForwardHead) Head {
-	return Head{Status: int(m.Status), Header: forward.ReadHeaders(m.Headers), Length: m.Length, Release: m.Release}
+func headOf(m *pb.ForwardHead) (Head, *failure.Error) {
+	status, header, f := forward.ReadHead(m)
+	return Head{Status: status, Header: header, Length: m.Length, Release: m.Release}, f
 }
 
 // streamSink writes an answer to the stream of a forward.
--- a/internal/app/gateway/unreadable_test.go
+++ b/internal/app/gateway/unreadable_test.go
@@ -60,9 +60,9 @@
 				t.Errorf("received as %q %q %q %v", sent.ID, sent.URI, sent.Path, sent.Header)
 			}
 			head := new(pb.ForwardHead)
-			transmit(t, &pb.ForwardHead{Headers: forward.Headers(sink.head.Header)}, head)
-			if note := headOf(head).Header.Get("X-Note"); note != raw {
-				t.Errorf("the answer's field was received as %q", note)
+			transmit(t, &pb.ForwardHead{Status: http.StatusOK, Headers: forward.Headers(sink.head.Header)}, head)
+			if hd, f := headOf(head); f != nil || hd.Header.Get("X-Note") != raw {
+				t.Errorf("the answer's field was received as %q, %v", hd.Header.Get("X-Note"), f)
 			}
 		})
 	}
--- a/internal/core/dispatch/departure_test.go
+++ b/internal/core/dispatch/departure_test.go
@@ -27,7 +27,9 @@
 		return func(m *pb.FleetServer) { m.Overruled = events }
 	}
 	view := func(m *pb.FleetServer) func(f *Fleet, now time.Time) {
-		return func(f *Fleet, now time.Time) { f.ApplyView(&pb.FleetView{Servers: []*pb.FleetServer{m}}, ViewScope{}, now) }
+		return func(f *Fleet, now time.Time) {
+			f.ApplyView(&pb.FleetView{Servers: []*pb.FleetServer{m}}, ViewScope{}, now)
+		}
 	}
 	misdirected := func(f *Fleet, now time.Time) { f.MarkGone("s0", 10, now) }
 	heard := func(age time.Duration) func(f *Fleet, now time.Time) {
--- a/internal/ctl/bounds.go
+++ b/internal/ctl/bounds.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 
+	"github.com/sesamefork/sesamefork/internal/adapter/httpanswer"
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
 
@@ -50,5 +51,5 @@
 	}
 	t = t.Clone()
 	t.MaxResponseHeaderBytes, t.DisableKeepAlives = maxHeadBytes, true
-	return t
+	return httpanswer.NewTransport(t)
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/sesamefork/sesamefork/internal/adapter/httpanswer"
 	"github.com/sesamefork/sesamefork/internal/adapter/metrics"
 	"github.com/sesamefork/sesamefork/internal/failure"
 )
@@ -113,7 +114,7 @@
 	r := &runner{
 		o: o, ttft: metrics.NewHistogram(), gap: metrics.NewHistogram(), total: metrics.NewHistogram(),
 		orders: metrics.NewHistogram(), lastOutcomes: map[string]failure.Outcome{}, hostLists: map[string]hostList{},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512, DisableCompression: true}},
+		client: &http.Client{Transport: httpanswer.NewTransport(&http.Transport{MaxIdleConnsPerHost: 512, DisableCompression: true})},
 	}
 	r.rep.Failures = map[string]int{}
 	rnd := rand.New(rand.NewSource(o.Seed))
