gateway: a request's body is free when the request has ended

Many requests in a row took an entry host over its memory.

Now the timer is stopped when the attempt ends.

--- a/internal/adapter/backendconn/endless_test.go
+++ b/internal/adapter/backendconn/endless_test.go
@@ -70,6 +70,25 @@
 	}
 }
 
+// TestEndlessResponsesToUploadsEnd guards against a host that reads without end what a faulty server sends while the host
+// still writes a long request to it.
+func TestEndlessResponsesToUploadsEnd(t *testing.T) {
+	for _, c := range endlessResponses {
+		t.Run(c.name, func(t *testing.T) {
+			total := make(chan int, 1)
+			s := serve(t, func(_ *server, _ int, nc net.Conn, r *bufio.Reader) {
+				_, _ = r.ReadString('\n')
+				total <- sendEndless(nc, c.start, strings.Repeat(c.repeat, max(1, speeds[0].unit/len(c.repeat))), speeds[0].stopAt)
+			})
+			_, err := roundTrip(newPool(t), s, "r", make([]byte, largeUpload))
+			var e *Error
+			if n := <-total; !errors.As(err, &e) || !e.Sent || n > speeds[0].limit {
+				t.Errorf("ended with %v after %d bytes", err, n)
+			}
+		})
+	}
+}
+
 // sendEndless sends the start and then the unit again and again, and returns the number of bytes that were sent until
 // the other end closed the connection, or stopAt is reached.
 func sendEndless(c net.Conn, start, unit string, stopAt int) int {
--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -534,11 +535,15 @@
 
 // cancelIfLost cancels an attempt once its server is lost, if the request is idempotent and can
 // be repeated elsewhere. An attempt of another request is canceled only if the server's process
-// was replaced, as its answer may still arrive otherwise.
-func (g *Gateway) cancelIfLost(ctx context.Context, x *execution, c *dispatch.Choice, cancel context.CancelCauseFunc) {
-	var check func()
-	check = func() {
-		if ctx.Err() != nil {
+// was replaced, as its answer may still arrive otherwise. The caller must call stop at the attempt's
+// end: a timer holds the request with its body.
+func (g *Gateway) cancelIfLost(ctx context.Context, x *execution, c *dispatch.Choice, cancel context.CancelCauseFunc) (stop func()) {
+	var mu sync.Mutex
+	var timer *time.Timer // nil once stopped
+	check := func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if timer == nil || ctx.Err() != nil {
 			return
 		}
 		g.mu.Lock()
@@ -548,9 +553,17 @@
 			cancel(errServerLost)
 			return
 		}
-		time.AfterFunc(lossCheckInterval, check)
+		timer.Reset(lossCheckInterval)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(lossCheckInterval, check)
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		timer.Stop()
+		timer = nil
 	}
-	time.AfterFunc(lossCheckInterval, check)
 }
 
 // isSuccess reports whether a server's status is a success (2xx).
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -30,7 +30,7 @@
 	began := g.o.Clock.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	g.cancelIfLost(ctx, x, c, cancel)
+	defer g.cancelIfLost(ctx, x, c, cancel)()
 	process, proofWait := g.requireProof(x, c.Server)
 	if process != "" {
 		defer g.proofs.request(g, c.Server)()
