gateway, streamorigin: a stream of a process that was not heard yet goes on nowhere else

Servers started again under their IDs with another release, and their announcements were late. Streams that began there meanwhile were broken off when these arrived, and went on at servers of the release before, in the same answer.

Cause: the release of a stream was that of the last announcement under the ID. Evidence: all second attempts ran at servers of the release before, with that release in place chosen.

Now an attempt that was sent later than the last announcement of a process that has been replaced may have reached the next one: the answer is left alone while it sends, goes on nowhere else, and its origin becomes unknown, which overrides the known one at all control hosts. The timer of an attempt lets go of the request when it is stopped, as the runtime may keep a stopped timer: TestBodyIsFreeAfterItsRequest failed once for that.

--- a/internal/app/gateway/execute.go
+++ b/internal/app/gateway/execute.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,6 +46,8 @@
 	release *string
 	// releaseUnknown is set if the stream has begun at a release that is not known, so that it cannot go on.
 	releaseUnknown bool
+	// successor is set if the stream may have begun at the process that has replaced its server's.
+	successor atomic.Bool
 	// mayHaveRun is set once an attempt has ended without proof that it did not run.
 	mayHaveRun bool
 	pauses     eventPauses
@@ -328,7 +331,7 @@
 // mayRetry reports whether the route, the deadline and the retry budget that all entry hosts
 // share allow another attempt.
 func (g *Gateway) mayRetry(ctx context.Context, x *execution, res result) bool {
-	if ctx.Err() != nil || x.deadline.Sub(g.o.Clock.Now()) < minAttemptTime || res.stage == retry.Answered || x.releaseUnknown || res.err == membudget.ErrSpent {
+	if ctx.Err() != nil || x.deadline.Sub(g.o.Clock.Now()) < minAttemptTime || res.stage == retry.Answered || x.releaseUnknown || x.successor.Load() || res.err == membudget.ErrSpent {
 		return false
 	}
 	if res.err != nil && res.err.IsCrashRefusal() {
@@ -536,33 +539,47 @@
 // cancelIfLost cancels an attempt once its server is lost, if the request is idempotent and can
 // be repeated elsewhere. An attempt of another request is canceled only if the server's process
 // was replaced, as its answer may still arrive otherwise. The caller must call stop at the attempt's
-// end: a timer holds the request with its body.
-func (g *Gateway) cancelIfLost(ctx context.Context, x *execution, c *dispatch.Choice, cancel context.CancelCauseFunc) (stop func()) {
-	var mu sync.Mutex
-	var timer *time.Timer // nil once stopped
-	check := func() {
-		mu.Lock()
-		defer mu.Unlock()
-		if timer == nil || ctx.Err() != nil {
-			return
+// end.
+func (g *Gateway) cancelIfLost(ctx context.Context, x *execution, c *dispatch.Choice, began time.Time, cancel context.CancelCauseFunc) (stop func()) {
+	begins := x.release == nil
+	return every(lossCheckInterval, func() (again bool) {
+		if ctx.Err() != nil {
+			return false
 		}
+		successor := begins && g.doubtRelease(x, c, began)
 		g.mu.Lock()
-		lost := g.fleet.Replaced(c) || (x.route.Idempotent() && g.fleet.Lost(c, g.o.Clock.Now()))
+		now := g.o.Clock.Now()
+		lost := g.fleet.Replaced(c) || (x.route.Idempotent() && g.fleet.Lost(c, now))
+		if successor { // which may go on with the answer
+			lost = g.fleet.Silent(c, now)
+		}
 		g.mu.Unlock()
 		if lost {
 			cancel(errServerLost)
-			return
 		}
-		timer.Reset(lossCheckInterval)
-	}
+		return !lost
+	})
+}
+
+// every calls f after each interval until f returns false or stop is called. The runtime may keep a stopped timer until
+// its time; stop lets go of f, and of the request that f refers to, at once.
+func every(interval time.Duration, f func() (again bool)) (stop func()) {
+	var mu sync.Mutex
+	var timer *time.Timer
 	mu.Lock()
 	defer mu.Unlock()
-	timer = time.AfterFunc(lossCheckInterval, check)
+	timer = time.AfterFunc(interval, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if f != nil && f() {
+			timer.Reset(interval)
+		}
+	})
 	return func() {
 		mu.Lock()
 		defer mu.Unlock()
+		f = nil
 		timer.Stop()
-		timer = nil
 	}
 }
 
--- a/internal/app/gateway/resume_test.go
+++ b/internal/app/gateway/resume_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -332,3 +334,78 @@
 		})
 	}
 }
+
+// stepReader calls each step in turn, and returns what it returns.
+type stepReader struct{ steps []func() (string, error) }
+
+func (r *stepReader) Read(p []byte) (int, error) {
+	if len(r.steps) == 0 {
+		return 0, io.EOF
+	}
+	text, err := r.steps[0]()
+	r.steps = r.steps[1:]
+	return copy(p, text), err
+}
+
+// TestStreamThatMayHaveBegunAtTheNextProcess guards against streams of two releases: a process that has started again under
+// its server's ID, and was not heard yet, begins a stream, which then goes on at a server of the release before.
+func TestStreamThatMayHaveBegunAtTheNextProcess(t *testing.T) {
+	for name, c := range map[string]struct {
+		announced bool // the process was announced after the request was sent
+		breaks    bool // the stream breaks off
+		sends     int
+		origin    streamorigin.Origin
+	}{
+		"not announced since, breaks off":  {false, true, 1, streamorigin.Unknown},
+		"not announced since, is complete": {false, false, 1, streamorigin.Unknown},
+		"announced since, breaks off":      {true, true, 2, streamorigin.Origin{Service: "llm", Release: "v1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			started := map[string]int64{"llm1": 7, "llm2": 7}
+			apply := func() {
+				f.view(func(v *pb.FleetView) {
+					setReleases(v, "llm1", [2]string{"v1", "v1"})
+					for _, s := range v.Servers {
+						s.Start = started[s.Id]
+					}
+				})
+			}
+			apply()
+			f.backends.answer = func(n int, a *Attempt) (*Answer, bool, error) {
+				if n > 1 {
+					return streamAnswer(event2, false), true, nil
+				}
+				body := &stepReader{[]func() (string, error){
+					func() (string, error) { return event1, nil },
+					func() (string, error) {
+						f.clock.advance(2 * time.Second)
+						if c.announced {
+							apply()
+						}
+						started[a.Server] = 8
+						apply()
+						if c.breaks {
+							return "", failure.New(failure.BackendLost, failure.Unknown, "connection reset")
+						}
+						return event2, nil
+					},
+				}}
+				return &Answer{Head: Head{Status: http.StatusOK, Header: http.Header{}, Length: -1}, Body: io.NopCloser(body)}, true, nil
+			}
+			fail := f.g.Execute(context.Background(), f.request("/match/1"), &memorySink{})
+			if n := len(f.backends.sent()); n != c.sends || (fail != nil) != (c.breaks && c.sends == 1) {
+				t.Errorf("%d attempts, ended with %v", n, fail)
+			}
+			if got, ok := f.g.streams.origin(streamorigin.Key("r1")); !ok || got != c.origin {
+				t.Errorf("origin %+v, known %t, want %+v", got, ok, c.origin)
+			}
+			r := f.request("/match/1")
+			r.ResumeAfter, r.Resumes = 1, "r1"
+			fail = f.g.Execute(context.Background(), r, &memorySink{})
+			if refused := fail != nil && fail.Code == failure.StreamUnknown && fail.Outcome == failure.NotRun; refused != (c.origin == streamorigin.Unknown) {
+				t.Errorf("taken up: %v", fail)
+			}
+		})
+	}
+}
--- a/internal/app/gateway/server.go
+++ b/internal/app/gateway/server.go
@@ -30,7 +30,11 @@
 	began := g.o.Clock.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer g.cancelIfLost(ctx, x, c, cancel)()
+	begins := x.release == nil
+	defer g.cancelIfLost(ctx, x, c, began, cancel)()
+	if begins {
+		defer g.doubtRelease(x, c, began)
+	}
 	process, proofWait := g.requireProof(x, c.Server)
 	if process != "" {
 		defer g.proofs.request(g, c.Server)()
--- a/internal/app/gateway/streams.go
+++ b/internal/app/gateway/streams.go
@@ -8,6 +8,7 @@
 
 	"github.com/sesamefork/sesamefork/internal/core/configstate"
 	"github.com/sesamefork/sesamefork/internal/core/controlhosts"
+	"github.com/sesamefork/sesamefork/internal/core/dispatch"
 	"github.com/sesamefork/sesamefork/internal/core/releases"
 	"github.com/sesamefork/sesamefork/internal/core/streamorigin"
 	"github.com/sesamefork/sesamefork/internal/failure"
@@ -86,7 +87,7 @@
 	stream := streamorigin.Key(x.r.Resumes)
 	o, source := g.findOrigin(ctx, stream, min(maxOriginWait, x.deadline.Sub(began)/3))
 	now := g.o.Clock.Now()
-	if source == "" {
+	if source == "" || o == streamorigin.Unknown {
 		g.o.Metrics.Add("streams_of_unknown_origin", 1)
 		g.o.Log.Info("stream not taken up", "request_id", x.r.ID, "resumes", x.r.Resumes, "resume_after", x.r.ResumeAfter, "waited_ms", now.Sub(began).Milliseconds())
 		return notRun(failure.StreamUnknown, originRetryAfter, "no control host in reach knows the stream that attempt %q began", x.r.Resumes)
@@ -233,7 +234,24 @@
 		return
 	}
 	x.release = hd.Release
+	origin := streamorigin.Origin{Service: x.service, Release: *hd.Release}
+	if x.successor.Load() {
+		origin = streamorigin.Unknown
+	}
 	if x.route.Resumable {
-		g.streams.record(streamorigin.Key(x.r.ID), streamorigin.Origin{Service: x.service, Release: *hd.Release}, g.o.Clock.Now())
+		g.streams.record(streamorigin.Key(x.r.ID), origin, g.o.Clock.Now())
+	}
+}
+
+// doubtRelease reports whether a stream may have begun at the process that has replaced its server's, and so at another
+// release than the announced one. If so, the stream does not go on elsewhere, and callers who take it up are refused.
+func (g *Gateway) doubtRelease(x *execution, c *dispatch.Choice, began time.Time) bool {
+	g.mu.Lock()
+	doubt := g.fleet.MayBeSuccessor(c, began)
+	g.mu.Unlock()
+	if doubt && x.successor.CompareAndSwap(false, true) && x.route.Resumable {
+		g.streams.record(streamorigin.Key(x.r.ID), streamorigin.Unknown, g.o.Clock.Now())
+		g.o.Log.Info("release of a begun stream unknown", "request_id", x.r.ID, "server", c.Server.ID, "start", c.Server.Start, "release", c.Server.Release)
 	}
+	return doubt
 }
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -113,6 +113,15 @@
 // because another one runs under its ID. No answer can arrive any more.
 func (f *Fleet) Replaced(c *Choice) bool { return c.Server != nil && c.Server.Replaced() }
 
+// MayBeSuccessor reports whether an attempt that was sent at a time may have reached the process that has replaced the
+// server's: the server did not announce itself since.
+func (f *Fleet) MayBeSuccessor(c *Choice, sentAt time.Time) bool {
+	return f.Replaced(c) && c.Server.Start != 0 && !sentAt.Before(c.Server.AnnouncedAt.Add(-maxViewDelay))
+}
+
+// Silent reports whether an attempt's server has sent this host nothing for a while.
+func (f *Fleet) Silent(c *Choice, now time.Time) bool { return c.Server != nil && c.Server.silent(now) }
+
 // Outcome is the result of an attempt as it affects the server's health.
 type Outcome int
 
--- a/internal/core/streamorigin/streamorigin.go
+++ b/internal/core/streamorigin/streamorigin.go
@@ -6,7 +6,7 @@
 // package does no I/O and reads no clock.
 //
 // Invariants:
-//   - The origin of a stream never changes.
+//   - The origin of a stream never changes, but for Unknown, which overrides any other one for good.
 //   - A log holds an origin for its retention at least after it was last recorded, unless the log is full.
 package streamorigin
 
@@ -24,6 +24,9 @@
 	Release string // software version; "" for servers that state none, which count as one release
 }
 
+// Unknown is the origin of a stream that may have begun at another process than the one that was taken for its server.
+var Unknown = Origin{}
+
 // Key returns the key of the stream that the caller's attempt with an ID began.
 func Key(attemptID string) uint64 { return xxhash.Sum64String(attemptID) }
 
@@ -64,7 +67,7 @@
 
 // Record appends the origin of a stream, also if it is known, so that it is kept for longer.
 func (l *Log) Record(stream uint64, o Origin, source Source, now time.Time) {
-	if known, ok := l.Origin(stream); ok {
+	if known, ok := l.Origin(stream); ok && o != Unknown {
 		o = known
 	}
 	l.latest[stream] = l.next()
@@ -147,9 +150,11 @@
 		if i >= len(m.Origin) || int(m.Origin[i]) >= min(len(m.Service), len(m.Release)) {
 			continue
 		}
-		if at, ok := l.latest[stream]; ok && l.entries[at-l.first].source <= source && now.Sub(l.entries[at-l.first].at) < time.Second {
+		o := Origin{m.Service[m.Origin[i]], m.Release[m.Origin[i]]}
+		if at, ok := l.latest[stream]; ok && l.entries[at-l.first].source <= source && now.Sub(l.entries[at-l.first].at) < time.Second &&
+			(o != Unknown || l.entries[at-l.first].origin == Unknown) {
 			continue // the same record, received again
 		}
-		l.Record(stream, Origin{m.Service[m.Origin[i]], m.Release[m.Origin[i]]}, source, now)
+		l.Record(stream, o, source, now)
 	}
 }
--- a/internal/core/streamorigin/streamorigin_test.go
+++ b/internal/core/streamorigin/streamorigin_test.go
@@ -130,3 +130,28 @@
 		})
 	}
 }
+
+// TestUnknownOriginOverrides guards against streams that are taken up at a release of which it has turned out that it may
+// not have begun them.
+func TestUnknownOriginOverrides(t *testing.T) {
+	host, control := NewLog(), NewLog()
+	known := Origin{"llm", "v1"}
+	host.Record(1, known, FromEntryHost, start)
+	send := func(position uint64, now time.Time) uint64 {
+		m, next := host.Since(position, FromEntryHost)
+		control.Merge(m, FromEntryHost, now)
+		return next
+	}
+	position := send(0, start)
+	if o, _ := control.Origin(1); o != known {
+		t.Fatalf("origin %+v", o)
+	}
+	host.Record(1, Unknown, FromEntryHost, start.Add(time.Millisecond))
+	send(position, start.Add(time.Millisecond))
+	for i, l := range []*Log{host, control} {
+		l.Record(1, known, FromElsewhere, start.Add(time.Second)) // a late record
+		if o, ok := l.Origin(1); !ok || o != Unknown {
+			t.Errorf("log %d: origin %+v, known %t", i, o, ok)
+		}
+	}
+}
