--- a/internal/adapter/backendconn/backendconn.go
+++ b/internal/adapter/backendconn/backendconn.go
@@ -272,13 +272,53 @@
 	}
 	cw := &countingWriter{w: x.c.Conn}
 	bw := bufio.NewWriterSize(cw, 8<<10)
-	err := out.Write(bw)
+	err := writeRequest(bw, out)
 	if err == nil {
 		err = bw.Flush()
 	}
 	x.sent, x.writeErr = cw.n > 0, err
 }
 
+// writeRequest writes a request whose target is the opaque part of its URL. net/http writes one that begins with two
+// slashes as "://...".
+func writeRequest(w *bufio.Writer, req *http.Request) error {
+	if !strings.HasPrefix(req.URL.Opaque, "//") {
+		return req.Write(w)
+	}
+	u := *req.URL
+	u.Opaque = "/" + strings.TrimLeft(u.Opaque, "/")
+	slashes := len(req.URL.Opaque) - len(u.Opaque)
+	req.URL = &u
+	return req.Write(&targetWriter{w: w, before: []byte(req.Method + " "), slashes: strings.Repeat("/", slashes)})
+}
+
+// targetWriter writes a request with slashes before its target.
+type targetWriter struct {
+	w       *bufio.Writer
+	before  []byte // what precedes the target; nil once that is written
+	slashes string
+}
+
+// Write implements io.Writer. The first part that is written holds what precedes the target.
+func (t *targetWriter) Write(p []byte) (int, error) {
+	if t.before == nil {
+		return t.w.Write(p)
+	}
+	if !bytes.HasPrefix(p, t.before) {
+		return 0, errors.New("the request does not begin with its method")
+	}
+	n, err := t.w.Write(t.before)
+	if err == nil {
+		_, err = t.w.WriteString(t.slashes)
+	}
+	t.before = nil
+	if err != nil {
+		return n, err
+	}
+	m, err := t.w.Write(p[n:])
+	return n + m, err
+}
+
 // readHead reads up to the head of the response that belongs to the request. Interim responses and late responses to
 // earlier requests are skipped, up to maxSkippedHeadBytes and maxSkippedBodyBytes.
 func (x *exchange) readHead(req *http.Request, matches Match) (*http.Response, error) {
--- a/internal/app/gateway/gateway_test.go
+++ b/internal/app/gateway/gateway_test.go
@@ -643,3 +643,14 @@
 		t.Errorf("%d in flight when the end is sent, %d afterwards", s.inFlightAtEnd, f.g.Inflight())
 	}
 }
+
+// TestPathOfTarget guards against forwarded requests that match no route, as their target is a whole URI.
+func TestPathOfTarget(t *testing.T) {
+	for target, want := range map[string]string{
+		"/a/b?c": "/a/b", "//a/b": "//a/b", "http://h/a/b?c": "/a/b", "http://h": "/", "http://h/": "/", "/a?http://h/b": "/a",
+	} {
+		if got := pathOf(target); got != want {
+			t.Errorf("%s: %q, want %q", target, got, want)
+		}
+	}
+}
--- a/internal/app/gateway/request.go
+++ b/internal/app/gateway/request.go
@@ -176,9 +176,16 @@
 	Confirm(addr, process string, at time.Time)
 }
 
-// pathOf returns a URI without its query.
+// pathOf returns the path of a request's target, which may be a whole URI (RFC 9112, 3.2.2).
 func pathOf(uri string) string {
 	path, _, _ := strings.Cut(uri, "?")
+	if strings.HasPrefix(path, "/") {
+		return path
+	}
+	if _, rest, ok := strings.Cut(path, "://"); ok {
+		_, path, _ = strings.Cut(rest, "/")
+		return "/" + path
+	}
 	return path
 }
 
