registry: departures are passed on again only by the control host that recorded them

A control host passed all departures that it knew on to one that it reaches again, so that hosts that are cut off now and then could keep the entries of servers that left for ever. Messages hold copies of the lists of departures, which the registry changes in place. A process that waits for its address is not proved to listen there.

--- a/internal/app/control/fleet.go
+++ b/internal/app/control/fleet.go
@@ -303,7 +303,7 @@
 	out := &pb.ProcessProofs{}
 	for i, id := range q.Id {
 		p := &pb.ProcessProof{}
-		if s := f.reg.Server(id); i < len(q.Start) && s != nil && s.Start == q.Start[i] && !s.Gone && !s.ProvedAt.IsZero() {
+		if s := f.reg.Server(id); i < len(q.Start) && s != nil && s.Start == q.Start[i] && !s.Gone && s.Holds() && !s.ProvedAt.IsZero() {
 			p.Known, p.Address, p.AgeMs = true, s.Address, age(s.ProvedAt, now)+1
 		}
 		out.Proofs = append(out.Proofs, p)
--- a/internal/app/control/view.go
+++ b/internal/app/control/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -214,12 +215,12 @@
 
 func serverMessage(s *registry.Server, now time.Time) *pb.FleetServer {
 	if s.Gone {
-		return &pb.FleetServer{Id: s.ID, Start: s.Start, Gone: true, Departures: s.Departures}
+		return &pb.FleetServer{Id: s.ID, Start: s.Start, Gone: true, Departures: slices.Clone(s.Departures)}
 	}
 	m := &pb.FleetServer{
 		Id: s.ID, Start: s.Start, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain, Sequence: s.Sequence,
 		Slots: uint32(s.Slots), Leaving: s.Leaving, Release: s.Release, AgeMs: age(s.LastSeen, now), FirstSeenMs: age(s.FirstSeen, now),
-		SentAfterRevision: s.SentAfterRevision, Overruled: s.Overruled,
+		SentAfterRevision: s.SentAfterRevision, Overruled: slices.Clone(s.Overruled),
 	}
 	if at := s.LatestProof(); !at.IsZero() {
 		m.ProvedAgeMs = age(at, now) + 1
--- a/internal/core/registry/departure.go
+++ b/internal/core/registry/departure.go
@@ -91,6 +91,12 @@
 	return len(known.Departures) == 0
 }
 
+// departHere records a departure that no other control host knows.
+func (r *Registry) departHere(s *Server, now time.Time) (wasInUse bool) {
+	s.departedHere = true
+	return r.depart(s, r.newDeparture(s, now), now)
+}
+
 // depart records an event after which a process counts as gone. It reports whether the process was in use before.
 func (r *Registry) depart(s *Server, event uint64, now time.Time) bool {
 	if slices.Contains(s.Departures, event) || slices.Contains(s.Overruled, event) {
@@ -136,12 +142,13 @@
 	case incarnation.Older:
 		return false
 	case incarnation.Newer:
-		s.Gone, s.Departures, s.Overruled, s.ProvedAt, s.ProvedElsewhere, s.heard, s.rival = false, nil, nil, time.Time{}, time.Time{}, heard{}, nil
+		s.Gone, s.Departures, s.Overruled, s.departedHere = false, nil, nil, false
+		s.ProvedAt, s.ProvedElsewhere, s.heard, s.rival = time.Time{}, time.Time{}, heard{}, nil
 	}
 	s.starts.Advance(start)
 	s.Start = s.starts.Current
 	if events == nil {
-		events = []uint64{r.newDeparture(s, now)}
+		return r.departHere(s, now)
 	}
 	for _, e := range events {
 		wasInUse = r.depart(s, e, now) || wasInUse
@@ -174,7 +181,7 @@
 	switch {
 	case holder == nil || holder.ID == s.ID:
 	case r.prevails(s, s.Address, now) || (decided && !s.AnnouncedHere()):
-		r.depart(holder, r.newDeparture(holder, now), now)
+		r.departHere(holder, now)
 	case !s.AnnouncedHere() || (s.Start == 0 && holder.Start != 0):
 		return claimWaits
 	default:
@@ -194,7 +201,7 @@
 	*known = s
 	clear(r.lists)
 	if outcome == claimLost {
-		r.depart(known, r.newDeparture(known, now), now)
+		r.departHere(known, now)
 	} else if wasInUse {
 		r.recordServerChange(known)
 	}
--- a/internal/core/registry/departure_test.go
+++ b/internal/core/registry/departure_test.go
@@ -227,7 +227,7 @@
 func (w *world) exchange(from, to, ms int) {
 	for _, s := range w.hosts[from].DirectServers("west", at(ms)) {
 		if s.Gone {
-			w.hosts[to].MergeDepartures(s.ID, s.Start, s.Departures, at(ms))
+			w.hosts[to].MergeDepartures(s.ID, s.Start, slices.Clone(s.Departures), at(ms))
 			continue
 		}
 		if !s.AnnouncedHere() {
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -2,9 +2,8 @@
 // announcements, the entry hosts that send sync requests, and the state that other control
 // hosts send of theirs in exchanges. It does no I/O and reads no clock.
 //
-// Invariants: a start that another start has replaced under its ID is never listed again; a start that has
-// left, or has lost its address to another server, is listed again only once it is proved to have sent an
-// announcement since; of two starts at one address the later one is listed, whichever announcement arrives last;
+// Invariants: a start that has left, that another start has replaced under its ID, or that has lost its address to
+// another server is listed again only once it is proved to have sent an announcement since; of two starts at one address the later one is listed, whichever announcement arrives last;
 // of two announcements of a start, the one with the higher sequence number takes effect, whichever arrives last;
 // the revision after which a start is proved to have sent an announcement never falls; the loads of an entry host
 // are part of the sum of one control host, its owner.
@@ -79,6 +78,7 @@
 	Departures, Overruled []uint64
 
 	departedAt      time.Time // when the last of Departures was recorded here
+	departedHere    bool      // one of Departures was not received from another control host
 	claims          bool      // it announces an address that another server holds, and is not listed
 	heard           heard     // its last announcement that this control host received from it
 	rival           *rival    // another process under the ID, which counts as an earlier one; nil for none
@@ -180,7 +180,7 @@
 	}
 	s.FirstSeen, s.ProvedAt, s.heard, s.rival = old.FirstSeen, old.ProvedAt, old.heard, old.rival
 	s.ProvedElsewhere = later(s.ProvedElsewhere, old.ProvedElsewhere)
-	s.Departures, s.Overruled, s.departedAt = old.Departures, old.Overruled, old.departedAt
+	s.Departures, s.Overruled, s.departedAt, s.departedHere = old.Departures, old.Overruled, old.departedAt, old.departedHere
 	if back || old.claims || s.Address != old.Address {
 		r.releaseAddress(old)
 		if lost := r.claimAddress(&s, back, now); lost != claimWon {
@@ -217,7 +217,7 @@
 	clear(r.lists)
 	entry.starts.Advance(s.Start)
 	s.starts = entry.starts
-	s.Departures, s.departedAt, s.rival = nil, time.Time{}, nil
+	s.Departures, s.departedAt, s.departedHere, s.rival = nil, time.Time{}, false, nil
 	if s.heard.at.IsZero() {
 		r.recordHeard(&s, &s)
 	}
@@ -289,13 +289,14 @@
 func (r *Registry) RegionOf(domain string) string { return r.o.Regions[domain] }
 
 // DirectServers returns the servers of a region that sent an announcement to this control host
-// within the lease, and all servers that count as gone, sorted by ID: a departure that does not reach
-// the control host of its server can't be overruled.
+// within the lease, and the servers that departed here or within the lease, sorted by ID: a departure that
+// does not reach the control host of its server can't be overruled.
 func (r *Registry) DirectServers(region string, now time.Time) []*Server {
 	var out []*Server
 	for _, s := range r.servers {
 		direct := !s.claims && !s.DirectAt.IsZero() && now.Sub(s.DirectAt) <= r.o.ServerLease && r.RegionOf(s.FailureDomain) == region
-		if s.Gone || direct {
+		departed := s.Gone && (s.departedHere || now.Sub(s.LastSeen) <= r.o.ServerLease)
+		if departed || (direct && !s.Gone) {
 			out = append(out, s)
 		}
 	}
